--- /dev/null
+++ b/src/bin/pumicelatch-bench.rs
@@ -0,0 +1,2 @@
+//! Placeholder.
+fn main() {}
--- /dev/null
+++ b/src/clock.rs
@@ -0,0 +1,69 @@
+//! Time as the decision code sees it: a count of microseconds that the caller passes in.
+//!
+//! Decisions never read a clock of their own, so that a recorded trace replays to the same outcome.
+
+use std::ops::{Add, Sub};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use serde::{Deserialize, Serialize};
+
+/// A monotonic instant, in microseconds since the process (or trace) began.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default, Hash, Serialize, Deserialize)]
+pub struct Time(pub u64);
+
+impl Time {
+    /// The instant `millis` milliseconds after the beginning.
+    pub const fn from_millis(millis: u64) -> Self {
+        Self(millis * 1_000)
+    }
+
+    /// The time that has passed since `earlier`, zero when `earlier` lies ahead.
+    pub fn since(self, earlier: Self) -> Duration {
+        Duration::from_micros(self.0.saturating_sub(earlier.0))
+    }
+}
+
+impl Add<Duration> for Time {
+    type Output = Self;
+
+    fn add(self, duration: Duration) -> Self {
+        Self(self.0.saturating_add(duration.as_micros() as u64))
+    }
+}
+
+impl Sub<Duration> for Time {
+    type Output = Self;
+
+    fn sub(self, duration: Duration) -> Self {
+        Self(self.0.saturating_sub(duration.as_micros() as u64))
+    }
+}
+
+/// The clock at a process's edge: turns the system's monotonic clock into [`Time`].
+#[derive(Debug, Clone, Copy)]
+pub struct Clock {
+    origin: Instant,
+}
+
+impl Default for Clock {
+    fn default() -> Self {
+        Self {
+            origin: Instant::now(),
+        }
+    }
+}
+
+impl Clock {
+    /// The present instant.
+    pub fn now(&self) -> Time {
+        Time(self.origin.elapsed().as_micros() as u64)
+    }
+}
+
+/// Milliseconds since the Unix epoch, for log lines, the audit trail and incarnations.
+pub fn unix_millis() -> u64 {
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default()
+        .as_millis() as u64
+}
--- /dev/null
+++ b/src/http.rs
@@ -0,0 +1,419 @@
+//! HTTP at a process's edge: one accept loop and small helpers around `actix-http` and `awc`.
+//!
+//! A process keeps its state on one thread, without locks, so its connections are served on that
+//! thread too; `actix-server`'s worker threads would force every table behind a mutex.
+
+use std::cell::Cell;
+use std::future::Future;
+use std::io;
+use std::net::{IpAddr, SocketAddr};
+use std::pin::Pin;
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix_http::body::{BodyStream, BoxBody, MessageBody};
+use actix_http::header::{CONTENT_TYPE, HeaderValue};
+use actix_http::{HttpService, Request, Response, StatusCode};
+use actix_service::{Service, ServiceFactory, fn_service};
+use bytes::{Bytes, BytesMut};
+use futures_util::{Stream, StreamExt};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use tokio::io::{AsyncRead, AsyncWrite};
+use tokio::net::{TcpListener, TcpStream};
+
+/// How long a caller may take to send a request's head.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// How long an idle connection is kept.
+const KEEP_ALIVE: Duration = Duration::from_secs(30);
+
+/// How long a client waits for a connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Connections that wait to be accepted.
+const BACKLOG: i32 = 1024;
+
+/// Bytes that one connection's answer may wait in memory before the body is paused.
+const WRITE_BUFFER: usize = 64 * 1024;
+
+/// What goes wrong while a message is sent or read.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// A listening socket could not be opened.
+    #[error("cannot listen on {address}: {source}")]
+    Listen {
+        /// The address that was asked for.
+        address: SocketAddr,
+        /// Why the system refused.
+        source: io::Error,
+    },
+    /// The connection failed before a request was written to it.
+    #[error("cannot connect: {reason}")]
+    Connect {
+        /// What the client library reported.
+        reason: String,
+    },
+    /// The exchange broke after bytes may have left.
+    #[error("exchange broke: {reason}")]
+    Exchange {
+        /// What the client library reported.
+        reason: String,
+    },
+    /// The peer answered with a status that is not a success.
+    #[error("peer answered {status}")]
+    Status {
+        /// The status code.
+        status: u16,
+    },
+    /// A body is longer than its reader allows.
+    #[error("body is longer than {limit} bytes")]
+    TooLong {
+        /// The bound, in bytes.
+        limit: usize,
+    },
+    /// A body could not be decoded.
+    #[error("cannot decode body: {reason}")]
+    Decode {
+        /// What the codec reported.
+        reason: String,
+    },
+}
+
+impl From<awc::error::SendRequestError> for Error {
+    fn from(error: awc::error::SendRequestError) -> Self {
+        use awc::error::SendRequestError as Send;
+        match error {
+            // awc wraps a timeout of the whole exchange and one of the connection apart; only the
+            // latter is sure to precede the first byte.
+            Send::Connect(reason) => Self::Connect {
+                reason: reason.to_string(),
+            },
+            Send::Url(reason) => Self::Connect {
+                reason: reason.to_string(),
+            },
+            other => Self::Exchange {
+                reason: other.to_string(),
+            },
+        }
+    }
+}
+
+/// A connection as the server sees it: a plain socket, or one that a test bench has wrapped.
+pub trait Io: AsyncRead + AsyncWrite + Unpin {}
+
+impl<T: AsyncRead + AsyncWrite + Unpin> Io for T {}
+
+/// Wraps each accepted connection. Production serves plain sockets; a bench shapes them.
+pub type Wrap = Rc<dyn Fn(TcpStream, SocketAddr) -> Box<dyn Io>>;
+
+/// The [`Wrap`] that leaves a connection as it is.
+pub fn plain() -> Wrap {
+    Rc::new(|stream, _| Box::new(stream))
+}
+
+/// The answer type of all handlers.
+pub type Answer = Response<BoxBody>;
+
+/// Opens a listening socket. Port 0 lets the kernel choose.
+pub fn listen(address: SocketAddr) -> Result<TcpListener, Error> {
+    let open = || -> io::Result<TcpListener> {
+        let socket = socket2::Socket::new(
+            socket2::Domain::for_address(address),
+            socket2::Type::STREAM,
+            None,
+        )?;
+        socket.set_reuse_address(true)?;
+        socket.set_nonblocking(true)?;
+        socket.bind(&address.into())?;
+        socket.listen(BACKLOG)?;
+        TcpListener::from_std(socket.into())
+    };
+    open().map_err(|source| Error::Listen { address, source })
+}
+
+/// A running accept loop. Dropping it closes the listener and every connection; [`Server::drain`]
+/// ends it without cutting anything off.
+#[derive(Debug)]
+pub struct Server {
+    accept: actix_rt::task::JoinHandle<()>,
+    open: Rc<Cell<usize>>,
+}
+
+impl Server {
+    /// Serves `listener` with `handler` on the present thread.
+    pub fn start<F, Fut>(listener: TcpListener, wrap: Wrap, handler: F) -> Self
+    where
+        F: Fn(Request, SocketAddr) -> Fut + Clone + 'static,
+        Fut: Future<Output = Answer> + 'static,
+    {
+        let open = Rc::new(Cell::new(0));
+        let counter = open.clone();
+        let accept = actix_rt::spawn(accept_loop(listener, wrap, handler, counter));
+        Self { accept, open }
+    }
+
+    /// Stops accepting connections. Those that are open go on.
+    pub fn stop_accepting(&self) {
+        self.accept.abort();
+    }
+
+    /// Connections that are open.
+    pub fn open_connections(&self) -> usize {
+        self.open.get()
+    }
+}
+
+impl Drop for Server {
+    fn drop(&mut self) {
+        self.accept.abort();
+    }
+}
+
+/// Counts a connection for as long as it lives.
+struct Open(Rc<Cell<usize>>);
+
+impl Open {
+    fn new(counter: &Rc<Cell<usize>>) -> Self {
+        counter.set(counter.get() + 1);
+        Self(counter.clone())
+    }
+}
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+async fn accept_loop<F, Fut>(listener: TcpListener, wrap: Wrap, handler: F, open: Rc<Cell<usize>>)
+where
+    F: Fn(Request, SocketAddr) -> Fut + Clone + 'static,
+    Fut: Future<Output = Answer> + 'static,
+{
+    loop {
+        let Ok((stream, peer)) = listener.accept().await else {
+            // Out of descriptors: wait for some to be closed instead of spinning.
+            actix_rt::time::sleep(Duration::from_millis(50)).await;
+            continue;
+        };
+        let _ = stream.set_nodelay(true);
+        let handler = handler.clone();
+        let guard = Open::new(&open);
+        let io = wrap(stream, peer);
+        actix_rt::spawn(async move {
+            let _guard = guard;
+            let service = fn_service(move |request: Request| {
+                let answer = handler(request, peer);
+                async move { Ok::<_, actix_http::Error>(answer.await) }
+            });
+            let factory = HttpService::<Box<dyn Io>, _, BoxBody>::build()
+                .client_request_timeout(HEAD_TIMEOUT)
+                .keep_alive(KEEP_ALIVE)
+                .h1_write_buffer_size(WRITE_BUFFER)
+                .h1(service);
+            let Ok(connection) = factory.new_service(()).await else {
+                return;
+            };
+            if let Err(error) = connection.call((io, Some(peer))).await {
+                log::debug!(peer:% = peer; "connection ended: {error}");
+            }
+        });
+    }
+}
+
+/// Settings of an HTTP client.
+#[derive(Debug, Clone, Copy)]
+pub struct ClientSetting {
+    /// The address that connections leave from, so that a box is known by it.
+    pub local_address: Option<IpAddr>,
+    /// Connections kept for one peer and in all.
+    pub connections: usize,
+}
+
+impl Default for ClientSetting {
+    fn default() -> Self {
+        Self {
+            local_address: None,
+            connections: 1024,
+        }
+    }
+}
+
+/// A client without a timeout of its own: callers bound each exchange.
+pub fn client(setting: ClientSetting) -> awc::Client {
+    let mut connector = awc::Connector::new()
+        .timeout(CONNECT_TIMEOUT)
+        .handshake_timeout(CONNECT_TIMEOUT)
+        .limit(setting.connections);
+    if let Some(address) = setting.local_address {
+        connector = connector.local_address(address);
+    }
+    awc::Client::builder()
+        .connector(connector)
+        .disable_timeout()
+        .disable_redirects()
+        .no_default_headers()
+        .finish()
+}
+
+/// An empty answer.
+pub fn status(code: StatusCode) -> Answer {
+    Response::with_body(code, BoxBody::new(()))
+}
+
+/// An answer of `body` under a content type.
+pub fn body(code: StatusCode, content_type: &'static str, body: impl Into<Bytes>) -> Answer {
+    let mut answer = Response::with_body(code, BoxBody::new(body.into()));
+    answer
+        .headers_mut()
+        .insert(CONTENT_TYPE, HeaderValue::from_static(content_type));
+    answer
+}
+
+/// A JSON answer.
+pub fn json<T: Serialize>(code: StatusCode, value: &T) -> Answer {
+    match serde_json::to_vec(value) {
+        Ok(bytes) => body(code, "application/json", bytes),
+        Err(_) => status(StatusCode::INTERNAL_SERVER_ERROR),
+    }
+}
+
+/// A MessagePack answer, the codec between the system's own processes.
+pub fn pack<T: Serialize>(code: StatusCode, value: &T) -> Answer {
+    match rmp_serde::to_vec_named(value) {
+        Ok(bytes) => body(code, "application/msgpack", bytes),
+        Err(_) => status(StatusCode::INTERNAL_SERVER_ERROR),
+    }
+}
+
+/// A streamed answer; an error item breaks the connection, so that the reader sees the break.
+pub fn stream<S>(code: StatusCode, content_type: &'static str, items: S) -> Answer
+where
+    S: Stream<Item = Result<Bytes, io::Error>> + 'static,
+{
+    let body = BodyStream::new(Box::pin(items) as Pin<Box<dyn Stream<Item = _>>>);
+    let mut answer = Response::with_body(code, body.boxed());
+    answer
+        .headers_mut()
+        .insert(CONTENT_TYPE, HeaderValue::from_static(content_type));
+    answer
+}
+
+/// Reads a request's body of at most `limit` bytes.
+pub async fn read_request(request: &mut Request, limit: usize) -> Result<Bytes, Error> {
+    let mut payload = request.take_payload();
+    let mut all = BytesMut::new();
+    while let Some(part) = payload.next().await {
+        let part = part.map_err(|error| Error::Exchange {
+            reason: error.to_string(),
+        })?;
+        if all.len() + part.len() > limit {
+            return Err(Error::TooLong { limit });
+        }
+        all.extend_from_slice(&part);
+    }
+    Ok(all.freeze())
+}
+
+/// Reads a response's body of at most `limit` bytes.
+pub async fn read_response<S>(payload: &mut S, limit: usize) -> Result<Bytes, Error>
+where
+    S: Stream<Item = Result<Bytes, awc::error::PayloadError>> + Unpin,
+{
+    let mut all = BytesMut::new();
+    while let Some(part) = payload.next().await {
+        let part = part.map_err(|error| Error::Exchange {
+            reason: error.to_string(),
+        })?;
+        if all.len() + part.len() > limit {
+            return Err(Error::TooLong { limit });
+        }
+        all.extend_from_slice(&part);
+    }
+    Ok(all.freeze())
+}
+
+/// Gets `url` and decodes its JSON within `timeout`.
+pub async fn get_json<T: DeserializeOwned>(
+    client: &awc::Client,
+    url: &str,
+    limit: usize,
+    timeout: Duration,
+) -> Result<T, Error> {
+    let bytes = get(client, url, limit, timeout).await?;
+    serde_json::from_slice(&bytes).map_err(|error| Error::Decode {
+        reason: error.to_string(),
+    })
+}
+
+/// Gets `url` and decodes its MessagePack within `timeout`.
+pub async fn get_pack<T: DeserializeOwned>(
+    client: &awc::Client,
+    url: &str,
+    limit: usize,
+    timeout: Duration,
+) -> Result<T, Error> {
+    let bytes = get(client, url, limit, timeout).await?;
+    rmp_serde::from_slice(&bytes).map_err(|error| Error::Decode {
+        reason: error.to_string(),
+    })
+}
+
+/// Gets `url` whole within `timeout`.
+pub async fn get(
+    client: &awc::Client,
+    url: &str,
+    limit: usize,
+    timeout: Duration,
+) -> Result<Bytes, Error> {
+    let exchange = async {
+        let mut response = client.get(url).send().await?;
+        let status = response.status();
+        if !status.is_success() {
+            return Err(Error::Status {
+                status: status.as_u16(),
+            });
+        }
+        read_response(&mut response, limit).await
+    };
+    within(timeout, exchange).await
+}
+
+/// Posts JSON and decodes a JSON answer within `timeout`. Statuses other than success are errors.
+pub async fn post_json<B: Serialize, T: DeserializeOwned>(
+    client: &awc::Client,
+    url: &str,
+    value: &B,
+    timeout: Duration,
+) -> Result<T, Error> {
+    /// Longest answer to a post.
+    const LIMIT: usize = 1 << 20;
+    let exchange = async {
+        let mut response = client.post(url).send_json(value).await?;
+        let status = response.status();
+        let bytes = read_response(&mut response, LIMIT).await?;
+        if !status.is_success() {
+            return Err(Error::Status {
+                status: status.as_u16(),
+            });
+        }
+        serde_json::from_slice(&bytes).map_err(|error| Error::Decode {
+            reason: error.to_string(),
+        })
+    };
+    within(timeout, exchange).await
+}
+
+async fn within<T>(
+    timeout: Duration,
+    exchange: impl Future<Output = Result<T, Error>>,
+) -> Result<T, Error> {
+    actix_rt::time::timeout(timeout, exchange)
+        .await
+        .unwrap_or_else(|_| {
+            Err(Error::Exchange {
+                reason: format!("no answer within {} ms", timeout.as_millis()),
+            })
+        })
+}
--- /dev/null
+++ b/src/spread.rs
@@ -0,0 +1,96 @@
+//! The burst: which chunk a box draws next and from whom, and whom it serves.
+//!
+//! Everything here is pure. Time, randomness and events come in; typed actions go out. The edge
+//! ([`crate::agent`]) carries them out over HTTP.
+//!
+//! * [`ring`] says who a box's neighbours and a version's sponsors are.
+//! * [`swarm`] plans the downloads of one version at one box.
+//! * [`upload`] schedules what a box sends to others.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+pub mod bitmap;
+pub mod ring;
+pub mod swarm;
+pub mod upload;
+
+/// What a customer weighs more during a burst.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Favour {
+    /// The time until every box holds a servable replica.
+    #[default]
+    Time,
+    /// The bytes drawn from the origin.
+    OriginBytes,
+}
+
+/// Settings of the burst. The defaults are what docs/DESIGN.md's measurements led to.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Setting {
+    /// Neighbours in the box's own hall.
+    pub hall_neighbours: usize,
+    /// Neighbours anywhere.
+    pub fleet_neighbours: usize,
+    /// Most peers that a box follows at once, substitutes included.
+    pub peers_max: usize,
+    /// Chunks that a box draws at once.
+    pub fetches_max: usize,
+    /// Chunks that a box draws from one peer at once.
+    pub peer_fetches_max: usize,
+    /// Chunks that a sponsor draws from the origin at once.
+    pub origin_fetches_max: usize,
+    /// Sponsors that draw from the origin in ordinary times.
+    pub sponsors: usize,
+    /// Further sponsors that stand by for one that falls silent.
+    pub standbys: usize,
+    /// Uploads that share a box's link.
+    pub upload_slots: usize,
+    /// Uploads that may wait for a slot.
+    pub upload_queue_max: usize,
+    /// A peer that sent nothing for so long is passed over.
+    pub silence: Duration,
+    /// A fetch without a byte for so long is given up, unless fetches are slower on the whole.
+    pub stall: Duration,
+    /// How long an unseen chunk is left to its sponsor before another box steps in.
+    pub patience: Duration,
+    /// How long a peer that sent a bad chunk is passed over, doubled each time.
+    pub penalty: Duration,
+}
+
+impl Default for Setting {
+    fn default() -> Self {
+        Self {
+            hall_neighbours: 8,
+            fleet_neighbours: 6,
+            peers_max: 24,
+            fetches_max: 4,
+            peer_fetches_max: 1,
+            origin_fetches_max: 1,
+            sponsors: 4,
+            standbys: 2,
+            upload_slots: 2,
+            upload_queue_max: 4,
+            silence: Duration::from_millis(1_500),
+            stall: Duration::from_millis(1_000),
+            patience: Duration::from_millis(1_500),
+            penalty: Duration::from_millis(500),
+        }
+    }
+}
+
+impl Setting {
+    /// The settings under a favour: origin bytes are spared by waiting longer before a second
+    /// box draws what a sponsor may still bring.
+    pub fn favouring(self, favour: Favour) -> Self {
+        match favour {
+            Favour::Time => self,
+            Favour::OriginBytes => Self {
+                patience: self.patience * 3,
+                ..self
+            },
+        }
+    }
+}
--- /dev/null
+++ b/src/spread/ring.rs
@@ -0,0 +1,136 @@
+//! Who follows whom during a burst, worked out by every box alone from the same list.
+//!
+//! Boxes stand on a ring in the order of a hash of version and name. A box follows the boxes at
+//! fixed offsets, so that everyone is followed as often as it follows: a random choice leaves some
+//! links with few customers, and an idle link is lost time. Sponsors are the first boxes by
+//! rendezvous hashing.
+
+use std::sync::Arc;
+
+use crate::weight::Digest;
+
+/// A box that takes part in a burst.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Member {
+    /// The box's name.
+    pub name: Arc<str>,
+    /// The data hall it stands in.
+    pub hall: Arc<str>,
+}
+
+/// A 64-bit weight of `parts`, the same on every box.
+pub fn weight(version: Digest, parts: &[&[u8]]) -> u64 {
+    let mut hasher = blake3::Hasher::new();
+    hasher.update(version.as_bytes());
+    for part in parts {
+        hasher.update(&(part.len() as u64).to_le_bytes());
+        hasher.update(part);
+    }
+    let mut word = [0; 8];
+    word.copy_from_slice(&hasher.finalize().as_bytes()[..8]);
+    u64::from_le_bytes(word)
+}
+
+/// The boxes at `count` offsets from `own` on the ring of `members`; fewer if the ring is short.
+fn at_offsets(version: Digest, own: &str, members: &[&Member], count: usize) -> Vec<Arc<str>> {
+    let mut ring: Vec<(u64, &Member)> = members
+        .iter()
+        .map(|member| (weight(version, &[b"ring", member.name.as_bytes()]), *member))
+        .collect();
+    ring.sort_unstable();
+    let Some(position) = ring.iter().position(|(_, member)| &*member.name == own) else {
+        return Vec::new();
+    };
+    let others = ring.len() - 1;
+    offsets(version, others, count)
+        .into_iter()
+        .map(|offset| ring[(position + offset) % ring.len()].1.name.clone())
+        .collect()
+}
+
+/// `count` different offsets in `1..=others`, spread over the ring with a jitter from the hash.
+fn offsets(version: Digest, others: usize, count: usize) -> Vec<usize> {
+    if others <= count {
+        return (1..=others).collect();
+    }
+    (0..count)
+        .map(|slot| {
+            // Each offset is drawn from its own stretch of the ring, so no two are the same.
+            let start = slot * others / count;
+            let end = (slot + 1) * others / count;
+            let jitter = weight(version, &[b"offset", &(slot as u64).to_le_bytes()]);
+            1 + start + (jitter % (end - start) as u64) as usize
+        })
+        .collect()
+}
+
+/// The peers that `own` follows: some in its hall, some anywhere, without repetition.
+pub fn neighbours(
+    version: Digest,
+    own: &Member,
+    members: &[Member],
+    in_hall: usize,
+    anywhere: usize,
+) -> Vec<Arc<str>> {
+    let hall: Vec<&Member> = members
+        .iter()
+        .filter(|member| member.hall == own.hall)
+        .collect();
+    let fleet: Vec<&Member> = members.iter().collect();
+    let mut chosen = at_offsets(version, &own.name, &hall, in_hall);
+    for name in at_offsets(version, &own.name, &fleet, anywhere) {
+        if !chosen.contains(&name) {
+            chosen.push(name);
+        }
+    }
+    chosen
+}
+
+/// The first `count` boxes for a version by rendezvous hashing, best first.
+pub fn sponsors(version: Digest, members: &[Member], count: usize) -> Vec<Arc<str>> {
+    let mut ranked: Vec<(u64, &Member)> = members
+        .iter()
+        .map(|member| {
+            (
+                weight(version, &[b"sponsor", member.name.as_bytes()]),
+                member,
+            )
+        })
+        .collect();
+    ranked.sort_unstable_by(|left, right| right.cmp(left));
+    ranked
+        .into_iter()
+        .take(count)
+        .map(|(_, member)| member.name.clone())
+        .collect()
+}
+
+/// Which of `sponsors` draws `chunk`, by rendezvous hashing; `None` when there are none.
+pub fn owner<'a>(version: Digest, chunk: u32, sponsors: &[&'a str]) -> Option<&'a str> {
+    sponsors
+        .iter()
+        .copied()
+        .max_by_key(|name| weight(version, &[b"owner", &chunk.to_le_bytes(), name.as_bytes()]))
+}
+
+/// How many boxes come before `own` to step in for `chunk`: its rank in its hall, and its hall's
+/// rank among the halls, so that a cut-off hall has a first box of its own.
+pub fn substitute_rank(version: Digest, chunk: u32, own: &Member, members: &[Member]) -> usize {
+    let chunk = chunk.to_le_bytes();
+    let score =
+        |kind: &[u8], name: &str| weight(version, &[b"substitute", kind, &chunk, name.as_bytes()]);
+    let own_score = score(b"box", &own.name);
+    let in_hall = members
+        .iter()
+        .filter(|member| member.hall == own.hall && score(b"box", &member.name) > own_score)
+        .count();
+    let hall_score = score(b"hall", &own.hall);
+    let mut halls: Vec<&str> = members.iter().map(|member| &*member.hall).collect();
+    halls.sort_unstable();
+    halls.dedup();
+    let among_halls = halls
+        .into_iter()
+        .filter(|hall| score(b"hall", hall) > hall_score)
+        .count();
+    in_hall + among_halls
+}
--- /dev/null
+++ b/src/spread/swarm.rs
@@ -0,0 +1,547 @@
+//! The downloads of one version at one box: what to draw next, from whom, and when to give up.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+use slotmap::SlotMap;
+
+use super::Setting;
+use super::bitmap::Bitmap;
+use super::ring::{self, Member};
+use crate::clock::Time;
+use crate::weight::Digest;
+
+slotmap::new_key_type! {
+    /// A peer that this box follows for one version.
+    pub struct PeerKey;
+    /// A chunk on its way to this box.
+    pub struct FetchKey;
+}
+
+/// Fetches whose length shapes the estimate: the weight of the newest is one in this many.
+const SMOOTHING: u32 = 8;
+
+/// A fetch may take this many times the usual before it counts as stalled.
+const STALL_FACTOR: u32 = 6;
+
+/// An unseen chunk is left to its sponsor for this many usual fetches at least.
+const PATIENCE_FACTOR: u32 = 10;
+
+/// How long a peer that had no slot is left alone.
+const BUSY_PAUSE: Duration = Duration::from_millis(40);
+
+/// First pause after the origin failed, doubled up to [`ORIGIN_PAUSE_MAX`].
+const ORIGIN_PAUSE: Duration = Duration::from_millis(200);
+
+/// Longest pause between two tries at the origin.
+const ORIGIN_PAUSE_MAX: Duration = Duration::from_secs(2);
+
+/// Doublings of a penalty or pause after which it grows no more.
+const DOUBLINGS_MAX: u32 = 6;
+
+/// Where a chunk comes from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Source {
+    /// Another box.
+    Peer(PeerKey),
+    /// The origin of weights.
+    Origin,
+}
+
+/// What the edge is to do.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Action {
+    /// Draw a chunk.
+    Fetch {
+        /// The fetch that reports back.
+        fetch: FetchKey,
+        /// The chunk's place in the manifest.
+        chunk: u32,
+        /// Whom to ask.
+        source: Source,
+    },
+    /// Drop a fetch: it is stalled, or its peer is.
+    Cancel {
+        /// The fetch to drop.
+        fetch: FetchKey,
+    },
+}
+
+/// How a fetch ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Outcome {
+    /// The chunk was verified and is held.
+    Stored,
+    /// The bytes did not match the manifest.
+    Corrupt,
+    /// The peer had no slot.
+    Busy,
+    /// The peer does not have the chunk, or the exchange broke.
+    Failed,
+}
+
+/// What a peer tells of itself.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Notice<'a> {
+    /// Chunks that it holds and had not told of.
+    pub gained: &'a [u32],
+    /// Uploads waiting or running there.
+    pub load: u32,
+}
+
+#[derive(Debug)]
+struct Peer {
+    name: Arc<str>,
+    have: Bitmap,
+    load: u32,
+    fetches: u32,
+    heard: Time,
+    avoid_until: Time,
+    offences: u32,
+}
+
+#[derive(Debug)]
+struct Fetch {
+    chunk: u32,
+    source: Source,
+    started: Time,
+    progressed: Time,
+}
+
+/// The plan of one version's downloads.
+#[derive(Debug)]
+pub struct Swarm {
+    version: Digest,
+    own: Member,
+    setting: Setting,
+    rng: SmallRng,
+    have: Bitmap,
+    in_flight: Vec<u8>,
+    rarity: Vec<u32>,
+    seen: Bitmap,
+    new_seen: Time,
+    began: Time,
+    peers: SlotMap<PeerKey, Peer>,
+    fetches: SlotMap<FetchKey, Fetch>,
+    usual: Option<Duration>,
+    members: Vec<Member>,
+    sponsors: Vec<Arc<str>>,
+    origin_failures: u32,
+    origin_pause_until: Time,
+}
+
+impl Swarm {
+    /// A plan for `chunks` chunks at box `own`, beginning `now`.
+    pub fn new(
+        version: Digest,
+        own: Member,
+        chunks: usize,
+        setting: Setting,
+        seed: u64,
+        now: Time,
+    ) -> Self {
+        Self {
+            version,
+            own,
+            setting,
+            rng: SmallRng::seed_from_u64(seed),
+            have: Bitmap::new(chunks),
+            in_flight: vec![0; chunks],
+            rarity: vec![0; chunks],
+            seen: Bitmap::new(chunks),
+            new_seen: now,
+            began: now,
+            peers: SlotMap::with_key(),
+            fetches: SlotMap::with_key(),
+            usual: None,
+            members: Vec::new(),
+            sponsors: Vec::new(),
+            origin_failures: 0,
+            origin_pause_until: now,
+        }
+    }
+
+    /// Sets who takes part, this box included.
+    pub fn set_members(&mut self, members: Vec<Member>) {
+        let count = self.setting.sponsors + self.setting.standbys;
+        self.sponsors = ring::sponsors(self.version, &members, count);
+        self.members = members;
+    }
+
+    /// The names of the peers that this box ought to follow, the ones it needs most first.
+    pub fn wanted_peers(&self) -> Vec<Arc<str>> {
+        let mut wanted = Vec::new();
+        if self.sponsors.contains(&self.own.name) {
+            wanted.extend(self.sponsors.iter().cloned());
+        }
+        wanted.extend(ring::neighbours(
+            self.version,
+            &self.own,
+            &self.members,
+            self.setting.hall_neighbours,
+            self.setting.fleet_neighbours,
+        ));
+        let mut unique: Vec<Arc<str>> = Vec::new();
+        for name in wanted {
+            if name != self.own.name && !unique.contains(&name) {
+                unique.push(name);
+            }
+        }
+        unique
+    }
+
+    /// A peer is being followed from now on.
+    pub fn join(&mut self, name: Arc<str>, now: Time) -> PeerKey {
+        self.peers.insert(Peer {
+            name,
+            have: Bitmap::new(self.have.len()),
+            load: 0,
+            fetches: 0,
+            heard: now,
+            avoid_until: now,
+            offences: 0,
+        })
+    }
+
+    /// A peer is no longer followed. Fetches from it report on their own.
+    pub fn leave(&mut self, key: PeerKey) {
+        if let Some(peer) = self.peers.remove(key) {
+            for chunk in peer.have.ones() {
+                self.rarity[chunk] -= 1;
+            }
+        }
+    }
+
+    /// A peer told of itself.
+    pub fn notice(&mut self, key: PeerKey, notice: Notice<'_>, now: Time) {
+        let Some(peer) = self.peers.get_mut(key) else {
+            return;
+        };
+        peer.heard = now;
+        peer.load = notice.load;
+        for &chunk in notice.gained {
+            let chunk = chunk as usize;
+            if !peer.have.set(chunk) {
+                continue;
+            }
+            self.rarity[chunk] += 1;
+            if self.seen.set(chunk) {
+                self.new_seen = now;
+            }
+        }
+    }
+
+    /// Bytes of a fetch arrived.
+    pub fn progress(&mut self, key: FetchKey, now: Time) {
+        let Some(fetch) = self.fetches.get_mut(key) else {
+            return;
+        };
+        fetch.progressed = now;
+        if let Source::Peer(peer) = fetch.source
+            && let Some(peer) = self.peers.get_mut(peer)
+        {
+            peer.heard = now;
+        }
+    }
+
+    /// A fetch ended. A fetch that was cancelled before is ignored, unless it brought its chunk.
+    pub fn finish(&mut self, key: FetchKey, chunk: u32, outcome: Outcome, now: Time) {
+        if outcome == Outcome::Stored {
+            self.hold(chunk, now);
+        }
+        let Some(fetch) = self.remove_fetch(key) else {
+            return;
+        };
+        match outcome {
+            Outcome::Stored => self.learn(now.since(fetch.started)),
+            Outcome::Corrupt => self.punish(fetch.source, now),
+            Outcome::Busy => self.pause(fetch.source, now),
+            Outcome::Failed => self.forgo(&fetch, now),
+        }
+        if fetch.source == Source::Origin && outcome == Outcome::Stored {
+            self.origin_failures = 0;
+        }
+    }
+
+    /// Marks a chunk as held, from wherever it came.
+    pub fn hold(&mut self, chunk: u32, now: Time) {
+        self.have.set(chunk as usize);
+        if self.seen.set(chunk as usize) {
+            self.new_seen = now;
+        }
+    }
+
+    /// Whether every chunk is held.
+    pub fn complete(&self) -> bool {
+        self.have.full()
+    }
+
+    /// Chunks held, and chunks in all.
+    pub fn held(&self) -> (usize, usize) {
+        (self.have.count(), self.have.len())
+    }
+
+    /// Peers that spoke within the silence bound.
+    pub fn responsive_peers(&self, now: Time) -> usize {
+        self.peers
+            .values()
+            .filter(|peer| now.since(peer.heard) < self.setting.silence)
+            .count()
+    }
+
+    /// Plans the next step.
+    pub fn tick(&mut self, now: Time) -> Vec<Action> {
+        let mut actions = Vec::new();
+        if self.complete() {
+            return actions;
+        }
+        self.cancel_stalled(now, &mut actions);
+        self.fetch_from_peers(now, &mut actions);
+        self.fetch_from_origin(now, &mut actions);
+        actions
+    }
+
+    fn cancel_stalled(&mut self, now: Time, actions: &mut Vec<Action>) {
+        let limit = self.stall_limit();
+        let stalled: Vec<FetchKey> = self
+            .fetches
+            .iter()
+            .filter(|(_, fetch)| {
+                now.since(fetch.progressed) >= limit || self.silent(fetch.source, now)
+            })
+            .map(|(key, _)| key)
+            .collect();
+        for key in stalled {
+            let Some(fetch) = self.remove_fetch(key) else {
+                continue;
+            };
+            self.punish(fetch.source, now);
+            actions.push(Action::Cancel { fetch: key });
+        }
+    }
+
+    fn silent(&self, source: Source, now: Time) -> bool {
+        match source {
+            Source::Origin => false,
+            Source::Peer(key) => self
+                .peers
+                .get(key)
+                .is_none_or(|peer| now.since(peer.heard) >= self.setting.silence),
+        }
+    }
+
+    /// A fetch that waits behind others at its peer makes no progress either, so the bound follows
+    /// the length of usual fetches.
+    fn stall_limit(&self) -> Duration {
+        let usual = self.usual.unwrap_or_default();
+        self.setting.stall.max(usual * STALL_FACTOR)
+    }
+
+    fn fetch_from_peers(&mut self, now: Time, actions: &mut Vec<Action>) {
+        let mut room = self
+            .setting
+            .fetches_max
+            .saturating_sub(self.fetches.len());
+        if room == 0 {
+            return;
+        }
+        for (_, _, chunk) in self.rarest_first() {
+            let Some(peer) = self.best_holder(chunk, now) else {
+                continue;
+            };
+            actions.push(self.begin(chunk, Source::Peer(peer), now));
+            room -= 1;
+            if room == 0 {
+                return;
+            }
+        }
+    }
+
+    /// Chunks that can be drawn from a peer: rarest first, in random order among equals.
+    fn rarest_first(&mut self) -> Vec<(u32, u32, u32)> {
+        let mut order = Vec::new();
+        for chunk in 0..self.have.len() {
+            let missing = !self.have.get(chunk) && self.in_flight[chunk] == 0;
+            if missing && self.rarity[chunk] > 0 {
+                order.push((self.rarity[chunk], self.rng.random(), chunk as u32));
+            }
+        }
+        order.sort_unstable();
+        order
+    }
+
+    /// The holder of `chunk` with the least to do, if any is worth asking.
+    fn best_holder(&mut self, chunk: u32, now: Time) -> Option<PeerKey> {
+        let setting = self.setting;
+        let load_max = (setting.upload_slots + setting.upload_queue_max) as u32;
+        let mut best: Option<(u32, u32, PeerKey)> = None;
+        for (key, peer) in &self.peers {
+            let load = peer.load.max(peer.fetches);
+            let eligible = peer.have.get(chunk as usize)
+                && peer.fetches < setting.peer_fetches_max as u32
+                && peer.avoid_until <= now
+                && now.since(peer.heard) < setting.silence
+                && load < load_max;
+            if !eligible {
+                continue;
+            }
+            let candidate = (load, self.rng.random(), key);
+            if best.is_none_or(|known| candidate < known) {
+                best = Some(candidate);
+            }
+        }
+        best.map(|(_, _, key)| key)
+    }
+
+    fn fetch_from_origin(&mut self, now: Time, actions: &mut Vec<Action>) {
+        if now < self.origin_pause_until {
+            return;
+        }
+        let drawing = self
+            .fetches
+            .values()
+            .filter(|fetch| fetch.source == Source::Origin)
+            .count();
+        if drawing >= self.setting.origin_fetches_max {
+            return;
+        }
+        if let Some(chunk) = self.origin_chunk(now) {
+            actions.push(self.begin(chunk, Source::Origin, now));
+        }
+    }
+
+    /// The chunk that this box should draw from the origin now.
+    fn origin_chunk(&mut self, now: Time) -> Option<u32> {
+        let unseen: Vec<u32> = (0..self.have.len())
+            .filter(|&chunk| {
+                !self.have.get(chunk) && self.in_flight[chunk] == 0 && self.rarity[chunk] == 0
+            })
+            .map(|chunk| chunk as u32)
+            .collect();
+        if unseen.is_empty() {
+            return None;
+        }
+        let start = self.rng.random_range(0..unseen.len());
+        let order = || unseen[start..].iter().chain(&unseen[..start]).copied();
+        let active = self.active_sponsors(now);
+        if active.contains(&&*self.own.name) {
+            let version = self.version;
+            let own = order().find(|&chunk| {
+                ring::owner(version, chunk, &active) == Some(&*self.own.name)
+            });
+            if own.is_some() {
+                return own;
+            }
+        }
+        let quiet = now.since(self.new_seen);
+        let patience = self.patience();
+        if quiet < patience {
+            return None;
+        }
+        let turns = (quiet.as_millis() / patience.as_millis().max(1)) as usize;
+        order().find(|&chunk| {
+            ring::substitute_rank(self.version, chunk, &self.own, &self.members) < turns
+        })
+    }
+
+    /// How long unseen chunks are left to their sponsors after the last new one was seen.
+    fn patience(&self) -> Duration {
+        let usual = self.usual.unwrap_or_default();
+        self.setting.patience.max(usual * PATIENCE_FACTOR)
+    }
+
+    /// The sponsors on duty as far as this box, if a sponsor itself, can tell.
+    fn active_sponsors(&self, now: Time) -> Vec<&str> {
+        if !self.sponsors.contains(&self.own.name) {
+            return Vec::new();
+        }
+        let grace = now.since(self.began) < self.setting.silence;
+        self.sponsors
+            .iter()
+            .filter(|name| **name == self.own.name || grace || self.heard_from(name, now))
+            .take(self.setting.sponsors)
+            .map(|name| &**name)
+            .collect()
+    }
+
+    fn heard_from(&self, name: &str, now: Time) -> bool {
+        self.peers
+            .values()
+            .any(|peer| &*peer.name == name && now.since(peer.heard) < self.setting.silence)
+    }
+
+    fn begin(&mut self, chunk: u32, source: Source, now: Time) -> Action {
+        if let Source::Peer(key) = source {
+            self.peers[key].fetches += 1;
+        }
+        self.in_flight[chunk as usize] += 1;
+        let fetch = self.fetches.insert(Fetch {
+            chunk,
+            source,
+            started: now,
+            progressed: now,
+        });
+        Action::Fetch {
+            fetch,
+            chunk,
+            source,
+        }
+    }
+
+    fn remove_fetch(&mut self, key: FetchKey) -> Option<Fetch> {
+        let fetch = self.fetches.remove(key)?;
+        self.in_flight[fetch.chunk as usize] -= 1;
+        if let Source::Peer(peer) = fetch.source
+            && let Some(peer) = self.peers.get_mut(peer)
+        {
+            peer.fetches -= 1;
+        }
+        Some(fetch)
+    }
+
+    fn learn(&mut self, took: Duration) {
+        self.usual = Some(match self.usual {
+            None => took,
+            Some(usual) => (usual * (SMOOTHING - 1) + took) / SMOOTHING,
+        });
+    }
+
+    /// Passes over a source that failed badly, for longer each time.
+    fn punish(&mut self, source: Source, now: Time) {
+        match source {
+            Source::Origin => self.pause_origin(now),
+            Source::Peer(key) => {
+                let penalty = self.setting.penalty;
+                if let Some(peer) = self.peers.get_mut(key) {
+                    peer.avoid_until = now + penalty * 2u32.pow(peer.offences.min(DOUBLINGS_MAX));
+                    peer.offences += 1;
+                }
+            }
+        }
+    }
+
+    fn pause(&mut self, source: Source, now: Time) {
+        match source {
+            Source::Origin => self.pause_origin(now),
+            Source::Peer(key) => {
+                if let Some(peer) = self.peers.get_mut(key) {
+                    peer.avoid_until = now + BUSY_PAUSE;
+                }
+            }
+        }
+    }
+
+    fn forgo(&mut self, fetch: &Fetch, now: Time) {
+        self.punish(fetch.source, now);
+    }
+
+    fn pause_origin(&mut self, now: Time) {
+        let doublings = self.origin_failures.min(DOUBLINGS_MAX);
+        let pause = (ORIGIN_PAUSE * 2u32.pow(doublings)).min(ORIGIN_PAUSE_MAX);
+        let jitter = self.rng.random_range(0.5..1.0);
+        self.origin_pause_until = now + pause.mul_f64(jitter);
+        self.origin_failures += 1;
+    }
+}
--- /dev/null
+++ b/src/version.rs
@@ -0,0 +1,99 @@
+//! When a version may take requests, and who may order an engine.
+//!
+//! A replica is servable when every chunk is verified, the engine took the load order under the
+//! present fence, and the engine itself reports that digest.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+use crate::weight::Digest;
+
+/// Ranks orders to an engine. A newer process outranks an older one whatever revision either knows.
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default, Hash, Serialize, Deserialize,
+)]
+pub struct Fence {
+    /// Grows with each process that takes charge of the engine.
+    pub incarnation: u64,
+    /// The configuration revision that the order follows from.
+    pub revision: u64,
+}
+
+impl Fence {
+    /// The incarnation of a starting process: above whatever the engine has seen, and above the
+    /// clock's value, for an engine that was restarted too and remembers nothing.
+    pub fn next_incarnation(highest_seen: Self, unix_millis: u64) -> u64 {
+        unix_millis.max(highest_seen.incarnation + 1)
+    }
+}
+
+/// What an engine reports of one version.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Residence {
+    /// It is being loaded.
+    Loading,
+    /// It can serve.
+    Loaded,
+}
+
+/// What an engine reports of itself.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct EngineState {
+    /// The highest fence of any order it took.
+    pub highest_fence: Fence,
+    /// Its versions.
+    pub versions: BTreeMap<Digest, Residence>,
+    /// Requests in progress.
+    pub in_flight: u32,
+    /// Requests it can work on at once.
+    pub capacity: u32,
+}
+
+/// What the agent knows of one version.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Local {
+    /// Whether the configuration wants it on this box.
+    pub wanted: bool,
+    /// Whether every chunk is verified.
+    pub complete: bool,
+    /// Requests that this agent has in progress on it.
+    pub in_flight: usize,
+    /// Whether this process ordered the load, and the engine took the order.
+    pub ordered: bool,
+}
+
+/// What is to be ordered.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Step {
+    /// Order the engine to load a version.
+    Load(Digest),
+    /// Order the engine to let a version go.
+    Unload(Digest),
+}
+
+/// Whether a version may take requests here.
+pub fn servable(local: Local, residence: Option<Residence>) -> bool {
+    local.wanted && local.complete && local.ordered && residence == Some(Residence::Loaded)
+}
+
+/// The orders that bring the engine to what is wanted. A version that the engine holds already is
+/// ordered once by each new process, so that it stands under the present fence.
+pub fn plan(locals: &BTreeMap<Digest, Local>, engine: &EngineState) -> Vec<Step> {
+    let mut steps = Vec::new();
+    for (&digest, local) in locals {
+        if local.wanted && local.complete && !local.ordered {
+            steps.push(Step::Load(digest));
+        }
+    }
+    for &digest in engine.versions.keys() {
+        let idle = locals
+            .get(&digest)
+            .is_none_or(|local| !local.wanted && local.in_flight == 0);
+        if idle {
+            steps.push(Step::Unload(digest));
+        }
+    }
+    steps
+}
--- /dev/null
+++ b/src/wire.rs
@@ -0,0 +1,101 @@
+//! Messages between the system's own processes, as MessagePack with named fields.
+//!
+//! Fields may be added with a default and are ignored by older readers; a message whose meaning
+//! changes gets a new [`VERSION`] and a new path.
+
+use bytes::{Buf, Bytes, BytesMut};
+use serde::{Deserialize, Serialize};
+
+/// The wire version, which leads every path between processes.
+pub const VERSION: u32 = 1;
+
+/// Longest frame that a reader accepts, in bytes.
+pub const FRAME_MAX: usize = 512 * 1024;
+
+/// Bytes of a frame's length prefix.
+const PREFIX: usize = 4;
+
+/// What a box tells its followers of one version.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct Have {
+    /// Chunks gained since the last frame; all that are held in the first.
+    #[serde(default, rename = "g")]
+    pub gained: Vec<u32>,
+    /// Uploads waiting or running.
+    #[serde(default, rename = "l")]
+    pub load: u32,
+    /// Whether the manifest can be had here.
+    #[serde(default, rename = "m")]
+    pub manifest: bool,
+}
+
+/// Why bytes are no frame.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum Error {
+    /// The prefix announces more than [`FRAME_MAX`].
+    #[error("frame of {length} bytes is over the limit of {FRAME_MAX}")]
+    TooLong {
+        /// Announced length.
+        length: usize,
+    },
+    /// The codec rejects the bytes.
+    #[error("cannot decode frame: {reason}")]
+    Decode {
+        /// What the codec reported.
+        reason: String,
+    },
+    /// The codec rejects the value.
+    #[error("cannot encode frame: {reason}")]
+    Encode {
+        /// What the codec reported.
+        reason: String,
+    },
+}
+
+/// Encodes one frame with its length prefix.
+pub fn encode<T: Serialize>(message: &T) -> Result<Bytes, Error> {
+    let body = rmp_serde::to_vec_named(message).map_err(|error| Error::Encode {
+        reason: error.to_string(),
+    })?;
+    if body.len() > FRAME_MAX {
+        return Err(Error::TooLong { length: body.len() });
+    }
+    let mut frame = Vec::with_capacity(PREFIX + body.len());
+    frame.extend_from_slice(&(body.len() as u32).to_be_bytes());
+    frame.extend_from_slice(&body);
+    Ok(frame.into())
+}
+
+/// Collects bytes and yields the frames in them.
+#[derive(Debug, Default)]
+pub struct Decoder {
+    buffer: BytesMut,
+}
+
+impl Decoder {
+    /// Adds received bytes.
+    pub fn push(&mut self, bytes: &[u8]) {
+        self.buffer.extend_from_slice(bytes);
+    }
+
+    /// The next whole frame, `None` when more bytes are needed.
+    pub fn next<T: for<'de> Deserialize<'de>>(&mut self) -> Result<Option<T>, Error> {
+        let Some(prefix) = self.buffer.first_chunk::<PREFIX>() else {
+            return Ok(None);
+        };
+        let length = u32::from_be_bytes(*prefix) as usize;
+        if length > FRAME_MAX {
+            return Err(Error::TooLong { length });
+        }
+        if self.buffer.len() < PREFIX + length {
+            return Ok(None);
+        }
+        self.buffer.advance(PREFIX);
+        let body = self.buffer.split_to(length);
+        rmp_serde::from_slice(&body)
+            .map(Some)
+            .map_err(|error| Error::Decode {
+                reason: error.to_string(),
+            })
+    }
+}
