Add the agent, the stand-ins and the spread experiment

Cause: nothing carried out the burst's plan. Change: the agent draws, verifies, relays and orders its engine; stand-ins for origin, configuration service, box list, engine and plain service on shaped links; `pumicelatch-bench spread` with faults.

--- /dev/null
+++ b/src/agent/serve.rs
@@ -0,0 +1,150 @@
+//! The agent's HTTP server: peers, its engine, entries and operators.
+
+use std::net::{IpAddr, SocketAddr};
+use std::rc::Rc;
+
+use actix_http::{Request, StatusCode};
+use bytes::Bytes;
+use futures_util::{Stream, stream};
+use tokio::net::TcpListener;
+
+use super::{Agent, door, status};
+use crate::config::Revision;
+use crate::http::{self, Answer, Server, Wrap};
+use crate::weight::Digest;
+use crate::wire::{self, Report};
+
+/// How often a report is sent without a change.
+const REPORT_EVERY: std::time::Duration = std::time::Duration::from_secs(1);
+
+/// Starts the server.
+pub fn start(agent: &Rc<Agent>, listener: TcpListener, wrap: Wrap) -> Server {
+    let agent = agent.clone();
+    Server::start(listener, wrap, move |request, peer| {
+        answer(agent.clone(), request, peer)
+    })
+}
+
+async fn answer(agent: Rc<Agent>, request: Request, peer: SocketAddr) -> Answer {
+    let path = request.path().to_owned();
+    let parts: Vec<&str> = path.trim_matches('/').split('/').collect();
+    match (request.method().as_str(), parts.as_slice()) {
+        ("GET", ["v1", "swarm", digest, rest @ ..]) => swarm(agent, digest, rest).await,
+        ("GET", ["v1", "weights", digest]) => weights(&agent, digest, peer.ip()),
+        ("GET", ["v1", "config"]) => config(&agent, request.uri().query()),
+        ("GET", ["v1", "report"]) => http::stream(
+            StatusCode::OK,
+            "application/octet-stream",
+            report_stream(&agent),
+        ),
+        ("POST", ["v1", "run"]) => door::run(agent, request).await,
+        ("POST", ["v1", "keys"]) => door::issue_key(&agent, &request),
+        ("POST", ["v1", "cancel", id]) => door::cancel(&agent, &request, id).await,
+        ("GET", ["health", "live"]) => http::status(StatusCode::OK),
+        ("GET", ["health", "ready"]) => ready(&agent),
+        ("GET", ["status"]) => http::json(StatusCode::OK, &status::status(&agent)),
+        ("GET", ["audit"]) => http::json(StatusCode::OK, agent.node.trail.borrow().entries()),
+        ("GET", ["metrics"]) => agent.node.metrics_answer(),
+        _ => http::status(StatusCode::NOT_FOUND),
+    }
+}
+
+fn ready(agent: &Agent) -> Answer {
+    if agent.leaving.get() {
+        return http::body(StatusCode::SERVICE_UNAVAILABLE, "text/plain", "leaving");
+    }
+    if !*agent.node.ready.borrow() {
+        let reason = "no configuration yet: neither the service nor a peer has answered";
+        return http::body(StatusCode::SERVICE_UNAVAILABLE, "text/plain", reason);
+    }
+    http::status(StatusCode::OK)
+}
+
+async fn swarm(agent: Rc<Agent>, digest: &str, rest: &[&str]) -> Answer {
+    let burst = digest
+        .parse::<Digest>()
+        .ok()
+        .and_then(|digest| Some((digest, agent.burst(digest)?)));
+    let Some((digest, burst)) = burst else {
+        return http::status(StatusCode::NOT_FOUND);
+    };
+    match rest {
+        ["manifest"] => match agent.store.borrow().manifest(digest) {
+            Some(manifest) => http::pack(StatusCode::OK, manifest),
+            None => http::status(StatusCode::NOT_FOUND),
+        },
+        ["have"] => http::stream(
+            StatusCode::OK,
+            "application/octet-stream",
+            burst.have_stream(),
+        ),
+        ["chunks", index] => match index.parse() {
+            Ok(index) => burst.upload(agent, index).await,
+            Err(_) => http::status(StatusCode::BAD_REQUEST),
+        },
+        _ => http::status(StatusCode::NOT_FOUND),
+    }
+}
+
+/// All bytes of a complete version, for the engine in this box and for nobody else.
+fn weights(agent: &Rc<Agent>, digest: &str, peer: IpAddr) -> Answer {
+    let own = agent.node.setting.listen.ip();
+    if peer != own && (own.is_loopback() || !peer.is_loopback()) {
+        return http::status(StatusCode::FORBIDDEN);
+    }
+    let Ok(digest) = digest.parse::<Digest>() else {
+        return http::status(StatusCode::BAD_REQUEST);
+    };
+    if !agent.store.borrow().complete(digest) {
+        return http::status(StatusCode::NOT_FOUND);
+    }
+    let agent = agent.clone();
+    let chunks = stream::unfold(0, move |index| {
+        let chunk = agent.store.borrow().get(digest, index);
+        async move { chunk.map(|bytes| (Ok(bytes), index + 1)) }
+    });
+    http::stream(StatusCode::OK, "application/octet-stream", chunks)
+}
+
+fn config(agent: &Agent, query: Option<&str>) -> Answer {
+    let after = query
+        .unwrap_or_default()
+        .split('&')
+        .find_map(|pair| pair.strip_prefix("after="))
+        .and_then(|value| value.parse().ok())
+        .unwrap_or(0);
+    let delta = agent.node.book.borrow().delta_since(Revision(after));
+    http::json(StatusCode::OK, &delta)
+}
+
+fn report(agent: &Agent) -> Report {
+    let gate = agent.gate.borrow();
+    let in_flight = agent.in_flight.borrow();
+    Report {
+        boot: agent.boot,
+        revision: agent.node.book.borrow().revision().0,
+        leaving: agent.leaving.get(),
+        servable: gate.servable.clone(),
+        service: match &agent.node.setting.role {
+            crate::member::Role::Service(name) => Some(name.clone()),
+            _ => None,
+        },
+        in_flight: in_flight.total(),
+        capacity: gate.engine.capacity,
+    }
+}
+
+/// Reports on change and at least every [`REPORT_EVERY`].
+fn report_stream(agent: &Rc<Agent>) -> impl Stream<Item = Result<Bytes, std::io::Error>> + 'static {
+    let reported = agent.reported.subscribe();
+    let agent = Rc::downgrade(agent);
+    stream::unfold((agent, reported, true), |state| async move {
+        let (agent, mut reported, first) = state;
+        if !first {
+            let _ = actix_rt::time::timeout(REPORT_EVERY, reported.changed()).await;
+        }
+        reported.mark_unchanged();
+        let frame = wire::encode(&report(&*agent.upgrade()?)).map_err(std::io::Error::other);
+        Some((frame, (agent, reported, false)))
+    })
+}
--- a/src/http.rs
+++ b/src/http.rs
@@ -115,9 +115,9 @@
 /// The answer type of all handlers.
 pub type Answer = Response<BoxBody>;
 
-/// Opens a listening socket. Port 0 lets the kernel choose.
-pub fn listen(address: SocketAddr) -> Result<TcpListener, Error> {
-    let open = || -> io::Result<TcpListener> {
+/// Opens a listening socket, which any runtime may then [`adopt`]. Port 0 lets the kernel choose.
+pub fn bind(address: SocketAddr) -> Result<std::net::TcpListener, Error> {
+    let open = || -> io::Result<std::net::TcpListener> {
         let socket = socket2::Socket::new(
             socket2::Domain::for_address(address),
             socket2::Type::STREAM,
@@ -127,11 +127,19 @@
         socket.set_nonblocking(true)?;
         socket.bind(&address.into())?;
         socket.listen(BACKLOG)?;
-        TcpListener::from_std(socket.into())
+        Ok(socket.into())
     };
     open().map_err(|source| Error::Listen { address, source })
 }
 
+/// Hands a listening socket to the present thread's runtime.
+pub fn adopt(listener: std::net::TcpListener) -> Result<TcpListener, Error> {
+    let address = listener
+        .local_addr()
+        .unwrap_or_else(|_| SocketAddr::from(([0, 0, 0, 0], 0)));
+    TcpListener::from_std(listener).map_err(|source| Error::Listen { address, source })
+}
+
 /// A running accept loop. Dropping it closes the listener and every connection; [`Server::drain`]
 /// ends it without cutting anything off.
 #[derive(Debug)]
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,16 +5,23 @@
 //! [`placement`], [`spread`], [`version`], [`weight`], ...). The edges of the
 //! processes feed events in and carry actions out over HTTP.
 
+pub mod agent;
 pub mod audit;
+pub mod auth;
+pub mod bench;
 pub mod clock;
 pub mod config;
 pub mod http;
+pub mod limit;
 pub mod log;
 pub mod member;
 pub mod metric;
+pub mod node;
 pub mod option;
 pub mod placement;
+pub mod request;
 pub mod spread;
+pub mod standin;
 pub mod template;
 pub mod version;
 pub mod weight;
--- a/src/spread/swarm.rs
+++ b/src/spread/swarm.rs
@@ -170,8 +170,30 @@
         self.members = members;
     }
 
-    /// The names of the peers that this box ought to follow, the ones it needs most first.
-    pub fn wanted_peers(&self) -> Vec<Arc<str>> {
+    /// The names of the peers that this box ought to follow, the ones it needs most first. Peers
+    /// that do not speak are made up for by others of the box's hall.
+    pub fn wanted_peers(&mut self, now: Time) -> Vec<Arc<str>> {
+        let mut wanted = self.regular_peers();
+        let lacking = wanted.len().saturating_sub(self.responsive_peers(now));
+        if now.since(self.began) < self.setting.silence {
+            return wanted;
+        }
+        let mut spare: Vec<Arc<str>> = self
+            .members
+            .iter()
+            .filter(|member| member.hall == self.own.hall && member.name != self.own.name)
+            .map(|member| member.name.clone())
+            .filter(|name| !wanted.contains(name) && !self.follows(name))
+            .collect();
+        for _ in 0..lacking.min(spare.len()) {
+            let index = self.rng.random_range(0..spare.len());
+            wanted.push(spare.swap_remove(index));
+        }
+        wanted
+    }
+
+    /// The peers that ring and sponsorship give this box.
+    pub fn regular_peers(&self) -> Vec<Arc<str>> {
         let mut wanted = Vec::new();
         if self.sponsors.contains(&self.own.name) {
             wanted.extend(self.sponsors.iter().cloned());
@@ -192,6 +214,10 @@
         unique
     }
 
+    fn follows(&self, name: &str) -> bool {
+        self.peers.values().any(|peer| &*peer.name == name)
+    }
+
     /// A peer is being followed from now on.
     pub fn join(&mut self, name: Arc<str>, now: Time) -> PeerKey {
         self.peers.insert(Peer {
@@ -466,7 +492,8 @@
             .collect()
     }
 
-    fn heard_from(&self, name: &str, now: Time) -> bool {
+    /// Whether a followed peer of this name spoke within the silence bound.
+    pub fn heard_from(&self, name: &str, now: Time) -> bool {
         self.peers
             .values()
             .any(|peer| &*peer.name == name && now.since(peer.heard) < self.setting.silence)
--- /dev/null
+++ b/src/standin/fleet.rs
@@ -0,0 +1,358 @@
+//! A fleet on loopback: the real agents against the stand-ins, each box on a thread of its own.
+//!
+//! A box's thread can be stopped (the box dies, its connections close) or put to sleep (the box
+//! freezes and wakes late). Links can be stalled, cut and made to corrupt.
+
+use std::net::{IpAddr, SocketAddr};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+use actix_rt::Arbiter;
+
+use super::engine::{self, Engine, Runs};
+use super::link::{Link, Net};
+use super::origin::Origin;
+use super::platform::Platform;
+use super::service::Service;
+use super::{PLATFORM_ADDRESS, any_port, box_address};
+use crate::agent::{self, Agent};
+use crate::auth::Keyring;
+use crate::http;
+use crate::member::{Listed, Role, State};
+use crate::node;
+use crate::spread;
+use crate::weight::Digest;
+
+/// Rate of links that are not shaped, in bytes a second.
+pub const UNSHAPED: f64 = 1e12;
+
+/// The stand-ins' hall, apart from every box's.
+const PLATFORM_HALL: &str = "platform";
+
+/// Key of the inner hop in stand-in fleets.
+pub const KEYRING: &str = "bench:000102030405060708090a0b0c0d0e0f101112131415161718191a1b1c1d1e1f";
+
+/// Racks in a hall.
+const RACKS: usize = 4;
+
+/// How often a box's counters are sampled.
+const SAMPLE: Duration = Duration::from_millis(100);
+
+/// A fleet's settings.
+#[derive(Debug, Clone)]
+pub struct Setting {
+    /// Names of its halls.
+    pub halls: Vec<String>,
+    /// Bytes of weights that each box may hold.
+    pub memory_bytes: u64,
+    /// Each box's link, each way, in bytes a second.
+    pub box_rate: f64,
+    /// The origin's link, in bytes a second.
+    pub origin_rate: f64,
+    /// How engines behave.
+    pub engine: engine::Setting,
+    /// The burst.
+    pub spread: spread::Setting,
+    /// Seed of links' faults.
+    pub seed: u64,
+}
+
+impl Default for Setting {
+    fn default() -> Self {
+        Self {
+            halls: vec!["hall-a".to_owned(), "hall-b".to_owned(), "hall-c".to_owned()],
+            memory_bytes: 1 << 30,
+            box_rate: UNSHAPED,
+            origin_rate: UNSHAPED,
+            engine: engine::Setting::default(),
+            spread: spread::Setting::default(),
+            seed: 1,
+        }
+    }
+}
+
+/// What a box's agent says of itself, readable from other threads.
+#[derive(Debug, Clone, Default)]
+pub struct Probe {
+    /// Versions that may take requests, and since when.
+    pub servable: Vec<(Digest, Instant)>,
+    /// Bytes of chunks that it sent to other boxes.
+    pub chunk_bytes_sent: u64,
+    /// Whether it has a configuration.
+    pub ready: bool,
+    /// Whether it knows its place in the list.
+    pub listed: bool,
+}
+
+/// A box.
+#[derive(Debug)]
+pub struct Box {
+    /// Its name.
+    pub name: Arc<str>,
+    /// Its hall.
+    pub hall: String,
+    /// What the list says of it.
+    pub listed: Listed,
+    /// Its link.
+    pub link: Arc<Link>,
+    /// Its engine, if that is what it has.
+    pub engine: Arc<Engine>,
+    /// Its plain service, if that is what it has.
+    pub service: Option<Arc<Service>>,
+    probe: Arc<Mutex<Probe>>,
+    arbiter: Option<Arbiter>,
+}
+
+impl Box {
+    /// Whether it was not killed.
+    pub fn alive(&self) -> bool {
+        self.arbiter.is_some()
+    }
+
+    /// What its agent says of itself.
+    pub fn probe(&self) -> Probe {
+        self.probe
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone()
+    }
+
+    /// Kills it at once.
+    pub fn kill(&mut self) {
+        if let Some(arbiter) = self.arbiter.take() {
+            arbiter.stop();
+        }
+    }
+
+    /// Freezes it.
+    pub fn pause(&self, duration: Duration) {
+        if let Some(arbiter) = &self.arbiter {
+            arbiter.spawn_fn(move || std::thread::sleep(duration));
+        }
+    }
+}
+
+/// A fleet. Dropping it stops every thread it started.
+#[derive(Debug)]
+pub struct Fleet {
+    /// Settings.
+    pub setting: Setting,
+    /// The links.
+    pub net: Arc<Net>,
+    /// The origin of weights.
+    pub origin: Arc<Origin>,
+    /// The origin's link.
+    pub origin_link: Arc<Link>,
+    /// Configuration service and list.
+    pub platform: Arc<Platform>,
+    /// What the targets ran.
+    pub runs: Arc<Runs>,
+    /// The boxes.
+    pub boxes: Vec<Box>,
+    /// Where the origin listens.
+    pub origin_address: SocketAddr,
+    /// Where the platform listens.
+    pub platform_address: SocketAddr,
+    platform_arbiters: Vec<Arbiter>,
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        for arbiter in &self.platform_arbiters {
+            arbiter.stop();
+        }
+        for member in &mut self.boxes {
+            member.kill();
+        }
+    }
+}
+
+impl Fleet {
+    /// Starts the platform's stand-ins, without boxes.
+    pub fn start(setting: Setting) -> Result<Self, http::Error> {
+        let net = Arc::new(Net::default());
+        let origin = Arc::new(Origin::default());
+        let platform = Arc::new(Platform::default());
+        // The origin has an address of its own, so that its link is known by it.
+        let origin_ip = IpAddr::from([127, 0, 0, 2]);
+        let origin_link = net.add(origin_ip, PLATFORM_HALL, setting.origin_rate, setting.seed);
+        net.add(PLATFORM_ADDRESS, PLATFORM_HALL, UNSHAPED, setting.seed);
+        let origin_listener = http::bind(any_port(origin_ip))?;
+        let platform_listener = http::bind(any_port(PLATFORM_ADDRESS))?;
+        let origin_address = address_of(&origin_listener);
+        let platform_address = address_of(&platform_listener);
+        let origin_arbiter = Arbiter::new();
+        let platform_arbiter = Arbiter::new();
+        {
+            let (origin, links) = (origin.clone(), net.clone());
+            origin_arbiter.spawn_fn(move || {
+                keep(http::adopt(origin_listener).map(|listener| {
+                    origin.serve(listener, links.wrap(origin_ip))
+                }));
+            });
+            let (platform, links) = (platform.clone(), net.clone());
+            platform_arbiter.spawn_fn(move || {
+                keep(http::adopt(platform_listener).map(|listener| {
+                    platform.serve(listener, links.wrap(PLATFORM_ADDRESS))
+                }));
+            });
+        }
+        Ok(Self {
+            setting,
+            net,
+            origin,
+            origin_link,
+            platform,
+            runs: Arc::default(),
+            boxes: Vec::new(),
+            origin_address,
+            platform_address,
+            platform_arbiters: vec![origin_arbiter, platform_arbiter],
+        })
+    }
+
+    /// Starts a box, without listing it.
+    pub fn add_box(&mut self, role: Role) -> Result<&Listed, http::Error> {
+        let index = self.boxes.len();
+        let hall = index % self.setting.halls.len();
+        let place = index / self.setting.halls.len();
+        let ip = box_address(hall, place);
+        let hall_name = self.setting.halls[hall].clone();
+        let seed = self.setting.seed.wrapping_add(index as u64 + 1);
+        let link = self.net.add(ip, &hall_name, self.setting.box_rate, seed);
+        let listener = http::bind(any_port(ip))?;
+        let target_listener = http::bind(any_port(ip))?;
+        let listed = Listed {
+            name: format!("{hall_name}-{place:03}").into(),
+            hall: hall_name.as_str().into(),
+            rack: format!("rack-{}", place % RACKS).into(),
+            address: address_of(&listener),
+            role,
+            capacity_bytes: self.setting.memory_bytes,
+            state: State::Live,
+        };
+        let setting = self.agent_setting(&listed, address_of(&target_listener));
+        let engine = Engine::new(self.setting.engine, self.runs.clone());
+        let service = match listed.role {
+            Role::Service(_) => Some(Service::new(self.setting.engine.first_token, self.runs.clone())),
+            _ => None,
+        };
+        let probe = Arc::new(Mutex::new(Probe::default()));
+        let arbiter = Arbiter::new();
+        {
+            let (engine, service) = (engine.clone(), service.clone());
+            let (net, probe) = (self.net.clone(), probe.clone());
+            arbiter.spawn_fn(move || {
+                keep(http::adopt(target_listener).map(|listener| match service {
+                    Some(service) => service.serve(listener),
+                    None => engine.serve(listener),
+                }));
+                start_agent(setting, listener, &net, probe);
+            });
+        }
+        self.boxes.push(Box {
+            name: listed.name.clone(),
+            hall: hall_name,
+            listed,
+            link,
+            engine,
+            service,
+            probe,
+            arbiter: Some(arbiter),
+        });
+        Ok(&self.boxes[index].listed)
+    }
+
+    /// Settings of the agent of box `listed`, whose target listens at `target`.
+    pub fn agent_setting(&self, listed: &Listed, target: SocketAddr) -> agent::Setting {
+        agent::Setting {
+            node: node::Setting {
+                name: listed.name.clone(),
+                hall: listed.hall.clone(),
+                role: listed.role.clone(),
+                listen: listed.address,
+                config_url: format!("http://{}", self.platform_address),
+                list_url: format!("http://{}", self.platform_address),
+            },
+            origin_url: format!("http://{}", self.origin_address),
+            target_url: format!("http://{target}"),
+            memory_bytes: self.setting.memory_bytes,
+            spread: self.setting.spread,
+            keyring: keyring(),
+        }
+    }
+
+    /// Puts every living box on the list.
+    pub fn list_all(&self) {
+        let boxes = self.boxes.iter().filter(|member| member.alive());
+        let listed = boxes.map(|member| member.listed.clone()).collect();
+        self.platform.set_boxes(listed);
+    }
+}
+
+/// The keyring of stand-in fleets.
+pub fn keyring() -> Keyring {
+    KEYRING.parse().expect("the constant is a keyring")
+}
+
+fn address_of(listener: &std::net::TcpListener) -> SocketAddr {
+    listener.local_addr().expect("a bound socket has an address")
+}
+
+/// Keeps a server for as long as its thread's runtime lives.
+fn keep<T: 'static>(server: Result<T, http::Error>) {
+    match server {
+        Err(error) => log::error!("{error}"),
+        Ok(server) => {
+            actix_rt::spawn(async move {
+                let _server = server;
+                std::future::pending::<()>().await;
+            });
+        }
+    }
+}
+
+fn start_agent(
+    setting: agent::Setting,
+    listener: std::net::TcpListener,
+    net: &Arc<Net>,
+    probe: Arc<Mutex<Probe>>,
+) {
+    let wrap = net.wrap(setting.node.listen.ip());
+    let running = match http::adopt(listener) {
+        Ok(listener) => Agent::start(setting, listener, wrap),
+        Err(error) => return log::error!("{error}"),
+    };
+    match running {
+        Err(error) => log::error!("{error}"),
+        Ok(running) => {
+            actix_rt::spawn(watch(running, probe));
+        }
+    }
+}
+
+/// Copies what an agent says of itself into its probe.
+async fn watch(running: agent::Running, probe: Arc<Mutex<Probe>>) {
+    let agent = &running.agent;
+    let mut reports = agent.reports();
+    loop {
+        let now = Instant::now();
+        let servable = agent.servable();
+        {
+            let mut probe = probe.lock().unwrap_or_else(PoisonError::into_inner);
+            probe
+                .servable
+                .retain(|(digest, _)| servable.contains(digest));
+            for digest in servable {
+                if !probe.servable.iter().any(|(known, _)| *known == digest) {
+                    probe.servable.push((digest, now));
+                }
+            }
+            probe.chunk_bytes_sent = agent.chunk_bytes_sent();
+            probe.ready = *agent.node.ready.borrow();
+            let view = agent.node.view.borrow();
+            probe.listed = view.get(&agent.setting.node.name).is_some();
+        }
+        let _ = actix_rt::time::timeout(SAMPLE, reports.changed()).await;
+    }
+}
--- a/src/template.rs
+++ b/src/template.rs
@@ -125,7 +125,7 @@
     /// The key, as a dotted path, or `(file)` for the whole.
     pub key: String,
     /// What is wrong, and what would do.
-    pub problem: Problem,
+    pub problem: Box<Problem>,
 }
 
 /// Refuses text that the configuration service would not hold.
@@ -136,6 +136,6 @@
     Err(Error {
         place: Place::new(file, text, None),
         key: "(file)".to_owned(),
-        problem: Problem::TooLong { bytes: text.len() },
+        problem: Box::new(Problem::TooLong { bytes: text.len() }),
     })
 }
--- a/src/template/render.rs
+++ b/src/template/render.rs
@@ -26,7 +26,7 @@
         Error {
             place: Place::new(self.name, self.text, span),
             key: key.to_owned(),
-            problem,
+            problem: Box::new(problem),
         }
     }
 
@@ -83,7 +83,7 @@
     let customer_tree =
         DeTable::parse(customer.text).map_err(|error| customer.shape_error(&error))?;
     let mut tree = DeTable::parse(template.text).map_err(|error| template.shape_error(&error))?;
-    let parameters = declared(template, &tree)?;
+    let parameters = declared(template)?;
     let mut filler = Filler {
         template,
         values: values(template, customer, &parameters, tree.get_ref(), customer_tree.get_ref())?,
@@ -106,13 +106,12 @@
     template.error(span, key, Problem::Fleet(problem))
 }
 
-fn declared(template: Source<'_>, tree: &Spanned<DeTable<'_>>) -> Result<Table, Error> {
+fn declared(template: Source<'_>) -> Result<Table, Error> {
     #[derive(Deserialize)]
     struct Declarations {
         #[serde(default)]
         parameters: Table,
     }
-    let _ = tree;
     let declarations: Declarations =
         toml::from_str(template.text).map_err(|error| template.shape_error(&error))?;
     Ok(declarations.parameters)
@@ -193,9 +192,9 @@
         Some(filled) => Error {
             place: filled.place.clone(),
             key: filled.name.clone(),
-            problem: Problem::Shape {
+            problem: Box::new(Problem::Shape {
                 message: error.message().replace('\n', ", "),
-            },
+            }),
         },
     }
 }
--- a/src/version.rs
+++ b/src/version.rs
@@ -51,6 +51,35 @@
     pub capacity: u32,
 }
 
+/// An order.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Order {
+    /// Under which fence it is given.
+    pub fence: Fence,
+    /// What is to be done.
+    pub kind: OrderKind,
+}
+
+/// What an order is for.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum OrderKind {
+    /// Load a version from `source`, a URL that yields all its bytes.
+    Load {
+        /// The version.
+        digest: Digest,
+        /// Where its bytes are.
+        source: String,
+        /// How many there are.
+        bytes: u64,
+    },
+    /// Let a version go.
+    Unload {
+        /// The version.
+        digest: Digest,
+    },
+}
+
 /// What the agent knows of one version.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Local {
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -99,3 +99,55 @@
             })
     }
 }
+
+/// What an agent tells the entries of its target.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct Report {
+    /// Drawn anew by each process: a box that was restarted shows another one.
+    #[serde(default, rename = "b")]
+    pub boot: u64,
+    /// The configuration revision that the agent has in force.
+    #[serde(default, rename = "r")]
+    pub revision: u64,
+    /// Whether the target takes no more work.
+    #[serde(default, rename = "x")]
+    pub leaving: bool,
+    /// Versions that may take requests.
+    #[serde(default, rename = "v")]
+    pub servable: Vec<crate::weight::Digest>,
+    /// The plain service behind the agent, if that is what it has.
+    #[serde(default, rename = "s")]
+    pub service: Option<String>,
+    /// Requests in progress.
+    #[serde(default, rename = "f")]
+    pub in_flight: u32,
+    /// Requests that the target works on at once.
+    #[serde(default, rename = "c")]
+    pub capacity: u32,
+}
+
+/// Headers between entry and agent.
+pub mod header {
+    /// Names the request.
+    pub const REQUEST: &str = "x-request-id";
+    /// The digest that the request is for, and in the answer the digest that served it.
+    pub const VERSION: &str = "x-version";
+    /// The plain service that the request is for.
+    pub const SERVICE: &str = "x-service";
+    /// The path at the plain service.
+    pub const PATH: &str = "x-target-path";
+    /// The customer.
+    pub const CUSTOMER: &str = "x-customer";
+    /// The request's priority.
+    pub const PRIORITY: &str = "x-priority";
+    /// Milliseconds that are left.
+    pub const DEADLINE: &str = "x-deadline-ms";
+    /// The key of a request that must run at most once.
+    pub const KEY: &str = "x-key";
+    /// From which token on the answer is wanted.
+    pub const FROM: &str = "x-from-token";
+    /// In an answer: whether the request was admitted (`yes`, `no`, or `unknown`).
+    pub const ADMITTED: &str = "x-admitted";
+    /// Authenticates the inner hop.
+    pub const PROOF: &str = "x-proof";
+}
