Serve a request end to end: entry, door, keys, demo

Cause: weights arrived, but no request could reach an engine. Change: the entry (admission, choice of target, attempts, relay with resume), the agent's door with keys that run at most once, the daemons, and the demo.

--- a/src/agent.rs
+++ b/src/agent.rs
@@ -14,8 +14,8 @@
 use crate::audit::Deed;
 use crate::auth::Keyring;
 use crate::http::{Server, Wrap};
-use crate::member::Listed;
 use crate::limit;
+use crate::member::Listed;
 use crate::metric;
 use crate::node::{self, Node};
 use crate::placement::{self, Assignment};
@@ -25,6 +25,7 @@
 use crate::weight::{Digest, Store};
 
 pub mod burst;
+pub mod daemon;
 pub mod door;
 pub mod engine;
 pub mod serve;
@@ -149,6 +150,12 @@
         }
     }
 
+    /// Whether no request and no upload is in progress.
+    pub fn idle(&self) -> bool {
+        let uploads = self.bursts.borrow().values().any(|burst| burst.uploading());
+        self.in_flight.borrow().total() == 0 && !uploads
+    }
+
     /// Bytes of chunks that were sent to other boxes.
     pub fn chunk_bytes_sent(&self) -> u64 {
         self.chunk_bytes_sent.get()
@@ -199,7 +206,11 @@
         lookup: impl Fn(&str) -> Option<Listed>,
     ) {
         let own = &self.node.setting.name;
-        let carried = assignment.boxes.get(own).map(Vec::as_slice).unwrap_or_default();
+        let carried = assignment
+            .boxes
+            .get(own)
+            .map(Vec::as_slice)
+            .unwrap_or_default();
         for carry in carried {
             let members: Vec<Listed> = assignment
                 .carriers(carry.digest)
--- a/src/agent/burst.rs
+++ b/src/agent/burst.rs
@@ -150,6 +150,11 @@
         self.wanted.get()
     }
 
+    /// Whether a peer is being served.
+    pub fn uploading(&self) -> bool {
+        self.uploads.borrow().load() > 0
+    }
+
     /// Whether nothing needs the version here any more but, perhaps, the engine.
     pub fn releasable(&self, now: crate::clock::Time) -> bool {
         !self.wanted.get()
@@ -458,10 +463,7 @@
 impl Drop for Turn {
     fn drop(&mut self) {
         self.burst.waiters.borrow_mut().remove(&self.key);
-        self.burst
-            .uploads
-            .borrow_mut()
-            .finish(self.key, self.whole);
+        self.burst.uploads.borrow_mut().finish(self.key, self.whole);
         self.burst.wake_uploads(&self.agent);
     }
 }
@@ -627,9 +629,7 @@
     }
     let mut decoder = wire::Decoder::default();
     let mut heard = false;
-    while let Ok(Some(Ok(part))) =
-        actix_rt::time::timeout(FOLLOW_TIMEOUT, response.next()).await
-    {
+    while let Ok(Some(Ok(part))) = actix_rt::time::timeout(FOLLOW_TIMEOUT, response.next()).await {
         decoder.push(&part);
         loop {
             let have: Have = match decoder.next() {
--- a/src/agent/door.rs
+++ b/src/agent/door.rs
@@ -88,16 +88,17 @@
     id: String,
     wanted: Wanted,
     path: String,
-    method: String,
+    repeatable: bool,
     customer: String,
     priority: Priority,
     deadline: Duration,
     key: Option<Key>,
-    from: u32,
+    /// The token at which a broken answer is to be taken up; `None` for a new request.
+    resume_at: Option<u32>,
 }
 
 /// The headers that a proof covers, in order.
-pub const PROVEN: [&str; 8] = [
+pub const PROVEN: [&str; 9] = [
     header::REQUEST,
     header::VERSION,
     header::SERVICE,
@@ -106,6 +107,7 @@
     header::DEADLINE,
     header::KEY,
     header::FROM,
+    header::REPEATABLE,
 ];
 
 fn text<'a>(request: &'a Request, name: &str) -> Option<&'a str> {
@@ -128,7 +130,10 @@
 
 impl Job {
     fn read(agent: &Agent, request: &Request) -> Option<Self> {
-        let wanted = match (text(request, header::VERSION), text(request, header::SERVICE)) {
+        let wanted = match (
+            text(request, header::VERSION),
+            text(request, header::SERVICE),
+        ) {
             (Some(digest), None) => Wanted::Version(digest.parse().ok()?),
             (None, Some(name)) if agent.node.setting.role == Role::Service(name.to_owned()) => {
                 Wanted::Service
@@ -139,6 +144,10 @@
             Some(key) => Some(key.parse().ok()?),
             None => None,
         };
+        let resume_at = match text(request, header::FROM) {
+            Some(token) => Some(token.parse().ok()?),
+            None => None,
+        };
         let millis: u64 = text(request, header::DEADLINE)?.parse().ok()?;
         let priority = match text(request, header::PRIORITY) {
             Some("low") => Priority::Low,
@@ -149,12 +158,12 @@
             id: text(request, header::REQUEST)?.to_owned(),
             wanted,
             path: text(request, header::PATH).unwrap_or("/").to_owned(),
-            method: "POST".to_owned(),
+            repeatable: text(request, header::REPEATABLE) == Some("yes"),
             customer: text(request, header::CUSTOMER)?.to_owned(),
             priority,
             deadline: Duration::from_millis(millis),
             key,
-            from: text(request, header::FROM).map_or(Some(0), |from| from.parse().ok())?,
+            resume_at,
         })
     }
 
@@ -177,7 +186,12 @@
 }
 
 fn not_admitted(reason: Reason) -> Answer {
-    turned(StatusCode::SERVICE_UNAVAILABLE, "no", reason, Duration::ZERO)
+    turned(
+        StatusCode::SERVICE_UNAVAILABLE,
+        "no",
+        reason,
+        Duration::ZERO,
+    )
 }
 
 fn unknown(reason: Reason) -> Answer {
@@ -195,7 +209,12 @@
 /// Issues a key for a request that must run at most once.
 pub fn issue_key(agent: &Agent, request: &Request) -> Answer {
     if !proven(agent, request) {
-        return turned(StatusCode::FORBIDDEN, "no", Reason::Forbidden, Duration::ZERO);
+        return turned(
+            StatusCode::FORBIDDEN,
+            "no",
+            Reason::Forbidden,
+            Duration::ZERO,
+        );
     }
     if agent.leaving.get() {
         return not_admitted(Reason::Leaving);
@@ -217,7 +236,12 @@
 /// Tells the engine to stop working on a request whose caller went away.
 pub async fn cancel(agent: &Rc<Agent>, request: &Request, id: &str) -> Answer {
     if !proven(agent, request) {
-        return turned(StatusCode::FORBIDDEN, "no", Reason::Forbidden, Duration::ZERO);
+        return turned(
+            StatusCode::FORBIDDEN,
+            "no",
+            Reason::Forbidden,
+            Duration::ZERO,
+        );
     }
     cancel_at_engine(agent, id).await;
     http::status(StatusCode::NO_CONTENT)
@@ -232,7 +256,12 @@
 /// Takes a request to the target.
 pub async fn run(agent: Rc<Agent>, mut request: Request) -> Answer {
     if !proven(&agent, &request) {
-        return turned(StatusCode::FORBIDDEN, "no", Reason::Forbidden, Duration::ZERO);
+        return turned(
+            StatusCode::FORBIDDEN,
+            "no",
+            Reason::Forbidden,
+            Duration::ZERO,
+        );
     }
     let arrived = agent.node.clock.now();
     let Some(job) = Job::read(&agent, &request) else {
@@ -249,7 +278,7 @@
 
 /// Whether the target may take the job now.
 fn admit(agent: &Agent, job: &Job, arrived: Time) -> Result<(), Answer> {
-    if agent.leaving.get() && job.from == 0 {
+    if agent.leaving.get() && job.resume_at.is_none() {
         return Err(not_admitted(Reason::Leaving));
     }
     if let Wanted::Version(digest) = job.wanted
@@ -310,26 +339,29 @@
 
 async fn hand_over(agent: &Agent, job: &Job, body: Bytes) -> Result<TargetResponse, Failure> {
     let base = &agent.setting.target_url;
-    let client = &agent.node.client.0;
+    let client = if job.repeatable {
+        &agent.node.client.0
+    } else {
+        &agent.node.fresh.0
+    };
     let request = match job.wanted {
-        Wanted::Version(_) if job.from > 0 => {
+        Wanted::Version(_) if job.resume_at.is_some() => {
             client.get(format!("{base}/v1/streams/{}", job.id))
         }
         Wanted::Version(_) => client.post(format!("{base}/v1/generate")),
-        Wanted::Service => {
-            let method = job.method.parse().unwrap_or(actix_http::Method::POST);
-            client.request(method, format!("{base}{}", job.path))
-        }
+        Wanted::Service => client.post(format!("{base}{}", job.path)),
     };
-    let mut request = request
-        .insert_header((header::REQUEST, job.id.as_str()))
-        .insert_header((header::FROM, job.from.to_string()));
+    let mut request = request.insert_header((header::REQUEST, job.id.as_str()));
+    if let Some(token) = job.resume_at {
+        request = request.insert_header((header::FROM, token.to_string()));
+    }
     if let Wanted::Version(digest) = job.wanted {
         request = request.insert_header((header::VERSION, digest.to_string()));
     }
-    // A connection that was idle may be closed under a request, and then nobody knows whether it
-    // ran. A fresh connection either fails before the first byte or is taken.
-    let response = request.force_close().send_body(body).await;
+    if !job.repeatable {
+        request = request.force_close();
+    }
+    let response = request.send_body(body).await;
     response.map_err(|error| match Error::from(error) {
         Error::Connect { .. } => Failure::NotRun(Reason::TargetDown),
         _ => Failure::Unknown,
@@ -352,7 +384,7 @@
         return answer;
     }
     let flight = Flight::new(agent, job.version());
-    if job.from > 0 {
+    if job.resume_at.is_some() {
         let mut resumed = agent.resumed.borrow_mut();
         *resumed.entry(job.id.clone()).or_default() += 1;
     }
@@ -440,7 +472,12 @@
         Admission::Run => {}
         Admission::Done(Some(answer)) => return stored(answer),
         Admission::Done(None) => {
-            return turned(StatusCode::GONE, "yes", Reason::AnswerNotKept, Duration::ZERO);
+            return turned(
+                StatusCode::GONE,
+                "yes",
+                Reason::AnswerNotKept,
+                Duration::ZERO,
+            );
         }
         Admission::InProgress => return unknown(Reason::InProgress),
         Admission::Lost => return unknown(Reason::Lost),
--- a/src/bench/command.rs
+++ b/src/bench/command.rs
@@ -8,7 +8,8 @@
 pub mod spread;
 
 /// What the program is for.
-const SUMMARY: &str = "Experiments against the real entry and agent code, with stand-ins on loopback.
+const SUMMARY: &str =
+    "Experiments against the real entry and agent code, with stand-ins on loopback.
 
 Commands (each with its own --help):
   demo     a burst to 24 boxes in three halls, with requests answered during it
--- a/src/bench/command/spread.rs
+++ b/src/bench/command/spread.rs
@@ -24,7 +24,11 @@
         "window in which the origin's link carries 4 copies and a box's link 2 each way",
     ),
     Spec::with_default("favour", "WHAT", "time", "time or origin-bytes"),
-    Spec::repeated("fault", "KIND@SECONDS", "a fault, and when; kinds are listed below"),
+    Spec::repeated(
+        "fault",
+        "KIND@SECONDS",
+        "a fault, and when; kinds are listed below",
+    ),
     Spec::with_default(
         "baseline",
         "WHICH",
@@ -46,7 +50,9 @@
 }
 
 fn summary() -> String {
-    let mut text = String::from("A burst of one model to many boxes behind shaped links.\n\nKinds of faults:\n");
+    let mut text = String::from(
+        "A burst of one model to many boxes behind shaped links.\n\nKinds of faults:\n",
+    );
     for (_, name, what) in KINDS {
         let _ = writeln!(text, "  {name}: {what}");
     }
@@ -77,7 +83,10 @@
         chunk_bytes: values.number("chunk-bytes", 1024..=64 << 20)?,
         window: Duration::from_secs_f64(values.number("window-seconds", 1.0..=3600.0)?),
         favour,
-        faults: values.all("fault", "KIND@SECONDS, such as kill@3; --help lists the kinds")?,
+        faults: values.all(
+            "fault",
+            "KIND@SECONDS, such as kill@3; --help lists the kinds",
+        )?,
         seed: values.number("seed", 0..=u64::MAX)?,
         ..Setting::default()
     };
@@ -160,7 +169,10 @@
 
 fn print_table(output: &Output) {
     let report = &output.report;
-    println!("servable       {} of {} boxes", report.servable, report.boxes);
+    println!(
+        "servable       {} of {} boxes",
+        report.servable, report.boxes
+    );
     println!(
         "time           {:.2} s, {:.2} times the limit of {:.2} s",
         report.seconds, report.time_ratio, report.limit_seconds
--- a/src/bench/fault.rs
+++ b/src/bench/fault.rs
@@ -34,16 +34,48 @@
 /// All kinds, with their names and what they do.
 pub const KINDS: [(Kind, &str, &str); 11] = [
     (Kind::Kill, "kill", "a tenth of the boxes die"),
-    (Kind::Stall, "stall", "the links of a tenth of the boxes stall for T/4"),
-    (Kind::Corrupt, "corrupt", "every box spoils a twentieth of the chunks it sends"),
-    (Kind::CorruptPeer, "corrupt-peer", "one box spoils everything it sends"),
-    (Kind::CorruptOrigin, "corrupt-origin", "the origin spoils a fifth of its chunks for T/4"),
-    (Kind::Replace, "replace", "another version replaces the one that is spreading"),
-    (Kind::OriginDown, "origin-down", "the origin fails every call for T/4"),
-    (Kind::Partition, "partition", "the first hall is cut off from everything for T/2"),
+    (
+        Kind::Stall,
+        "stall",
+        "the links of a tenth of the boxes stall for T/4",
+    ),
+    (
+        Kind::Corrupt,
+        "corrupt",
+        "every box spoils a twentieth of the chunks it sends",
+    ),
+    (
+        Kind::CorruptPeer,
+        "corrupt-peer",
+        "one box spoils everything it sends",
+    ),
+    (
+        Kind::CorruptOrigin,
+        "corrupt-origin",
+        "the origin spoils a fifth of its chunks for T/4",
+    ),
+    (
+        Kind::Replace,
+        "replace",
+        "another version replaces the one that is spreading",
+    ),
+    (
+        Kind::OriginDown,
+        "origin-down",
+        "the origin fails every call for T/4",
+    ),
+    (
+        Kind::Partition,
+        "partition",
+        "the first hall is cut off from everything for T/2",
+    ),
     (Kind::Pause, "pause", "a tenth of the boxes freeze for T/4"),
     (Kind::Join, "join", "a tenth more boxes join"),
-    (Kind::ConfigDown, "config-down", "the configuration service fails every call for T/4"),
+    (
+        Kind::ConfigDown,
+        "config-down",
+        "the configuration service fails every call for T/4",
+    ),
 ];
 
 /// A fault and when it happens.
--- a/src/bench/spread.rs
+++ b/src/bench/spread.rs
@@ -15,6 +15,7 @@
 use super::sample;
 use crate::http;
 use crate::member::Role;
+use crate::route::Policy;
 use crate::spread::{self, Favour};
 use crate::standin::fleet::{self, Fleet};
 use crate::weight::Digest;
@@ -43,6 +44,9 @@
 /// How long boxes may take to start.
 const START_MAX: Duration = Duration::from_secs(60);
 
+/// Longest time that the report tells apart, in milliseconds.
+const TIME_MAX_MS: u64 = 24 * 3600 * 1000;
+
 /// Bytes that go into one write of a stand-in link, for the share of writes to spoil.
 const WRITE: u64 = 16 * 1024;
 
@@ -67,6 +71,8 @@
     pub seed: u64,
     /// The burst.
     pub spread: spread::Setting,
+    /// Entries, one hall after another.
+    pub entries: usize,
 }
 
 impl Default for Setting {
@@ -81,6 +87,7 @@
             faults: Vec::new(),
             seed: 1,
             spread: spread::Setting::default(),
+            entries: 0,
         }
     }
 }
@@ -139,7 +146,9 @@
     let window = setting.window.as_secs_f64();
     let model = setting.model_bytes as f64;
     fleet::Setting {
-        halls: (0..setting.halls).map(|hall| format!("hall-{hall}")).collect(),
+        halls: (0..setting.halls)
+            .map(|hall| format!("hall-{hall}"))
+            .collect(),
         memory_bytes: setting.model_bytes * 2,
         box_rate: BOX_COPIES * model / window,
         origin_rate: ORIGIN_COPIES * model / window,
@@ -181,6 +190,9 @@
         for _ in 0..setting.boxes {
             fleet.add_box(Role::Model)?;
         }
+        for entry in 0..setting.entries {
+            fleet.add_entry(entry % setting.halls, Policy::default())?;
+        }
         fleet.list_all();
         let mut experiment = Self {
             rng: SmallRng::seed_from_u64(setting.seed),
@@ -240,8 +252,12 @@
             let at = self.began + fault.at;
             self.pending.push((at, Event::Fault(fault.kind)));
         }
-        self.fleet.platform.publish(sample::TEMPLATE, Some(&template));
-        self.fleet.platform.publish(sample::CUSTOMER, Some(&customer));
+        self.fleet
+            .platform
+            .publish(sample::TEMPLATE, Some(&template));
+        self.fleet
+            .platform
+            .publish(sample::CUSTOMER, Some(&customer));
     }
 
     /// Boxes that hold a servable replica, and boxes that live.
@@ -255,7 +271,10 @@
 
     fn servable_since(&self, member: &fleet::Box) -> Option<Instant> {
         let probe = member.probe();
-        let entry = probe.servable.iter().find(|(digest, _)| *digest == self.wanted);
+        let entry = probe
+            .servable
+            .iter()
+            .find(|(digest, _)| *digest == self.wanted);
         entry.map(|(_, since)| *since)
     }
 
@@ -431,7 +450,8 @@
     }
 
     fn report(&self, reads_before: u64, bytes_before: u64) -> Report {
-        let mut times = Histogram::<u64>::new(3).expect("three digits are allowed");
+        let mut times =
+            Histogram::<u64>::new_with_bounds(1, TIME_MAX_MS, 3).expect("the bounds are in order");
         let mut seconds: f64 = 0.0;
         for member in self.fleet.boxes.iter().filter(|member| member.alive()) {
             if let Some(since) = self.servable_since(member) {
--- a/src/clock.rs
+++ b/src/clock.rs
@@ -8,7 +8,9 @@
 use serde::{Deserialize, Serialize};
 
 /// A monotonic instant, in microseconds since the process (or trace) began.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default, Hash, Serialize, Deserialize)]
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default, Hash, Serialize, Deserialize,
+)]
 pub struct Time(pub u64);
 
 impl Time {
--- a/src/config.rs
+++ b/src/config.rs
@@ -161,7 +161,10 @@
 
     /// What a reader at `from` lacks.
     pub fn delta_since(&self, from: Revision) -> Delta {
-        let newer = self.values.iter().filter(|(_, value)| value.revision > from);
+        let newer = self
+            .values
+            .iter()
+            .filter(|(_, value)| value.revision > from);
         Delta {
             from,
             to: self.revision,
@@ -210,7 +213,13 @@
 
     fn uses(&self, customer: &str, template: &str) -> bool {
         self.text(customer)
-            .and_then(|text| render::template_name(Source { name: customer, text }).ok())
+            .and_then(|text| {
+                render::template_name(Source {
+                    name: customer,
+                    text,
+                })
+                .ok()
+            })
             .is_some_and(|name| template.strip_prefix(TEMPLATES) == Some(&name))
     }
 
--- /dev/null
+++ b/src/daemon.rs
@@ -0,0 +1,183 @@
+//! What the daemons share at their outermost edge: options, signals, a planned stop.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use actix_rt::time::{sleep, timeout};
+use tokio::signal::unix::{SignalKind, signal};
+
+use crate::auth::Keyring;
+use crate::http;
+use crate::member::Role;
+use crate::metric;
+use crate::node;
+use crate::option::{self, EXIT_USAGE, Request, Spec, Values};
+
+/// How often a stopping process looks whether it is idle.
+const LOOK: Duration = Duration::from_millis(50);
+
+/// How long a stopping process goes on accepting, so that those who route to it hear of it.
+pub const HEAR: Duration = Duration::from_secs(3);
+
+/// Why a daemon ended.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// The settings are wrong.
+    #[error(transparent)]
+    Option(#[from] option::Error),
+    /// A socket could not be opened.
+    #[error(transparent)]
+    Http(#[from] http::Error),
+    /// Metrics could not be started.
+    #[error(transparent)]
+    Metric(#[from] metric::Error),
+    /// Signals cannot be handled.
+    #[error("cannot handle signals: {0}")]
+    Signal(#[from] std::io::Error),
+}
+
+impl Error {
+    /// The process's exit code for this error.
+    pub fn exit_code(&self) -> i32 {
+        match self {
+            Self::Option(_) => EXIT_USAGE,
+            _ => 1,
+        }
+    }
+}
+
+/// Options that every daemon has.
+pub const SPECS: [Spec; 8] = [
+    Spec::required(
+        "name",
+        "NAME",
+        "the box's name, as the list of boxes has it",
+    ),
+    Spec::required("hall", "HALL", "the data hall it stands in"),
+    Spec::with_default(
+        "listen",
+        "ADDRESS",
+        "127.0.0.1:0",
+        "IP address and port to listen on",
+    ),
+    Spec::required("config-url", "URL", "the platform's configuration service"),
+    Spec::required("list-url", "URL", "the platform's list of boxes"),
+    Spec::required(
+        "inner-keys",
+        "NAME:HEX,...",
+        "keys of the inner hop, 64 hexadecimal digits each; the first signs, all verify",
+    ),
+    Spec::with_default(
+        "log-level",
+        "LEVEL",
+        "info",
+        "error, warn, info, debug or trace",
+    ),
+    Spec::with_default(
+        "drain-seconds",
+        "N",
+        "600",
+        "longest time that a planned stop waits for requests in progress",
+    ),
+];
+
+/// Settings that every daemon has.
+#[derive(Debug)]
+pub struct Common {
+    /// For [`node::Node`].
+    pub node: node::Setting,
+    /// Keys of the inner hop.
+    pub keyring: Keyring,
+    /// How much is logged.
+    pub log_level: log::LevelFilter,
+    /// Longest planned stop.
+    pub drain: Duration,
+}
+
+/// Reads and checks the common settings.
+pub fn common(values: &Values, role: Role) -> Result<Common, option::Error> {
+    let name: String = values.get("name", "a name")?;
+    if name.is_empty() || name.contains(['~', '/', ' ']) {
+        return Err(option::Error::Value {
+            name: "name",
+            value: name,
+            reason: "it is empty or has a space, a slash or a tilde".to_owned(),
+            expected: "a name such as bergen-hall-007".to_owned(),
+        });
+    }
+    let hall: String = values.get("hall", "a data hall's name")?;
+    let listen: SocketAddr = values.get("listen", "IP:PORT, such as 10.0.0.7:8100")?;
+    Ok(Common {
+        node: node::Setting {
+            name: name.into(),
+            hall: hall.into(),
+            role,
+            listen,
+            config_url: values.url("config-url")?,
+            list_url: values.url("list-url")?,
+        },
+        keyring: values.get("inner-keys", "name:hex, with 64 hexadecimal digits")?,
+        log_level: values.get("log-level", "error, warn, info, debug or trace")?,
+        drain: Duration::from_secs(values.number("drain-seconds", 0..=86_400)?),
+    })
+}
+
+/// Parses the command line of a daemon, or prints what it asks for and returns `None`.
+pub fn values(
+    program: &str,
+    summary: &str,
+    specs: &[Spec],
+) -> Result<Option<Values>, option::Error> {
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    let environment = |name: &str| std::env::var(name).ok();
+    match option::parse(program, summary, specs, &arguments, environment)? {
+        Request::Run(values) => {
+            if let Some(extra) = values.free.first() {
+                return Err(option::Error::CommandLine {
+                    reason: format!("unexpected argument `{extra}`"),
+                });
+            }
+            Ok(Some(values))
+        }
+        Request::Print(text) => {
+            print!("{text}");
+            Ok(None)
+        }
+    }
+}
+
+/// Waits for SIGTERM or SIGINT.
+pub async fn stop_signal() -> Result<(), Error> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let either =
+        futures_util::future::select(Box::pin(terminate.recv()), Box::pin(interrupt.recv()));
+    either.await;
+    Ok(())
+}
+
+/// Waits until `idle`, at most for `longest`.
+pub async fn wait_idle(longest: Duration, idle: impl Fn() -> bool) {
+    let all = async {
+        while !idle() {
+            sleep(LOOK).await;
+        }
+    };
+    if timeout(longest, all).await.is_err() {
+        log::warn!(
+            "requests were still in progress after {} s",
+            longest.as_secs()
+        );
+    }
+}
+
+/// Ends the process with what `result` says.
+pub fn exit(program: &str, result: Result<(), Error>) -> ! {
+    match result {
+        Ok(()) => std::process::exit(0),
+        Err(error) => {
+            eprintln!("{program}: {error}");
+            std::process::exit(error.exit_code())
+        }
+    }
+}
--- /dev/null
+++ b/src/entry/daemon.rs
@@ -0,0 +1,83 @@
+//! `pumicelatch-entry`: an entry as a process of its own.
+
+use rand::RngExt;
+
+use super::{Entry, Setting};
+use crate::daemon::{self, Error, HEAR, SPECS};
+use crate::http;
+use crate::member::Role;
+use crate::option::{self, Spec, Values};
+use crate::route::Policy;
+
+/// The program's name.
+pub const PROGRAM: &str = "pumicelatch-entry";
+
+const SUMMARY: &str = "Takes callers' requests, admits, routes, retries, and streams answers back.";
+
+const OWN_SPECS: [Spec; 2] = [
+    Spec::with_default(
+        "policy",
+        "NAME",
+        "expected",
+        "how targets are chosen: expected, least-of-two, round-robin or declared",
+    ),
+    Spec::with_default(
+        "remote-targets",
+        "N",
+        "16",
+        "targets of each other hall that it follows",
+    ),
+];
+
+/// Reads a policy's name.
+pub fn policy(name: &str) -> Result<Policy, option::Error> {
+    match name {
+        "expected" => Ok(Policy::Expected),
+        "least-of-two" => Ok(Policy::LeastOfTwo),
+        "round-robin" => Ok(Policy::RoundRobin),
+        "declared" => Ok(Policy::Declared),
+        _ => Err(option::Error::Value {
+            name: "policy",
+            value: name.to_owned(),
+            reason: "there is no such policy".to_owned(),
+            expected: "expected, least-of-two, round-robin or declared".to_owned(),
+        }),
+    }
+}
+
+fn setting(values: &Values) -> Result<(Setting, daemon::Common), option::Error> {
+    let common = daemon::common(values, Role::Entry)?;
+    let name: String = values.get("policy", "a policy's name")?;
+    let setting = Setting {
+        node: common.node.clone(),
+        keyring: common.keyring.clone(),
+        policy: policy(&name)?,
+        remote_targets: values.number("remote-targets", 0..=1024)?,
+        seed: rand::rng().random(),
+    };
+    Ok((setting, common))
+}
+
+/// Runs until a planned stop is over.
+pub async fn run() -> Result<(), Error> {
+    let specs: Vec<Spec> = SPECS.iter().chain(&OWN_SPECS).copied().collect();
+    let Some(values) = daemon::values(PROGRAM, SUMMARY, &specs)? else {
+        return Ok(());
+    };
+    let (mut setting, common) = setting(&values)?;
+    crate::log::start(PROGRAM, common.log_level);
+    let listener = http::bind(setting.node.listen)?;
+    if let Ok(address) = listener.local_addr() {
+        setting.node.listen = address;
+    }
+    log::info!(address:% = setting.node.listen, version = env!("CARGO_PKG_VERSION"); "listening");
+    let running = Entry::start(setting, http::adopt(listener)?, http::plain())?;
+    daemon::stop_signal().await?;
+    log::info!("planned stop");
+    running.entry.drain();
+    // The balancer hears of it from the readiness check; until then requests are still taken.
+    actix_rt::time::sleep(HEAR).await;
+    running.server.stop_accepting();
+    daemon::wait_idle(common.drain, || running.entry.in_flight() == 0).await;
+    Ok(())
+}
--- /dev/null
+++ b/src/entry/serve.rs
@@ -0,0 +1,61 @@
+//! The entry's HTTP server: callers, peers and operators.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use actix_http::{Request, StatusCode};
+use tokio::net::TcpListener;
+
+use super::caller::{Code, Failure};
+use super::{Entry, call, status};
+use crate::config::Revision;
+use crate::http::{self, Answer, Server, Wrap};
+
+/// Starts the server.
+pub fn start(entry: &Rc<Entry>, listener: TcpListener, wrap: Wrap) -> Server {
+    let entry = entry.clone();
+    Server::start(listener, wrap, move |request, peer| {
+        answer(entry.clone(), request, peer)
+    })
+}
+
+async fn answer(entry: Rc<Entry>, request: Request, _peer: SocketAddr) -> Answer {
+    let path = request.path().to_owned();
+    let parts: Vec<&str> = path.trim_matches('/').split('/').collect();
+    match (request.method().as_str(), parts.as_slice()) {
+        ("POST", ["v1", "completions"]) => call::completion(entry, request).await,
+        ("POST", ["v1", "services", name, rest @ ..]) => {
+            call::service(entry, request, name, &rest.join("/")).await
+        }
+        ("POST", ["v1", "keys"]) => call::key(entry, request).await,
+        ("GET", ["v1", "config"]) => config(&entry, request.uri().query()),
+        ("GET", ["health", "live"]) => http::status(StatusCode::OK),
+        ("GET", ["health", "ready"]) => ready(&entry),
+        ("GET", ["status"]) => http::json(StatusCode::OK, &status::status(&entry)),
+        ("GET", ["audit"]) => http::json(StatusCode::OK, entry.node.trail.borrow().entries()),
+        ("GET", ["metrics"]) => entry.node.metrics_answer(),
+        _ => Failure::not_run(Code::NoSuchPath, "there is no such path or method").answer(),
+    }
+}
+
+fn ready(entry: &Entry) -> Answer {
+    if entry.leaving.get() {
+        return http::body(StatusCode::SERVICE_UNAVAILABLE, "text/plain", "stopping");
+    }
+    if !*entry.node.ready.borrow() {
+        let reason = "no configuration yet: neither the service nor a peer has answered";
+        return http::body(StatusCode::SERVICE_UNAVAILABLE, "text/plain", reason);
+    }
+    http::status(StatusCode::OK)
+}
+
+fn config(entry: &Entry, query: Option<&str>) -> Answer {
+    let after = query
+        .unwrap_or_default()
+        .split('&')
+        .find_map(|pair| pair.strip_prefix("after="))
+        .and_then(|value| value.parse().ok())
+        .unwrap_or(0);
+    let delta = entry.node.book.borrow().delta_since(Revision(after));
+    http::json(StatusCode::OK, &delta)
+}
--- a/src/node.rs
+++ b/src/node.rs
@@ -73,6 +73,10 @@
     pub metrics: Metrics,
     /// Calls to other processes.
     pub client: ClientHandle,
+    /// Calls that must not go over a connection that was idle: such a connection may be closed
+    /// under a request, and then nobody knows whether it ran. Every call closes its connection, so
+    /// the next one gets a new one, which either fails before the first byte or is taken.
+    pub fresh: ClientHandle,
     /// Counts changes of configuration or boxes.
     pub changed: watch::Sender<u64>,
     /// Whether the service or a peer has answered with a configuration.
@@ -91,10 +95,10 @@
 impl Node {
     /// A node without any knowledge yet.
     pub fn new(setting: Setting) -> Result<Rc<Self>, metric::Error> {
-        let client = http::client(ClientSetting {
+        let client_setting = ClientSetting {
             local_address: Some(setting.listen.ip()).filter(|address| !address.is_unspecified()),
             ..ClientSetting::default()
-        });
+        };
         Ok(Rc::new(Self {
             setting,
             clock: Clock::default(),
@@ -102,7 +106,8 @@
             view: RefCell::default(),
             trail: RefCell::default(),
             metrics: Metrics::new()?,
-            client: ClientHandle(client),
+            client: ClientHandle(http::client(client_setting)),
+            fresh: ClientHandle(http::client(client_setting)),
             changed: watch::Sender::new(0),
             ready: watch::Sender::new(false),
         }))
--- a/src/option.rs
+++ b/src/option.rs
@@ -221,7 +221,9 @@
         }
         let _ = writeln!(text, " [env: {}]", spec.variable());
     }
-    text.push_str("  -h, --help\n      print this and stop\n  --version\n      print the version and stop\n");
+    text.push_str(
+        "  -h, --help\n      print this and stop\n  --version\n      print the version and stop\n",
+    );
     text
 }
 
--- a/src/request.rs
+++ b/src/request.rs
@@ -271,3 +271,86 @@
         true
     }
 }
+
+/// How an attempt to have a request answered went wrong.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Break {
+    /// The target's agent could not be reached: no byte left.
+    NotReached,
+    /// The agent answered that it did not admit the request.
+    NotAdmitted,
+    /// Bytes left, and no answer came.
+    NoAnswer,
+    /// The agent answered that the request may have run.
+    Lost,
+    /// The answer broke off.
+    MidAnswer,
+}
+
+/// What is known of a request when an attempt breaks.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Situation {
+    /// Whether it may run twice.
+    pub repeatable: bool,
+    /// Whether it has a key, which binds it to one box.
+    pub keyed: bool,
+    /// Whether its answer can be taken up at an offset.
+    pub resumable: bool,
+    /// Whether an earlier attempt may have run.
+    pub tainted: bool,
+    /// Whether part of the answer has reached the caller.
+    pub begun: bool,
+    /// Attempts so far.
+    pub attempts: u32,
+    /// Milliseconds until the deadline.
+    pub remaining_ms: u64,
+}
+
+/// What to do after a break.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Next {
+    /// Try another target.
+    Elsewhere,
+    /// Take the answer up at its offset: at the same target, or at another of the same version.
+    Resume,
+    /// Tell the caller, now.
+    GiveUp(Outcome),
+}
+
+/// Attempts that one request may take.
+pub const ATTEMPTS_MAX: u32 = 4;
+
+/// Decides what follows a break. A request that is not repeatable goes elsewhere only after a sure
+/// "not run"; one with a key never does, because its key leads to one box alone.
+pub fn after_break(found: Break, situation: Situation, budget: &mut RetryBudget) -> Next {
+    let sure = matches!(found, Break::NotReached | Break::NotAdmitted);
+    let clean = sure && !situation.tainted && !situation.begun;
+    let outcome = if clean && !situation.keyed {
+        Outcome::NotRun
+    } else if clean && found == Break::NotAdmitted {
+        // The key's own table said so, and it is the only one that could have run it.
+        Outcome::NotRun
+    } else {
+        Outcome::Unknown
+    };
+    let exhausted = situation.attempts >= ATTEMPTS_MAX || situation.remaining_ms == 0;
+    if exhausted || situation.keyed {
+        return Next::GiveUp(outcome);
+    }
+    if situation.begun || found == Break::MidAnswer {
+        let may = situation.resumable && budget.spend();
+        return if may {
+            Next::Resume
+        } else {
+            Next::GiveUp(outcome)
+        };
+    }
+    let may = (situation.repeatable || clean) && budget.spend();
+    if may {
+        Next::Elsewhere
+    } else {
+        Next::GiveUp(outcome)
+    }
+}
--- a/src/spread/swarm.rs
+++ b/src/spread/swarm.rs
@@ -366,10 +366,7 @@
     }
 
     fn fetch_from_peers(&mut self, now: Time, actions: &mut Vec<Action>) {
-        let mut room = self
-            .setting
-            .fetches_max
-            .saturating_sub(self.fetches.len());
+        let mut room = self.setting.fetches_max.saturating_sub(self.fetches.len());
         if room == 0 {
             return;
         }
@@ -454,9 +451,8 @@
         let active = self.active_sponsors(now);
         if active.contains(&&*self.own.name) {
             let version = self.version;
-            let own = order().find(|&chunk| {
-                ring::owner(version, chunk, &active) == Some(&*self.own.name)
-            });
+            let own = order()
+                .find(|&chunk| ring::owner(version, chunk, &active) == Some(&*self.own.name));
             if own.is_some() {
                 return own;
             }
--- a/src/standin/fleet.rs
+++ b/src/standin/fleet.rs
@@ -17,9 +17,11 @@
 use super::{PLATFORM_ADDRESS, any_port, box_address};
 use crate::agent::{self, Agent};
 use crate::auth::Keyring;
+use crate::entry::{self, Entry};
 use crate::http;
 use crate::member::{Listed, Role, State};
 use crate::node;
+use crate::route::Policy;
 use crate::spread;
 use crate::weight::Digest;
 
@@ -35,6 +37,12 @@
 /// Racks in a hall.
 const RACKS: usize = 4;
 
+/// Places in a hall's addresses from which entries begin.
+const ENTRY_PLACES: usize = 1_000;
+
+/// Targets of each other hall that an entry follows.
+const REMOTE_TARGETS: usize = 16;
+
 /// How often a box's counters are sampled.
 const SAMPLE: Duration = Duration::from_millis(100);
 
@@ -60,7 +68,11 @@
 impl Default for Setting {
     fn default() -> Self {
         Self {
-            halls: vec!["hall-a".to_owned(), "hall-b".to_owned(), "hall-c".to_owned()],
+            halls: vec![
+                "hall-a".to_owned(),
+                "hall-b".to_owned(),
+                "hall-c".to_owned(),
+            ],
             memory_bytes: 1 << 30,
             box_rate: UNSHAPED,
             origin_rate: UNSHAPED,
@@ -132,6 +144,35 @@
     }
 }
 
+/// An entry of a fleet.
+#[derive(Debug)]
+pub struct EntryBox {
+    /// What the list says of it.
+    pub listed: Listed,
+    arbiter: Option<Arbiter>,
+}
+
+impl EntryBox {
+    /// Where callers reach it.
+    pub fn url(&self) -> String {
+        format!("http://{}", self.listed.address)
+    }
+
+    /// Kills it at once.
+    pub fn kill(&mut self) {
+        if let Some(arbiter) = self.arbiter.take() {
+            arbiter.stop();
+        }
+    }
+
+    /// Freezes it.
+    pub fn pause(&self, duration: Duration) {
+        if let Some(arbiter) = &self.arbiter {
+            arbiter.spawn_fn(move || std::thread::sleep(duration));
+        }
+    }
+}
+
 /// A fleet. Dropping it stops every thread it started.
 #[derive(Debug)]
 pub struct Fleet {
@@ -149,6 +190,8 @@
     pub runs: Arc<Runs>,
     /// The boxes.
     pub boxes: Vec<Box>,
+    /// The entries.
+    pub entries: Vec<EntryBox>,
     /// Where the origin listens.
     pub origin_address: SocketAddr,
     /// Where the platform listens.
@@ -164,6 +207,9 @@
         for member in &mut self.boxes {
             member.kill();
         }
+        for entry in &mut self.entries {
+            entry.kill();
+        }
     }
 }
 
@@ -186,15 +232,17 @@
         {
             let (origin, links) = (origin.clone(), net.clone());
             origin_arbiter.spawn_fn(move || {
-                keep(http::adopt(origin_listener).map(|listener| {
-                    origin.serve(listener, links.wrap(origin_ip))
-                }));
+                keep(
+                    http::adopt(origin_listener)
+                        .map(|listener| origin.serve(listener, links.wrap(origin_ip))),
+                );
             });
             let (platform, links) = (platform.clone(), net.clone());
             platform_arbiter.spawn_fn(move || {
-                keep(http::adopt(platform_listener).map(|listener| {
-                    platform.serve(listener, links.wrap(PLATFORM_ADDRESS))
-                }));
+                keep(
+                    http::adopt(platform_listener)
+                        .map(|listener| platform.serve(listener, links.wrap(PLATFORM_ADDRESS))),
+                );
             });
         }
         Ok(Self {
@@ -205,6 +253,7 @@
             platform,
             runs: Arc::default(),
             boxes: Vec::new(),
+            entries: Vec::new(),
             origin_address,
             platform_address,
             platform_arbiters: vec![origin_arbiter, platform_arbiter],
@@ -234,7 +283,10 @@
         let setting = self.agent_setting(&listed, address_of(&target_listener));
         let engine = Engine::new(self.setting.engine, self.runs.clone());
         let service = match listed.role {
-            Role::Service(_) => Some(Service::new(self.setting.engine.first_token, self.runs.clone())),
+            Role::Service(_) => Some(Service::new(
+                self.setting.engine.first_token,
+                self.runs.clone(),
+            )),
             _ => None,
         };
         let probe = Arc::new(Mutex::new(Probe::default()));
@@ -263,17 +315,60 @@
         Ok(&self.boxes[index].listed)
     }
 
+    /// Starts an entry in hall `hall`, without listing it.
+    pub fn add_entry(&mut self, hall: usize, policy: Policy) -> Result<&EntryBox, http::Error> {
+        let index = self.entries.len();
+        let ip = box_address(hall, ENTRY_PLACES + index);
+        let hall_name = self.setting.halls[hall].clone();
+        self.net.add(ip, &hall_name, UNSHAPED, self.setting.seed);
+        let listener = http::bind(any_port(ip))?;
+        let listed = Listed {
+            name: format!("{hall_name}-entry-{index}").into(),
+            hall: hall_name.as_str().into(),
+            rack: "".into(),
+            address: address_of(&listener),
+            role: Role::Entry,
+            capacity_bytes: 0,
+            state: State::Live,
+        };
+        let setting = entry::Setting {
+            node: self.node_setting(&listed),
+            keyring: keyring(),
+            policy,
+            remote_targets: REMOTE_TARGETS,
+            seed: self.setting.seed,
+        };
+        let arbiter = Arbiter::new();
+        let net = self.net.clone();
+        arbiter.spawn_fn(move || {
+            let wrap = net.wrap(ip);
+            match http::adopt(listener) {
+                Ok(listener) => keep(Entry::start(setting, listener, wrap)),
+                Err(error) => log::error!("{error}"),
+            }
+        });
+        self.entries.push(EntryBox {
+            listed,
+            arbiter: Some(arbiter),
+        });
+        Ok(&self.entries[index])
+    }
+
+    fn node_setting(&self, listed: &Listed) -> node::Setting {
+        node::Setting {
+            name: listed.name.clone(),
+            hall: listed.hall.clone(),
+            role: listed.role.clone(),
+            listen: listed.address,
+            config_url: format!("http://{}", self.platform_address),
+            list_url: format!("http://{}", self.platform_address),
+        }
+    }
+
     /// Settings of the agent of box `listed`, whose target listens at `target`.
     pub fn agent_setting(&self, listed: &Listed, target: SocketAddr) -> agent::Setting {
         agent::Setting {
-            node: node::Setting {
-                name: listed.name.clone(),
-                hall: listed.hall.clone(),
-                role: listed.role.clone(),
-                listen: listed.address,
-                config_url: format!("http://{}", self.platform_address),
-                list_url: format!("http://{}", self.platform_address),
-            },
+            node: self.node_setting(listed),
             origin_url: format!("http://{}", self.origin_address),
             target_url: format!("http://{target}"),
             memory_bytes: self.setting.memory_bytes,
@@ -285,8 +380,9 @@
     /// Puts every living box on the list.
     pub fn list_all(&self) {
         let boxes = self.boxes.iter().filter(|member| member.alive());
-        let listed = boxes.map(|member| member.listed.clone()).collect();
-        self.platform.set_boxes(listed);
+        let entries = self.entries.iter().map(|entry| entry.listed.clone());
+        let listed = boxes.map(|member| member.listed.clone());
+        self.platform.set_boxes(listed.chain(entries).collect());
     }
 }
 
@@ -296,11 +392,13 @@
 }
 
 fn address_of(listener: &std::net::TcpListener) -> SocketAddr {
-    listener.local_addr().expect("a bound socket has an address")
+    listener
+        .local_addr()
+        .expect("a bound socket has an address")
 }
 
 /// Keeps a server for as long as its thread's runtime lives.
-fn keep<T: 'static>(server: Result<T, http::Error>) {
+fn keep<T: 'static, E: std::fmt::Display>(server: Result<T, E>) {
     match server {
         Err(error) => log::error!("{error}"),
         Ok(server) => {
--- a/src/standin/platform.rs
+++ b/src/standin/platform.rs
@@ -84,7 +84,11 @@
     /// Marks a box as leaving.
     pub fn set_leaving(&self, name: &str) {
         self.change_list(|listing| {
-            for listed in listing.boxes.iter_mut().filter(|listed| &*listed.name == name) {
+            for listed in listing
+                .boxes
+                .iter_mut()
+                .filter(|listed| &*listed.name == name)
+            {
                 listed.state = State::Leaving;
             }
         });
@@ -98,7 +102,9 @@
     /// Removes boxes.
     pub fn remove_boxes(&self, names: &[&str]) {
         self.change_list(|listing| {
-            listing.boxes.retain(|listed| !names.contains(&&*listed.name));
+            listing
+                .boxes
+                .retain(|listed| !names.contains(&&*listed.name));
         });
     }
 
@@ -146,7 +152,10 @@
 
     fn delta(&self, from: Revision) -> Delta {
         let values = self.values.lock().unwrap_or_else(PoisonError::into_inner);
-        let newer = values.values.iter().filter(|(_, value)| value.revision > from);
+        let newer = values
+            .values
+            .iter()
+            .filter(|(_, value)| value.revision > from);
         Delta {
             from,
             to: Revision(values.revision),
--- a/src/template.rs
+++ b/src/template.rs
@@ -55,7 +55,9 @@
         message: String,
     },
     /// The value is too long for the configuration service.
-    #[error("{bytes} bytes is over the limit of {VALUE_MAX} bytes; split the fleet over several customers")]
+    #[error(
+        "{bytes} bytes is over the limit of {VALUE_MAX} bytes; split the fleet over several customers"
+    )]
     TooLong {
         /// Its length.
         bytes: usize,
--- a/src/template/fleet.rs
+++ b/src/template/fleet.rs
@@ -251,7 +251,11 @@
             let share = relocation.share;
             return Err(("move.share".to_owned(), Problem::Share { share }));
         }
-        match relocation.to.iter().find(|hall| self.side.halls.contains(hall)) {
+        match relocation
+            .to
+            .iter()
+            .find(|hall| self.side.halls.contains(hall))
+        {
             None => Ok(()),
             Some(hall) => Err((
                 "move.to".to_owned(),
--- a/src/template/parameter.rs
+++ b/src/template/parameter.rs
@@ -139,7 +139,12 @@
     }
     value
         .as_array()
-        .map(|items| items.iter().filter_map(|item| item.get_ref().as_str()).collect())
+        .map(|items| {
+            items
+                .iter()
+                .filter_map(|item| item.get_ref().as_str())
+                .collect()
+        })
         .unwrap_or_default()
 }
 
--- a/src/template/render.rs
+++ b/src/template/render.rs
@@ -86,7 +86,13 @@
     let parameters = declared(template)?;
     let mut filler = Filler {
         template,
-        values: values(template, customer, &parameters, tree.get_ref(), customer_tree.get_ref())?,
+        values: values(
+            template,
+            customer,
+            &parameters,
+            tree.get_ref(),
+            customer_tree.get_ref(),
+        )?,
         used: Vec::new(),
     };
     tree.get_mut().remove("parameters");
@@ -255,7 +261,9 @@
         if let Some(name) = whole
             && !name.contains('}')
         {
-            return self.lookup(name, span, path).map(|value| Some(value.clone()));
+            return self
+                .lookup(name, span, path)
+                .map(|value| Some(value.clone()));
         }
         self.interpolate(text, span, path).map(Some)
     }
--- a/src/weight.rs
+++ b/src/weight.rs
@@ -107,7 +107,9 @@
         found: Digest,
     },
     /// A manifest whose fields contradict each other.
-    #[error("manifest of {chunks} chunks does not fit {model_bytes} bytes in chunks of {chunk_bytes}")]
+    #[error(
+        "manifest of {chunks} chunks does not fit {model_bytes} bytes in chunks of {chunk_bytes}"
+    )]
     ManifestShape {
         /// Length of the chunk list.
         chunks: usize,
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -146,6 +146,8 @@
     pub const KEY: &str = "x-key";
     /// From which token on the answer is wanted.
     pub const FROM: &str = "x-from-token";
+    /// Whether the request may run twice (`yes` or `no`).
+    pub const REPEATABLE: &str = "x-repeatable";
     /// In an answer: whether the request was admitted (`yes`, `no`, or `unknown`).
     pub const ADMITTED: &str = "x-admitted";
     /// Authenticates the inner hop.
