Ask holders with a free slot first, and queue less behind the slots

Cause: a timeline of stored chunks showed links at 83% from second 2 to 8: boxes chased the rarest chunks at few holders while holders of commoner chunks idled; requests for often-served chunks starved in the upload queue until they counted as stalled (27 cancels).

--- a/src/agent.rs
+++ b/src/agent.rs
@@ -21,6 +21,7 @@
 use crate::placement::{self, Assignment};
 use crate::request::Ledger;
 use crate::spread;
+use crate::spread::swarm::Tally;
 use crate::version::{EngineState, Fence};
 use crate::weight::{Digest, Store};
 
@@ -166,6 +167,15 @@
         self.gate.borrow().servable.clone()
     }
 
+    /// How fetches of chunks ended, over all versions.
+    pub fn tally(&self) -> Tally {
+        let mut sum = Tally::default();
+        for burst in self.bursts.borrow().values() {
+            sum += burst.tally();
+        }
+        sum
+    }
+
     /// Counts the changes of what entries are told.
     pub fn reports(&self) -> watch::Receiver<u64> {
         self.reported.subscribe()
--- a/src/agent/burst.rs
+++ b/src/agent/burst.rs
@@ -24,7 +24,7 @@
 use crate::member::Listed;
 use crate::spread::Favour;
 use crate::spread::ring::Member;
-use crate::spread::swarm::{Action, FetchKey, Notice, Outcome, PeerKey, Source, Swarm};
+use crate::spread::swarm::{Action, FetchKey, Notice, Outcome, PeerKey, Source, Swarm, Tally};
 use crate::spread::upload::{Admission, Queue, UploadKey};
 use crate::weight::{Digest, Manifest};
 use crate::wire::{self, Have};
@@ -337,6 +337,12 @@
         }
     }
 
+    /// How fetches ended so far.
+    pub fn tally(&self) -> Tally {
+        let swarm = self.swarm.borrow();
+        swarm.as_ref().map(Swarm::tally).unwrap_or_default()
+    }
+
     /// Chunks held, and chunks in all.
     pub fn progress(&self) -> (usize, usize) {
         self.swarm.borrow().as_ref().map_or((0, 0), Swarm::held)
@@ -632,7 +638,7 @@
     while let Ok(Some(Ok(part))) = actix_rt::time::timeout(FOLLOW_TIMEOUT, response.next()).await {
         decoder.push(&part);
         loop {
-            let have: Have = match decoder.next() {
+            let have: Have = match decoder.take() {
                 Ok(Some(have)) => have,
                 Ok(None) => break,
                 Err(error) => {
--- a/src/agent/status.rs
+++ b/src/agent/status.rs
@@ -4,6 +4,7 @@
 
 use super::Agent;
 use crate::config::Rejected;
+use crate::spread::swarm::Tally;
 use crate::weight::Digest;
 
 /// One version at a box.
@@ -19,6 +20,8 @@
     pub chunks: usize,
     /// Whether it may take requests here.
     pub servable: bool,
+    /// How fetches of its chunks ended.
+    pub fetches: Tally,
 }
 
 /// A box.
@@ -63,6 +66,7 @@
                 chunks_held,
                 chunks,
                 servable: gate.servable.contains(digest),
+                fetches: burst.tally(),
             }
         })
         .collect();
--- a/src/bench/command/spread.rs
+++ b/src/bench/command/spread.rs
@@ -12,7 +12,7 @@
 use crate::option::{self, Request, Spec, Values};
 use crate::spread::Favour;
 
-const SPECS: [Spec; 11] = [
+const SPECS: [Spec; 17] = [
     Spec::with_default("boxes", "N", "100", "boxes, 1 to 400"),
     Spec::with_default("halls", "H", "3", "data halls, 1 to 20"),
     Spec::with_default("model-bytes", "B", "16777216", "bytes of the model"),
@@ -36,6 +36,17 @@
         "none, origin-only or tree: run it too, on links of its own",
     ),
     Spec::with_default("seed", "S", "1", "seed of models and faults"),
+    Spec::with_default(
+        "hall-neighbours",
+        "N",
+        "8",
+        "peers followed in the box's hall",
+    ),
+    Spec::with_default("fleet-neighbours", "N", "6", "peers followed anywhere"),
+    Spec::with_default("fetches", "N", "4", "chunks that a box draws at once"),
+    Spec::with_default("upload-slots", "N", "2", "uploads that share a box's link"),
+    Spec::with_default("upload-queue", "N", "2", "uploads that wait for a slot"),
+    Spec::with_default("sponsors", "N", "8", "boxes that draw from the origin"),
     Spec::flag("json", "print one JSON object"),
     Spec::flag("quiet", "show no progress"),
 ];
@@ -62,6 +73,18 @@
     text
 }
 
+fn spread_setting(values: &Values) -> Result<crate::spread::Setting, option::Error> {
+    Ok(crate::spread::Setting {
+        hall_neighbours: values.number("hall-neighbours", 1..=32)?,
+        fleet_neighbours: values.number("fleet-neighbours", 0..=32)?,
+        fetches_max: values.number("fetches", 1..=32)?,
+        upload_slots: values.number("upload-slots", 1..=16)?,
+        upload_queue_max: values.number("upload-queue", 0..=64)?,
+        sponsors: values.number("sponsors", 1..=32)?,
+        ..crate::spread::Setting::default()
+    })
+}
+
 fn setting(values: &Values) -> Result<(Setting, Option<baseline::Kind>), option::Error> {
     let favour: String = values.get("favour", "time or origin-bytes")?;
     let favour = match favour.as_str() {
@@ -88,6 +111,7 @@
             "KIND@SECONDS, such as kill@3; --help lists the kinds",
         )?,
         seed: values.number("seed", 0..=u64::MAX)?,
+        spread: spread_setting(values)?,
         ..Setting::default()
     };
     let memory = setting.model_bytes * setting.boxes as u64;
--- a/src/bench/spread.rs
+++ b/src/bench/spread.rs
@@ -16,6 +16,7 @@
 use crate::http;
 use crate::member::Role;
 use crate::route::Policy;
+use crate::spread::swarm::Tally;
 use crate::spread::{self, Favour};
 use crate::standin::fleet::{self, Fleet};
 use crate::weight::Digest;
@@ -115,6 +116,8 @@
     pub servable_p99_seconds: f64,
     /// Bytes a second that a box spent on anything but chunks, sent and received.
     pub control_bytes_per_box_second: f64,
+    /// How fetches of chunks ended, over all boxes.
+    pub fetches: Tally,
     /// Calls of the configuration service.
     pub config_reads: u64,
     /// Breaches of the invariants.
@@ -469,6 +472,10 @@
             .iter()
             .map(|member| member.probe().chunk_bytes_sent)
             .sum();
+        let mut fetches = Tally::default();
+        for member in &self.fleet.boxes {
+            fetches += member.probe().tally;
+        }
         let all_bytes = self.link_bytes() - bytes_before;
         let control = all_bytes.saturating_sub(2 * chunk_bytes + origin_bytes) as f64;
         Report {
@@ -482,6 +489,7 @@
             servable_p50_seconds: times.value_at_quantile(0.5) as f64 / 1e3,
             servable_p99_seconds: times.value_at_quantile(0.99) as f64 / 1e3,
             control_bytes_per_box_second: control / boxes.max(1) as f64 / seconds.max(1e-9),
+            fetches,
             config_reads: self.fleet.platform.config_reads() - reads_before,
             violations: self.violations.len() as u64,
             violation_list: self.violations.iter().cloned().collect(),
--- a/src/spread/swarm.rs
+++ b/src/spread/swarm.rs
@@ -5,6 +5,7 @@
 
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
+use serde::{Deserialize, Serialize};
 use slotmap::SlotMap;
 
 use super::Setting;
@@ -82,6 +83,31 @@
     Failed,
 }
 
+/// How a version's fetches ended so far.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct Tally {
+    /// Chunks that were verified.
+    pub stored: u64,
+    /// Chunks that did not match the manifest.
+    pub corrupt: u64,
+    /// Requests that found no slot.
+    pub busy: u64,
+    /// Exchanges that broke.
+    pub failed: u64,
+    /// Fetches that stalled and were dropped.
+    pub cancelled: u64,
+}
+
+impl std::ops::AddAssign for Tally {
+    fn add_assign(&mut self, other: Self) {
+        self.stored += other.stored;
+        self.corrupt += other.corrupt;
+        self.busy += other.busy;
+        self.failed += other.failed;
+        self.cancelled += other.cancelled;
+    }
+}
+
 /// What a peer tells of itself.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Notice<'a> {
@@ -130,6 +156,7 @@
     sponsors: Vec<Arc<str>>,
     origin_failures: u32,
     origin_pause_until: Time,
+    tally: Tally,
 }
 
 impl Swarm {
@@ -160,6 +187,7 @@
             sponsors: Vec::new(),
             origin_failures: 0,
             origin_pause_until: now,
+            tally: Tally::default(),
         }
     }
 
@@ -281,10 +309,22 @@
             return;
         };
         match outcome {
-            Outcome::Stored => self.learn(now.since(fetch.started)),
-            Outcome::Corrupt => self.punish(fetch.source, now),
-            Outcome::Busy => self.pause(fetch.source, now),
-            Outcome::Failed => self.forgo(&fetch, now),
+            Outcome::Stored => {
+                self.tally.stored += 1;
+                self.learn(now.since(fetch.started));
+            }
+            Outcome::Corrupt => {
+                self.tally.corrupt += 1;
+                self.punish(fetch.source, now);
+            }
+            Outcome::Busy => {
+                self.tally.busy += 1;
+                self.pause(fetch.source, now);
+            }
+            Outcome::Failed => {
+                self.tally.failed += 1;
+                self.punish(fetch.source, now);
+            }
         }
         if fetch.source == Source::Origin && outcome == Outcome::Stored {
             self.origin_failures = 0;
@@ -309,6 +349,11 @@
         (self.have.count(), self.have.len())
     }
 
+    /// How fetches ended so far.
+    pub fn tally(&self) -> Tally {
+        self.tally
+    }
+
     /// Peers that spoke within the silence bound.
     pub fn responsive_peers(&self, now: Time) -> usize {
         self.peers
@@ -343,6 +388,7 @@
             let Some(fetch) = self.remove_fetch(key) else {
                 continue;
             };
+            self.tally.cancelled += 1;
             self.punish(fetch.source, now);
             actions.push(Action::Cancel { fetch: key });
         }
@@ -370,14 +416,25 @@
         if room == 0 {
             return;
         }
-        for (_, _, chunk) in self.rarest_first() {
-            let Some(peer) = self.best_holder(chunk, now) else {
-                continue;
-            };
-            actions.push(self.begin(chunk, Source::Peer(peer), now));
-            room -= 1;
-            if room == 0 {
-                return;
+        let setting = self.setting;
+        let order = self.rarest_first();
+        // A holder with a free slot first, even of a commoner chunk: a link that idles now is time
+        // lost, while a rare chunk whose holders are all busy is being copied anyway.
+        let free = setting.upload_slots as u32;
+        let queued = free + setting.upload_queue_max as u32;
+        for load_max in [free, queued] {
+            for &(_, _, chunk) in &order {
+                if self.in_flight[chunk as usize] > 0 {
+                    continue;
+                }
+                let Some(peer) = self.best_holder(chunk, load_max, now) else {
+                    continue;
+                };
+                actions.push(self.begin(chunk, Source::Peer(peer), now));
+                room -= 1;
+                if room == 0 {
+                    return;
+                }
             }
         }
     }
@@ -395,10 +452,9 @@
         order
     }
 
-    /// The holder of `chunk` with the least to do, if any is worth asking.
-    fn best_holder(&mut self, chunk: u32, now: Time) -> Option<PeerKey> {
+    /// The holder of `chunk` with the least to do, if any has less than `load_max`.
+    fn best_holder(&mut self, chunk: u32, load_max: u32, now: Time) -> Option<PeerKey> {
         let setting = self.setting;
-        let load_max = (setting.upload_slots + setting.upload_queue_max) as u32;
         let mut best: Option<(u32, u32, PeerKey)> = None;
         for (key, peer) in &self.peers {
             let load = peer.load.max(peer.fetches);
@@ -556,10 +612,6 @@
         }
     }
 
-    fn forgo(&mut self, fetch: &Fetch, now: Time) {
-        self.punish(fetch.source, now);
-    }
-
     fn pause_origin(&mut self, now: Time) {
         let doublings = self.origin_failures.min(DOUBLINGS_MAX);
         let pause = (ORIGIN_PAUSE * 2u32.pow(doublings)).min(ORIGIN_PAUSE_MAX);
--- a/src/spread/upload.rs
+++ b/src/spread/upload.rs
@@ -88,7 +88,7 @@
             .filter(|(_, upload)| upload.state == State::Waiting)
             .min_by_key(|(_, upload)| {
                 let times = served.get(upload.chunk as usize).copied().unwrap_or(0);
-                (times, upload.arrived)
+                (times > 0, upload.arrived)
             })
             .map(|(key, _)| key)?;
         self.uploads[key].state = State::Running { progressed: now };
--- a/src/standin/engine.rs
+++ b/src/standin/engine.rs
@@ -1,6 +1,7 @@
 //! A model engine: takes fenced orders, loads weights from its agent, streams tokens, and keeps
 //! its own account of what it ran, against which the system is checked.
 
+use std::collections::btree_map::Entry;
 use std::collections::{BTreeMap, HashMap};
 use std::io;
 use std::net::{IpAddr, Ipv4Addr};
@@ -237,12 +238,11 @@
                 source,
                 bytes,
             } => {
-                if !state.versions.contains_key(&digest) {
-                    let held = Held {
+                if let Entry::Vacant(vacant) = state.versions.entry(digest) {
+                    vacant.insert(Held {
                         residence: Residence::Loading,
                         content: None,
-                    };
-                    state.versions.insert(digest, held);
+                    });
                     actix_rt::spawn(self.clone().load(digest, source, bytes, own));
                 }
             }
--- a/src/standin/fleet.rs
+++ b/src/standin/fleet.rs
@@ -23,6 +23,7 @@
 use crate::node;
 use crate::route::Policy;
 use crate::spread;
+use crate::spread::swarm::Tally;
 use crate::weight::Digest;
 
 /// Rate of links that are not shaped, in bytes a second.
@@ -90,6 +91,8 @@
     pub servable: Vec<(Digest, Instant)>,
     /// Bytes of chunks that it sent to other boxes.
     pub chunk_bytes_sent: u64,
+    /// How its fetches ended.
+    pub tally: Tally,
     /// Whether it has a configuration.
     pub ready: bool,
     /// Whether it knows its place in the list.
@@ -447,6 +450,7 @@
                 }
             }
             probe.chunk_bytes_sent = agent.chunk_bytes_sent();
+            probe.tally = agent.tally();
             probe.ready = *agent.node.ready.borrow();
             let view = agent.node.view.borrow();
             probe.listed = view.get(&agent.setting.node.name).is_some();
--- a/src/standin/platform.rs
+++ b/src/standin/platform.rs
@@ -1,7 +1,6 @@
 //! The configuration service, which is only read and watched, and the lagging list of boxes.
 
 use std::collections::BTreeMap;
-use std::future::Future;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
@@ -221,19 +220,13 @@
     }
 }
 
-fn wait_for(
-    mut changed: watch::Receiver<u64>,
-    query: Query,
-    give_up: impl Fn() -> bool,
-) -> impl Future<Output = ()> {
-    async move {
-        let newer = async {
-            while *changed.borrow_and_update() <= query.after && !give_up() {
-                if changed.changed().await.is_err() {
-                    return;
-                }
+async fn wait_for(mut changed: watch::Receiver<u64>, query: Query, give_up: impl Fn() -> bool) {
+    let newer = async {
+        while *changed.borrow_and_update() <= query.after && !give_up() {
+            if changed.changed().await.is_err() {
+                return;
             }
-        };
-        let _ = tokio::time::timeout(query.wait, newer).await;
-    }
+        }
+    };
+    let _ = tokio::time::timeout(query.wait, newer).await;
 }
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -79,7 +79,7 @@
     }
 
     /// The next whole frame, `None` when more bytes are needed.
-    pub fn next<T: for<'de> Deserialize<'de>>(&mut self) -> Result<Option<T>, Error> {
+    pub fn take<T: for<'de> Deserialize<'de>>(&mut self) -> Result<Option<T>, Error> {
         let Some(prefix) = self.buffer.first_chunk::<PREFIX>() else {
             return Ok(None);
         };
