--- a/src/entry/status.rs
+++ b/src/entry/status.rs
@@ -84,6 +84,8 @@
     pub retries: u64,
     /// Targets that it follows.
     pub targets: usize,
+    /// Targets that it hears from.
+    pub reporting: usize,
     /// Customers whose newest configuration is invalid.
     pub rejected: Vec<(String, Rejected)>,
 }
@@ -105,6 +107,7 @@
         unknown: counters.unknown.get(),
         retries: counters.retries.get(),
         targets: entry.table.borrow().names().count(),
+        reporting: entry.table.borrow().reporting(node.clock.now()),
         rejected: book
             .rejected()
             .iter()
--- a/src/route.rs
+++ b/src/route.rs
@@ -249,6 +249,12 @@
         self.names.keys()
     }
 
+    /// Targets that reported what they serve, and lately.
+    pub fn reporting(&self, now: Time) -> usize {
+        let serving = |replica: &&Replica| replica.open(now) && !replica.load.serves.is_empty();
+        self.replicas.values().filter(serving).count()
+    }
+
     /// The list says whether a target leaves. It cannot call back one that announced it by itself.
     pub fn listed(&mut self, key: ReplicaKey, leaving: bool) {
         if let Some(replica) = self.replicas.get_mut(key) {
--- a/src/standin/engine.rs
+++ b/src/standin/engine.rs
@@ -120,6 +120,7 @@
     slots: Arc<Semaphore>,
     runs: Arc<Runs>,
     break_after: AtomicU32,
+    break_at_once: AtomicBool,
     repeat_tokens: AtomicBool,
     cancelled: AtomicU32,
 }
@@ -133,6 +134,7 @@
             slots: Arc::new(Semaphore::new(setting.capacity as usize)),
             runs,
             break_after: AtomicU32::new(0),
+            break_at_once: AtomicBool::new(false),
             repeat_tokens: AtomicBool::new(false),
             cancelled: AtomicU32::new(0),
         })
@@ -143,6 +145,11 @@
         self.break_after.store(tokens, Ordering::Relaxed);
     }
 
+    /// Breaks the next stream before its first token, though the run has begun.
+    pub fn refuse_before_first_token(&self) {
+        self.break_at_once.store(true, Ordering::Relaxed);
+    }
+
     /// Sends every token twice, or ends that.
     pub fn set_repeat_tokens(&self, repeat: bool) {
         self.repeat_tokens.store(repeat, Ordering::Relaxed);
@@ -414,7 +421,9 @@
             tokio::time::sleep(self.engine.setting.token_interval).await;
         }
         let cancelled = !self.engine.lock().streams.contains_key(&self.id);
-        if cancelled || (self.break_after > 0 && self.sent >= self.break_after) {
+        let at_once = self.sent == 0 && self.engine.break_at_once.swap(false, Ordering::Relaxed);
+        let broken = self.break_after > 0 && self.sent >= self.break_after;
+        if cancelled || at_once || broken {
             return Some((Err(io::ErrorKind::ConnectionReset.into()), None));
         }
         if self.next >= self.prompt.max_tokens {
--- a/src/standin/fleet.rs
+++ b/src/standin/fleet.rs
@@ -3,7 +3,9 @@
 //! A box's thread can be stopped (the box dies, its connections close) or put to sleep (the box
 //! freezes and wakes late). Links can be stalled, cut and made to corrupt.
 
+use std::cell::RefCell;
 use std::net::{IpAddr, SocketAddr};
+use std::rc::{Rc, Weak};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -145,6 +147,25 @@
             arbiter.spawn_fn(move || std::thread::sleep(duration));
         }
     }
+
+    /// Has its agent announce a planned stop.
+    pub fn drain(&self) {
+        if let Some(arbiter) = &self.arbiter {
+            arbiter.spawn_fn(|| with_agent(Agent::drain));
+        }
+    }
+}
+
+thread_local! {
+    /// The agent of the box whose thread this is.
+    static AGENT: RefCell<Weak<Agent>> = const { RefCell::new(Weak::new()) };
+}
+
+fn with_agent(act: impl FnOnce(&Agent)) {
+    let agent = AGENT.with(|agent| agent.borrow().upgrade());
+    if let Some(agent) = agent {
+        act(&agent);
+    }
 }
 
 /// An entry of a fleet.
@@ -266,6 +287,21 @@
     /// Starts a box, without listing it.
     pub fn add_box(&mut self, role: Role) -> Result<&Listed, http::Error> {
         let index = self.boxes.len();
+        let started = self.start_box(index, role)?;
+        self.boxes.push(started);
+        Ok(&self.boxes[index].listed)
+    }
+
+    /// Kills a box and starts it again, empty, under its name and another port; lists it anew.
+    pub fn restart_box(&mut self, index: usize) -> Result<(), http::Error> {
+        self.boxes[index].kill();
+        let role = self.boxes[index].listed.role.clone();
+        self.boxes[index] = self.start_box(index, role)?;
+        self.list_all();
+        Ok(())
+    }
+
+    fn start_box(&self, index: usize, role: Role) -> Result<Box, http::Error> {
         let hall = index % self.setting.halls.len();
         let place = index / self.setting.halls.len();
         let ip = box_address(hall, place);
@@ -305,7 +341,7 @@
                 start_agent(setting, listener, &net, probe);
             });
         }
-        self.boxes.push(Box {
+        Ok(Box {
             name: listed.name.clone(),
             hall: hall_name,
             listed,
@@ -314,8 +350,7 @@
             service,
             probe,
             arbiter: Some(arbiter),
-        });
-        Ok(&self.boxes[index].listed)
+        })
     }
 
     /// Starts an entry in hall `hall`, without listing it.
@@ -380,6 +415,11 @@
         }
     }
 
+    /// The box of this name.
+    pub fn named(&self, name: &str) -> Option<&Box> {
+        self.boxes.iter().find(|member| &*member.name == name)
+    }
+
     /// Puts every living box on the list.
     pub fn list_all(&self) {
         let boxes = self.boxes.iter().filter(|member| member.alive());
@@ -427,6 +467,7 @@
     match running {
         Err(error) => log::error!("{error}"),
         Ok(running) => {
+            AGENT.with(|agent| agent.replace(Rc::downgrade(&running.agent)));
             actix_rt::spawn(watch(running, probe));
         }
     }
