Tell a closed connection from one that never opened; take the engine's capacity

Cause: tests of 'not run' failed. A call that may not be repeated was sent to a second box when its box died (outcome Ran where Unknown was due): the client library reports a connection that the peer closed after the request was written as a connect error, which counted as surely not run. Ruled out: the stand-in going on after its death, and a wrong decision (the pure table gives up on NoAnswer). And 30 requests at once were all queued at an engine of capacity 1: the reported capacity was never handed to the limiter. Change: a connection closed by the peer is an exchange that broke; the limiter takes the engine's capacity. Stand-in links no longer count a caller as part of a cut-off platform. Conclusion: only errors from before the first byte count as not run.

--- a/src/agent/engine.rs
+++ b/src/agent/engine.rs
@@ -153,6 +153,7 @@
         gate.ordered
             .retain(|digest| state.versions.contains_key(digest));
         let load_changed = gate.engine.capacity != state.capacity;
+        self.in_flight.borrow_mut().set_capacity(state.capacity);
         gate.engine = state;
         drop(gate);
         let servable: Vec<Digest> = self
--- a/src/bench/caller.rs
+++ b/src/bench/caller.rs
@@ -1,5 +1,6 @@
 //! A caller: sends requests to an entry and judges the answers by itself.
 
+use std::net::{IpAddr, Ipv4Addr};
 use std::time::{Duration, Instant};
 
 use actix_http::StatusCode;
@@ -15,6 +16,9 @@
 use crate::weight::Digest;
 use crate::wire::header;
 
+/// Where callers stand: on no box's link, and on no side of a cut.
+const CALLER_ADDRESS: IpAddr = IpAddr::V4(Ipv4Addr::new(127, 0, 0, 9));
+
 /// Longest answer that a caller reads.
 const ANSWER_MAX: usize = 16 << 20;
 
@@ -112,7 +116,10 @@
     /// A caller of `customer`.
     pub fn new(customer: &str) -> Self {
         Self {
-            client: http::client(ClientSetting::default()),
+            client: http::client(ClientSetting {
+                local_address: Some(CALLER_ADDRESS),
+                ..ClientSetting::default()
+            }),
             customer: customer.to_owned(),
         }
     }
--- a/src/http.rs
+++ b/src/http.rs
@@ -82,10 +82,13 @@
 
 impl From<awc::error::SendRequestError> for Error {
     fn from(error: awc::error::SendRequestError) -> Self {
-        use awc::error::SendRequestError as Send;
+        use awc::error::{ConnectError, SendRequestError as Send};
         match error {
-            // awc wraps a timeout of the whole exchange and one of the connection apart; only the
-            // latter is sure to precede the first byte.
+            // awc calls it a connect error, too, when the peer closes the connection after the
+            // request was written and before an answer came. Nobody knows then whether it ran.
+            Send::Connect(ConnectError::Disconnected) => Self::Exchange {
+                reason: "the peer closed the connection".to_owned(),
+            },
             Send::Connect(reason) => Self::Connect {
                 reason: reason.to_string(),
             },
--- a/src/standin/engine.rs
+++ b/src/standin/engine.rs
@@ -89,6 +89,12 @@
         runs.get(request).copied().unwrap_or(0)
     }
 
+    /// Runs of all requests.
+    pub fn total(&self) -> u32 {
+        let runs = self.runs.lock().unwrap_or_else(PoisonError::into_inner);
+        runs.values().sum()
+    }
+
     /// Requests that ran more than once.
     pub fn doubled(&self) -> usize {
         let runs = self.runs.lock().unwrap_or_else(PoisonError::into_inner);
--- a/src/standin/fleet.rs
+++ b/src/standin/fleet.rs
@@ -112,6 +112,8 @@
     pub listed: Listed,
     /// Its link.
     pub link: Arc<Link>,
+    /// Where its engine or service listens.
+    pub target_address: SocketAddr,
     /// Its engine, if that is what it has.
     pub engine: Arc<Engine>,
     /// Its plain service, if that is what it has.
@@ -319,7 +321,8 @@
             capacity_bytes: self.setting.memory_bytes,
             state: State::Live,
         };
-        let setting = self.agent_setting(&listed, address_of(&target_listener));
+        let target_address = address_of(&target_listener);
+        let setting = self.agent_setting(&listed, target_address);
         let engine = Engine::new(self.setting.engine, self.runs.clone());
         let service = match listed.role {
             Role::Service(_) => Some(Service::new(
@@ -346,6 +349,7 @@
             hall: hall_name,
             listed,
             link,
+            target_address,
             engine,
             service,
             probe,
--- a/src/standin/link.rs
+++ b/src/standin/link.rs
@@ -167,12 +167,12 @@
         if !self.any_cut.load(Ordering::Relaxed) {
             return false;
         }
-        let right = right.map_or("", |link| link.hall.as_str());
-        if left.hall == right {
+        // A peer without a link, such as a caller, stands wherever the server stands.
+        let Some(right) = right.filter(|right| right.hall != left.hall) else {
             return false;
-        }
+        };
         let cut = self.cut.read().unwrap_or_else(PoisonError::into_inner);
-        cut.contains(&left.hall) || cut.contains(right)
+        cut.contains(&left.hall) || cut.contains(&right.hall)
     }
 }
 
--- a/src/standin/platform.rs
+++ b/src/standin/platform.rs
@@ -63,6 +63,12 @@
         revision
     }
 
+    /// The text that was published last under `name`.
+    pub fn text(&self, name: &str) -> Option<String> {
+        let values = self.values.lock().unwrap_or_else(PoisonError::into_inner);
+        values.values.get(name)?.text.clone()
+    }
+
     /// Makes every call of the configuration service fail, or ends that.
     pub fn set_config_down(&self, down: bool) {
         self.config_down.store(down, Ordering::Relaxed);
