--- a/src/standin/platform.rs
+++ b/src/standin/platform.rs
@@ -63,6 +63,16 @@
         revision
     }
 
+    /// Falls back to what stood at `revision`, as a service restored from an old copy. Values that
+    /// were changed since are gone.
+    pub fn revert_to(&self, revision: Revision) {
+        let mut values = self.values.lock().unwrap_or_else(PoisonError::into_inner);
+        values.revision = revision.0;
+        values.values.retain(|_, value| value.revision <= revision);
+        drop(values);
+        self.config_changed.send_replace(revision.0);
+    }
+
     /// The text that was published last under `name`.
     pub fn text(&self, name: &str) -> Option<String> {
         let values = self.values.lock().unwrap_or_else(PoisonError::into_inner);
--- /dev/null
+++ b/tests/burst_plan.rs
@@ -0,0 +1,381 @@
+//! The pure plan of a burst: rings, sponsors, swarms, uploads, and the store behind them.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use bytes::Bytes;
+use pumicelatch::clock::Time;
+use pumicelatch::spread::Setting;
+use pumicelatch::spread::ring::{self, Member};
+use pumicelatch::spread::swarm::{Action, Notice, Outcome, Source, Swarm};
+use pumicelatch::spread::upload::{Admission, Queue};
+use pumicelatch::weight::{Digest, Error, Manifest, Store};
+
+fn members(count: usize, halls: usize) -> Vec<Member> {
+    (0..count)
+        .map(|index| Member {
+            name: format!("box-{index:03}").into(),
+            hall: format!("hall-{}", index % halls).into(),
+        })
+        .collect()
+}
+
+fn version() -> Digest {
+    Digest::of(b"version")
+}
+
+#[test]
+fn everyone_is_followed_as_often_as_it_follows() {
+    let members = members(90, 3);
+    let mut followed: BTreeMap<_, usize> = BTreeMap::new();
+    for own in &members {
+        let chosen = ring::neighbours(version(), own, &members, 8, 0);
+        assert_eq!(chosen.len(), 8);
+        assert!(!chosen.contains(&own.name));
+        for name in chosen {
+            *followed.entry(name).or_default() += 1;
+        }
+    }
+    assert_eq!(followed.len(), 90);
+    assert!(followed.values().all(|count| *count == 8));
+}
+
+#[test]
+fn sponsors_are_the_same_for_everyone_and_one_that_goes_changes_one() {
+    let all = members(50, 3);
+    let before = ring::sponsors(version(), &all, 6);
+    let rest: Vec<Member> = all
+        .iter()
+        .filter(|member| member.name != before[0])
+        .cloned()
+        .collect();
+    let after = ring::sponsors(version(), &rest, 6);
+    assert_eq!(before[1..], after[..5]);
+}
+
+#[test]
+fn each_chunk_has_one_first_substitute_in_each_hall() {
+    let all = members(30, 3);
+    for chunk in 0..20 {
+        let ranks: BTreeMap<_, usize> = all
+            .iter()
+            .map(|own| {
+                (
+                    own.name.clone(),
+                    ring::substitute_rank(version(), chunk, own, &all),
+                )
+            })
+            .collect();
+        assert_eq!(
+            ranks.values().filter(|rank| **rank == 0).count(),
+            1,
+            "one box first of all"
+        );
+        for hall in ["hall-0", "hall-1", "hall-2"] {
+            let in_hall = all.iter().filter(|member| &*member.hall == hall);
+            let distinct: BTreeSet<usize> = in_hall.map(|member| ranks[&member.name]).collect();
+            assert_eq!(distinct.len(), 10, "no two of a hall step in together");
+        }
+    }
+}
+
+fn swarm(own: &str, chunks: usize) -> Swarm {
+    let all = members(30, 3);
+    let own = all
+        .iter()
+        .find(|member| &*member.name == own)
+        .unwrap()
+        .clone();
+    let mut swarm = Swarm::new(
+        version(),
+        own,
+        chunks,
+        Setting::default(),
+        1,
+        Time::default(),
+    );
+    swarm.set_members(all);
+    swarm
+}
+
+/// A box that is no sponsor.
+fn ordinary() -> String {
+    let all = members(30, 3);
+    let setting = Setting::default();
+    let sponsors = ring::sponsors(version(), &all, setting.sponsors + setting.standbys);
+    let other = all.iter().find(|member| !sponsors.contains(&member.name));
+    other.unwrap().name.to_string()
+}
+
+fn fetches(actions: &[Action]) -> Vec<(u32, Source)> {
+    let fetch = |action: &Action| match *action {
+        Action::Fetch { chunk, source, .. } => Some((chunk, source)),
+        Action::Cancel { .. } => None,
+    };
+    actions.iter().filter_map(fetch).collect()
+}
+
+#[test]
+fn the_rarest_chunk_is_drawn_first() {
+    let mut swarm = swarm(&ordinary(), 3);
+    let now = Time::default();
+    let peers: Vec<_> = (0..3)
+        .map(|index| swarm.join(format!("peer-{index}").into(), now))
+        .collect();
+    for &peer in &peers {
+        swarm.notice(
+            peer,
+            Notice {
+                gained: &[0, 1],
+                load: 0,
+            },
+            now,
+        );
+    }
+    swarm.notice(
+        peers[2],
+        Notice {
+            gained: &[2],
+            load: 0,
+        },
+        now,
+    );
+    let drawn = fetches(&swarm.tick(now));
+    assert_eq!(drawn[0], (2, Source::Peer(peers[2])));
+    assert_eq!(drawn.len(), 3, "one from each peer");
+}
+
+#[test]
+fn a_silent_peer_is_given_up_and_its_chunk_is_drawn_elsewhere() {
+    let mut swarm = swarm(&ordinary(), 1);
+    let start = Time::default();
+    let first = swarm.join("first".into(), start);
+    swarm.notice(
+        first,
+        Notice {
+            gained: &[0],
+            load: 0,
+        },
+        start,
+    );
+    assert_eq!(fetches(&swarm.tick(start)), [(0, Source::Peer(first))]);
+    let later = start + Duration::from_secs(2);
+    let second = swarm.join("second".into(), later);
+    swarm.notice(
+        second,
+        Notice {
+            gained: &[0],
+            load: 0,
+        },
+        later,
+    );
+    let actions = swarm.tick(later);
+    assert!(matches!(actions[0], Action::Cancel { .. }));
+    assert_eq!(fetches(&actions), [(0, Source::Peer(second))]);
+}
+
+#[test]
+fn a_peer_that_sent_a_bad_chunk_is_passed_over_for_longer_each_time() {
+    let mut swarm = swarm(&ordinary(), 1);
+    let mut now = Time::default();
+    let peer = swarm.join("bad".into(), now);
+    let mut pauses = Vec::new();
+    for _ in 0..4 {
+        let began = now;
+        loop {
+            swarm.notice(
+                peer,
+                Notice {
+                    gained: &[0],
+                    load: 0,
+                },
+                now,
+            );
+            if let Some(Action::Fetch { fetch, chunk, .. }) = swarm.tick(now).first().copied() {
+                swarm.finish(fetch, chunk, Outcome::Corrupt, now);
+                break;
+            }
+            now = now + Duration::from_millis(10);
+        }
+        pauses.push(now.since(began));
+        now = now + Duration::from_millis(10);
+    }
+    assert!(pauses[1] < pauses[2] && pauses[2] < pauses[3], "{pauses:?}");
+}
+
+#[test]
+fn sponsors_share_the_chunks_and_nobody_else_asks_the_origin() {
+    let all = members(30, 3);
+    let mut owners = [0; 40];
+    for own in &all {
+        let mut swarm = swarm(&own.name, 40);
+        let mut now = Time::default();
+        for _ in 0..40 {
+            for action in swarm.tick(now) {
+                if let Action::Fetch {
+                    fetch,
+                    chunk,
+                    source,
+                } = action
+                {
+                    assert_eq!(source, Source::Origin);
+                    owners[chunk as usize] += 1;
+                    swarm.finish(fetch, chunk, Outcome::Stored, now);
+                }
+            }
+            now = now + Duration::from_millis(10);
+        }
+    }
+    assert_eq!(owners, [1; 40], "each chunk is drawn once");
+}
+
+#[test]
+fn boxes_that_see_no_sponsor_draw_each_chunk_by_themselves_in_the_end() {
+    let mut swarm = swarm(&ordinary(), 5);
+    let mut now = Time::default();
+    let mut drawn = BTreeSet::new();
+    while drawn.len() < 5 && now.since(Time::default()) < Duration::from_secs(600) {
+        for action in swarm.tick(now) {
+            if let Action::Fetch { fetch, chunk, .. } = action {
+                drawn.insert(chunk);
+                swarm.finish(fetch, chunk, Outcome::Stored, now);
+            }
+        }
+        now = now + Duration::from_millis(100);
+    }
+    assert!(swarm.complete());
+}
+
+#[test]
+fn an_origin_that_fails_is_asked_less_and_less_and_never_given_up() {
+    let all = members(30, 3);
+    let sponsor = ring::sponsors(version(), &all, 1)[0].clone();
+    let mut swarm = swarm(&sponsor, 40);
+    let mut now = Time::default();
+    let mut tries = Vec::new();
+    while now.since(Time::default()) < Duration::from_secs(30) {
+        for action in swarm.tick(now) {
+            if let Action::Fetch { fetch, chunk, .. } = action {
+                tries.push(now);
+                swarm.finish(fetch, chunk, Outcome::Failed, now);
+            }
+        }
+        now = now + Duration::from_millis(10);
+    }
+    assert!(
+        (12..80).contains(&tries.len()),
+        "{} tries in 30 s",
+        tries.len()
+    );
+    assert!(
+        now.since(*tries.last().unwrap()) < Duration::from_secs(3),
+        "it still tries"
+    );
+}
+
+#[test]
+fn a_slow_reader_does_not_hold_a_slot() {
+    let mut queue = Queue::new(1, 4);
+    let start = Time::default();
+    let Admission::Start(slow) = queue.request(0, start) else {
+        panic!()
+    };
+    let Admission::Wait(next) = queue.request(1, start) else {
+        panic!()
+    };
+    assert_eq!(queue.next(start), None, "the slot is taken");
+    let later = start + Duration::from_secs(1);
+    assert_eq!(
+        queue.next(later),
+        Some(next),
+        "the slow reader lost its slot"
+    );
+    queue.finish(slow, true);
+    queue.finish(next, true);
+    assert_eq!(queue.load(), 0);
+}
+
+#[test]
+fn waiting_uploads_are_bounded_and_the_first_copy_of_a_chunk_goes_first() {
+    let mut queue = Queue::new(1, 2);
+    let now = Time::default();
+    let Admission::Start(first) = queue.request(0, now) else {
+        panic!()
+    };
+    let Admission::Wait(again) = queue.request(0, now) else {
+        panic!()
+    };
+    let Admission::Wait(fresh) = queue.request(1, now) else {
+        panic!()
+    };
+    assert_eq!(queue.request(2, now), Admission::Busy);
+    queue.finish(first, true);
+    assert_eq!(queue.next(now), Some(fresh));
+    queue.finish(fresh, true);
+    assert_eq!(queue.next(now), Some(again));
+}
+
+fn manifest_and_chunks() -> (Manifest, Vec<Bytes>) {
+    let model: Vec<u8> = (0..2_500u32).map(|number| number as u8).collect();
+    let chunks = model.chunks(1_000).map(Bytes::copy_from_slice).collect();
+    (Manifest::of(&model, 1_000), chunks)
+}
+
+#[test]
+fn the_store_holds_only_what_the_manifest_lists() {
+    let (manifest, chunks) = manifest_and_chunks();
+    let version = manifest.digest();
+    let mut store = Store::new(10_000);
+    store.admit(version, manifest).unwrap();
+    let mut wrong = store.receive(version, 0).unwrap();
+    wrong.push(&chunks[1]).unwrap();
+    assert!(matches!(
+        wrong.finish(),
+        Err(Error::ChunkDigest { index: 0, .. })
+    ));
+    let mut long = store.receive(version, 2).unwrap();
+    assert!(
+        long.push(&chunks[0]).is_err(),
+        "longer than the manifest says"
+    );
+    for index in [2, 0, 1] {
+        assert!(!store.complete(version));
+        let mut receipt = store.receive(version, index).unwrap();
+        for part in chunks[index as usize].chunks(77) {
+            receipt.push(part).unwrap();
+        }
+        let chunk = receipt.finish().unwrap();
+        assert!(store.put(chunk).unwrap());
+    }
+    assert!(store.complete(version));
+    store.release(version);
+    assert_eq!(store.usage(), (0, 10_000));
+}
+
+#[test]
+fn a_manifest_under_a_wrong_name_or_too_large_is_refused() {
+    let (manifest, _) = manifest_and_chunks();
+    let mut store = Store::new(2_499);
+    let other = Digest::of(b"other");
+    assert!(matches!(
+        store.admit(other, manifest.clone()),
+        Err(Error::ManifestDigest { .. })
+    ));
+    let full = store.admit(manifest.digest(), manifest.clone());
+    assert!(matches!(
+        full,
+        Err(Error::Capacity {
+            needed: 2_500,
+            free: 2_499,
+            ..
+        })
+    ));
+    let lying = Manifest {
+        model_bytes: 9_999,
+        ..manifest
+    };
+    assert!(matches!(
+        lying.verify(lying.digest()),
+        Err(Error::ManifestShape { .. })
+    ));
+}
