--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod bench;
 pub mod clock;
 pub mod config;
+pub mod ctl;
 pub mod daemon;
 pub mod entry;
 pub mod http;
