--- a/tests/edge.rs
+++ b/tests/edge.rs
@@ -27,6 +27,9 @@
     (response.status().as_u16(), bytes.to_vec())
 }
 
+/// Headers, body, and the status and code that they get.
+type BadRequest<'a> = (&'a [(&'static str, &'a str)], &'a str, u16, Code);
+
 #[test]
 fn bad_requests_get_a_clear_4xx_and_reach_no_target() {
     run(async {
@@ -42,7 +45,7 @@
             "x".repeat(1 << 20)
         );
         let customer = ("x-customer", "nordvind");
-        let cases: [(&[(&'static str, &str)], &str, u16, Code); 11] = [
+        let cases: [BadRequest<'_>; 11] = [
             (&[], good, 400, Code::BadHeader),
             (
                 &[("x-customer", "nobody")],
--- a/tests/promise_gate.rs
+++ b/tests/promise_gate.rs
@@ -49,9 +49,11 @@
 #[test]
 fn a_version_replaced_in_mid_transfer_does_not_mix() {
     run(async {
-        let mut setting = pumicelatch::standin::fleet::Setting::default();
-        setting.box_rate = 200_000.0;
-        setting.origin_rate = 400_000.0;
+        let setting = pumicelatch::standin::fleet::Setting {
+            box_rate: 200_000.0,
+            origin_rate: 400_000.0,
+            ..pumicelatch::standin::fleet::Setting::default()
+        };
         let mut fleet = pumicelatch::standin::fleet::Fleet::start(setting).unwrap();
         for _ in 0..6 {
             fleet.add_box(pumicelatch::member::Role::Model).unwrap();
