Know where an answer ends: exchanges of our own on the hops of a request

Cause: a plain service's answer that was cut in its middle reached the caller as whole (new test: told Whole where anything else was due). Ruled out: the entry's gathering and the agent's relay, which pass on what they are given. Change: src/exchange.rs, an exchange over actix-http's codec that tells 'no byte left' from 'broken' and ends a body only by its length or last chunk, on both hops; used connections only for requests that may run twice. A chunk with too few bytes is a broken exchange, not a bad chunk. Conclusion: awc remains for what verifies itself (chunks, manifests, configuration).

--- a/src/agent.rs
+++ b/src/agent.rs
@@ -3,6 +3,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 
@@ -48,7 +49,7 @@
     /// The origin of weights.
     pub origin_url: String,
     /// The engine or service in this box.
-    pub target_url: String,
+    pub target_address: SocketAddr,
     /// Bytes of weights that this process may hold.
     pub memory_bytes: u64,
     /// The burst.
--- a/src/agent/burst.rs
+++ b/src/agent/burst.rs
@@ -727,6 +727,9 @@
             swarm.progress(key, agent.node.clock.now());
         }
     }
+    if !receipt.full() {
+        return Outcome::Failed;
+    }
     let Ok(chunk) = receipt.finish() else {
         log::warn!(source = url; "chunk failed verification");
         return Outcome::Corrupt;
--- a/src/agent/daemon.rs
+++ b/src/agent/daemon.rs
@@ -21,7 +21,11 @@
         "",
         "the plain service in this box; empty for a model engine",
     ),
-    Spec::required("target-url", "URL", "the engine or service in this box"),
+    Spec::required(
+        "target-address",
+        "IP:PORT",
+        "where the engine or service in this box listens",
+    ),
     Spec::required("origin-url", "URL", "the origin of weights"),
     Spec::with_default(
         "memory-bytes",
@@ -48,7 +52,7 @@
     let setting = Setting {
         node: common.node.clone(),
         origin_url: values.url("origin-url")?,
-        target_url: values.url("target-url")?,
+        target_address: values.get("target-address", "IP:PORT, such as 127.0.0.1:9000")?,
         memory_bytes: values.number("memory-bytes", 1..=1 << 50)?,
         spread: spread::Setting {
             hall_neighbours: values.number("neighbours", 1..=16)?,
--- a/src/agent/door.rs
+++ b/src/agent/door.rs
@@ -8,15 +8,16 @@
 use std::time::Duration;
 
 use actix_http::header::{HeaderName, HeaderValue};
-use actix_http::{HttpMessage, Request, StatusCode};
-use bytes::{Bytes, BytesMut};
+use actix_http::{HttpMessage, Method, Request, StatusCode};
+use bytes::Bytes;
 use futures_util::{Stream, StreamExt};
 use rand::RngExt;
 use serde::{Deserialize, Serialize};
 
 use super::Agent;
 use crate::clock::{Time, unix_millis};
-use crate::http::{self, Answer, Error};
+use crate::exchange::{self, Response, Reuse};
+use crate::http::{self, Answer};
 use crate::limit::Refusal;
 use crate::member::Role;
 use crate::request::{self, Admission, Key};
@@ -248,7 +249,7 @@
 }
 
 async fn cancel_at_engine(agent: &Agent, id: &str) {
-    let url = format!("{}/v1/streams/{id}", agent.setting.target_url);
+    let url = format!("http://{}/v1/streams/{id}", agent.setting.target_address);
     let request = agent.node.client.0.delete(url).send();
     let _ = actix_rt::time::timeout(CANCEL_TIMEOUT, request).await;
 }
@@ -335,35 +336,32 @@
     Unknown,
 }
 
-type TargetResponse = awc::ClientResponse;
-
-async fn hand_over(agent: &Agent, job: &Job, body: Bytes) -> Result<TargetResponse, Failure> {
-    let base = &agent.setting.target_url;
-    let client = if job.repeatable {
-        &agent.node.client.0
-    } else {
-        &agent.node.fresh.0
-    };
-    let request = match job.wanted {
+async fn hand_over(agent: &Agent, job: &Job, body: Bytes) -> Result<Response, Failure> {
+    let mut request = match job.wanted {
         Wanted::Version(_) if job.resume_at.is_some() => {
-            client.get(format!("{base}/v1/streams/{}", job.id))
+            exchange::Request::new(Method::GET, format!("/v1/streams/{}", job.id))
         }
-        Wanted::Version(_) => client.post(format!("{base}/v1/generate")),
-        Wanted::Service => client.post(format!("{base}{}", job.path)),
+        Wanted::Version(_) => exchange::Request::new(Method::POST, "/v1/generate"),
+        Wanted::Service => exchange::Request::new(Method::POST, job.path.as_str()),
     };
-    let mut request = request.insert_header((header::REQUEST, job.id.as_str()));
+    request.headers.push((header::REQUEST, job.id.clone()));
     if let Some(token) = job.resume_at {
-        request = request.insert_header((header::FROM, token.to_string()));
+        request.headers.push((header::FROM, token.to_string()));
     }
     if let Wanted::Version(digest) = job.wanted {
-        request = request.insert_header((header::VERSION, digest.to_string()));
+        request.headers.push((header::VERSION, digest.to_string()));
     }
+    request.body = body;
     if !job.repeatable {
-        request = request.force_close();
+        request.reuse = Reuse::Never;
     }
-    let response = request.send_body(body).await;
-    response.map_err(|error| match Error::from(error) {
-        Error::Connect { .. } => Failure::NotRun(Reason::TargetDown),
+    let sent = agent
+        .node
+        .exchange
+        .send(agent.setting.target_address, &request)
+        .await;
+    sent.map_err(|error| match error {
+        exchange::Error::NotSent { .. } => Failure::NotRun(Reason::TargetDown),
         _ => Failure::Unknown,
     })
 }
@@ -393,24 +391,24 @@
         Err(Failure::NotRun(reason)) => return not_admitted(reason),
         Err(Failure::Unknown) => return unknown(Reason::Lost),
     };
-    if let Some(reason) = refused(job, response.status()) {
+    if let Some(reason) = refused(job, response.status) {
         return not_admitted(reason);
     }
     forward(job, response, flight)
 }
 
 /// Passes the target's answer on as it comes.
-fn forward(job: &Job, response: TargetResponse, flight: Flight) -> Answer {
-    let status = response.status();
+fn forward(job: &Job, response: Response, flight: Flight) -> Answer {
+    let status = response.status;
     let copied: Vec<(HeaderName, HeaderValue)> = ["content-type", header::VERSION]
         .into_iter()
         .filter_map(|name| {
-            let value = response.headers().get(name)?.clone();
+            let value = response.headers.get(name)?.clone();
             Some((HeaderName::from_static(name), value))
         })
         .collect();
     let relay = Relay {
-        response: Box::pin(response),
+        response,
         id: job.id.clone(),
         cancels: matches!(job.wanted, Wanted::Version(_)),
         flight,
@@ -425,7 +423,7 @@
 
 /// An answer on its way from the target to the entry.
 struct Relay {
-    response: Pin<Box<TargetResponse>>,
+    response: Response,
     id: String,
     cancels: bool,
     flight: Flight,
@@ -505,7 +503,7 @@
             return unknown(Reason::Lost);
         }
     };
-    if let Some(reason) = refused(job, response.status()) {
+    if let Some(reason) = refused(job, response.status) {
         agent.ledger.borrow_mut().not_run(key);
         return not_admitted(reason);
     }
@@ -522,26 +520,15 @@
     }
 }
 
-async fn gather_answer(mut response: TargetResponse) -> Option<request::Answer> {
-    let status = response.status().as_u16();
-    let content_type = response
-        .headers()
-        .get("content-type")
-        .and_then(|value| value.to_str().ok())
-        .unwrap_or("application/octet-stream")
-        .to_owned();
-    let mut body = BytesMut::new();
-    while let Some(part) = response.next().await {
-        let part = part.ok()?;
-        if body.len() + part.len() > GATHERED_MAX {
-            return None;
-        }
-        body.extend_from_slice(&part);
-    }
+async fn gather_answer(mut response: Response) -> Option<request::Answer> {
+    let body = response.read(GATHERED_MAX).await.ok()?;
     Some(request::Answer {
-        status,
-        content_type,
-        body: body.freeze(),
+        status: response.status.as_u16(),
+        content_type: match response.header("content-type") {
+            "" => "application/octet-stream".to_owned(),
+            known => known.to_owned(),
+        },
+        body,
     })
 }
 
--- a/src/agent/engine.rs
+++ b/src/agent/engine.rs
@@ -77,7 +77,7 @@
 }
 
 async fn engine_state(agent: &Agent) -> Result<EngineState, Error> {
-    let url = format!("{}/v1/state", agent.setting.target_url);
+    let url = format!("http://{}/v1/state", agent.setting.target_address);
     http::get_json(&agent.node.client.0, &url, ANSWER_MAX, TIMEOUT).await
 }
 
@@ -98,7 +98,7 @@
         fence: agent.fence(),
         kind,
     };
-    let url = format!("{}/v1/orders", agent.setting.target_url);
+    let url = format!("http://{}/v1/orders", agent.setting.target_address);
     let taken: Result<Fence, Error> =
         http::post_json(&agent.node.client.0, &url, &order, TIMEOUT).await;
     match (taken, step) {
--- a/src/entry/call.rs
+++ b/src/entry/call.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use actix_http::header::{HeaderName, HeaderValue};
-use actix_http::{Request, StatusCode};
+use actix_http::{Method, Request, StatusCode};
 use bytes::{Bytes, BytesMut};
 use futures_util::{Stream, StreamExt, stream};
 use rand::RngExt;
@@ -19,6 +19,7 @@
 use crate::agent::door::{PROVEN, Reason, Turned};
 use crate::clock::{Time, unix_millis};
 use crate::config::InForce;
+use crate::exchange::{self, Response, Reuse};
 use crate::http::{self, Answer, Error};
 use crate::limit::Refusal;
 use crate::request::{self, Break, Key, Next, Outcome, Situation};
@@ -351,16 +352,17 @@
 
 async fn issue_at(entry: &Rc<Entry>, job: &Job, replica: ReplicaKey) -> Option<String> {
     let address = entry.table.borrow().get(replica)?.address;
-    let path = "/v1/keys";
-    let mut request = entry.node.client.0.post(format!("http://{address}{path}"));
-    request = request.insert_header((header::CUSTOMER, &*job.customer));
-    request = with_proof(entry, request, path);
+    let mut request = exchange::Request::new(Method::POST, "/v1/keys");
+    request
+        .headers
+        .push((header::CUSTOMER, job.customer.to_string()));
+    prove(entry, &mut request);
     let exchange = async {
-        let mut response = request.send().await.ok()?;
-        if response.status() != StatusCode::OK {
+        let mut response = entry.node.exchange.send(address, &request).await.ok()?;
+        if response.status != StatusCode::OK {
             return None;
         }
-        let bytes = http::read_response(&mut response, TURNED_MAX).await.ok()?;
+        let bytes = response.read(TURNED_MAX).await.ok()?;
         String::from_utf8(bytes.to_vec()).ok()
     };
     actix_rt::time::timeout(SHORT_TIMEOUT, exchange)
@@ -370,18 +372,14 @@
 }
 
 /// Adds the proof over what the request carries so far.
-fn with_proof(entry: &Entry, request: awc::ClientRequest, path: &str) -> awc::ClientRequest {
+fn prove(entry: &Entry, request: &mut exchange::Request) {
     let proof = {
-        let value = |name: &str| {
-            let value = request.headers().get(name)?;
-            value.to_str().ok()
-        };
-        let parts: Vec<&str> = std::iter::once(path)
-            .chain(PROVEN.map(|name| value(name).unwrap_or_default()))
+        let parts: Vec<&str> = std::iter::once(request.path.as_str())
+            .chain(PROVEN.map(|name| request.header(name)))
             .collect();
         entry.setting.keyring.prove(unix_millis(), &parts)
     };
-    request.insert_header((header::PROOF, proof))
+    request.headers.push((header::PROOF, proof));
 }
 
 fn choose(entry: &Entry, job: &Job, tried: &[ReplicaKey]) -> Option<ReplicaKey> {
@@ -464,60 +462,56 @@
     }
 }
 
+/// The job as an agent takes it.
+fn inner_request(entry: &Entry, job: &Job, resume_at: Option<u32>) -> exchange::Request {
+    let mut request = exchange::Request::new(Method::POST, "/v1/run");
+    let remaining = job.remaining(entry).as_millis().to_string();
+    let headers = &mut request.headers;
+    headers.push((header::REQUEST, job.id.clone()));
+    headers.push((header::CUSTOMER, job.customer.to_string()));
+    headers.push((header::DEADLINE, remaining));
+    headers.push((header::PRIORITY, priority_name(job.priority).to_owned()));
+    headers.push((header::REPEATABLE, yes_no(job.repeatable).to_owned()));
+    match &job.need {
+        Need::Version(digest) => headers.push((header::VERSION, digest.to_string())),
+        Need::Service(name) => {
+            headers.push((header::SERVICE, name.to_string()));
+            headers.push((header::PATH, job.path.clone()));
+        }
+    }
+    headers.extend(job.key.iter().map(|key| (header::KEY, key.to_string())));
+    headers.extend(resume_at.map(|token| (header::FROM, token.to_string())));
+    request.body = job.body.clone();
+    if !job.repeatable {
+        request.reuse = Reuse::Never;
+    }
+    prove(entry, &mut request);
+    request
+}
+
 /// Sends the job to a target and returns the head of an admitted answer.
 async fn send(
     entry: &Entry,
     job: &Job,
     replica: ReplicaKey,
     resume_at: Option<u32>,
-) -> Result<awc::ClientResponse, Broken> {
+) -> Result<Response, Broken> {
     let address = match entry.table.borrow().get(replica) {
         Some(known) => known.address,
         None => return Err(Broken::of(Break::NotReached)),
     };
-    let path = "/v1/run";
-    // See `node::Node::fresh`.
-    let client = if job.repeatable {
-        &entry.node.client.0
-    } else {
-        &entry.node.fresh.0
-    };
+    let request = inner_request(entry, job, resume_at);
     let remaining = job.remaining(entry);
-    let mut request = client
-        .post(format!("http://{address}{path}"))
-        .insert_header((header::REQUEST, job.id.as_str()))
-        .insert_header((header::CUSTOMER, &*job.customer))
-        .insert_header((header::DEADLINE, remaining.as_millis().to_string()))
-        .insert_header((header::PRIORITY, priority_name(job.priority)))
-        .insert_header((header::REPEATABLE, yes_no(job.repeatable)));
-    request = match &job.need {
-        Need::Version(digest) => request.insert_header((header::VERSION, digest.to_string())),
-        Need::Service(name) => request
-            .insert_header((header::SERVICE, &**name))
-            .insert_header((header::PATH, job.path.as_str())),
-    };
-    if let Some(key) = &job.key {
-        request = request.insert_header((header::KEY, key.to_string()));
-    }
-    if let Some(token) = resume_at {
-        request = request.insert_header((header::FROM, token.to_string()));
-    }
-    if !job.repeatable {
-        request = request.force_close();
-    }
-    let request = with_proof(entry, request, path);
     let limit = if resume_at.is_some() {
         remaining.min(RESUME_TIMEOUT)
     } else {
         remaining
     };
-    match actix_rt::time::timeout(limit, request.send_body(job.body.clone())).await {
-        Err(_) => Err(Broken::of(Break::NoAnswer)),
-        Ok(Err(error)) => Err(Broken::of(match Error::from(error) {
-            Error::Connect { .. } => Break::NotReached,
-            _ => Break::NoAnswer,
-        })),
+    let sent = entry.node.exchange.send(address, &request);
+    match actix_rt::time::timeout(limit, sent).await {
         Ok(Ok(response)) => admitted(response).await,
+        Ok(Err(exchange::Error::NotSent { .. })) => Err(Broken::of(Break::NotReached)),
+        Ok(Err(_)) | Err(_) => Err(Broken::of(Break::NoAnswer)),
     }
 }
 
@@ -535,13 +529,13 @@
 
 /// Tells an admitted answer from a refusal by the agent's own header, never by the status, which
 /// may be the target's.
-async fn admitted(mut response: awc::ClientResponse) -> Result<awc::ClientResponse, Broken> {
-    let found = match response.headers().get(header::ADMITTED) {
-        Some(value) if value == "yes" => return Ok(response),
-        Some(value) if value == "no" => Break::NotAdmitted,
+async fn admitted(mut response: Response) -> Result<Response, Broken> {
+    let found = match response.header(header::ADMITTED) {
+        "yes" => return Ok(response),
+        "no" => Break::NotAdmitted,
         _ => Break::Lost,
     };
-    let bytes = http::read_response(&mut response, TURNED_MAX).await;
+    let bytes = response.read(TURNED_MAX).await;
     let reason = bytes
         .ok()
         .and_then(|bytes| serde_json::from_slice(&bytes).ok());
@@ -598,7 +592,7 @@
     }
 
     /// Tries targets until one admits the request.
-    async fn dispatch(&mut self) -> Result<(awc::ClientResponse, Attempt), Failure> {
+    async fn dispatch(&mut self) -> Result<(Response, Attempt), Failure> {
         self.entry.budget.borrow_mut().earn();
         let mut last: Option<Broken> = None;
         loop {
@@ -708,7 +702,7 @@
             return failure.answer();
         }
     };
-    let events = matches!(course.job.need, Need::Version(_)) && response.status() == StatusCode::OK;
+    let events = matches!(course.job.need, Need::Version(_)) && response.status == StatusCode::OK;
     if events && course.job.key.is_none() {
         let streamed = course.job.streamed;
         let relay = Relay::new(course, response, attempt);
@@ -723,15 +717,11 @@
 
 /// Passes on an answer that has no tokens to count: it is gathered first, so that the caller gets
 /// it whole or not at all.
-async fn pass(
-    mut course: Course,
-    mut response: awc::ClientResponse,
-    mut attempt: Attempt,
-) -> Answer {
-    let status = response.status();
-    let content_type = response.headers().get("content-type").cloned();
+async fn pass(mut course: Course, mut response: Response, mut attempt: Attempt) -> Answer {
+    let status = response.status;
+    let content_type = response.headers.get("content-type").cloned();
     let remaining = course.job.remaining(&course.entry);
-    let read = http::read_response(&mut response, GATHERED_MAX);
+    let read = response.read(GATHERED_MAX);
     match actix_rt::time::timeout(remaining, read).await {
         Ok(Ok(bytes)) => {
             attempt.whole();
@@ -754,7 +744,7 @@
 /// An answer of tokens on its way to the caller.
 struct Relay {
     course: Course,
-    response: awc::ClientResponse,
+    response: Response,
     attempt: Option<Attempt>,
     reader: Reader,
     served_by: Arc<str>,
@@ -766,7 +756,7 @@
 struct Stopped;
 
 impl Relay {
-    fn new(course: Course, response: awc::ClientResponse, attempt: Attempt) -> Self {
+    fn new(course: Course, response: Response, attempt: Attempt) -> Self {
         let served_by = course
             .entry
             .table
@@ -967,9 +957,10 @@
         };
         let path = format!("/v1/cancel/{}", self.course.job.id);
         actix_rt::spawn(async move {
-            let request = entry.node.client.0.post(format!("http://{address}{path}"));
-            let request = with_proof(&entry, request, &path);
-            let _ = actix_rt::time::timeout(SHORT_TIMEOUT, request.send()).await;
+            let mut request = exchange::Request::new(Method::POST, path);
+            prove(&entry, &mut request);
+            let sent = entry.node.exchange.send(address, &request);
+            let _ = actix_rt::time::timeout(SHORT_TIMEOUT, sent).await;
         });
     }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod ctl;
 pub mod daemon;
 pub mod entry;
+pub mod exchange;
 pub mod http;
 pub mod limit;
 pub mod log;
--- a/src/node.rs
+++ b/src/node.rs
@@ -14,6 +14,7 @@
 use crate::audit::{Deed, Trail};
 use crate::clock::{self, Clock};
 use crate::config::{Book, Change, Delta, Effect, Revision};
+use crate::exchange;
 use crate::http::{self, ClientSetting, Error};
 use crate::member::{Listing, Role, View};
 use crate::metric::{self, Metrics};
@@ -73,10 +74,8 @@
     pub metrics: Metrics,
     /// Calls to other processes.
     pub client: ClientHandle,
-    /// Calls that must not go over a connection that was idle: such a connection may be closed
-    /// under a request, and then nobody knows whether it ran. Every call closes its connection, so
-    /// the next one gets a new one, which either fails before the first byte or is taken.
-    pub fresh: ClientHandle,
+    /// Exchanges on the hops that requests travel.
+    pub exchange: exchange::Client,
     /// Counts changes of configuration or boxes.
     pub changed: watch::Sender<u64>,
     /// Whether the service or a peer has answered with a configuration.
@@ -107,7 +106,7 @@
             trail: RefCell::default(),
             metrics: Metrics::new()?,
             client: ClientHandle(http::client(client_setting)),
-            fresh: ClientHandle(http::client(client_setting)),
+            exchange: exchange::Client::new(client_setting.local_address),
             changed: watch::Sender::new(0),
             ready: watch::Sender::new(false),
         }))
--- a/src/standin/fleet.rs
+++ b/src/standin/fleet.rs
@@ -412,7 +412,7 @@
         agent::Setting {
             node: self.node_setting(listed),
             origin_url: format!("http://{}", self.origin_address),
-            target_url: format!("http://{target}"),
+            target_address: target,
             memory_bytes: self.setting.memory_bytes,
             spread: self.setting.spread,
             keyring: keyring(),
--- a/src/standin/service.rs
+++ b/src/standin/service.rs
@@ -1,10 +1,13 @@
 //! A plain service: answers each call with a digest of its body, after a while, and counts runs.
 
+use std::io;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::time::Duration;
 
 use actix_http::{HttpMessage, Request, StatusCode};
+use bytes::Bytes;
+use futures_util::{StreamExt, stream};
 use serde::{Deserialize, Serialize};
 use tokio::net::TcpListener;
 
@@ -15,6 +18,9 @@
 /// Longest request body.
 const BODY_MAX: usize = 1 << 20;
 
+/// Time from the first half of an answer to its cut.
+const CUT_AFTER: Duration = Duration::from_millis(50);
+
 /// What the service answers.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Receipt {
@@ -30,6 +36,7 @@
     delay: Duration,
     runs: Arc<Runs>,
     in_flight: AtomicU32,
+    cut_next: AtomicBool,
 }
 
 impl Service {
@@ -39,6 +46,7 @@
             delay,
             runs,
             in_flight: AtomicU32::new(0),
+            cut_next: AtomicBool::new(false),
         })
     }
 
@@ -47,6 +55,11 @@
         self.in_flight.load(Ordering::Relaxed)
     }
 
+    /// Cuts the next answer off after its first bytes.
+    pub fn cut_next_answer(&self) {
+        self.cut_next.store(true, Ordering::Relaxed);
+    }
+
     /// Serves on the present thread.
     pub fn serve(self: &Arc<Self>, listener: TcpListener) -> Server {
         let service = self.clone();
@@ -73,6 +86,22 @@
             request: id,
             body: Digest::of(&body),
         };
+        if self.cut_next.swap(false, Ordering::Relaxed) {
+            return cut(&receipt);
+        }
         http::json(StatusCode::OK, &receipt)
     }
 }
+
+/// An answer whose connection closes in its middle.
+fn cut(receipt: &Receipt) -> Answer {
+    let text = serde_json::to_string(receipt).unwrap_or_default();
+    let half = Bytes::from(text[..text.len() / 2].to_owned());
+    let later = async {
+        // The first half has to be on its way before the connection closes.
+        tokio::time::sleep(CUT_AFTER).await;
+        Err(io::ErrorKind::ConnectionReset.into())
+    };
+    let parts = stream::iter([Ok(half)]).chain(stream::once(later));
+    http::stream(StatusCode::OK, "application/json", parts)
+}
--- a/src/weight.rs
+++ b/src/weight.rs
@@ -242,6 +242,12 @@
         Ok(())
     }
 
+    /// Whether as many bytes came as the manifest says. Fewer are a broken exchange, not a bad
+    /// chunk.
+    pub fn full(&self) -> bool {
+        self.bytes.len() == self.length
+    }
+
     /// Compares what came with the manifest.
     pub fn finish(self) -> Result<Chunk, Error> {
         if Digest::from(self.hasher.finalize()) != self.expected {
--- a/tests/promise_whole.rs
+++ b/tests/promise_whole.rs
@@ -207,3 +207,29 @@
         }
     });
 }
+
+#[test]
+fn a_service_answer_that_is_cut_off_is_not_passed_off_as_whole() {
+    run(async {
+        let shape = Shape {
+            boxes: 1,
+            services: 1,
+            ..Shape::default()
+        };
+        let served = Served::start(shape).await;
+        let service = served.fleet.boxes[1].service.as_ref().unwrap();
+        let whole = served.caller.call(&served.entry(0), "notice", &[]).await;
+        assert_eq!(whole.told, Told::Whole);
+        let key = served.caller.key(&served.entry(0)).await.unwrap();
+        let keyed = pumicelatch::bench::caller::Caller::keyed(&key);
+        for headers in [vec![], keyed] {
+            service.cut_next_answer();
+            let cut = served
+                .caller
+                .call(&served.entry(0), "notice", &headers)
+                .await;
+            assert_ne!(cut.told, Told::Whole);
+            assert_eq!(cut.outcome(), Outcome::Unknown);
+        }
+    });
+}
