--- a/src/bench.rs
+++ b/src/bench.rs
@@ -4,5 +4,6 @@
 pub mod caller;
 pub mod command;
 pub mod fault;
+pub mod route;
 pub mod sample;
 pub mod spread;
--- a/src/bench/caller.rs
+++ b/src/bench/caller.rs
@@ -42,6 +42,8 @@
     pub told: Told,
     /// Name of the request inside the system.
     pub request: String,
+    /// Name of the run that a plain service answered from.
+    pub run: String,
     /// The box that answered.
     pub served_by: String,
     /// The version that the answer is of.
@@ -172,6 +174,7 @@
         let mut seen = Seen {
             told: Told::Nothing,
             request: String::new(),
+            run: String::new(),
             served_by: String::new(),
             version: None,
             tokens: Vec::new(),
@@ -223,8 +226,8 @@
     if let Ok(value) = serde_json::from_slice::<Value>(&bytes) {
         let tokens = value["tokens"].as_array().into_iter().flatten();
         seen.tokens.extend(tokens.filter_map(token_of));
-        if let Some(request) = value["request"].as_str() {
-            seen.request = request.to_owned();
+        if let Some(run) = value["request"].as_str() {
+            seen.run = run.to_owned();
         }
     }
     seen.told = Told::Whole;
--- a/src/bench/command.rs
+++ b/src/bench/command.rs
@@ -5,6 +5,7 @@
 use crate::option;
 
 pub mod demo;
+pub mod route;
 pub mod spread;
 
 /// What the program is for.
@@ -13,7 +14,8 @@
 
 Commands (each with its own --help):
   demo     a burst to 24 boxes in three halls, with requests answered during it
-  spread   a burst behind shaped links, with faults and baselines";
+  spread   a burst behind shaped links, with faults and baselines
+  route    requests under load and faults";
 
 /// Why a command failed.
 #[derive(Debug, thiserror::Error)]
@@ -22,7 +24,7 @@
     #[error(transparent)]
     Option(#[from] option::Error),
     /// There is no such command.
-    #[error("no command `{name}`; give demo or spread")]
+    #[error("no command `{name}`; give demo, spread or route")]
     Command {
         /// The name that was given.
         name: String,
@@ -54,6 +56,7 @@
     match name.as_str() {
         "demo" => demo::run(rest).await,
         "spread" => spread::run(rest).await,
+        "route" => route::run(rest).await,
         "-h" | "--help" => {
             println!("{SUMMARY}");
             Ok(0)
--- a/src/entry/call.rs
+++ b/src/entry/call.rs
@@ -27,6 +27,9 @@
 use crate::template::fleet::{Limits, Priority, WHOLE_SHARE};
 use crate::wire::header;
 
+/// Header that names a request in its answer.
+pub const REQUEST_HEADER: &str = "x-pumicelatch-request";
+
 /// Bytes of a prompt that decide its affinity.
 const PREFIX_BYTES: usize = 256;
 
@@ -686,7 +689,18 @@
     }
 }
 
+/// Names the request in its answer, whatever that is.
 async fn run(entry: Rc<Entry>, job: Job, flight: Flight) -> Answer {
+    let id = HeaderValue::from_str(&job.id);
+    let mut answer = serve(entry, job, flight).await;
+    if let Ok(id) = id {
+        let name = HeaderName::from_static(REQUEST_HEADER);
+        answer.headers_mut().insert(name, id);
+    }
+    answer
+}
+
+async fn serve(entry: Rc<Entry>, job: Job, flight: Flight) -> Answer {
     let mut course = Course {
         entry,
         job,
@@ -850,16 +864,9 @@
     }
 
     fn head(&self, mut answer: Answer) -> Answer {
-        let headers = [
-            ("x-pumicelatch-request", self.course.job.id.as_str()),
-            ("x-pumicelatch-box", &*self.served_by),
-        ];
-        for (name, value) in headers {
-            if let Ok(value) = HeaderValue::from_str(value) {
-                answer
-                    .headers_mut()
-                    .insert(HeaderName::from_static(name), value);
-            }
+        if let Ok(value) = HeaderValue::from_str(&self.served_by) {
+            let name = HeaderName::from_static("x-pumicelatch-box");
+            answer.headers_mut().insert(name, value);
         }
         if let Need::Version(digest) = &self.course.job.need
             && let Ok(value) = HeaderValue::from_str(&digest.to_string())
--- a/src/standin/engine.rs
+++ b/src/standin/engine.rs
@@ -89,17 +89,16 @@
         runs.get(request).copied().unwrap_or(0)
     }
 
+    /// Requests among `names` that ran more than once.
+    pub fn doubled_of<'a>(&self, names: impl Iterator<Item = &'a str>) -> usize {
+        names.filter(|name| self.count(name) > 1).count()
+    }
+
     /// Runs of all requests.
     pub fn total(&self) -> u32 {
         let runs = self.runs.lock().unwrap_or_else(PoisonError::into_inner);
         runs.values().sum()
     }
-
-    /// Requests that ran more than once.
-    pub fn doubled(&self) -> usize {
-        let runs = self.runs.lock().unwrap_or_else(PoisonError::into_inner);
-        runs.values().filter(|&&count| count > 1).count()
-    }
 }
 
 /// What an engine holds.
--- a/src/standin/fleet.rs
+++ b/src/standin/fleet.rs
@@ -161,6 +161,8 @@
 thread_local! {
     /// The agent of the box whose thread this is.
     static AGENT: RefCell<Weak<Agent>> = const { RefCell::new(Weak::new()) };
+    /// The entry of the box whose thread this is.
+    static ENTRY: RefCell<Weak<Entry>> = const { RefCell::new(Weak::new()) };
 }
 
 fn with_agent(act: impl FnOnce(&Agent)) {
@@ -179,6 +181,18 @@
 }
 
 impl EntryBox {
+    /// Has it announce a planned stop.
+    pub fn drain(&self) {
+        if let Some(arbiter) = &self.arbiter {
+            arbiter.spawn_fn(|| {
+                let entry = ENTRY.with(|entry| entry.borrow().upgrade());
+                if let Some(entry) = entry {
+                    entry.drain();
+                }
+            });
+        }
+    }
+
     /// Where callers reach it.
     pub fn url(&self) -> String {
         format!("http://{}", self.listed.address)
@@ -384,10 +398,14 @@
         let net = self.net.clone();
         arbiter.spawn_fn(move || {
             let wrap = net.wrap(ip);
-            match http::adopt(listener) {
-                Ok(listener) => keep(Entry::start(setting, listener, wrap)),
-                Err(error) => log::error!("{error}"),
+            let running = match http::adopt(listener) {
+                Ok(listener) => Entry::start(setting, listener, wrap),
+                Err(error) => return log::error!("{error}"),
+            };
+            if let Ok(running) = &running {
+                ENTRY.with(|entry| entry.replace(Rc::downgrade(&running.entry)));
             }
+            keep(running);
         });
         self.entries.push(EntryBox {
             listed,
--- a/tests/promise_once.rs
+++ b/tests/promise_once.rs
@@ -60,7 +60,7 @@
             .await;
         assert_eq!(first.told, Told::Whole);
         assert_eq!(again.told, Told::Whole);
-        assert_eq!(first.request, again.request, "the answer of the first run");
+        assert_eq!(first.run, again.run, "the answer of the first run");
         assert_eq!(service_runs(&served), 1);
     });
 }
