Run each program alone: stand-ins as a process, agent metrics, relay measurement, docs

Cause: the daemons had been run only inside one process; operators had no pages. Change: `pumicelatch-bench standin` and `relay`, agent metrics, pages for callers, operators, platform, security and design; tests/daemon.rs starts the real programs and stops them with SIGTERM.

--- a/src/agent.rs
+++ b/src/agent.rs
@@ -87,6 +87,7 @@
     wake_engine: tokio::sync::Notify,
     reported: watch::Sender<u64>,
     chunk_bytes_sent: Cell<u64>,
+    instruments: status::Instruments,
 }
 
 /// A running agent. Dropping it stops its loops.
@@ -131,6 +132,7 @@
             wake_engine: tokio::sync::Notify::new(),
             reported: watch::Sender::new(0),
             chunk_bytes_sent: Cell::new(0),
+            instruments: status::Instruments::new(&node.metrics.meter()),
             setting,
         });
         let mut tasks = node.follow();
--- a/src/agent/burst.rs
+++ b/src/agent/burst.rs
@@ -273,6 +273,7 @@
         for action in actions {
             match action {
                 Action::Cancel { fetch } => {
+                    agent.instruments.cancelled();
                     if let Some(task) = self.fetches.borrow_mut().remove(&fetch) {
                         task.abort();
                     }
@@ -316,6 +317,7 @@
 
     fn finish(self: &Rc<Self>, agent: &Rc<Agent>, key: FetchKey, chunk: u32, outcome: Outcome) {
         let now = agent.node.clock.now();
+        agent.instruments.chunk(outcome);
         if let Some(swarm) = self.swarm.borrow_mut().as_mut() {
             swarm.finish(key, chunk, outcome, now);
         }
@@ -734,6 +736,9 @@
         log::warn!(source = url; "chunk failed verification");
         return Outcome::Corrupt;
     };
+    if url.starts_with(&agent.setting.origin_url) {
+        agent.instruments.drew(chunk.len() as u64);
+    }
     match agent.store.borrow_mut().put(chunk) {
         Ok(true) => Outcome::Stored,
         _ => Outcome::Failed,
--- a/src/agent/door.rs
+++ b/src/agent/door.rs
@@ -271,9 +271,20 @@
     let Ok(body) = http::read_request(&mut request, BODY_MAX).await else {
         return not_admitted(Reason::Malformed);
     };
-    match &job.key {
-        Some(key) => run_keyed(agent, job.clone(), key.clone(), body, arrived).await,
+    let answer = match &job.key {
+        Some(key) => run_keyed(agent.clone(), job.clone(), key.clone(), body, arrived).await,
         None => run_once(&agent, &job, body, arrived).await,
+    };
+    agent.instruments.request(admitted_name(&answer));
+    answer
+}
+
+/// What the answer says of whether its request was admitted.
+fn admitted_name(answer: &Answer) -> &'static str {
+    match answer.headers().get(header::ADMITTED) {
+        Some(value) if value == "yes" => "yes",
+        Some(value) if value == "no" => "no",
+        _ => "unknown",
     }
 }
 
--- a/src/agent/status.rs
+++ b/src/agent/status.rs
@@ -1,12 +1,69 @@
 //! What an agent shows operators.
 
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::{Counter, Meter};
 use serde::{Deserialize, Serialize};
 
 use super::Agent;
 use crate::config::Rejected;
-use crate::spread::swarm::Tally;
+use crate::spread::swarm::{Outcome, Tally};
 use crate::weight::Digest;
 
+/// OpenTelemetry instruments of an agent.
+#[derive(Debug)]
+pub struct Instruments {
+    chunks: Counter<u64>,
+    origin: Counter<u64>,
+    requests: Counter<u64>,
+}
+
+impl Instruments {
+    /// Registers them.
+    pub fn new(meter: &Meter) -> Self {
+        Self {
+            chunks: meter
+                .u64_counter("pumicelatch.agent.chunks")
+                .with_description("Fetches of chunks by outcome")
+                .build(),
+            origin: meter
+                .u64_counter("pumicelatch.agent.origin")
+                .with_unit("By")
+                .with_description("Bytes of chunks drawn from the origin")
+                .build(),
+            requests: meter
+                .u64_counter("pumicelatch.agent.requests")
+                .with_description("Requests at the door, by whether they were admitted")
+                .build(),
+        }
+    }
+
+    /// A fetch ended.
+    pub fn chunk(&self, outcome: Outcome) {
+        let name = match outcome {
+            Outcome::Stored => "stored",
+            Outcome::Corrupt => "corrupt",
+            Outcome::Busy => "busy",
+            Outcome::Failed => "failed",
+        };
+        self.chunks.add(1, &[KeyValue::new("outcome", name)]);
+    }
+
+    /// A stalled fetch was dropped.
+    pub fn cancelled(&self) {
+        self.chunks.add(1, &[KeyValue::new("outcome", "cancelled")]);
+    }
+
+    /// Bytes came from the origin.
+    pub fn drew(&self, bytes: u64) {
+        self.origin.add(bytes, &[]);
+    }
+
+    /// A request came to the door.
+    pub fn request(&self, admitted: &'static str) {
+        self.requests.add(1, &[KeyValue::new("admitted", admitted)]);
+    }
+}
+
 /// One version at a box.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct VersionStatus {
--- a/src/bench.rs
+++ b/src/bench.rs
@@ -4,6 +4,7 @@
 pub mod caller;
 pub mod command;
 pub mod fault;
+pub mod relay;
 pub mod route;
 pub mod sample;
 pub mod spread;
--- a/src/bench/command.rs
+++ b/src/bench/command.rs
@@ -5,8 +5,10 @@
 use crate::option;
 
 pub mod demo;
+pub mod relay;
 pub mod route;
 pub mod spread;
+pub mod standin;
 
 /// What the program is for.
 const SUMMARY: &str =
@@ -15,7 +17,9 @@
 Commands (each with its own --help):
   demo     a burst to 24 boxes in three halls, with requests answered during it
   spread   a burst behind shaped links, with faults and baselines
-  route    requests under load and faults";
+  route    requests under load and faults
+  relay    one agent's relay and one entry's requests against bare HTTP, in one run
+  standin  serves the stand-ins, to run the daemons against";
 
 /// Why a command failed.
 #[derive(Debug, thiserror::Error)]
@@ -24,7 +28,7 @@
     #[error(transparent)]
     Option(#[from] option::Error),
     /// There is no such command.
-    #[error("no command `{name}`; give demo, spread or route")]
+    #[error("no command `{name}`; see --help")]
     Command {
         /// The name that was given.
         name: String,
@@ -32,6 +36,12 @@
     /// A stand-in could not start.
     #[error(transparent)]
     Http(#[from] crate::http::Error),
+    /// Signals cannot be handled.
+    #[error(transparent)]
+    Daemon(#[from] crate::daemon::Error),
+    /// Metrics could not be started.
+    #[error(transparent)]
+    Metric(#[from] crate::metric::Error),
     /// The result could not be written.
     #[error("cannot write the result: {0}")]
     Json(#[from] serde_json::Error),
@@ -42,7 +52,7 @@
     pub fn exit_code(&self) -> i32 {
         match self {
             Self::Option(_) | Self::Command { .. } => option::EXIT_USAGE,
-            Self::Http(_) | Self::Json(_) => 1,
+            _ => 1,
         }
     }
 }
@@ -57,6 +67,8 @@
         "demo" => demo::run(rest).await,
         "spread" => spread::run(rest).await,
         "route" => route::run(rest).await,
+        "standin" => standin::run(rest).await,
+        "relay" => relay::run(rest).await,
         "-h" | "--help" => {
             println!("{SUMMARY}");
             Ok(0)
--- a/src/weight.rs
+++ b/src/weight.rs
@@ -276,6 +276,18 @@
     bytes: Bytes,
 }
 
+impl Chunk {
+    /// Its length in bytes.
+    pub fn len(&self) -> usize {
+        self.bytes.len()
+    }
+
+    /// Whether it has no bytes.
+    pub fn is_empty(&self) -> bool {
+        self.bytes.is_empty()
+    }
+}
+
 /// One version in the store.
 #[derive(Debug)]
 struct Version {
