Make the tests of planned stops and of fences able to fail

Cause: two of ten broken variants survived. An agent that does not wait for requests in progress passed the daemon test: the request was over before the 3 s in which it goes on accepting, and agent and entry were stopped one after the other. An outranked agent that goes on passed: the engine's own refusal hid it. Conclusion: what cannot be made to fail proves nothing.

--- a/tests/daemon.rs
+++ b/tests/daemon.rs
@@ -60,10 +60,14 @@
         line["address"].as_str().unwrap().parse().unwrap()
     }
 
-    /// Sends SIGTERM and returns the exit code.
-    fn stop(&mut self) -> Option<i32> {
+    /// Sends SIGTERM.
+    fn terminate(&self) {
         let id = self.child.id().to_string();
         Command::new("kill").args(["-TERM", &id]).status().unwrap();
+    }
+
+    /// Waits for the end and returns the exit code.
+    fn wait(&mut self) -> Option<i32> {
         // Logs must not fill the pipe while the process drains.
         let _ = self.lines.read_to_string(&mut String::new());
         self.child.wait().unwrap().code()
@@ -168,8 +172,10 @@
             assert!(audit.contains(deed), "{deed} is missing: {audit}");
         }
 
+        // Longer than the time for which a stopping process goes on accepting, so that only its
+        // waiting for requests in progress can save this one.
         let long = Ask {
-            tokens: 100,
+            tokens: 300,
             ..Ask::default()
         };
         let call = actix_rt::spawn({
@@ -180,14 +186,17 @@
         while text(&status).await.contains("\"in_flight\":0") {
             actix_rt::time::sleep(Duration::from_millis(10)).await;
         }
-        let stops = std::thread::spawn(move || (agent.stop(), entry.stop()));
+        agent.terminate();
+        entry.terminate();
+        let stops = std::thread::spawn(move || (agent.wait(), entry.wait()));
         let seen = call.await.unwrap();
         assert_eq!(seen.told, Told::Whole, "a planned stop cuts nothing off");
-        assert_eq!(seen.tokens.len(), 100);
+        assert_eq!(seen.tokens.len(), 300);
         while !stops.is_finished() {
             actix_rt::time::sleep(Duration::from_millis(20)).await;
         }
         assert_eq!(stops.join().unwrap(), (Some(0), Some(0)));
-        assert_eq!(standin.stop(), Some(0));
+        standin.terminate();
+        assert_eq!(standin.wait(), Some(0));
     });
 }
--- a/tests/promise_gate.rs
+++ b/tests/promise_gate.rs
@@ -117,43 +117,62 @@
 
 #[test]
 fn an_outranked_agent_closes_its_gate_and_orders_nothing_more() {
-    run(async {
-        let served = Served::start(Shape {
-            boxes: 1,
-            ..Shape::default()
-        })
-        .await;
-        let member = &served.fleet.boxes[0];
-        let url = format!("http://{}", member.target_address);
+    // An engine that checks no fence has nothing but the agent's own look at who is in charge.
+    for checks_fence in [true, false] {
+        run(outrank(checks_fence));
+    }
+}
+
+async fn outrank(checks_fence: bool) {
+    let engine = engine::Setting {
+        checks_fence,
+        ..engine::Setting::default()
+    };
+    let shape = Shape {
+        boxes: 1,
+        engine,
+        ..Shape::default()
+    };
+    let served = Served::start(shape).await;
+    let member = &served.fleet.boxes[0];
+    let url = format!("http://{}", member.target_address);
+    let unload = OrderKind::Unload {
+        digest: served.version,
+    };
+    if checks_fence {
         let stale = Fence {
             incarnation: 1,
             revision: 999,
         };
-        let unload = OrderKind::Unload {
-            digest: served.version,
-        };
         let refused = order(&url, stale, unload.clone()).await;
         assert!(
             refused.is_err(),
-            "an older incarnation is refused whatever its revision"
+            "an older incarnation, whatever its revision"
         );
-        assert_eq!(member.engine.loaded().len(), 1);
-        let newer = Fence {
-            incarnation: u64::MAX / 2,
-            revision: 0,
-        };
-        order(&url, newer, unload).await.unwrap();
-        until("the agent sees that it is outranked", || {
-            member.probe().servable.is_empty()
-        })
-        .await;
-        publish(&served.fleet, served.version);
-        actix_rt::time::sleep(Duration::from_secs(1)).await;
-        assert!(
-            member.engine.loaded().is_empty(),
-            "it did not load behind the newer one's back"
-        );
-    });
+    }
+    // A newer process takes the engine as it is: the version stays loaded.
+    let newer = Fence {
+        incarnation: u64::MAX / 2,
+        revision: 0,
+    };
+    let keep = OrderKind::Load {
+        digest: served.version,
+        source: String::new(),
+        bytes: 0,
+    };
+    order(&url, newer, keep).await.unwrap();
+    until("the outranked agent closes its gate", || {
+        member.probe().servable.is_empty()
+    })
+    .await;
+    assert_eq!(member.engine.loaded().len(), 1);
+    order(&url, newer, unload).await.unwrap();
+    publish(&served.fleet, served.version);
+    actix_rt::time::sleep(Duration::from_secs(1)).await;
+    assert!(
+        member.engine.loaded().is_empty(),
+        "it did not load behind the newer one's back"
+    );
 }
 
 #[test]
