--- a/src/agent/serve.rs
+++ b/src/agent/serve.rs
@@ -9,7 +9,6 @@
 use tokio::net::TcpListener;
 
 use super::{Agent, door, status};
-use crate::config::Revision;
 use crate::http::{self, Answer, Server, Wrap};
 use crate::weight::Digest;
 use crate::wire::{self, Report};
@@ -31,7 +30,7 @@
     match (request.method().as_str(), parts.as_slice()) {
         ("GET", ["v1", "swarm", digest, rest @ ..]) => swarm(agent, digest, rest).await,
         ("GET", ["v1", "weights", digest]) => weights(&agent, digest, peer.ip()),
-        ("GET", ["v1", "config"]) => config(&agent, request.uri().query()),
+        ("GET", ["v1", "config"]) => agent.node.config_answer(request.uri().query()),
         ("GET", ["v1", "report"]) => http::stream(
             StatusCode::OK,
             "application/octet-stream",
@@ -106,17 +105,6 @@
     http::stream(StatusCode::OK, "application/octet-stream", chunks)
 }
 
-fn config(agent: &Agent, query: Option<&str>) -> Answer {
-    let after = query
-        .unwrap_or_default()
-        .split('&')
-        .find_map(|pair| pair.strip_prefix("after="))
-        .and_then(|value| value.parse().ok())
-        .unwrap_or(0);
-    let delta = agent.node.book.borrow().delta_since(Revision(after));
-    http::json(StatusCode::OK, &delta)
-}
-
 fn report(agent: &Agent) -> Report {
     let gate = agent.gate.borrow();
     let in_flight = agent.in_flight.borrow();
--- a/src/entry/serve.rs
+++ b/src/entry/serve.rs
@@ -8,7 +8,6 @@
 
 use super::caller::{Code, Failure};
 use super::{Entry, call, status};
-use crate::config::Revision;
 use crate::http::{self, Answer, Server, Wrap};
 
 /// Starts the server.
@@ -28,7 +27,7 @@
             call::service(entry, request, name, &rest.join("/")).await
         }
         ("POST", ["v1", "keys"]) => call::key(entry, request).await,
-        ("GET", ["v1", "config"]) => config(&entry, request.uri().query()),
+        ("GET", ["v1", "config"]) => entry.node.config_answer(request.uri().query()),
         ("GET", ["health", "live"]) => http::status(StatusCode::OK),
         ("GET", ["health", "ready"]) => ready(&entry),
         ("GET", ["status"]) => http::json(StatusCode::OK, &status::status(&entry)),
@@ -48,14 +47,3 @@
     }
     http::status(StatusCode::OK)
 }
-
-fn config(entry: &Entry, query: Option<&str>) -> Answer {
-    let after = query
-        .unwrap_or_default()
-        .split('&')
-        .find_map(|pair| pair.strip_prefix("after="))
-        .and_then(|value| value.parse().ok())
-        .unwrap_or(0);
-    let delta = entry.node.book.borrow().delta_since(Revision(after));
-    http::json(StatusCode::OK, &delta)
-}
--- a/src/node.rs
+++ b/src/node.rs
@@ -123,6 +123,18 @@
         }
     }
 
+    /// What a peer lacks of the configuration, as the platform's service would answer it.
+    pub fn config_answer(&self, query: Option<&str>) -> http::Answer {
+        let after = query
+            .unwrap_or_default()
+            .split('&')
+            .find_map(|pair| pair.strip_prefix("after="))
+            .and_then(|value| value.parse().ok())
+            .unwrap_or(0);
+        let delta = self.book.borrow().delta_since(Revision(after));
+        http::json(StatusCode::OK, &delta)
+    }
+
     /// Adds to the audit trail.
     pub fn audit(&self, deed: Deed) {
         let revision = self.book.borrow().revision().0;
