Say once what is known after a break, and read command lines in one place

Cause: reading the whole change found the outcome after a break worked out twice (request::after_break and the entry's failure), seven copies of reading a command line, and a count of open connections that nobody read. Change: request::outcome_after and option::values serve all; the count is gone. Conclusion: no change of behaviour.

--- a/src/bench/command.rs
+++ b/src/bench/command.rs
@@ -96,7 +96,3 @@
     bar.set_message("servable boxes");
     bar
 }
-
-fn environment(name: &str) -> Option<String> {
-    std::env::var(name).ok()
-}
--- a/src/bench/command/demo.rs
+++ b/src/bench/command/demo.rs
@@ -4,10 +4,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use super::{Error, environment, progress_bar};
+use super::{Error, progress_bar};
 use crate::bench::caller::{Ask, Caller, Seen, Told};
 use crate::bench::spread::{Experiment, Report, Setting};
-use crate::option::{self, Request, Spec};
+use crate::option::{self, Spec};
 
 /// Boxes.
 const BOXES: usize = 24;
@@ -35,19 +35,8 @@
 pub async fn run(arguments: &[String]) -> Result<i32, Error> {
     let summary =
         "A burst of one model to 24 boxes in three halls, with requests answered during it.";
-    let request = option::parse(
-        "pumicelatch-bench demo",
-        summary,
-        &SPECS,
-        arguments,
-        environment,
-    )?;
-    let values = match request {
-        Request::Print(text) => {
-            print!("{text}");
-            return Ok(0);
-        }
-        Request::Run(values) => values,
+    let Some(values) = option::values("pumicelatch-bench demo", summary, &SPECS, arguments)? else {
+        return Ok(0);
     };
     let setting = Setting {
         boxes: BOXES,
--- a/src/bench/command/relay.rs
+++ b/src/bench/command/relay.rs
@@ -1,8 +1,8 @@
 //! `pumicelatch-bench relay`.
 
-use super::{Error, environment};
+use super::Error;
 use crate::bench::relay;
-use crate::option::{self, Request, Spec};
+use crate::option::{self, Spec};
 
 const SPECS: [Spec; 1] = [Spec::flag("json", "print one JSON object")];
 
@@ -10,12 +10,8 @@
 pub async fn run(arguments: &[String]) -> Result<i32, Error> {
     let program = "pumicelatch-bench relay";
     let summary = "One agent's relay and one entry's small requests, unshaped, against bare HTTP.";
-    let values = match option::parse(program, summary, &SPECS, arguments, environment)? {
-        Request::Print(text) => {
-            print!("{text}");
-            return Ok(0);
-        }
-        Request::Run(values) => values,
+    let Some(values) = option::values(program, summary, &SPECS, arguments)? else {
+        return Ok(0);
     };
     let report = relay::run().await?;
     if values.flag("json") {
--- a/src/bench/command/route.rs
+++ b/src/bench/command/route.rs
@@ -2,10 +2,10 @@
 
 use std::time::Duration;
 
-use super::{Error, environment};
+use super::Error;
 use crate::bench::route::{self, Report, SCENARIOS, Setting};
 use crate::entry::daemon::policy;
-use crate::option::{self, Request, Spec, Values};
+use crate::option::{self, Spec, Values};
 
 const SPECS: [Spec; 7] = [
     Spec::with_default(
@@ -66,12 +66,8 @@
     let summary = "Requests to 12 engines and 3 services in three halls, through 3 entries.
 Exit code 1 if a promise was broken.";
     let program = "pumicelatch-bench route";
-    let values = match option::parse(program, summary, &SPECS, arguments, environment)? {
-        Request::Print(text) => {
-            print!("{text}");
-            return Ok(0);
-        }
-        Request::Run(values) => values,
+    let Some(values) = option::values(program, summary, &SPECS, arguments)? else {
+        return Ok(0);
     };
     if values.flag("list") {
         SCENARIOS.iter().for_each(|(_, name)| println!("{name}"));
--- a/src/bench/command/spread.rs
+++ b/src/bench/command/spread.rs
@@ -5,11 +5,11 @@
 
 use serde::Serialize;
 
-use super::{Error, environment, progress_bar};
+use super::{Error, progress_bar};
 use crate::bench::baseline;
 use crate::bench::fault::KINDS;
 use crate::bench::spread::{Experiment, MEMORY_MAX, Report, Setting};
-use crate::option::{self, Request, Spec, Values};
+use crate::option::{self, Spec, Values};
 use crate::spread::Favour;
 
 const SPECS: [Spec; 17] = [
@@ -148,19 +148,9 @@
 
 /// Runs the command.
 pub async fn run(arguments: &[String]) -> Result<i32, Error> {
-    let request = option::parse(
-        "pumicelatch-bench spread",
-        &summary(),
-        &SPECS,
-        arguments,
-        environment,
-    )?;
-    let values = match request {
-        Request::Print(text) => {
-            print!("{text}");
-            return Ok(0);
-        }
-        Request::Run(values) => values,
+    let Some(values) = option::values("pumicelatch-bench spread", &summary(), &SPECS, arguments)?
+    else {
+        return Ok(0);
     };
     let (setting, kind) = setting(&values)?;
     let baseline = match kind {
--- a/src/bench/command/standin.rs
+++ b/src/bench/command/standin.rs
@@ -7,11 +7,11 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{Error, environment};
+use super::Error;
 use crate::bench::spread::model;
 use crate::daemon;
 use crate::http::{self, plain};
-use crate::option::{self, Request, Spec};
+use crate::option::{self, Spec};
 use crate::standin::any_port;
 use crate::standin::engine::{self, Engine, Runs};
 use crate::standin::origin::Origin;
@@ -57,12 +57,8 @@
     let summary =
         "Serves the platform's stand-ins until stopped: configuration service, list of boxes,
 origin with one model, a model engine and a plain service. Prints their addresses as JSON.";
-    let values = match option::parse(program, summary, &SPECS, arguments, environment)? {
-        Request::Print(text) => {
-            print!("{text}");
-            return Ok(0);
-        }
-        Request::Run(values) => values,
+    let Some(values) = option::values(program, summary, &SPECS, arguments)? else {
+        return Ok(0);
     };
     let bytes = values.number("model-bytes", 1..=1 << 30)?;
     let chunk_bytes = values.number("chunk-bytes", 1024..=64 << 20)?;
--- a/src/ctl.rs
+++ b/src/ctl.rs
@@ -129,14 +129,7 @@
     arguments: &[String],
 ) -> Result<Option<option::Values>, Error> {
     let program = format!("pumicectl {command}");
-    let environment = |name: &str| std::env::var(name).ok();
-    match option::parse(&program, summary, specs, arguments, environment)? {
-        option::Request::Run(values) => Ok(Some(values)),
-        option::Request::Print(text) => {
-            print!("{text}");
-            Ok(None)
-        }
-    }
+    Ok(option::values(&program, summary, specs, arguments)?)
 }
 
 fn to_json<T: serde::Serialize>(value: &T) -> Result<String, Error> {
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -11,7 +11,7 @@
 use crate::member::Role;
 use crate::metric;
 use crate::node;
-use crate::option::{self, EXIT_USAGE, Request, Spec, Values};
+use crate::option::{self, EXIT_USAGE, Spec, Values};
 
 /// How often a stopping process looks whether it is idle.
 const LOOK: Duration = Duration::from_millis(50);
@@ -129,21 +129,13 @@
     specs: &[Spec],
 ) -> Result<Option<Values>, option::Error> {
     let arguments: Vec<String> = std::env::args().skip(1).collect();
-    let environment = |name: &str| std::env::var(name).ok();
-    match option::parse(program, summary, specs, &arguments, environment)? {
-        Request::Run(values) => {
-            if let Some(extra) = values.free.first() {
-                return Err(option::Error::CommandLine {
-                    reason: format!("unexpected argument `{extra}`"),
-                });
-            }
-            Ok(Some(values))
-        }
-        Request::Print(text) => {
-            print!("{text}");
-            Ok(None)
-        }
+    let values = option::values(program, summary, specs, &arguments)?;
+    if let Some(extra) = values.as_ref().and_then(|values| values.free.first()) {
+        return Err(option::Error::CommandLine {
+            reason: format!("unexpected argument `{extra}`"),
+        });
     }
+    Ok(values)
 }
 
 /// Waits for SIGTERM or SIGINT.
--- a/src/entry/call.rs
+++ b/src/entry/call.rs
@@ -588,7 +588,7 @@
         if matches!(found, Break::NoAnswer | Break::Lost | Break::MidAnswer) {
             self.tainted = true;
         }
-        if next != Next::GiveUp(Outcome::Unknown) && next != Next::GiveUp(Outcome::NotRun) {
+        if !matches!(next, Next::GiveUp(_)) {
             count(&self.entry.counters.retries);
         }
         next
@@ -634,13 +634,7 @@
 
     /// What the caller is told after `broken`.
     fn failure(&self, broken: &Broken) -> Failure {
-        let sure = matches!(broken.found, Break::NotReached | Break::NotAdmitted);
-        let key_unsure = self.job.key.is_some() && broken.found != Break::NotAdmitted;
-        let outcome = if sure && !self.tainted && !key_unsure {
-            Outcome::NotRun
-        } else {
-            Outcome::Unknown
-        };
+        let outcome = request::outcome_after(broken.found, self.situation(false));
         let after = broken
             .reason
             .as_ref()
--- a/src/http.rs
+++ b/src/http.rs
@@ -3,7 +3,6 @@
 //! A process keeps its state on one thread, without locks, so its connections are served on that
 //! thread too; `actix-server`'s worker threads would force every table behind a mutex.
 
-use std::cell::Cell;
 use std::future::Future;
 use std::io;
 use std::net::{IpAddr, SocketAddr};
@@ -143,12 +142,10 @@
     TcpListener::from_std(listener).map_err(|source| Error::Listen { address, source })
 }
 
-/// A running accept loop. Dropping it closes the listener and every connection; [`Server::drain`]
-/// ends it without cutting anything off.
+/// A running accept loop. Dropping it closes the listener; connections that are open go on.
 #[derive(Debug)]
 pub struct Server {
     accept: actix_rt::task::JoinHandle<()>,
-    open: Rc<Cell<usize>>,
 }
 
 impl Server {
@@ -158,21 +155,14 @@
         F: Fn(Request, SocketAddr) -> Fut + Clone + 'static,
         Fut: Future<Output = Answer> + 'static,
     {
-        let open = Rc::new(Cell::new(0));
-        let counter = open.clone();
-        let accept = actix_rt::spawn(accept_loop(listener, wrap, handler, counter));
-        Self { accept, open }
+        let accept = actix_rt::spawn(accept_loop(listener, wrap, handler));
+        Self { accept }
     }
 
     /// Stops accepting connections. Those that are open go on.
     pub fn stop_accepting(&self) {
         self.accept.abort();
     }
-
-    /// Connections that are open.
-    pub fn open_connections(&self) -> usize {
-        self.open.get()
-    }
 }
 
 impl Drop for Server {
@@ -181,23 +171,7 @@
     }
 }
 
-/// Counts a connection for as long as it lives.
-struct Open(Rc<Cell<usize>>);
-
-impl Open {
-    fn new(counter: &Rc<Cell<usize>>) -> Self {
-        counter.set(counter.get() + 1);
-        Self(counter.clone())
-    }
-}
-
-impl Drop for Open {
-    fn drop(&mut self) {
-        self.0.set(self.0.get() - 1);
-    }
-}
-
-async fn accept_loop<F, Fut>(listener: TcpListener, wrap: Wrap, handler: F, open: Rc<Cell<usize>>)
+async fn accept_loop<F, Fut>(listener: TcpListener, wrap: Wrap, handler: F)
 where
     F: Fn(Request, SocketAddr) -> Fut + Clone + 'static,
     Fut: Future<Output = Answer> + 'static,
@@ -210,10 +184,8 @@
         };
         let _ = stream.set_nodelay(true);
         let handler = handler.clone();
-        let guard = Open::new(&open);
         let io = wrap(stream, peer);
         actix_rt::spawn(async move {
-            let _guard = guard;
             let service = fn_service(move |request: Request| {
                 let answer = handler(request, peer);
                 async move { Ok::<_, actix_http::Error>(answer.await) }
--- a/src/option.rs
+++ b/src/option.rs
@@ -205,6 +205,23 @@
     Ok(Request::Run(values))
 }
 
+/// Parses `arguments` and the process's environment; `None` after printing help or version.
+pub fn values(
+    program: &str,
+    summary: &str,
+    specs: &[Spec],
+    arguments: &[String],
+) -> Result<Option<Values>, Error> {
+    let environment = |name: &str| std::env::var(name).ok();
+    match parse(program, summary, specs, arguments, environment)? {
+        Request::Run(values) => Ok(Some(values)),
+        Request::Print(text) => {
+            print!("{text}");
+            Ok(None)
+        }
+    }
+}
+
 fn usage(program: &str, summary: &str, specs: &[Spec]) -> String {
     let mut text = format!("{summary}\n\nUsage: {program} [OPTIONS]\n\nOptions:\n");
     for spec in specs {
--- a/src/request.rs
+++ b/src/request.rs
@@ -322,19 +322,27 @@
 /// Attempts that one request may take.
 pub const ATTEMPTS_MAX: u32 = 4;
 
-/// Decides what follows a break. A request that is not repeatable goes elsewhere only after a sure
-/// "not run"; one with a key never does, because its key leads to one box alone.
-pub fn after_break(found: Break, situation: Situation, budget: &mut RetryBudget) -> Next {
-    let sure = matches!(found, Break::NotReached | Break::NotAdmitted);
-    let clean = sure && !situation.tainted && !situation.begun;
-    let outcome = if clean && !situation.keyed {
-        Outcome::NotRun
-    } else if clean && found == Break::NotAdmitted {
-        // The key's own table said so, and it is the only one that could have run it.
+/// Whether a break shows that its attempt did not run.
+fn certain(found: Break) -> bool {
+    matches!(found, Break::NotReached | Break::NotAdmitted)
+}
+
+/// What is known of a request after a break. Under a key only the key's own table can say "not
+/// run": it is the only one that could have run it.
+pub fn outcome_after(found: Break, situation: Situation) -> Outcome {
+    let clean = certain(found) && !situation.tainted && !situation.begun;
+    if clean && (!situation.keyed || found == Break::NotAdmitted) {
         Outcome::NotRun
     } else {
         Outcome::Unknown
-    };
+    }
+}
+
+/// Decides what follows a break. A request that is not repeatable goes elsewhere only after a sure
+/// "not run"; one with a key never does, because its key leads to one box alone.
+pub fn after_break(found: Break, situation: Situation, budget: &mut RetryBudget) -> Next {
+    let outcome = outcome_after(found, situation);
+    let clean = certain(found) && !situation.tainted && !situation.begun;
     let exhausted = situation.attempts >= ATTEMPTS_MAX || situation.remaining_ms == 0;
     if exhausted || situation.keyed {
         return Next::GiveUp(outcome);
