Forget the resume count of an answer that is whole

Cause: reading the change: the agent counted each resume by request and dropped the count only when the stream broke again, so answers that were resumed and ended well stayed counted for good. Change: the end of the answer drops its count. There is no test of the count itself yet, and a resume that the engine refuses still leaves one behind. Conclusion: bounded for answers that end well; the refused resume is left for the next change.

--- a/src/agent/door.rs
+++ b/src/agent/door.rs
@@ -470,6 +470,9 @@
         let part = std::task::ready!(self.response.poll_next_unpin(cx));
         if part.is_none() {
             self.flight.whole = true;
+            // Nobody takes up an answer that is whole, so its count need not be kept.
+            let agent = self.flight.agent.clone();
+            agent.resumed.borrow_mut().remove(&self.id);
         }
         Poll::Ready(part.map(|part| part.map_err(io::Error::other)))
     }
