--- a/src/agent.rs
+++ b/src/agent.rs
@@ -26,14 +26,14 @@
 use crate::version::{EngineState, Fence};
 use crate::weight::{Digest, Store};
 
-pub mod burst;
 pub mod daemon;
 pub mod door;
 pub mod engine;
 pub mod serve;
 pub mod status;
 
-use burst::Burst;
+use crate::burst::Burst;
+use crate::burst::host::{ContentOrigin, Host, Instruments, Origin};
 
 /// Keys for requests that run at most once, kept at a time.
 const KEYS_MAX: usize = 16_384;
@@ -75,7 +75,8 @@
     pub setting: Setting,
     /// The shared part.
     pub node: Rc<Node>,
-    store: RefCell<Store>,
+    host: Rc<Host>,
+    origin: Rc<dyn Origin>,
     bursts: RefCell<BTreeMap<Digest, Rc<Burst>>>,
     gate: RefCell<Gate>,
     leaving: Cell<bool>,
@@ -84,9 +85,7 @@
     keyring: Keyring,
     resumed: RefCell<BTreeMap<String, u64>>,
     boot: u64,
-    wake_engine: tokio::sync::Notify,
     reported: watch::Sender<u64>,
-    chunk_bytes_sent: Cell<u64>,
     instruments: status::Instruments,
 }
 
@@ -109,6 +108,23 @@
     }
 }
 
+fn host(setting: &Setting, node: &Rc<Node>) -> Host {
+    let trail = node.clone();
+    Host {
+        name: setting.node.name.clone(),
+        hall: setting.node.hall.clone(),
+        clock: node.clock,
+        client: node.client.clone(),
+        spread: setting.spread,
+        store: RefCell::new(Store::new(setting.memory_bytes)),
+        instruments: Instruments::new(&node.metrics.meter()),
+        bytes_sent: Cell::new(0),
+        wake: tokio::sync::Notify::new(),
+        trail: Rc::new(move |deed| trail.audit(deed)),
+        local: None,
+    }
+}
+
 impl Agent {
     /// Starts an agent on the present thread.
     pub fn start(
@@ -118,8 +134,12 @@
     ) -> Result<Running, metric::Error> {
         let node = Node::new(setting.node.clone())?;
         let boot = rand::rng().random();
+        let origin = ContentOrigin {
+            url: setting.origin_url.clone(),
+        };
         let agent = Rc::new(Self {
-            store: RefCell::new(Store::new(setting.memory_bytes)),
+            host: Rc::new(host(&setting, &node)),
+            origin: Rc::new(origin),
             node: node.clone(),
             bursts: RefCell::default(),
             gate: RefCell::default(),
@@ -129,9 +149,7 @@
             keyring: setting.keyring.clone(),
             resumed: RefCell::default(),
             boot,
-            wake_engine: tokio::sync::Notify::new(),
             reported: watch::Sender::new(0),
-            chunk_bytes_sent: Cell::new(0),
             instruments: status::Instruments::new(&node.metrics.meter()),
             setting,
         });
@@ -162,7 +180,7 @@
 
     /// Bytes of chunks that were sent to other boxes.
     pub fn chunk_bytes_sent(&self) -> u64 {
-        self.chunk_bytes_sent.get()
+        self.host.bytes_sent.get()
     }
 
     /// Versions that may take requests here.
@@ -210,7 +228,7 @@
         let assignment = placement::assign(&demands, view.live_model_boxes());
         self.reconcile_bursts(&assignment, |name| view.get(name).cloned());
         drop(view);
-        self.wake_engine.notify_one();
+        self.host.wake.notify_one();
     }
 
     fn reconcile_bursts(
@@ -233,10 +251,12 @@
                 .bursts
                 .borrow_mut()
                 .entry(carry.digest)
-                .or_insert_with(|| Burst::start(self, carry.digest, carry.favour))
+                .or_insert_with(|| {
+                    Burst::start(&self.host, self.origin.clone(), carry.digest, carry.favour)
+                })
                 .clone();
             burst.set_wanted(true);
-            burst.set_members(self, members);
+            burst.set_members(&self.host, members);
         }
         for (digest, burst) in self.bursts.borrow().iter() {
             if !carried.iter().any(|carry| carry.digest == *digest) {
--- a/src/agent/engine.rs
+++ b/src/agent/engine.rs
@@ -35,7 +35,7 @@
     let mut last_pass = agent.node.clock.now();
     loop {
         let pause = if agent.loading() { POLL_LOADING } else { POLL };
-        let _ = actix_rt::time::timeout(pause, agent.wake_engine.notified()).await;
+        let _ = actix_rt::time::timeout(pause, agent.host.wake.notified()).await;
         look_again_after_pause(&agent, last_pass).await;
         last_pass = agent.node.clock.now();
         if agent.setting.node.role == crate::member::Role::Model {
@@ -88,6 +88,7 @@
             digest,
             source: format!("http://{}/v1/weights/{digest}", agent.node.setting.listen),
             bytes: agent
+                .host
                 .store
                 .borrow()
                 .manifest(digest)
@@ -186,7 +187,7 @@
     }
 
     fn locals(&self) -> BTreeMap<Digest, Local> {
-        let store = self.store.borrow();
+        let store = self.host.store.borrow();
         let gate = self.gate.borrow();
         let in_flight = self.in_flight.borrow();
         self.bursts
@@ -224,7 +225,7 @@
             .collect();
         for digest in released {
             self.bursts.borrow_mut().remove(&digest);
-            self.store.borrow_mut().release(digest);
+            self.host.store.borrow_mut().release(digest);
             self.node.audit(Deed::Released {
                 version: digest.short(),
             });
--- a/src/agent/serve.rs
+++ b/src/agent/serve.rs
@@ -9,6 +9,7 @@
 use tokio::net::TcpListener;
 
 use super::{Agent, door, status};
+use crate::burst::serve;
 use crate::http::{self, Answer, Server, Wrap};
 use crate::weight::Digest;
 use crate::wire::{self, Report};
@@ -60,28 +61,10 @@
 }
 
 async fn swarm(agent: Rc<Agent>, digest: &str, rest: &[&str]) -> Answer {
-    let burst = digest
-        .parse::<Digest>()
-        .ok()
-        .and_then(|digest| Some((digest, agent.burst(digest)?)));
-    let Some((digest, burst)) = burst else {
-        return http::status(StatusCode::NOT_FOUND);
-    };
-    match rest {
-        ["manifest"] => match agent.store.borrow().manifest(digest) {
-            Some(manifest) => http::pack(StatusCode::OK, manifest),
-            None => http::status(StatusCode::NOT_FOUND),
-        },
-        ["have"] => http::stream(
-            StatusCode::OK,
-            "application/octet-stream",
-            burst.have_stream(),
-        ),
-        ["chunks", index] => match index.parse() {
-            Ok(index) => burst.upload(agent, index).await,
-            Err(_) => http::status(StatusCode::BAD_REQUEST),
-        },
-        _ => http::status(StatusCode::NOT_FOUND),
+    let burst = digest.parse().ok().and_then(|digest| agent.burst(digest));
+    match burst {
+        Some(burst) => serve::answer(&agent.host, burst, rest).await,
+        None => http::status(StatusCode::NOT_FOUND),
     }
 }
 
@@ -94,12 +77,12 @@
     let Ok(digest) = digest.parse::<Digest>() else {
         return http::status(StatusCode::BAD_REQUEST);
     };
-    if !agent.store.borrow().complete(digest) {
+    if !agent.host.store.borrow().complete(digest) {
         return http::status(StatusCode::NOT_FOUND);
     }
     let agent = agent.clone();
     let chunks = stream::unfold(0, move |index| {
-        let chunk = agent.store.borrow().get(digest, index);
+        let chunk = agent.host.store.borrow().get(digest, index);
         async move { chunk.map(|bytes| (Ok(bytes), index + 1)) }
     });
     http::stream(StatusCode::OK, "application/octet-stream", chunks)
--- a/src/agent/status.rs
+++ b/src/agent/status.rs
@@ -6,14 +6,12 @@
 
 use super::Agent;
 use crate::config::Rejected;
-use crate::spread::swarm::{Outcome, Tally};
+use crate::spread::swarm::Tally;
 use crate::weight::Digest;
 
 /// OpenTelemetry instruments of an agent.
 #[derive(Debug)]
 pub struct Instruments {
-    chunks: Counter<u64>,
-    origin: Counter<u64>,
     requests: Counter<u64>,
 }
 
@@ -21,15 +19,6 @@
     /// Registers them.
     pub fn new(meter: &Meter) -> Self {
         Self {
-            chunks: meter
-                .u64_counter("pumicelatch.agent.chunks")
-                .with_description("Fetches of chunks by outcome")
-                .build(),
-            origin: meter
-                .u64_counter("pumicelatch.agent.origin")
-                .with_unit("By")
-                .with_description("Bytes of chunks drawn from the origin")
-                .build(),
             requests: meter
                 .u64_counter("pumicelatch.agent.requests")
                 .with_description("Requests at the door, by whether they were admitted")
@@ -37,27 +26,6 @@
         }
     }
 
-    /// A fetch ended.
-    pub fn chunk(&self, outcome: Outcome) {
-        let name = match outcome {
-            Outcome::Stored => "stored",
-            Outcome::Corrupt => "corrupt",
-            Outcome::Busy => "busy",
-            Outcome::Failed => "failed",
-        };
-        self.chunks.add(1, &[KeyValue::new("outcome", name)]);
-    }
-
-    /// A stalled fetch was dropped.
-    pub fn cancelled(&self) {
-        self.chunks.add(1, &[KeyValue::new("outcome", "cancelled")]);
-    }
-
-    /// Bytes came from the origin.
-    pub fn drew(&self, bytes: u64) {
-        self.origin.add(bytes, &[]);
-    }
-
     /// A request came to the door.
     pub fn request(&self, admitted: &'static str) {
         self.requests.add(1, &[KeyValue::new("admitted", admitted)]);
@@ -116,7 +84,7 @@
         .borrow()
         .iter()
         .map(|(digest, burst)| {
-            let (chunks_held, chunks) = agent.store.borrow().progress(*digest);
+            let (chunks_held, chunks) = agent.host.store.borrow().progress(*digest);
             VersionStatus {
                 digest: *digest,
                 wanted: burst.wanted(),
@@ -135,7 +103,7 @@
         leaving: agent.leaving.get(),
         incarnation: gate.incarnation,
         in_flight: agent.in_flight.borrow().total(),
-        memory_bytes: agent.store.borrow().usage(),
+        memory_bytes: agent.host.store.borrow().usage(),
         versions,
         rejected: book
             .rejected()
--- /dev/null
+++ b/src/burst/fetch.rs
@@ -0,0 +1,165 @@
+//! Draws the manifest and the chunks of a version.
+
+use std::rc::{Rc, Weak};
+use std::time::Duration;
+
+use actix_http::StatusCode;
+use actix_rt::time::sleep;
+use futures_util::StreamExt;
+use rand::RngExt;
+
+use super::Burst;
+use super::host::{Host, Origin, decode_manifest, swarm_url};
+use crate::http;
+use crate::spread::ring::{self, Member};
+use crate::spread::swarm::{FetchKey, Outcome, Source};
+use crate::weight::Manifest;
+
+/// How long a manifest may take to arrive.
+const MANIFEST_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Pause between two rounds of asking for the manifest.
+const MANIFEST_PAUSE: Duration = Duration::from_millis(50);
+
+/// Rounds after which a box that is no sponsor asks the origin for the manifest itself.
+const MANIFEST_ROUNDS: u32 = 40;
+
+/// Longest manifest.
+const MANIFEST_MAX: usize = 8 << 20;
+
+/// Asks the origin or peers until a manifest holds.
+pub(super) async fn manifest(host: &Rc<Host>, burst: &Weak<Burst>) -> Option<Manifest> {
+    let mut round = 0;
+    loop {
+        let strong = burst.upgrade()?;
+        let (version, origin) = (strong.version, strong.origin.clone());
+        let sources = strong.manifest_sources(host, round);
+        drop(strong);
+        for source in sources {
+            match source.get(host, &*origin).await {
+                Ok(manifest) => match origin.check(version, &manifest) {
+                    Ok(()) => return Some(manifest),
+                    Err(error) => log::warn!(source = source.url(); "{error}"),
+                },
+                Err(reason) => log::debug!(source = source.url(); "manifest: {reason}"),
+            }
+        }
+        round += 1;
+        sleep(MANIFEST_PAUSE).await;
+    }
+}
+
+/// Where a manifest may come from.
+enum ManifestSource {
+    Origin(String),
+    Peer(String),
+}
+
+impl ManifestSource {
+    fn url(&self) -> &str {
+        match self {
+            Self::Origin(url) | Self::Peer(url) => url,
+        }
+    }
+
+    async fn get(&self, host: &Host, origin: &dyn Origin) -> Result<Manifest, String> {
+        let body = http::get(&host.client.0, self.url(), MANIFEST_MAX, MANIFEST_TIMEOUT);
+        let body = body.await.map_err(|error| error.to_string())?;
+        let manifest = match self {
+            Self::Origin(_) => origin.decode(&body),
+            Self::Peer(_) => decode_manifest(&body),
+        };
+        manifest.map_err(|error| error.to_string())
+    }
+}
+
+impl Burst {
+    fn manifest_sources(&self, host: &Host, round: u32) -> Vec<ManifestSource> {
+        let members = self.ring();
+        let sponsors = ring::sponsors(self.version, &members, host.spread.sponsors);
+        let mut sources = Vec::new();
+        if sponsors.contains(&host.name) || round >= MANIFEST_ROUNDS {
+            let url = self.origin.manifest_url(self.version);
+            sources.push(ManifestSource::Origin(url));
+        }
+        let others: Vec<&Member> = members
+            .iter()
+            .filter(|member| member.name != host.name)
+            .collect();
+        if !others.is_empty() {
+            let index = rand::rng().random_range(0..others.len());
+            let address = self.members.borrow()[&others[index].name].address;
+            let base = swarm_url(address, self.version);
+            sources.push(ManifestSource::Peer(format!("{base}/manifest")));
+        }
+        sources
+    }
+}
+
+/// One chunk to draw.
+pub(super) struct Draw {
+    /// The fetch that reports back.
+    pub key: FetchKey,
+    /// The chunk's place in the manifest.
+    pub chunk: u32,
+    /// Whom to ask.
+    pub source: Source,
+    /// Where exactly.
+    pub url: String,
+}
+
+/// Draws one chunk and reports how that ended.
+pub(super) async fn fetch(host: Rc<Host>, burst: Weak<Burst>, draw: Draw) {
+    let outcome = draw.run(&host, &burst).await;
+    if let Some(strong) = burst.upgrade() {
+        strong.fetches.borrow_mut().remove(&draw.key);
+        strong.finish(&host, draw.key, draw.chunk, outcome);
+        strong.plan(&host);
+    }
+}
+
+impl Draw {
+    async fn run(&self, host: &Rc<Host>, burst: &Weak<Burst>) -> Outcome {
+        let Some(version) = burst.upgrade().map(|burst| burst.version) else {
+            return Outcome::Failed;
+        };
+        let Ok(mut response) = host.client.0.get(&self.url).send().await else {
+            return Outcome::Failed;
+        };
+        match response.status() {
+            StatusCode::OK => {}
+            StatusCode::SERVICE_UNAVAILABLE => return Outcome::Busy,
+            _ => return Outcome::Failed,
+        }
+        let Ok(mut receipt) = host.store.borrow().receive(version, self.chunk) else {
+            return Outcome::Failed;
+        };
+        while let Some(part) = response.next().await {
+            let Ok(part) = part else {
+                return Outcome::Failed;
+            };
+            if receipt.push(&part).is_err() {
+                return Outcome::Corrupt;
+            }
+            if let Some(strong) = burst.upgrade()
+                && let Some(swarm) = strong.swarm.borrow_mut().as_mut()
+            {
+                swarm.progress(self.key, host.clock.now());
+            }
+        }
+        if !receipt.full() {
+            return Outcome::Failed;
+        }
+        let Ok(chunk) = receipt.finish() else {
+            log::warn!(source = self.url.as_str(); "chunk failed verification");
+            return Outcome::Corrupt;
+        };
+        if self.source == Source::Origin {
+            host.instruments.drew(chunk.len() as u64);
+        }
+        match host.store.borrow_mut().put(chunk) {
+            Ok(true) => Outcome::Stored,
+            _ => Outcome::Failed,
+        }
+    }
+}
--- a/src/config.rs
+++ b/src/config.rs
@@ -4,6 +4,9 @@
 //! whole or not at all, keeps the last good fleet of a customer whose newest value is invalid, and
 //! refuses whatever would bring an older revision back.
 
+pub mod belief;
+pub mod routing;
+
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
--- /dev/null
+++ b/src/config/belief.rs
@@ -0,0 +1,362 @@
+//! What a process believes of the platform: routing, wanted versions of models, and replicas.
+//!
+//! Every fact carries the revision that set it, and a fact of an older revision never replaces a
+//! newer one, from wherever it comes: the platform's store or another process of the system.
+
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use super::routing::{Document, Routing};
+use crate::clock::Time;
+use crate::member::replica::Record;
+
+/// How long a removal is doubted that comes just after the store was out of reach: leases run out
+/// while it is, and a live replica writes itself again with its next heartbeat.
+pub const DOUBT: Duration = Duration::from_millis(1_250);
+
+/// Versions of a model that are remembered: a bound may run for each of them.
+const NAMED_MAX: usize = 16;
+
+/// Replicas that have to vanish together before that is doubted.
+const VANISHED_MIN: usize = 3;
+
+/// Removals that are remembered, so that an old entry does not come back.
+const REMOVALS_MAX: usize = 8_192;
+
+/// One fact of the store.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Fact {
+    /// The routing configuration.
+    Routing(Arc<Document>),
+    /// The wanted version of a model.
+    Version {
+        /// The model.
+        model: Arc<str>,
+        /// The version that replicas are to hold.
+        version: u64,
+    },
+    /// A replica as it describes itself.
+    Replica(Record),
+    /// A replica's entry was removed.
+    ReplicaGone(Arc<str>),
+}
+
+/// A fact and the revision that set it.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Dated {
+    /// The revision.
+    pub revision: u64,
+    /// The fact.
+    pub fact: Fact,
+}
+
+/// A version that was named for a model.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Wanted {
+    /// The version.
+    pub version: u64,
+    /// The revision that named it.
+    pub revision: u64,
+    /// When this process first heard of it, less how long others knew it before.
+    pub since: Time,
+}
+
+/// A listed replica.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Listed {
+    /// What it says of itself.
+    pub record: Record,
+    /// The revision of that.
+    pub revision: u64,
+    /// When its entry went, unless it is there.
+    pub gone: Option<Time>,
+    /// Whether the removal is doubted, because the store was out of reach shortly before.
+    pub doubted: bool,
+}
+
+/// What changed with a fact.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Effect {
+    /// Nothing: it is not newer.
+    None,
+    /// The routing configuration.
+    Routing,
+    /// A model's wanted version.
+    Version,
+    /// The list of replicas.
+    Replicas,
+}
+
+/// How fresh a process's facts are, for comparing with another.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct Marks {
+    /// Revision of the routing configuration, 0 if none is known.
+    pub routing: u64,
+    /// Highest revision of the wanted versions.
+    pub versions: u64,
+    /// Revision of the newest change in the list of replicas.
+    pub replicas: u64,
+}
+
+/// Beliefs.
+#[derive(Debug, Default)]
+pub struct Belief {
+    routing: Option<(u64, Rc<Routing>)>,
+    versions: BTreeMap<Arc<str>, Vec<Wanted>>,
+    replicas: BTreeMap<Arc<str>, Listed>,
+    replicas_at: u64,
+    replicas_changed: u64,
+    removals: BTreeMap<Arc<str>, u64>,
+}
+
+impl Belief {
+    /// The routing configuration in force.
+    pub fn routing(&self) -> Option<&Rc<Routing>> {
+        self.routing.as_ref().map(|(_, routing)| routing)
+    }
+
+    /// The newest version that was named for a model.
+    pub fn wanted(&self, model: &str) -> Option<Wanted> {
+        self.versions.get(model)?.last().copied()
+    }
+
+    /// The newest named version of each model.
+    pub fn versions(&self) -> impl Iterator<Item = (&Arc<str>, Wanted)> {
+        self.versions
+            .iter()
+            .filter_map(|(model, named)| Some((model, *named.last()?)))
+    }
+
+    /// The oldest version of a model on which a request may start, where a named version is due
+    /// `bound` after it was heard of.
+    pub fn oldest_allowed(&self, model: &str, bound: Duration, now: Time) -> u64 {
+        let named = self.versions.get(model).map(Vec::as_slice);
+        named
+            .unwrap_or_default()
+            .iter()
+            .filter(|wanted| now.since(wanted.since) >= bound)
+            .map(|wanted| wanted.version)
+            .max()
+            .unwrap_or(0)
+    }
+
+    /// All replicas that are listed, and those whose removal is young.
+    pub fn replicas(&self) -> &BTreeMap<Arc<str>, Listed> {
+        &self.replicas
+    }
+
+    /// Whether the list of replicas was ever read.
+    pub fn lists_replicas(&self) -> bool {
+        self.replicas_at > 0
+    }
+
+    /// How fresh everything is.
+    pub fn marks(&self) -> Marks {
+        Marks {
+            routing: self.routing.as_ref().map_or(0, |(revision, _)| *revision),
+            versions: self
+                .versions()
+                .map(|(_, wanted)| wanted.revision)
+                .max()
+                .unwrap_or(0),
+            replicas: self.replicas_changed,
+        }
+    }
+
+    /// Takes one fact. `shaky` tells that the store was out of reach shortly before.
+    pub fn learn(&mut self, dated: Dated, now: Time, shaky: bool) -> Effect {
+        let revision = dated.revision;
+        match dated.fact {
+            Fact::Routing(document) => self.learn_routing(revision, document),
+            Fact::Version { model, version } => self.learn_version(revision, model, version, now),
+            Fact::Replica(record) => self.learn_replica(revision, record),
+            Fact::ReplicaGone(id) => self.forget_replica(revision, &id, now, shaky),
+        }
+    }
+
+    fn learn_routing(&mut self, revision: u64, document: Arc<Document>) -> Effect {
+        let newer = self.routing.as_ref().is_none_or(|(known, routing)| {
+            *known < revision && routing.document.version < document.version
+        });
+        if !newer {
+            return Effect::None;
+        }
+        let document = Arc::unwrap_or_clone(document);
+        self.routing = Some((revision, Rc::new(Routing::new(document))));
+        Effect::Routing
+    }
+
+    fn learn_version(
+        &mut self,
+        revision: u64,
+        model: Arc<str>,
+        version: u64,
+        since: Time,
+    ) -> Effect {
+        let named = self.versions.entry(model).or_default();
+        if named.last().is_some_and(|known| known.version >= version) {
+            return Effect::None;
+        }
+        if named.len() == NAMED_MAX {
+            named.remove(0);
+        }
+        named.push(Wanted {
+            version,
+            revision,
+            since,
+        });
+        Effect::Version
+    }
+
+    fn learn_replica(&mut self, revision: u64, record: Record) -> Effect {
+        if self
+            .removals
+            .get(&record.id)
+            .is_some_and(|gone| *gone >= revision)
+        {
+            return Effect::None;
+        }
+        let known = self.replicas.get(&record.id);
+        if known.is_some_and(|known| known.revision >= revision) {
+            return Effect::None;
+        }
+        let unchanged = known.is_some_and(|known| known.record == record && known.gone.is_none());
+        if !unchanged {
+            self.replicas_changed = self.replicas_changed.max(revision);
+        }
+        self.replicas.insert(
+            record.id.clone(),
+            Listed {
+                record,
+                revision,
+                gone: None,
+                doubted: false,
+            },
+        );
+        if unchanged {
+            Effect::None
+        } else {
+            Effect::Replicas
+        }
+    }
+
+    fn forget_replica(&mut self, revision: u64, id: &Arc<str>, now: Time, shaky: bool) -> Effect {
+        let Some(known) = self.replicas.get_mut(id) else {
+            return Effect::None;
+        };
+        if known.revision > revision || known.gone.is_some() {
+            return Effect::None;
+        }
+        known.gone = Some(now);
+        let service = known.record.service.clone();
+        known.doubted = shaky;
+        if self.vanishing(&service, now) {
+            self.doubt_all(&service, now);
+        }
+        self.removals.insert(id.clone(), revision);
+        self.replicas_changed = self.replicas_changed.max(revision);
+        Effect::Replicas
+    }
+
+    /// Whether a good part of a service's replicas lost their entries at about the same time. That
+    /// is more likely the store's doing than theirs.
+    fn vanishing(&self, service: &str, now: Time) -> bool {
+        let replicas = || {
+            let all = self.replicas.values();
+            all.filter(|listed| &*listed.record.service == service && !listed.record.leaving)
+        };
+        let vanished = replicas()
+            .filter(|listed| listed.gone.is_some_and(|gone| now.since(gone) < DOUBT))
+            .count();
+        vanished >= VANISHED_MIN && vanished * 3 >= replicas().count()
+    }
+
+    fn doubt_all(&mut self, service: &str, now: Time) {
+        for listed in self.replicas.values_mut() {
+            let young = listed.gone.is_some_and(|gone| now.since(gone) < DOUBT);
+            listed.doubted |= young && &*listed.record.service == service;
+        }
+    }
+
+    /// Takes a whole list as of `revision`: what is known and not in it has gone.
+    pub fn learn_list(
+        &mut self,
+        records: Vec<(u64, Record)>,
+        revision: u64,
+        now: Time,
+        shaky: bool,
+    ) -> Effect {
+        if revision < self.replicas_at {
+            return Effect::None;
+        }
+        let mut effect = Effect::None;
+        let missing: Vec<Arc<str>> = self
+            .replicas
+            .keys()
+            .filter(|id| !records.iter().any(|(_, record)| record.id == **id))
+            .cloned()
+            .collect();
+        for (at, record) in records {
+            if self.learn_replica(at, record) != Effect::None {
+                effect = Effect::Replicas;
+            }
+        }
+        for id in missing {
+            if self.forget_replica(revision, &id, now, shaky) != Effect::None {
+                effect = Effect::Replicas;
+            }
+        }
+        self.reached(revision);
+        effect
+    }
+
+    /// The list of replicas is known up to `revision`.
+    pub fn reached(&mut self, revision: u64) {
+        self.replicas_at = self.replicas_at.max(revision);
+    }
+
+    /// Takes a wanted version that another process has known for `age`.
+    pub fn learn_aged(
+        &mut self,
+        model: Arc<str>,
+        wanted: Wanted,
+        age: Duration,
+        now: Time,
+    ) -> Effect {
+        let since = now - age;
+        let effect = self.learn_version(wanted.revision, model.clone(), wanted.version, since);
+        let named = self.versions.get_mut(&model).and_then(|all| all.last_mut());
+        if let Some(known) = named
+            && known.version == wanted.version
+        {
+            known.since = known.since.min(since);
+        }
+        effect
+    }
+
+    /// Drops replicas that went long enough ago. Returns whether any was dropped.
+    pub fn sweep(&mut self, now: Time) -> bool {
+        let before = self.replicas.len();
+        self.replicas.retain(|_, listed| match listed.gone {
+            None => true,
+            Some(gone) => listed.doubted && now.since(gone) < DOUBT,
+        });
+        while self.removals.len() > REMOVALS_MAX {
+            let oldest = self.removals.iter().min_by_key(|(_, revision)| **revision);
+            let Some(id) = oldest.map(|(id, _)| id.clone()) else {
+                break;
+            };
+            self.removals.remove(&id);
+        }
+        before != self.replicas.len()
+    }
+
+    /// Whether a doubted removal still waits for its end.
+    pub fn doubts(&self) -> bool {
+        self.replicas.values().any(|listed| listed.gone.is_some())
+    }
+}
--- /dev/null
+++ b/src/config/routing.rs
@@ -0,0 +1,263 @@
+//! A routing configuration: hosts and paths, services, customers' keys, and limits on callers.
+//!
+//! [`Document`] is plain data that travels between processes; [`Routing`] is a document in force,
+//! with its indexes.
+
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+/// What may be repeated of a route's requests.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum Kind {
+    /// They may run more than once.
+    Idempotent,
+    /// They may run at most once.
+    NonIdempotent,
+    /// Their answers are streams of numbered events.
+    Streaming,
+}
+
+/// One of the services that share a route.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Share {
+    /// The service.
+    pub service: Arc<str>,
+    /// Its weight among the route's shares.
+    pub weight: u32,
+}
+
+/// A route.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Route {
+    /// Its name.
+    pub name: Arc<str>,
+    /// The host that its requests name, in lower case.
+    pub host: String,
+    /// The beginning of its paths.
+    pub prefix: String,
+    /// What may be repeated.
+    pub kind: Kind,
+    /// Longest time that a request may be held, in milliseconds.
+    pub timeout_ms: u64,
+    /// Time within which an answer (a stream's first event) is in time, in milliseconds.
+    pub objective_ms: u64,
+    /// Rank, 0 being the highest.
+    pub priority: u8,
+    /// Where its requests go.
+    pub shares: Vec<Share>,
+    /// Replicas to which one request may be sent.
+    pub attempts_max: u32,
+    /// Whether it takes requests without a key.
+    pub anonymous: bool,
+    /// Whether a stream may be taken up at another replica.
+    pub resumable: bool,
+}
+
+impl Route {
+    /// Whether a request may run twice.
+    pub fn repeatable(&self) -> bool {
+        match self.kind {
+            Kind::Idempotent => true,
+            Kind::NonIdempotent => false,
+            Kind::Streaming => self.resumable,
+        }
+    }
+
+    /// The service for `draw`, a number that is uniform over `0..u32::MAX`.
+    pub fn service(&self, draw: u32) -> Option<&Arc<str>> {
+        let total: u64 = self
+            .shares
+            .iter()
+            .map(|share| u64::from(share.weight))
+            .sum();
+        let mut place = (u64::from(draw) * total) >> 32;
+        for share in &self.shares {
+            let weight = u64::from(share.weight);
+            if place < weight {
+                return Some(&share.service);
+            }
+            place -= weight;
+        }
+        self.shares.last().map(|share| &share.service)
+    }
+}
+
+/// What a service's configuration says of its model engines.
+#[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
+pub struct Engine {
+    /// Requests that a replica writes at once.
+    pub slots: u32,
+    /// Tokens' memory of a replica.
+    pub memory_tokens: u64,
+    /// Milliseconds of a step.
+    pub step_ms: f64,
+    /// Milliseconds that each writing request adds to a step.
+    pub sequence_ms: f64,
+    /// Milliseconds that a thousand tokens of context add to a step.
+    pub context_ms_per_thousand: f64,
+    /// Prompt tokens read in a second.
+    pub read_per_s: f64,
+    /// Steps between two looks at the queue.
+    pub stride: u32,
+    /// Mean tokens of a prompt.
+    pub usual_prompt: f64,
+    /// Mean tokens of an answer.
+    pub usual_answer: f64,
+    /// The models that it serves.
+    pub models: Vec<Arc<str>>,
+    /// Chunks of a model's weights.
+    pub chunks: u32,
+    /// Bytes of a chunk.
+    pub chunk_bytes: u32,
+}
+
+/// A service.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Service {
+    /// Its name.
+    pub name: Arc<str>,
+    /// Connections that one of its replicas accepts from all callers together.
+    pub connections_max: u32,
+    /// Its engines, if it serves models.
+    pub engine: Option<Engine>,
+    /// Its address, if it is the origin of weights.
+    pub origin: Option<SocketAddr>,
+}
+
+/// A customer, as far as requests are concerned.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Customer {
+    /// Its name.
+    pub name: Arc<str>,
+    /// Its keys.
+    pub keys: Vec<String>,
+    /// Its rank, which goes before the route's.
+    pub priority: Option<u8>,
+}
+
+/// Limits on what a caller sends.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Limits {
+    /// Bytes of a head.
+    pub head_bytes: usize,
+    /// Bytes of a body.
+    pub body_bytes: usize,
+    /// Milliseconds in which a head has to come.
+    pub head_ms: u64,
+    /// Milliseconds that a connection may rest.
+    pub idle_ms: u64,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            head_bytes: 16 << 10,
+            body_bytes: 4 << 20,
+            head_ms: 3_000,
+            idle_ms: 15_000,
+        }
+    }
+}
+
+/// A routing configuration as plain data.
+#[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
+pub struct Document {
+    /// Its version, which rises in uneven steps.
+    pub version: u64,
+    /// Routes.
+    pub routes: Vec<Route>,
+    /// Services.
+    pub services: Vec<Service>,
+    /// Customers; none of them, and no request needs a key.
+    pub customers: Vec<Customer>,
+    /// Limits on callers.
+    pub limits: Limits,
+}
+
+/// Whose key a request carries.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Access<'a> {
+    /// The key's customer.
+    Customer(&'a Customer),
+    /// Nobody's, and none is needed.
+    Anonymous,
+    /// It has no valid key and needs one.
+    Denied,
+}
+
+/// A routing configuration in force.
+#[derive(Debug, Default)]
+pub struct Routing {
+    /// The configuration as it was published.
+    pub document: Document,
+    hosts: HashMap<String, Vec<usize>>,
+    keys: HashMap<String, usize>,
+    services: BTreeMap<Arc<str>, usize>,
+}
+
+impl Routing {
+    /// Puts `document` in force.
+    pub fn new(document: Document) -> Self {
+        let mut hosts: HashMap<String, Vec<usize>> = HashMap::new();
+        for (index, route) in document.routes.iter().enumerate() {
+            hosts.entry(route.host.clone()).or_default().push(index);
+        }
+        for routes in hosts.values_mut() {
+            routes.sort_by_key(|&index| std::cmp::Reverse(document.routes[index].prefix.len()));
+        }
+        let mut keys = HashMap::new();
+        for (index, customer) in document.customers.iter().enumerate() {
+            for key in &customer.keys {
+                keys.insert(key.clone(), index);
+            }
+        }
+        let services = document
+            .services
+            .iter()
+            .enumerate()
+            .map(|(index, service)| (service.name.clone(), index))
+            .collect();
+        Self {
+            document,
+            hosts,
+            keys,
+            services,
+        }
+    }
+
+    /// The route of `path` at `host`: the one with the longest prefix.
+    pub fn route(&self, host: &str, path: &str) -> Option<&Route> {
+        let routes = self.hosts.get(host)?;
+        routes
+            .iter()
+            .map(|&index| &self.document.routes[index])
+            .find(|route| path.starts_with(&route.prefix))
+    }
+
+    /// One service.
+    pub fn service(&self, name: &str) -> Option<&Service> {
+        let index = *self.services.get(name)?;
+        self.document.services.get(index)
+    }
+
+    /// The origin of weights.
+    pub fn origin(&self) -> Option<SocketAddr> {
+        self.document
+            .services
+            .iter()
+            .find_map(|service| service.origin)
+    }
+
+    /// Whether a request with `key` may use `route`.
+    pub fn access(&self, route: &Route, key: Option<&str>) -> Access<'_> {
+        let owner = key.and_then(|key| self.keys.get(key));
+        match owner {
+            Some(&index) => Access::Customer(&self.document.customers[index]),
+            None if route.anonymous || self.document.customers.is_empty() => Access::Anonymous,
+            None => Access::Denied,
+        }
+    }
+}
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -1,7 +1,8 @@
 //! What the daemons share at their outermost edge: options, signals, a planned stop.
 
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::path::{Path, PathBuf};
+use std::time::{Duration, SystemTime};
 
 use actix_rt::time::{sleep, timeout};
 use tokio::signal::unix::{SignalKind, signal};
@@ -16,6 +17,9 @@
 /// How often a stopping process looks whether it is idle.
 const LOOK: Duration = Duration::from_millis(50);
 
+/// How often a settings file is looked at.
+const RELOAD_LOOK: Duration = Duration::from_secs(1);
+
 /// How long a stopping process goes on accepting, so that those who route to it hear of it.
 pub const HEAR: Duration = Duration::from_secs(3);
 
@@ -148,6 +152,51 @@
     Ok(())
 }
 
+/// A task that has a settings file read again: on SIGHUP, and when the file changes by itself.
+/// Dropping it ends that.
+#[derive(Debug)]
+pub struct Reload(actix_rt::task::JoinHandle<()>);
+
+impl Drop for Reload {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+impl Reload {
+    /// Calls `read` whenever the file at `path` may have changed.
+    pub fn watch(path: PathBuf, read: impl Fn() -> Result<(), String> + 'static) -> Self {
+        Self(actix_rt::spawn(async move {
+            let mut hangup = signal(SignalKind::hangup()).ok();
+            let mut known = stamp(&path);
+            loop {
+                let told = async {
+                    match &mut hangup {
+                        Some(hangup) => hangup.recv().await,
+                        None => std::future::pending().await,
+                    }
+                };
+                let signalled = timeout(RELOAD_LOOK, told).await.is_ok();
+                let found = stamp(&path);
+                if !signalled && found == known {
+                    continue;
+                }
+                known = found;
+                match read() {
+                    Ok(()) => log::info!(signalled; "settings read again"),
+                    Err(error) => log::error!("settings not read again: {error}"),
+                }
+            }
+        }))
+    }
+}
+
+/// What tells one content of a file from another.
+fn stamp(path: &Path) -> Option<(SystemTime, u64)> {
+    let data = std::fs::metadata(path).ok()?;
+    Some((data.modified().ok()?, data.len()))
+}
+
 /// Waits until `idle`, at most for `longest`.
 pub async fn wait_idle(longest: Duration, idle: impl Fn() -> bool) {
     let all = async {
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -14,7 +14,7 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use actix_codec::Framed;
 use actix_http::body::BodySize;
@@ -31,6 +31,13 @@
 /// Idle connections kept for each peer.
 const IDLE_MAX: usize = 64;
 
+/// How long before a peer closes an idle connection, by its own word, it is not used any more.
+const IDLE_MARGIN: Duration = Duration::from_millis(500);
+
+/// Longest silence of a peer's machine, with bytes or probes unanswered, before its connection
+/// counts as lost.
+const LOST: Duration = Duration::from_millis(1_500);
+
 /// How an exchange failed.
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
@@ -75,6 +82,39 @@
     Never,
 }
 
+/// What ends an answer that tells no length.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Unframed {
+    /// Nothing: its connection's end cannot be told from a break, so it never counts as whole.
+    Broken,
+    /// The orderly end of its connection; a reset is a break.
+    EndsWithConnection,
+}
+
+/// How an exchange is to be made.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Options {
+    /// Whether a used connection will do.
+    pub reuse: Reuse,
+    /// Longest rest of a connection that is used again, unless its peer says less.
+    pub idle_max: Duration,
+    /// How long a connection may take to open.
+    pub connect_timeout: Duration,
+    /// What ends an answer without a length.
+    pub unframed: Unframed,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self {
+            reuse: Reuse::Allowed,
+            idle_max: Duration::from_secs(3_600),
+            connect_timeout: CONNECT_TIMEOUT,
+            unframed: Unframed::Broken,
+        }
+    }
+}
+
 /// A request.
 #[derive(Debug, Clone)]
 pub struct Request {
@@ -108,7 +148,8 @@
         found.map_or("", |(_, value)| value)
     }
 
-    fn head(&self, peer: SocketAddr) -> Result<RequestHead, Error> {
+    /// Its head, for `peer`.
+    pub fn head(&self, peer: SocketAddr) -> Result<RequestHead, Error> {
         let mut head = RequestHead::default();
         head.method = self.method.clone();
         head.uri = self.path.parse().map_err(not_sent)?;
@@ -127,7 +168,21 @@
 
 type Connection = Framed<TcpStream, ClientCodec>;
 
-type Idle = Rc<RefCell<BTreeMap<SocketAddr, Vec<Connection>>>>;
+/// A connection at rest.
+struct Kept {
+    connection: Connection,
+    since: Instant,
+    good_for: Option<Duration>,
+}
+
+impl Kept {
+    fn usable(&self, idle_max: Duration) -> bool {
+        let longest = self.good_for.map_or(idle_max, |good| good.min(idle_max));
+        self.since.elapsed() < longest && still_open(&self.connection)
+    }
+}
+
+type Idle = Rc<RefCell<BTreeMap<SocketAddr, Vec<Kept>>>>;
 
 /// Makes exchanges, and keeps idle connections.
 #[derive(Clone, Default)]
@@ -153,47 +208,72 @@
 
     /// Sends `request` to `peer` and returns the head of its answer.
     pub async fn send(&self, peer: SocketAddr, request: &Request) -> Result<Response, Error> {
+        let options = Options {
+            reuse: request.reuse,
+            ..Options::default()
+        };
         let head = request.head(peer)?;
-        let mut connection = self.connection(peer, request.reuse).await?;
-        let length = match request.body.len() {
-            0 => BodySize::Sized(0),
-            length => BodySize::Sized(length as u64),
+        let body = Some(request.body.clone());
+        self.exchange(peer, head, body, options).await
+    }
+
+    /// Sends a request of `head` and `body` to `peer` and returns the head of its answer.
+    pub async fn exchange(
+        &self,
+        peer: SocketAddr,
+        head: RequestHead,
+        body: Option<Bytes>,
+        options: Options,
+    ) -> Result<Response, Error> {
+        let mut connection = self.connection(peer, options).await?;
+        let length = match &body {
+            None => BodySize::None,
+            Some(body) => BodySize::Sized(body.len() as u64),
         };
         let item = Message::Item((RequestHeadType::Owned(head), length));
         Pin::new(&mut connection).write(item).map_err(not_sent)?;
-        if !request.body.is_empty() {
-            let chunk = Message::Chunk(Some(request.body.clone()));
+        if let Some(body) = body.filter(|body| !body.is_empty()) {
+            let chunk = Message::Chunk(Some(body));
             Pin::new(&mut connection).write(chunk).map_err(not_sent)?;
         }
-        poll_fn(|cx| Pin::new(&mut connection).flush(cx))
-            .await
-            .map_err(broken)?;
-        let head = poll_fn(|cx| Pin::new(&mut connection).next_item(cx)).await;
-        match head {
-            Some(Ok(head)) => Ok(Response::new(self.idle.clone(), peer, head, connection)),
-            Some(Err(error)) => Err(broken(error)),
-            None => Err(broken("the peer closed the connection")),
-        }
+        let (head, sent) = converse(&mut connection).await?;
+        let hop = Hop {
+            idle: self.idle.clone(),
+            peer,
+            // A peer that answered before it read the request may read the rest as another one.
+            reusable: sent,
+            unframed: options.unframed,
+        };
+        Ok(Response::new(hop, head, connection))
     }
 
-    async fn connection(&self, peer: SocketAddr, reuse: Reuse) -> Result<Connection, Error> {
-        if reuse == Reuse::Allowed {
+    async fn connection(&self, peer: SocketAddr, options: Options) -> Result<Connection, Error> {
+        if options.reuse == Reuse::Allowed {
             while let Some(kept) = self.kept(peer) {
-                if still_open(&kept) {
-                    return Ok(kept);
+                if kept.usable(options.idle_max) {
+                    return Ok(kept.connection);
                 }
             }
         }
-        let open = actix_rt::time::timeout(CONNECT_TIMEOUT, self.connect(peer));
+        let open = actix_rt::time::timeout(options.connect_timeout, self.connect(peer));
         let stream = open
             .await
             .map_err(|_| not_sent("no connection in time"))?
             .map_err(not_sent)?;
         let _ = stream.set_nodelay(true);
+        watch_for_loss(&stream);
         Ok(Framed::new(stream, ClientCodec::default()))
     }
 
-    fn kept(&self, peer: SocketAddr) -> Option<Connection> {
+    /// Closes connections that rested for longer than `idle_max`, or than their peers said.
+    pub fn reap(&self, idle_max: Duration) {
+        self.idle.borrow_mut().retain(|_, kept| {
+            kept.retain(|kept| kept.usable(idle_max));
+            !kept.is_empty()
+        });
+    }
+
+    fn kept(&self, peer: SocketAddr) -> Option<Kept> {
         self.idle.borrow_mut().get_mut(&peer)?.pop()
     }
 
@@ -210,6 +290,40 @@
     }
 }
 
+/// Writes what is due and reads the head of the answer, whichever comes first. Returns whether the
+/// request left whole.
+async fn converse(connection: &mut Connection) -> Result<(ResponseHead, bool), Error> {
+    let mut sent = false;
+    let mut failed = false;
+    let head = poll_fn(|cx| {
+        if !sent && !failed {
+            match Pin::new(&mut *connection).flush(cx) {
+                Poll::Ready(Ok(())) => sent = true,
+                Poll::Ready(Err(_)) => failed = true,
+                Poll::Pending => {}
+            }
+        }
+        Pin::new(&mut *connection).next_item(cx)
+    })
+    .await;
+    match head {
+        Some(Ok(head)) => Ok((head, sent)),
+        Some(Err(error)) => Err(broken(error)),
+        None => Err(broken("the peer closed the connection")),
+    }
+}
+
+/// Has the kernel notice a peer whose machine went silent: it neither closes nor resets.
+fn watch_for_loss(stream: &TcpStream) {
+    let socket = socket2::SockRef::from(stream);
+    let probes = socket2::TcpKeepalive::new()
+        .with_time(LOST)
+        .with_interval(Duration::from_secs(1))
+        .with_retries(1);
+    let _ = socket.set_tcp_keepalive(&probes);
+    let _ = socket.set_tcp_user_timeout(Some(LOST));
+}
+
 /// Whether an idle connection has neither been closed nor got bytes that nobody asked for.
 fn still_open(connection: &Connection) -> bool {
     let mut byte = [0];
@@ -235,12 +349,19 @@
     pub status: StatusCode,
     /// Its headers.
     pub headers: HeaderMap,
-    idle: Idle,
-    peer: SocketAddr,
+    hop: Hop,
     rest: Rest,
     until_close: bool,
 }
 
+/// Where an answer came from, and what becomes of its connection.
+struct Hop {
+    idle: Idle,
+    peer: SocketAddr,
+    reusable: bool,
+    unframed: Unframed,
+}
+
 impl std::fmt::Debug for Response {
     fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         write!(formatter, "Response({})", self.status)
@@ -248,16 +369,13 @@
 }
 
 impl Response {
-    fn new(idle: Idle, peer: SocketAddr, head: ResponseHead, connection: Connection) -> Self {
+    fn new(hop: Hop, head: ResponseHead, connection: Connection) -> Self {
         let kind = connection.codec_ref().message_type();
         let mut response = Self {
             status: head.status,
             headers: head.headers,
-            idle,
-            peer,
+            hop,
             rest: Rest::Whole,
-            // Without a length, HTTP/1.1 lets the connection's end end the body. That end cannot
-            // be told from a break, so such an answer never counts as whole.
             until_close: matches!(kind, MessageType::Stream),
         };
         match kind {
@@ -292,16 +410,40 @@
     }
 
     fn keep(&self, connection: Connection) {
-        if !connection.codec_ref().keep_alive() {
+        // Bytes after the whole answer belong to no request; nothing may follow them.
+        let clean = connection.is_read_buf_empty();
+        if !self.hop.reusable || !clean || !connection.codec_ref().keep_alive() {
             return;
         }
-        let mut idle = self.idle.borrow_mut();
-        let kept = idle.entry(self.peer).or_default();
+        let mut idle = self.hop.idle.borrow_mut();
+        let kept = idle.entry(self.hop.peer).or_default();
         if kept.len() < IDLE_MAX {
-            kept.push(connection);
+            kept.push(Kept {
+                connection,
+                since: Instant::now(),
+                good_for: self.good_for(),
+            });
         }
     }
 
+    /// How long the peer will keep the connection, by its own word.
+    fn good_for(&self) -> Option<Duration> {
+        let words = self.header("keep-alive").split(',');
+        let seconds = words
+            .filter_map(|word| word.trim().strip_prefix("timeout="))
+            .find_map(|seconds| seconds.trim().parse().ok())?;
+        Some(Duration::from_secs(seconds).saturating_sub(IDLE_MARGIN))
+    }
+
+    fn ends_with_connection(&self) -> bool {
+        self.until_close && self.hop.unframed == Unframed::EndsWithConnection
+    }
+
+    /// Whether the answer told where it ends.
+    pub fn framed(&self) -> bool {
+        !self.until_close
+    }
+
     fn ended(&mut self) {
         let rest = std::mem::replace(&mut self.rest, Rest::Whole);
         if let Rest::Open(payload) = rest {
@@ -326,6 +468,10 @@
                 self.ended();
                 Poll::Ready(None)
             }
+            Some(Ok(None)) | None if self.ends_with_connection() => {
+                self.rest = Rest::Whole;
+                Poll::Ready(None)
+            }
             Some(Err(error)) => {
                 self.rest = Rest::Cut;
                 Poll::Ready(Some(Err(broken(error))))
--- /dev/null
+++ b/src/gateway.rs
@@ -0,0 +1,308 @@
+//! The gateway: takes callers' requests by a routing configuration, and sends them straight to the
+//! replicas of the platform's list.
+//!
+//! * [`dialect`] is how callers and replicas speak.
+//! * [`call`] takes one request through admission and attempts; [`attempt`] is one exchange with a
+//!   replica, [`relay`] passes a stream on.
+//! * [`control`] answers other processes of the system.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::net::{IpAddr, SocketAddr};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use actix_rt::task::JoinHandle;
+use actix_rt::time::sleep;
+use tokio::net::TcpListener;
+
+use crate::daemon;
+use crate::exchange;
+use crate::http::{self, Server, Timing};
+use crate::knowledge::{Identity, Knowledge, gossip, store};
+use crate::metric::{self, Metrics};
+use crate::request::budget::{self, Budget};
+use crate::route::pool::Pool;
+use crate::source::{Source, Topic};
+
+pub mod attempt;
+pub mod call;
+pub mod control;
+pub mod dialect;
+pub mod event;
+pub mod relay;
+pub mod status;
+
+use dialect::Dialect;
+
+/// How often beliefs are looked over.
+const TICK: Duration = Duration::from_millis(200);
+
+/// Longest rest of a connection to a replica that is used again.
+pub const IDLE_MAX: Duration = Duration::from_millis(2_000);
+
+/// Time before the end of a planned stop that is kept free.
+const STOP_MARGIN: Duration = Duration::from_millis(700);
+
+/// Time for the last answers to leave the process.
+const LAST_BYTES: Duration = Duration::from_millis(200);
+
+/// How much longer than callers may rest a connection is kept.
+const IDLE_MARGIN: Duration = Duration::from_secs(1);
+
+/// A gateway's settings.
+#[derive(Debug, Clone)]
+pub struct Setting {
+    /// Who the process is, and where it listens to others.
+    pub identity: Identity,
+    /// Processes of the system to begin with.
+    pub seeds: Vec<SocketAddr>,
+    /// The port at which processes beside replicas listen.
+    pub sidecar_port: u16,
+    /// The bounds of the budget that all entries share.
+    pub budget: budget::Setting,
+    /// Time after which no request may start on an older version than the one that was named.
+    pub version_bound: Duration,
+    /// Seed of random choices.
+    pub seed: u64,
+}
+
+/// A gateway. It lives on one thread.
+pub struct Gateway {
+    /// Settings.
+    pub setting: Setting,
+    /// What the process knows.
+    pub knowledge: Rc<Knowledge>,
+    /// How callers and replicas speak.
+    pub dialect: Rc<dyn Dialect>,
+    /// Exchanges with replicas.
+    pub client: exchange::Client,
+    /// Replicas.
+    pub pool: RefCell<Pool>,
+    /// Metrics.
+    pub metrics: Metrics,
+    pool_at: Cell<u64>,
+    budgets: RefCell<BTreeMap<Arc<str>, Budget>>,
+    leaving: Cell<bool>,
+    in_flight: Cell<u64>,
+    instruments: status::Instruments,
+}
+
+/// The sockets that a gateway listens on.
+#[derive(Debug)]
+pub struct Listeners {
+    /// For callers.
+    pub front: TcpListener,
+    /// For the balancer's questions whether it is ready.
+    pub ready: TcpListener,
+    /// For other processes of the system.
+    pub control: TcpListener,
+    /// For those who read metrics.
+    pub metrics: Option<TcpListener>,
+}
+
+/// A running gateway. Dropping it stops its loops.
+pub struct Running {
+    /// The gateway.
+    pub gateway: Rc<Gateway>,
+    /// The server of callers.
+    pub front: Server,
+    _servers: Vec<Server>,
+    tasks: Vec<JoinHandle<()>>,
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        for task in &self.tasks {
+            task.abort();
+        }
+    }
+}
+
+impl Running {
+    /// Runs until a planned stop, which lasts `grace` at most, is over.
+    pub async fn serve_until_stopped(self, grace: Duration) -> Result<(), daemon::Error> {
+        let identity = &self.gateway.setting.identity;
+        log::info!(
+            name = &*identity.name, hall = &*identity.hall, address:% = identity.address,
+            version = env!("CARGO_PKG_VERSION");
+            "started"
+        );
+        daemon::stop_signal().await?;
+        let in_flight = self.gateway.in_flight();
+        log::info!(in_flight; "planned stop begins");
+        self.gateway.drain();
+        // The balancer goes on sending until it has heard of it.
+        sleep(daemon::HEAR).await;
+        self.front.stop_accepting();
+        let rest = grace.saturating_sub(daemon::HEAR + STOP_MARGIN);
+        daemon::wait_idle(rest, || self.gateway.in_flight() == 0).await;
+        sleep(LAST_BYTES).await;
+        log::info!(in_flight = self.gateway.in_flight(); "planned stop is over");
+        Ok(())
+    }
+}
+
+impl Gateway {
+    /// Starts a gateway on the present thread.
+    pub fn start(
+        setting: Setting,
+        dialect: Rc<dyn Dialect>,
+        source: Rc<dyn Source>,
+        listeners: Listeners,
+    ) -> Result<Running, metric::Error> {
+        let metrics = Metrics::new()?;
+        let knowledge = Knowledge::new(
+            setting.identity.clone(),
+            setting.seeds.clone(),
+            setting.seed,
+        );
+        let gateway = Rc::new(Self {
+            client: exchange::Client::default(),
+            pool: RefCell::new(Pool::new(setting.identity.hall.clone())),
+            pool_at: Cell::new(0),
+            budgets: RefCell::default(),
+            leaving: Cell::new(false),
+            in_flight: Cell::new(0),
+            instruments: status::Instruments::new(&metrics.meter()),
+            metrics,
+            knowledge: knowledge.clone(),
+            dialect,
+            setting,
+        });
+        let others = gateway.clone();
+        let tasks = vec![
+            actix_rt::spawn(store::follow(
+                knowledge.clone(),
+                source.clone(),
+                Topic::Operator,
+            )),
+            actix_rt::spawn(store::follow(knowledge.clone(), source, Topic::Replicas)),
+            actix_rt::spawn(gossip::run(knowledge, move || others.sidecars())),
+            actix_rt::spawn(gateway.clone().tick()),
+        ];
+        let front = gateway.serve_front(listeners.front);
+        let mut servers = vec![
+            gateway.serve(listeners.ready, control::ready),
+            gateway.serve(listeners.control, control::answer),
+        ];
+        if let Some(listener) = listeners.metrics {
+            servers.push(gateway.serve(listener, control::metrics));
+        }
+        Ok(Running {
+            gateway,
+            front,
+            _servers: servers,
+            tasks,
+        })
+    }
+
+    fn serve_front(self: &Rc<Self>, listener: TcpListener) -> Server {
+        let gateway = self.clone();
+        let timed = self.clone();
+        Server::with_timing(
+            listener,
+            http::plain(),
+            move |request, _| call::handle(gateway.clone(), request),
+            move || timed.timing(),
+        )
+    }
+
+    fn serve<F, Fut>(self: &Rc<Self>, listener: TcpListener, answer: F) -> Server
+    where
+        F: Fn(Rc<Self>, actix_http::Request) -> Fut + Copy + 'static,
+        Fut: Future<Output = http::Answer> + 'static,
+    {
+        let gateway = self.clone();
+        Server::start(listener, http::plain(), move |request, _| {
+            answer(gateway.clone(), request)
+        })
+    }
+
+    /// How callers' connections are treated, by the limits in force.
+    fn timing(&self) -> Timing {
+        let belief = self.knowledge.belief.borrow();
+        let limits = belief
+            .routing()
+            .map(|routing| routing.document.limits)
+            .unwrap_or_default();
+        Timing {
+            head: Duration::from_millis(limits.head_ms),
+            idle: Duration::from_millis(limits.idle_ms) + IDLE_MARGIN,
+            half_closed: false,
+        }
+    }
+
+    /// Where the processes beside replicas listen.
+    fn sidecars(&self) -> Vec<SocketAddr> {
+        let belief = self.knowledge.belief.borrow();
+        let mut hosts: Vec<IpAddr> = belief
+            .replicas()
+            .values()
+            .filter(|listed| !listed.record.models.is_empty())
+            .map(|listed| listed.record.address.ip())
+            .collect();
+        hosts.sort_unstable();
+        hosts.dedup();
+        let port = self.setting.sidecar_port;
+        hosts
+            .into_iter()
+            .map(|host| SocketAddr::new(host, port))
+            .collect()
+    }
+
+    async fn tick(self: Rc<Self>) {
+        loop {
+            sleep(TICK).await;
+            let now = self.knowledge.now();
+            let swept = self.knowledge.belief.borrow_mut().sweep(now);
+            if swept {
+                self.knowledge.changed.send_modify(|count| *count += 1);
+            }
+            self.client.reap(IDLE_MAX);
+        }
+    }
+
+    /// The pool, with the list as it is believed now.
+    fn refresh_pool(&self) {
+        let changes = *self.knowledge.changed.borrow();
+        if self.pool_at.replace(changes) != changes {
+            let belief = self.knowledge.belief.borrow();
+            self.pool.borrow_mut().update(belief.replicas());
+        }
+    }
+
+    /// Whether callers' requests can be served.
+    pub fn ready(&self) -> bool {
+        let belief = self.knowledge.belief.borrow();
+        !self.leaving.get() && belief.routing().is_some() && belief.lists_replicas()
+    }
+
+    /// Announces that the process stops: the balancer hears that it is not ready, and every answer
+    /// asks its caller to use another connection.
+    pub fn drain(&self) {
+        self.leaving.set(true);
+    }
+
+    /// Requests in progress.
+    pub fn in_flight(&self) -> u64 {
+        self.in_flight.get()
+    }
+
+    fn count_request(&self, service: &Arc<str>) {
+        let now = self.knowledge.now();
+        let mut budgets = self.budgets.borrow_mut();
+        let budget = budgets.entry(service.clone()).or_default();
+        budget.request(self.setting.budget, now);
+    }
+
+    /// Takes one repeat from the service's budget, if there is one.
+    fn spend_repeat(&self, service: &Arc<str>) -> bool {
+        let now = self.knowledge.now();
+        let entries = self.knowledge.peers.borrow().bound();
+        let mut budgets = self.budgets.borrow_mut();
+        let budget = budgets.entry(service.clone()).or_default();
+        budget.spend(self.setting.budget, entries, now)
+    }
+}
--- /dev/null
+++ b/src/gateway/attempt.rs
@@ -0,0 +1,296 @@
+//! One exchange with a replica.
+
+use std::future::Future;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use actix_http::Response as HttpResponse;
+use actix_http::body::BoxBody;
+use actix_rt::time::timeout;
+use bytes::Bytes;
+
+use super::call::{Course, Job};
+use super::dialect::{Forward, Reading};
+use super::{Gateway, IDLE_MAX};
+use crate::clock::Time;
+use crate::config::routing::Kind;
+use crate::exchange::{self, Options, Response, Reuse, Unframed};
+use crate::http::Answer;
+use crate::request::attempt::Ended;
+use crate::route::health::Sign;
+use crate::route::pool::{Choice, Key};
+
+/// How long a connection to a replica may take to open.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// Objectives that a replica may be silent before a request that may be repeated goes elsewhere.
+const SILENCE_FACTOR: u32 = 3;
+
+/// Shortest such silence.
+const SILENCE_MIN: Duration = Duration::from_millis(1_200);
+
+/// Longest whole answer that is gathered.
+const GATHERED_MAX: usize = 16 << 20;
+
+/// Highest rank that a replica knows.
+const URGENCY_MAX: u8 = 9;
+
+/// An attempt that failed.
+#[derive(Debug)]
+pub struct Failure {
+    /// How it ended.
+    pub ended: Ended,
+    /// What happened.
+    pub detail: String,
+    /// The replica's own answer, if it gave a failure.
+    pub answer: Option<Answer>,
+}
+
+impl Failure {
+    /// A failure without an answer.
+    pub fn new(ended: Ended, detail: impl Into<String>) -> Self {
+        Self {
+            ended,
+            detail: detail.into(),
+            answer: None,
+        }
+    }
+}
+
+fn name(ended: Ended) -> &'static str {
+    match ended {
+        Ended::NotSent => "not_sent",
+        Ended::Refused => "refused",
+        Ended::Misdirected => "misdirected",
+        Ended::Failed => "failed",
+        Ended::Broken => "broken",
+    }
+}
+
+/// An attempt, counted at its replica until it is dropped.
+pub struct Attempt {
+    gateway: Rc<Gateway>,
+    key: Key,
+    /// The replica's id.
+    pub replica: Arc<str>,
+    choice: Choice,
+    address: std::net::SocketAddr,
+    began: Time,
+}
+
+impl Drop for Attempt {
+    fn drop(&mut self) {
+        self.gateway.pool.borrow_mut().end(self.key);
+    }
+}
+
+impl Attempt {
+    /// Begins an attempt at a chosen replica, unless that has gone.
+    pub fn begin(gateway: &Rc<Gateway>, choice: Choice) -> Option<Self> {
+        let mut pool = gateway.pool.borrow_mut();
+        let replica = pool.get(choice.key)?;
+        let (id, address) = (replica.record.id.clone(), replica.record.address);
+        pool.begin(choice.key);
+        Some(Self {
+            gateway: gateway.clone(),
+            key: choice.key,
+            replica: id,
+            choice,
+            address,
+            began: gateway.knowledge.now(),
+        })
+    }
+
+    /// Notes something about the replica's health.
+    pub fn note(&self, sign: Sign) {
+        let now = self.gateway.knowledge.now();
+        self.gateway.pool.borrow_mut().note(self.key, sign, now);
+    }
+
+    /// Time since the attempt began.
+    pub fn elapsed(&self) -> Duration {
+        self.gateway.knowledge.now().since(self.began)
+    }
+
+    /// Counts a whole answer.
+    pub fn count_whole(&self) {
+        self.gateway.instruments.attempt("whole");
+    }
+
+    fn fail(&self, job: &Job, ended: Ended, sign: Sign, detail: String) -> Failure {
+        self.note(sign);
+        self.gateway.instruments.attempt(name(ended));
+        log::warn!(
+            request = job.ask.id.as_str(),
+            replica = &*self.replica,
+            ended = name(ended),
+            known_requests = self.choice.requests,
+            expected_ms = self.choice.expected.as_millis() as u64,
+            ms = self.elapsed().as_millis() as u64;
+            "attempt ended: {detail}"
+        );
+        Failure::new(ended, detail)
+    }
+
+    /// A failure after bytes left, because the answer is none or broke.
+    pub fn broken(&self, job: &Job, detail: String) -> Failure {
+        self.fail(job, Ended::Broken, Sign::Broken, detail)
+    }
+
+    /// Sends the request and reads the head of its answer.
+    pub async fn send(
+        self,
+        job: &Job,
+        last_event: Option<u64>,
+        version: Option<u64>,
+    ) -> Result<Begun, Failure> {
+        let now = self.gateway.knowledge.now();
+        let forward = Forward {
+            replica: &self.replica,
+            remaining: job.remaining(now),
+            customer: job.customer.as_deref(),
+            urgency: job.priority.min(URGENCY_MAX),
+            last_event,
+            version,
+        };
+        let head = self.gateway.dialect.forward(&job.head, forward);
+        let client = &self.gateway.client;
+        let exchange = client.exchange(self.address, head, job.body.clone(), options(job));
+        match self.within(job, exchange).await {
+            None => Err(self.silent(job)),
+            Some(Err(exchange::Error::NotSent { reason })) => {
+                let detail = format!("not sent: {reason}");
+                Err(self.fail(job, Ended::NotSent, Sign::Unreachable, detail))
+            }
+            Some(Err(error)) => Err(self.broken(job, error.to_string())),
+            Some(Ok(response)) => self.read(job, response).await,
+        }
+    }
+
+    /// Awaits `step` for as long as this replica may be silent.
+    pub async fn within<T>(&self, job: &Job, step: impl Future<Output = T>) -> Option<T> {
+        let remaining = job.remaining(self.gateway.knowledge.now());
+        let silence = if job.route.repeatable() {
+            (job.objective() * SILENCE_FACTOR).max(SILENCE_MIN)
+        } else {
+            remaining
+        };
+        timeout(silence.min(remaining), step).await.ok()
+    }
+
+    /// The replica was silent for as long as it may be.
+    pub fn silent(&self, job: &Job) -> Failure {
+        let late = job.remaining(self.gateway.knowledge.now()).is_zero();
+        let detail = if late {
+            "the request's time is over"
+        } else {
+            "the replica is silent"
+        };
+        self.broken(job, detail.to_owned())
+    }
+
+    async fn read(self, job: &Job, response: Response) -> Result<Begun, Failure> {
+        let status = response.status.as_u16();
+        match self.gateway.dialect.read(&response, &job.ask.id) {
+            Reading::Success { version } => Ok(Begun {
+                attempt: self,
+                response,
+                version,
+            }),
+            Reading::NotRun => {
+                let detail = format!("the replica answered {status}, not run");
+                Err(self.fail(job, Ended::Refused, Sign::Refused, detail))
+            }
+            Reading::Misdirected => {
+                let mut pool = self.gateway.pool.borrow_mut();
+                if version_asked_for(job) {
+                    pool.deny(self.key);
+                }
+                drop(pool);
+                let detail = "another replica has the address".to_owned();
+                Err(self.fail(job, Ended::Misdirected, Sign::None, detail))
+            }
+            Reading::Foreign => {
+                let detail = format!("answer {status} is none to this request");
+                Err(self.broken(job, detail))
+            }
+            Reading::Failure => self.own_failure(job, response).await,
+        }
+    }
+
+    /// Gathers a failure of the replica's own, to be passed on if nothing better comes.
+    async fn own_failure(self, job: &Job, response: Response) -> Result<Begun, Failure> {
+        let detail = format!("the replica answered {}", response.status.as_u16());
+        let begun = Begun {
+            attempt: self,
+            response,
+            version: None,
+        };
+        let (attempt, answer) = begun.whole(job).await?;
+        let mut failure = attempt.fail(job, Ended::Failed, Sign::Failed, detail);
+        failure.answer = Some(answer);
+        Err(failure)
+    }
+}
+
+/// Without a version in the request, 421 can only mean that the replica is another one.
+fn version_asked_for(job: &Job) -> bool {
+    job.ask.work.is_none() || job.route.kind != Kind::Streaming
+}
+
+fn options(job: &Job) -> Options {
+    Options {
+        // A connection that its replica closes just now would leave unknown whether the request
+        // ran.
+        reuse: if job.route.repeatable() {
+            Reuse::Allowed
+        } else {
+            Reuse::Never
+        },
+        idle_max: IDLE_MAX,
+        connect_timeout: CONNECT_TIMEOUT,
+        unframed: Unframed::EndsWithConnection,
+    }
+}
+
+/// An answer whose head came.
+pub struct Begun {
+    /// The attempt.
+    pub attempt: Attempt,
+    /// The answer.
+    pub response: Response,
+    /// The version of the weights behind it, if it told one.
+    pub version: Option<u64>,
+}
+
+impl Begun {
+    /// The head that the caller gets.
+    pub fn head(&self) -> HttpResponse<()> {
+        let mut answer = HttpResponse::with_body(self.response.status, ());
+        let headers = &self.response.headers;
+        let dialect = &self.attempt.gateway.dialect;
+        dialect.pass_headers(headers, answer.headers_mut());
+        answer
+    }
+
+    /// Gathers a whole success.
+    pub async fn gather(self, course: &Course) -> Result<Answer, Failure> {
+        let (attempt, answer) = self.whole(&course.job).await?;
+        attempt.note(Sign::Whole(attempt.elapsed()));
+        attempt.count_whole();
+        Ok(answer)
+    }
+
+    /// Gathers the whole answer.
+    async fn whole(mut self, job: &Job) -> Result<(Attempt, Answer), Failure> {
+        let read = self.response.read(GATHERED_MAX);
+        let body: Bytes = match self.attempt.within(job, read).await {
+            None => return Err(self.attempt.silent(job)),
+            Some(Err(error)) => return Err(self.attempt.broken(job, error.to_string())),
+            Some(Ok(body)) => body,
+        };
+        let answer = self.head().set_body(BoxBody::new(body));
+        Ok((self.attempt, answer))
+    }
+}
--- /dev/null
+++ b/src/gateway/call.rs
@@ -0,0 +1,543 @@
+//! One caller's request from its head to the head of its answer: admission and attempts.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use actix_http::{ConnectionType, Request, RequestHead};
+use actix_rt::time::{sleep, timeout};
+use bytes::Bytes;
+use rand::RngExt;
+
+use super::Gateway;
+use super::attempt::{Attempt, Begun, Failure};
+use super::dialect::{Ask, Code, Refusal};
+use super::relay::Relay;
+use crate::clock::Time;
+use crate::config::routing::{Access, Kind, Limits, Route, Routing};
+use crate::http::{self, Answer, Error};
+use crate::limit::admission::{self, Case, Verdict};
+use crate::request::Outcome;
+use crate::request::attempt::{self as next, Ended, Next, Situation};
+use crate::route::estimate::Demand;
+use crate::route::pool::{self, Choice, Key, ModelNeed, Shortage};
+
+/// When a caller should come back to a process that knows no configuration yet.
+const NOT_READY_RETRY: Duration = Duration::from_millis(300);
+
+/// When a caller should come back if a service has no replica.
+const NO_REPLICA_RETRY: Duration = Duration::from_millis(400);
+
+/// When a caller should come back after a replica refused its request.
+const REFUSED_RETRY: Duration = Duration::from_millis(150);
+
+/// Part of the version's bound, before its end, from which no older version is used: a request may
+/// wait at its replica before it starts.
+const VERSION_MARGIN: Duration = Duration::from_millis(700);
+
+/// Connections to a replica that an entry may always have.
+const CONNECTIONS_MIN: u32 = 3;
+
+/// Service time that is left out of the budget of a request that is tried again.
+const RETRY_TIME_MIN: Duration = Duration::from_millis(30);
+
+/// A request that was checked.
+pub struct Job {
+    /// What its head says.
+    pub ask: Ask,
+    /// The head itself.
+    pub head: RequestHead,
+    /// Its body, unless it has none.
+    pub body: Option<Bytes>,
+    /// Its route.
+    pub route: Route,
+    /// The service that it goes to.
+    pub service: Arc<str>,
+    /// The configuration that it is handled by.
+    pub routing: Rc<Routing>,
+    /// Its customer.
+    pub customer: Option<Arc<str>>,
+    /// Its rank.
+    pub priority: u8,
+    /// When its head came.
+    pub arrived: Time,
+    /// When it has to be over.
+    pub deadline: Time,
+}
+
+impl Job {
+    /// Time within which its first event is in time.
+    pub fn objective(&self) -> Duration {
+        Duration::from_millis(self.route.objective_ms)
+    }
+
+    /// Time until its deadline.
+    pub fn remaining(&self, now: Time) -> Duration {
+        self.deadline.since(now)
+    }
+
+    fn demand(&self) -> Demand {
+        let work = self.ask.work.as_ref();
+        Demand {
+            prompt: work.map_or(0, |work| work.prompt),
+            output: work.map_or(0, |work| work.output_hint.unwrap_or(work.output_max)),
+        }
+    }
+}
+
+/// Counts a request for as long as it lives, and writes down how it ended.
+pub struct Trace {
+    gateway: Rc<Gateway>,
+    /// Its id.
+    pub id: String,
+    /// Its route.
+    pub route: Arc<str>,
+    /// The replica that answers, or the last that was tried.
+    pub replica: Option<Arc<str>>,
+    /// Replicas that received it.
+    pub sent: u32,
+    /// Time to the first event of its stream.
+    pub first: Option<Duration>,
+    /// Why it ended as it did.
+    pub reason: String,
+    arrived: Time,
+    outcome: &'static str,
+}
+
+impl Trace {
+    fn begin(gateway: &Rc<Gateway>, arrived: Time) -> Self {
+        gateway.in_flight.set(gateway.in_flight.get() + 1);
+        Self {
+            gateway: gateway.clone(),
+            id: String::new(),
+            route: "".into(),
+            replica: None,
+            sent: 0,
+            first: None,
+            reason: String::new(),
+            arrived,
+            outcome: "caller_left",
+        }
+    }
+
+    /// Says how the request ended.
+    pub fn ended(&mut self, outcome: &'static str) {
+        self.outcome = outcome;
+    }
+
+    /// Time since the request's head came.
+    pub fn elapsed(&self) -> Duration {
+        self.gateway.knowledge.now().since(self.arrived)
+    }
+}
+
+impl Drop for Trace {
+    fn drop(&mut self) {
+        let gateway = &self.gateway;
+        gateway.in_flight.set(gateway.in_flight.get() - 1);
+        let took = self.elapsed();
+        gateway.instruments.request(self.outcome, took);
+        let belief = gateway.knowledge.belief.borrow();
+        let version = belief
+            .routing()
+            .map_or(0, |routing| routing.document.version);
+        log::info!(
+            request = self.id.as_str(),
+            route = &*self.route,
+            outcome = self.outcome,
+            replica = self.replica.as_deref().unwrap_or_default(),
+            sent = self.sent,
+            ms = took.as_millis() as u64,
+            first_ms = self.first.map_or(0, |first| first.as_millis() as u64),
+            config = version,
+            reason = self.reason.as_str();
+            "request ended"
+        );
+    }
+}
+
+/// Takes one caller's request.
+pub async fn handle(gateway: Rc<Gateway>, mut request: Request) -> Answer {
+    let arrived = gateway.knowledge.now();
+    let mut trace = Trace::begin(&gateway, arrived);
+    let prepared = prepare(&gateway, &mut request, &mut trace).await;
+    let mut answer = match prepared {
+        Ok(job) => {
+            gateway.count_request(&job.service);
+            let course = Course::new(gateway.clone(), Rc::new(job), trace);
+            course.run().await
+        }
+        Err(refusal) => refuse(&gateway, &mut trace, &refusal),
+    };
+    if gateway.leaving.get() {
+        answer.head_mut().set_connection_type(ConnectionType::Close);
+    }
+    answer
+}
+
+fn refuse(gateway: &Gateway, trace: &mut Trace, refusal: &Refusal) -> Answer {
+    trace.ended(refusal.code.name());
+    trace.reason.clone_from(&refusal.detail);
+    let id = (!trace.id.is_empty()).then_some(trace.id.as_str());
+    gateway.dialect.refuse(refusal, id)
+}
+
+async fn prepare(
+    gateway: &Gateway,
+    request: &mut Request,
+    trace: &mut Trace,
+) -> Result<Job, Refusal> {
+    let routing = gateway.knowledge.belief.borrow().routing().cloned();
+    let ask = gateway.dialect.ask(request.head());
+    if let Ok(ask) = &ask {
+        trace.id.clone_from(&ask.id);
+    }
+    let Some(routing) = routing else {
+        let refusal = Refusal::new(Code::NotReady, "no configuration is known yet");
+        return Err(refusal.retry_after(NOT_READY_RETRY));
+    };
+    let ask = ask.map_err(|error| Refusal::new(Code::Malformed, error.to_string()))?;
+    let limits = routing.document.limits;
+    check_head(request.head(), &ask, limits)?;
+    let route = routing
+        .route(&ask.host, &ask.path)
+        .cloned()
+        .ok_or_else(|| Refusal::new(Code::NoRoute, "no route takes this host and path"))?;
+    trace.route = route.name.clone();
+    let (customer, priority) = match routing.access(&route, ask.key.as_deref()) {
+        Access::Customer(customer) => (
+            Some(customer.name.clone()),
+            customer.priority.unwrap_or(route.priority),
+        ),
+        Access::Anonymous => (None, route.priority),
+        Access::Denied => {
+            let text = "a valid key is needed";
+            return Err(Refusal::new(Code::NoAccess, text));
+        }
+    };
+    let draw = gateway.knowledge.rng.borrow_mut().random();
+    let service = route
+        .service(draw)
+        .cloned()
+        .ok_or_else(|| Refusal::new(Code::NoRoute, "the route has no service"))?;
+    let held = Duration::from_millis(route.timeout_ms);
+    let longest = ask.deadline.map_or(held, |deadline| deadline.min(held));
+    let arrived = trace.arrived;
+    let body = read_body(request, limits, longest).await?;
+    Ok(Job {
+        head: copy_head(request.head()),
+        ask,
+        body,
+        route,
+        service,
+        routing,
+        customer,
+        priority,
+        arrived,
+        deadline: arrived + longest,
+    })
+}
+
+fn copy_head(head: &RequestHead) -> RequestHead {
+    let mut copy = RequestHead::default();
+    copy.method = head.method.clone();
+    copy.uri = head.uri.clone();
+    copy.headers = head.headers.clone();
+    copy
+}
+
+fn check_head(head: &RequestHead, ask: &Ask, limits: Limits) -> Result<(), Refusal> {
+    let line = head
+        .uri
+        .path_and_query()
+        .map_or(0, |path| path.as_str().len());
+    let fields = head.headers.iter();
+    let length: usize = fields
+        .map(|(name, value)| name.as_str().len() + value.len() + 4)
+        .sum();
+    if line + length > limits.head_bytes {
+        let text = format!("the head is longer than {} bytes", limits.head_bytes);
+        return Err(Refusal::new(Code::HeadTooLong, text));
+    }
+    if ask
+        .body_length
+        .is_some_and(|length| length > limits.body_bytes as u64)
+    {
+        let text = format!("the body is longer than {} bytes", limits.body_bytes);
+        return Err(Refusal::new(Code::BodyTooLong, text));
+    }
+    Ok(())
+}
+
+async fn read_body(
+    request: &mut Request,
+    limits: Limits,
+    longest: Duration,
+) -> Result<Option<Bytes>, Refusal> {
+    let none = matches!(request.payload(), actix_http::Payload::None);
+    if none {
+        return Ok(None);
+    }
+    match timeout(longest, http::read_request(request, limits.body_bytes)).await {
+        Err(_) => Err(Refusal::new(
+            Code::BodyTooSlow,
+            "the body did not come in time",
+        )),
+        Ok(Err(Error::TooLong { limit })) => {
+            let text = format!("the body is longer than {limit} bytes");
+            Err(Refusal::new(Code::BodyTooLong, text))
+        }
+        Ok(Err(error)) => Err(Refusal::new(Code::Malformed, error.to_string())),
+        Ok(Ok(body)) => Ok(Some(body)),
+    }
+}
+
+/// A request on its way.
+pub struct Course {
+    /// The gateway.
+    pub gateway: Rc<Gateway>,
+    /// The request.
+    pub job: Rc<Job>,
+    /// What is written down of it.
+    pub trace: Trace,
+    tried: Vec<Key>,
+    unreached: u32,
+    tainted: bool,
+    failure: Option<Answer>,
+}
+
+impl Course {
+    fn new(gateway: Rc<Gateway>, job: Rc<Job>, trace: Trace) -> Self {
+        Self {
+            gateway,
+            job,
+            trace,
+            tried: Vec::new(),
+            unreached: 0,
+            tainted: false,
+            failure: None,
+        }
+    }
+
+    async fn run(mut self) -> Answer {
+        loop {
+            let choice = match self.admit().await {
+                Ok(choice) => choice,
+                Err(refusal) => return self.give_up(&refusal),
+            };
+            let failure = match self.attempt(choice, self.job.ask.last_event, None).await {
+                Ok(begun) if self.job.route.kind == Kind::Streaming => {
+                    return Relay::new(self, begun).answer();
+                }
+                Ok(begun) => match begun.gather(&self).await {
+                    Ok(answer) => {
+                        self.trace.ended("whole");
+                        return answer;
+                    }
+                    Err(failure) => failure,
+                },
+                Err(failure) => failure,
+            };
+            if let Err(refusal) = self.follow_up(failure) {
+                return self.give_up(&refusal);
+            }
+        }
+    }
+
+    /// Ends with the replica's own failure if there is one, or else with `refusal`.
+    fn give_up(&mut self, refusal: &Refusal) -> Answer {
+        match self.failure.take() {
+            Some(answer) => {
+                self.trace.ended("failed");
+                self.trace.reason.clone_from(&refusal.detail);
+                answer
+            }
+            None => refuse(&self.gateway, &mut self.trace, refusal),
+        }
+    }
+
+    /// Notes a failed attempt. An error is the end.
+    fn follow_up(&mut self, failure: Failure) -> Result<(), Refusal> {
+        let (ended, detail) = self.take_failure(failure);
+        match next::after(ended, self.situation()) {
+            Next::Elsewhere { charged } => {
+                if !charged || self.gateway.spend_repeat(&self.job.service) {
+                    return Ok(());
+                }
+                let detail = format!("{detail}; no repeat is left in the budget");
+                Err(self.refusal_after(ended, detail))
+            }
+            Next::PassOn | Next::GiveUp(_) => Err(self.refusal_after(ended, detail)),
+        }
+    }
+
+    /// Takes what is to be kept of a failed attempt.
+    fn take_failure(&mut self, failure: Failure) -> (Ended, String) {
+        let Failure {
+            ended,
+            detail,
+            answer,
+        } = failure;
+        if ended == Ended::NotSent {
+            self.unreached += 1;
+        }
+        self.tainted |= next::ran(ended) != Outcome::NotRun;
+        if answer.is_some() {
+            self.failure = answer;
+        }
+        (ended, detail)
+    }
+
+    /// What is known of the request.
+    fn situation(&self) -> Situation {
+        let remaining = self.job.remaining(self.gateway.knowledge.now());
+        Situation {
+            repeatable: self.job.route.repeatable(),
+            tainted: self.tainted,
+            sent: self.trace.sent,
+            sent_max: self.job.route.attempts_max,
+            unreached: self.unreached,
+            time_left: remaining > RETRY_TIME_MIN,
+        }
+    }
+
+    /// What a caller is told when no further attempt is made.
+    fn refusal_after(&self, ended: Ended, detail: String) -> Refusal {
+        let late = self.job.remaining(self.gateway.knowledge.now()) <= RETRY_TIME_MIN;
+        if self.tainted || next::ran(ended) != Outcome::NotRun {
+            let code = if late {
+                Code::LateUnknown
+            } else {
+                Code::Broken
+            };
+            return Refusal::new(code, detail);
+        }
+        if late {
+            return Refusal::new(Code::LateNotRun, detail);
+        }
+        Refusal::new(Code::NoReplica, detail).retry_after(REFUSED_RETRY)
+    }
+
+    /// Chooses a replica, waits for one, or refuses.
+    async fn admit(&self) -> Result<Choice, Refusal> {
+        loop {
+            let (choice, idle) = self.choose(None);
+            let now = self.gateway.knowledge.now();
+            let remaining = self.job.remaining(now);
+            if self.trace.sent > 0 {
+                // A request that was sent already is worth the rest of its time.
+                return choice
+                    .map_err(|shortage| self.refusal_after(Ended::Refused, shortage.to_string()));
+            }
+            let case = Case {
+                elapsed: now.since(self.job.arrived),
+                objective: self.job.objective(),
+                remaining,
+                expected: choice.as_ref().ok().map(|choice| choice.expected),
+            };
+            let verdict = if idle {
+                Verdict::Send
+            } else {
+                admission::judge(case)
+            };
+            match (verdict, choice) {
+                (Verdict::Send, Ok(choice)) => return Ok(choice),
+                (Verdict::Wait(pause), _) => sleep(pause).await,
+                (Verdict::Refuse { retry_after }, Ok(choice)) => {
+                    let detail = format!(
+                        "first event expected in {} ms at the best replica with {} requests",
+                        choice.expected.as_millis(),
+                        choice.requests
+                    );
+                    let refusal = Refusal::new(Code::Overload, detail);
+                    return Err(refusal.retry_after(retry_after));
+                }
+                (_, Err(shortage)) => {
+                    let refusal = Refusal::new(Code::NoReplica, shortage.to_string());
+                    return Err(refusal.retry_after(NO_REPLICA_RETRY));
+                }
+            }
+        }
+    }
+
+    /// Chooses a replica; for a begun answer, one of the version `only`. Tells as well whether the
+    /// service is mostly idle, so that nothing is to be refused.
+    pub fn choose(&self, only: Option<u64>) -> (Result<Choice, Shortage>, bool) {
+        let gateway = &self.gateway;
+        gateway.refresh_pool();
+        let now = gateway.knowledge.now();
+        let service = self.job.routing.service(&self.job.service);
+        let model = self.job.ask.work.as_ref().map(|work| &*work.model);
+        let engine = service.and_then(|service| service.engine.as_ref());
+        let model = model.filter(|_| engine.is_some());
+        let entries = gateway.knowledge.peers.borrow().bound() as u32;
+        let connections = service.map_or(u32::MAX, |service| service.connections_max);
+        let ask = pool::Ask {
+            service: &self.job.service,
+            model: model.map(|model| ModelNeed {
+                model,
+                oldest: self.oldest_version(model, now),
+                only,
+            }),
+            engine,
+            demand: self.job.demand(),
+            tried: &self.tried,
+            connections_max: (connections / entries.max(1)).max(CONNECTIONS_MIN),
+        };
+        let pool = gateway.pool.borrow();
+        let mut rng = gateway.knowledge.rng.borrow_mut();
+        let choice = pool.choose(ask, now, &mut *rng);
+        let (taken, places) = pool.occupancy(ask, now);
+        (choice, taken * 2 < places)
+    }
+
+    fn oldest_version(&self, model: &str, now: Time) -> u64 {
+        let bound = self.gateway.setting.version_bound;
+        let belief = self.gateway.knowledge.belief.borrow();
+        belief.oldest_allowed(model, bound.saturating_sub(VERSION_MARGIN), now)
+    }
+
+    /// Sends the request to the chosen replica.
+    pub async fn attempt(
+        &mut self,
+        choice: Choice,
+        last_event: Option<u64>,
+        only: Option<u64>,
+    ) -> Result<Begun, Failure> {
+        let Some(attempt) = Attempt::begin(&self.gateway, choice) else {
+            return Err(Failure::new(Ended::NotSent, "the replica has gone"));
+        };
+        self.tried.push(choice.key);
+        self.trace.replica = Some(attempt.replica.clone());
+        let result = attempt.send(&self.job, last_event, only).await;
+        let sent = !matches!(
+            &result,
+            Err(Failure {
+                ended: Ended::NotSent,
+                ..
+            })
+        );
+        self.trace.sent += u32::from(sent);
+        result
+    }
+
+    /// Notes the failure of an attempt to take a begun answer up. Returns whether another may
+    /// follow.
+    pub fn may_resume(&mut self, failure: Failure) -> bool {
+        let (ended, detail) = self.take_failure(failure);
+        self.trace.reason = detail;
+        let next = next::after(ended, self.situation());
+        match next {
+            Next::Elsewhere { charged } => !charged || self.gateway.spend_repeat(&self.job.service),
+            Next::PassOn | Next::GiveUp(_) => false,
+        }
+    }
+
+    /// Whether another replica may still receive the request.
+    pub fn may_move(&self) -> bool {
+        matches!(
+            next::after(Ended::Broken, self.situation()),
+            Next::Elsewhere { .. }
+        )
+    }
+}
--- /dev/null
+++ b/src/gateway/control.rs
@@ -0,0 +1,69 @@
+//! Answers other processes: the balancer, entries, processes beside replicas, readers of metrics.
+
+use std::rc::Rc;
+
+use actix_http::{Request, StatusCode};
+use serde::de::DeserializeOwned;
+
+use super::Gateway;
+use crate::http::{self, Answer};
+use crate::wire::sync::{REPORT_PATH, Report, SYNC_PATH, Sync};
+
+/// Longest message of another process.
+const MESSAGE_MAX: usize = 1 << 20;
+
+/// The balancer asks whether this process is ready.
+pub async fn ready(gateway: Rc<Gateway>, _: Request) -> Answer {
+    if gateway.ready() {
+        http::status(StatusCode::OK)
+    } else {
+        http::status(StatusCode::SERVICE_UNAVAILABLE)
+    }
+}
+
+/// Someone reads the metrics.
+pub async fn metrics(gateway: Rc<Gateway>, _: Request) -> Answer {
+    gateway.metrics.answer()
+}
+
+/// Another process of the system asks or tells.
+pub async fn answer(gateway: Rc<Gateway>, mut request: Request) -> Answer {
+    match request.path() {
+        SYNC_PATH => match message::<Sync>(&mut request).await {
+            Ok(sync) => http::pack(
+                StatusCode::OK,
+                &gateway.knowledge.news_for(&sync, !sync.entry),
+            ),
+            Err(answer) => answer,
+        },
+        REPORT_PATH => match message::<Report>(&mut request).await {
+            Ok(report) => take_report(&gateway, &report),
+            Err(answer) => answer,
+        },
+        _ => http::status(StatusCode::NOT_FOUND),
+    }
+}
+
+fn take_report(gateway: &Gateway, report: &Report) -> Answer {
+    gateway.refresh_pool();
+    let now = gateway.knowledge.now();
+    gateway
+        .pool
+        .borrow_mut()
+        .report(report.address, &report.load, now);
+    http::pack(
+        StatusCode::OK,
+        &gateway.knowledge.news_for(&report.sync, true),
+    )
+}
+
+/// Reads a message, or says what is wrong with it.
+pub async fn message<T: DeserializeOwned>(request: &mut Request) -> Result<T, Answer> {
+    let body = http::read_request(request, MESSAGE_MAX)
+        .await
+        .map_err(|_| http::status(StatusCode::BAD_REQUEST))?;
+    rmp_serde::from_slice(&body).map_err(|error| {
+        log::warn!("message of another process not understood: {error}");
+        http::status(StatusCode::BAD_REQUEST)
+    })
+}
--- /dev/null
+++ b/src/gateway/relay.rs
@@ -0,0 +1,184 @@
+//! Passes a stream on, event by event, and takes it up at another replica when it breaks.
+
+use std::io;
+use std::time::Duration;
+
+use actix_http::body::{BodyStream, MessageBody};
+use actix_rt::time::timeout;
+use bytes::Bytes;
+use futures_util::{Stream, StreamExt, stream};
+
+use super::attempt::{Attempt, Begun};
+use super::call::Course;
+use super::event::Cutter;
+use crate::exchange::Response;
+use crate::http::Answer;
+use crate::route::health::Sign;
+
+/// A stream without an event for so long is taken up elsewhere, if it may be.
+const SILENCE: Duration = Duration::from_millis(1_500);
+
+/// What a step of a stream brought.
+enum Step {
+    /// Whole events.
+    Events(Bytes),
+    /// Part of an event.
+    Part,
+    /// The end.
+    End,
+    /// A break.
+    Broken(String),
+    /// The request's time is over.
+    Late,
+}
+
+/// A stream on its way to the caller. Dropping it closes the connection to the replica.
+pub struct Relay {
+    course: Course,
+    attempt: Attempt,
+    response: Response,
+    version: Option<u64>,
+    cutter: Cutter,
+    head: Option<actix_http::Response<()>>,
+}
+
+impl Relay {
+    /// Passes on what began.
+    pub fn new(course: Course, begun: Begun) -> Self {
+        let head = begun.head();
+        let Begun {
+            attempt,
+            response,
+            version,
+        } = begun;
+        Self {
+            cutter: Cutter::after(course.job.ask.last_event),
+            course,
+            attempt,
+            response,
+            version,
+            head: Some(head),
+        }
+    }
+
+    /// The answer to the caller. It keeps the head of its first replica, whatever follows.
+    pub fn answer(mut self) -> Answer {
+        let head = self
+            .head
+            .take()
+            .unwrap_or_else(|| actix_http::Response::with_body(self.response.status, ()));
+        let body = BodyStream::new(Box::pin(self.into_stream()));
+        head.set_body(body.boxed())
+    }
+
+    fn into_stream(self) -> impl Stream<Item = Result<Bytes, io::Error>> {
+        stream::unfold(Some(self), |relay| async move {
+            let mut relay = relay?;
+            match relay.next().await {
+                Some(Ok(events)) => Some((Ok(events), Some(relay))),
+                // The connection breaks, so that the caller sees that this is not the whole.
+                Some(Err(error)) => Some((Err(error), None)),
+                None => None,
+            }
+        })
+    }
+
+    async fn next(&mut self) -> Option<Result<Bytes, io::Error>> {
+        loop {
+            match self.step().await {
+                Step::Part => {}
+                Step::Events(events) => {
+                    self.note_first();
+                    return Some(Ok(events));
+                }
+                Step::End => {
+                    self.attempt.count_whole();
+                    self.course.trace.ended("whole");
+                    return None;
+                }
+                Step::Late => {
+                    self.course.trace.ended("late_midway");
+                    let detail = format!("its time was over after {} events", self.cutter.passed());
+                    self.course.trace.reason = detail;
+                    return Some(Err(io::ErrorKind::TimedOut.into()));
+                }
+                Step::Broken(detail) => {
+                    if !self.resume(detail).await {
+                        self.course.trace.ended("broken_midway");
+                        return Some(Err(io::ErrorKind::ConnectionAborted.into()));
+                    }
+                }
+            }
+        }
+    }
+
+    fn note_first(&mut self) {
+        if self.course.trace.first.is_some() {
+            return;
+        }
+        let first = self.course.trace.elapsed();
+        self.course.trace.first = Some(first);
+        self.course.gateway.instruments.first(first);
+        self.attempt.note(Sign::Whole(self.attempt.elapsed()));
+    }
+
+    async fn step(&mut self) -> Step {
+        let now = self.course.gateway.knowledge.now();
+        let remaining = self.course.job.remaining(now);
+        let patience = if self.course.may_move() {
+            remaining.min(SILENCE)
+        } else {
+            remaining
+        };
+        match timeout(patience, self.response.next()).await {
+            Ok(Some(Ok(bytes))) => match self.cutter.push(bytes) {
+                Ok(events) if events.is_empty() => Step::Part,
+                Ok(events) => Step::Events(events),
+                Err(error) => Step::Broken(error.to_string()),
+            },
+            Ok(Some(Err(error))) => Step::Broken(error.to_string()),
+            Ok(None) if self.cutter.midway() => Step::Broken("it ended inside an event".to_owned()),
+            Ok(None) => Step::End,
+            Err(_) if patience == remaining => Step::Late,
+            Err(_) => Step::Broken("the replica is silent".to_owned()),
+        }
+    }
+
+    /// Takes the stream up at another replica, after the last whole event.
+    async fn resume(&mut self, detail: String) -> bool {
+        let passed = self.cutter.passed();
+        let detail = format!("{detail} after {passed} events");
+        let mut failure = self.attempt.broken(&self.course.job, detail);
+        loop {
+            if !self.course.may_resume(failure) {
+                return false;
+            }
+            let (choice, _) = self.course.choose(self.version);
+            let choice = match choice {
+                Ok(choice) => choice,
+                Err(shortage) => {
+                    self.course.trace.reason =
+                        format!("{}; not taken up: {shortage}", self.course.trace.reason);
+                    return false;
+                }
+            };
+            let last = self.cutter.last();
+            match self.course.attempt(choice, last, self.version).await {
+                Ok(begun) => {
+                    self.cutter.restart();
+                    self.attempt = begun.attempt;
+                    self.response = begun.response;
+                    self.version = self.version.or(begun.version);
+                    log::info!(
+                        request = self.course.job.ask.id.as_str(),
+                        replica = &*self.attempt.replica,
+                        last_event:? = last;
+                        "stream taken up"
+                    );
+                    return true;
+                }
+                Err(next) => failure = next,
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/gateway/status.rs
@@ -0,0 +1,64 @@
+//! What a gateway counts.
+
+use std::time::Duration;
+
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::{Counter, Histogram, Meter};
+
+/// Bounds of the histograms' buckets, in seconds.
+const SECONDS: [f64; 14] = [
+    0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.4, 0.5, 0.75, 1.0, 2.0, 4.0, 8.0,
+];
+
+/// OpenTelemetry instruments.
+#[derive(Debug)]
+pub struct Instruments {
+    requests: Counter<u64>,
+    attempts: Counter<u64>,
+    duration: Histogram<f64>,
+    first: Histogram<f64>,
+}
+
+impl Instruments {
+    /// Registers them.
+    pub fn new(meter: &Meter) -> Self {
+        Self {
+            requests: meter
+                .u64_counter("pumicelatch.gateway.requests")
+                .with_description("Callers' requests by outcome")
+                .build(),
+            attempts: meter
+                .u64_counter("pumicelatch.gateway.attempts")
+                .with_description("Attempts at replicas by how they ended")
+                .build(),
+            duration: meter
+                .f64_histogram("http.server.request.duration")
+                .with_unit("s")
+                .with_boundaries(SECONDS.to_vec())
+                .with_description("Time from a request's head to the end of its answer")
+                .build(),
+            first: meter
+                .f64_histogram("pumicelatch.gateway.first_event")
+                .with_unit("s")
+                .with_boundaries(SECONDS.to_vec())
+                .with_description("Time from a request's head to the first event of its stream")
+                .build(),
+        }
+    }
+
+    /// A request ended.
+    pub fn request(&self, outcome: &'static str, took: Duration) {
+        self.requests.add(1, &[KeyValue::new("outcome", outcome)]);
+        self.duration.record(took.as_secs_f64(), &[]);
+    }
+
+    /// A stream's first event was passed on.
+    pub fn first(&self, took: Duration) {
+        self.first.record(took.as_secs_f64(), &[]);
+    }
+
+    /// An attempt ended.
+    pub fn attempt(&self, ended: &'static str) {
+        self.attempts.add(1, &[KeyValue::new("ended", ended)]);
+    }
+}
--- a/src/http.rs
+++ b/src/http.rs
@@ -142,6 +142,28 @@
     TcpListener::from_std(listener).map_err(|source| Error::Listen { address, source })
 }
 
+/// How a server treats its connections.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Timing {
+    /// How long a caller may take to send a request's head.
+    pub head: Duration,
+    /// How long an idle connection is kept.
+    pub idle: Duration,
+    /// Whether a caller that closed its sending side still gets its answer. If not, its request
+    /// ends at once.
+    pub half_closed: bool,
+}
+
+impl Default for Timing {
+    fn default() -> Self {
+        Self {
+            head: HEAD_TIMEOUT,
+            idle: KEEP_ALIVE,
+            half_closed: true,
+        }
+    }
+}
+
 /// A running accept loop. Dropping it closes the listener; connections that are open go on.
 #[derive(Debug)]
 pub struct Server {
@@ -155,7 +177,17 @@
         F: Fn(Request, SocketAddr) -> Fut + Clone + 'static,
         Fut: Future<Output = Answer> + 'static,
     {
-        let accept = actix_rt::spawn(accept_loop(listener, wrap, handler));
+        Self::with_timing(listener, wrap, handler, Timing::default)
+    }
+
+    /// Serves `listener` with `handler`; each new connection is treated as `timing` says then.
+    pub fn with_timing<F, Fut, T>(listener: TcpListener, wrap: Wrap, handler: F, timing: T) -> Self
+    where
+        F: Fn(Request, SocketAddr) -> Fut + Clone + 'static,
+        Fut: Future<Output = Answer> + 'static,
+        T: Fn() -> Timing + 'static,
+    {
+        let accept = actix_rt::spawn(accept_loop(listener, wrap, handler, timing));
         Self { accept }
     }
 
@@ -171,10 +203,11 @@
     }
 }
 
-async fn accept_loop<F, Fut>(listener: TcpListener, wrap: Wrap, handler: F)
+async fn accept_loop<F, Fut, T>(listener: TcpListener, wrap: Wrap, handler: F, timing: T)
 where
     F: Fn(Request, SocketAddr) -> Fut + Clone + 'static,
     Fut: Future<Output = Answer> + 'static,
+    T: Fn() -> Timing + 'static,
 {
     loop {
         let Ok((stream, peer)) = listener.accept().await else {
@@ -185,14 +218,16 @@
         let _ = stream.set_nodelay(true);
         let handler = handler.clone();
         let io = wrap(stream, peer);
+        let timing = timing();
         actix_rt::spawn(async move {
             let service = fn_service(move |request: Request| {
                 let answer = handler(request, peer);
                 async move { Ok::<_, actix_http::Error>(answer.await) }
             });
             let factory = HttpService::<Box<dyn Io>, _, BoxBody>::build()
-                .client_request_timeout(HEAD_TIMEOUT)
-                .keep_alive(KEEP_ALIVE)
+                .client_request_timeout(timing.head)
+                .keep_alive(timing.idle)
+                .h1_allow_half_closed(timing.half_closed)
                 .h1_write_buffer_size(WRITE_BUFFER)
                 .h1(service);
             let Ok(connection) = factory.new_service(()).await else {
--- /dev/null
+++ b/src/knowledge.rs
@@ -0,0 +1,319 @@
+//! What a process knows of the platform and of the other processes, and how it keeps that fresh.
+//!
+//! * [`store`] reads and watches the platform's store.
+//! * [`gossip`] exchanges what is newer with other processes of the system, so that one that the
+//!   store turns away, or that just began, knows what the others know.
+
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+use crate::clock::{Clock, Time};
+use crate::config::belief::{Belief, Dated, Effect, Fact, Wanted};
+use crate::exchange;
+use crate::member::peer::Peers;
+use crate::member::replica::Record;
+use crate::source::{Batch, Topic};
+use crate::wire::sync::{Brief, DatedDocument, DatedRecord, List, Named, News, Sync};
+
+pub mod gossip;
+pub mod store;
+
+/// The store counts as shaky for so long after it was out of reach.
+const SHAKY: Duration = Duration::from_millis(4_000);
+
+/// Who a process is.
+#[derive(Debug, Clone)]
+pub struct Identity {
+    /// Its name, for logs.
+    pub name: Arc<str>,
+    /// The data hall that it stands in.
+    pub hall: Arc<str>,
+    /// Where it listens to other processes of the system.
+    pub address: SocketAddr,
+    /// Whether it is an entry.
+    pub entry: bool,
+}
+
+/// What a process knows. It lives on one thread.
+#[derive(Debug)]
+pub struct Knowledge {
+    /// Who the process is.
+    pub identity: Identity,
+    /// Monotonic time.
+    pub clock: Clock,
+    /// Random choices.
+    pub rng: RefCell<SmallRng>,
+    /// Calls to other processes.
+    pub client: exchange::Client,
+    /// Beliefs about the platform.
+    pub belief: RefCell<Belief>,
+    /// Entries.
+    pub peers: RefCell<Peers>,
+    /// The newest configuration in brief, where the whole is not kept.
+    pub brief: RefCell<Option<Brief>>,
+    /// Addresses of processes to begin with.
+    pub seeds: RefCell<Vec<SocketAddr>>,
+    /// Changes of what is believed.
+    pub changed: tokio::sync::watch::Sender<u64>,
+    trouble: Cell<Option<Time>>,
+}
+
+impl Knowledge {
+    /// Nothing known yet.
+    pub fn new(identity: Identity, seeds: Vec<SocketAddr>, seed: u64) -> Rc<Self> {
+        let own = identity.entry.then_some(identity.address);
+        Rc::new(Self {
+            clock: Clock::default(),
+            rng: RefCell::new(SmallRng::seed_from_u64(seed)),
+            client: exchange::Client::default(),
+            belief: RefCell::default(),
+            peers: RefCell::new(Peers::new(own)),
+            brief: RefCell::default(),
+            seeds: RefCell::new(seeds),
+            changed: tokio::sync::watch::Sender::new(0),
+            trouble: Cell::new(None),
+            identity,
+        })
+    }
+
+    /// The present instant.
+    pub fn now(&self) -> Time {
+        self.clock.now()
+    }
+
+    /// The store was out of reach.
+    pub fn trouble(&self) {
+        self.trouble.set(Some(self.now()));
+    }
+
+    fn shaky(&self) -> bool {
+        let now = self.now();
+        self.trouble
+            .get()
+            .is_some_and(|trouble| now.since(trouble) < SHAKY)
+    }
+
+    fn tell(&self, effect: Effect) {
+        if effect != Effect::None {
+            self.changed.send_modify(|count| *count += 1);
+        }
+    }
+
+    fn learn(&self, dated: Dated, origin: &str) {
+        let revision = dated.revision;
+        let text = describe(&dated.fact);
+        let (now, shaky) = (self.now(), self.shaky());
+        let effect = self.belief.borrow_mut().learn(dated, now, shaky);
+        if effect != Effect::None {
+            log::info!(revision, origin, shaky; "learned: {text}");
+        }
+        self.tell(effect);
+    }
+
+    /// Takes what the store answered; `whole` if that is everything of its topic.
+    pub fn take_batch(&self, topic: Topic, whole: bool, batch: Batch) {
+        for reason in &batch.rejected {
+            log::warn!(revision = batch.at; "entry of the store not understood: {reason}");
+        }
+        if whole && topic == Topic::Replicas {
+            let records = batch
+                .facts
+                .into_iter()
+                .filter_map(|dated| match dated.fact {
+                    Fact::Replica(record) => Some((dated.revision, record)),
+                    _ => None,
+                });
+            self.take_list(records.collect(), batch.at, "store");
+            return;
+        }
+        for dated in batch.facts {
+            self.learn(dated, "store");
+        }
+        if topic == Topic::Replicas {
+            self.belief.borrow_mut().reached(batch.at);
+        }
+    }
+
+    fn take_list(&self, records: Vec<(u64, Record)>, at: u64, origin: &str) {
+        let count = records.len();
+        let (now, shaky) = (self.now(), self.shaky());
+        let effect = self.belief.borrow_mut().learn_list(records, at, now, shaky);
+        if effect != Effect::None {
+            log::info!(revision = at, origin, replicas = count, shaky; "learned: list of replicas");
+        }
+        self.tell(effect);
+    }
+
+    /// Takes what another process answered.
+    pub fn take_news(&self, from: SocketAddr, news: News) {
+        let now = self.now();
+        {
+            let mut peers = self.peers.borrow_mut();
+            peers.learn(&news.peers, now);
+        }
+        if let Some(dated) = news.routing {
+            let fact = Fact::Routing(dated.document);
+            let revision = dated.revision;
+            self.learn(Dated { revision, fact }, &from.to_string());
+        }
+        for named in news.versions {
+            self.take_named(named);
+        }
+        if let Some(list) = news.replicas {
+            let records = list.records.into_iter();
+            let records = records.map(|dated| (dated.revision, dated.record));
+            self.take_list(records.collect(), list.at, &from.to_string());
+        }
+        if let Some(brief) = news.brief {
+            let newer = self
+                .brief
+                .borrow()
+                .as_ref()
+                .is_none_or(|known| known.revision < brief.revision);
+            if newer {
+                self.brief.replace(Some(brief));
+                self.tell(Effect::Routing);
+            }
+        }
+    }
+
+    fn take_named(&self, named: Named) {
+        let now = self.now();
+        let age = Duration::from_millis(named.age_ms);
+        let wanted = Wanted {
+            version: named.version,
+            revision: named.revision,
+            since: now,
+        };
+        let model = named.model.clone();
+        let effect = self.belief.borrow_mut().learn_aged(model, wanted, age, now);
+        if effect != Effect::None {
+            log::info!(
+                model = &*named.model, version = named.version, age_ms = named.age_ms;
+                "learned: version named"
+            );
+        }
+        self.tell(effect);
+    }
+
+    /// The heartbeat that this process sends.
+    pub fn sync(&self) -> Sync {
+        let now = self.now();
+        Sync {
+            from: self.identity.address,
+            hall: self.identity.hall.clone(),
+            entry: self.identity.entry,
+            marks: self.belief.borrow().marks(),
+            peers: if self.identity.entry {
+                self.peers.borrow().tell(now)
+            } else {
+                Vec::new()
+            },
+        }
+    }
+
+    /// The answer to a heartbeat: what its sender lacks. `brief` for one that does not keep the
+    /// whole configuration.
+    pub fn news_for(&self, sync: &Sync, brief: bool) -> News {
+        let now = self.now();
+        {
+            let mut peers = self.peers.borrow_mut();
+            if sync.entry {
+                peers.heard(sync.from, &sync.hall, now);
+            }
+            peers.learn(&sync.peers, now);
+        }
+        let belief = self.belief.borrow();
+        let marks = belief.marks();
+        let mut told = self.peers.borrow().tell(now);
+        if self.identity.entry {
+            told.push(crate::member::peer::Told {
+                address: self.identity.address,
+                hall: self.identity.hall.clone(),
+                age_ms: 0,
+            });
+        }
+        let newer_routing = marks.routing > sync.marks.routing;
+        News {
+            hall: self.identity.hall.clone(),
+            marks,
+            peers: told,
+            routing: (newer_routing && !brief).then(|| self.document()).flatten(),
+            versions: if marks.versions > sync.marks.versions {
+                self.named(now)
+            } else {
+                Vec::new()
+            },
+            replicas: (marks.replicas > sync.marks.replicas).then(|| list(&belief, marks.replicas)),
+            brief: (newer_routing && brief).then(|| self.brief()).flatten(),
+        }
+    }
+
+    fn document(&self) -> Option<DatedDocument> {
+        let belief = self.belief.borrow();
+        let routing = belief.routing()?;
+        Some(DatedDocument {
+            revision: belief.marks().routing,
+            document: Arc::new(routing.document.clone()),
+        })
+    }
+
+    fn named(&self, now: Time) -> Vec<Named> {
+        let belief = self.belief.borrow();
+        let versions = belief.versions();
+        versions
+            .map(|(model, wanted)| Named {
+                model: model.clone(),
+                version: wanted.version,
+                revision: wanted.revision,
+                age_ms: now.since(wanted.since).as_millis() as u64,
+            })
+            .collect()
+    }
+
+    /// The configuration in brief, from the whole if that is known.
+    pub fn brief(&self) -> Option<Brief> {
+        let belief = self.belief.borrow();
+        let Some(routing) = belief.routing() else {
+            return self.brief.borrow().clone();
+        };
+        let services = routing.document.services.iter();
+        Some(Brief {
+            revision: belief.marks().routing,
+            origin: routing.origin(),
+            engine: services.clone().find_map(|service| service.engine.clone()),
+        })
+    }
+}
+
+fn list(belief: &Belief, at: u64) -> List {
+    let present = belief.replicas().values();
+    let present = present.filter(|listed| listed.gone.is_none());
+    List {
+        at,
+        records: present
+            .map(|listed| DatedRecord {
+                revision: listed.revision,
+                record: listed.record.clone(),
+            })
+            .collect(),
+    }
+}
+
+fn describe(fact: &Fact) -> String {
+    match fact {
+        Fact::Routing(document) => format!("routing version {}", document.version),
+        Fact::Version { model, version } => format!("model {model} wanted in version {version}"),
+        Fact::Replica(record) => {
+            let state = if record.leaving { "leaving" } else { "ready" };
+            format!("replica {} of {} {state}", record.id, record.service)
+        }
+        Fact::ReplicaGone(id) => format!("replica {id} gone"),
+    }
+}
--- /dev/null
+++ b/src/knowledge/gossip.rs
@@ -0,0 +1,145 @@
+//! Heartbeats to entries, and what they bring back.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix_http::Method;
+use actix_rt::time::{sleep, timeout};
+use bytes::Bytes;
+use rand::RngExt;
+use serde::Serialize;
+
+use super::Knowledge;
+use crate::exchange::{Options, Request};
+use crate::wire::sync::{News, SYNC_PATH};
+
+/// How often an entry asks others.
+const EVERY: Duration = Duration::from_millis(500);
+
+/// Entries that are asked at a time.
+const ASKED: usize = 2;
+
+/// Rounds between two in which the seeds are asked as well.
+const SEED_ROUNDS: u32 = 6;
+
+/// How long a process may take to answer.
+const TIMEOUT: Duration = Duration::from_millis(1_000);
+
+/// How long a connection may take to open.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Longest answer: a configuration of many routes.
+const NEWS_MAX: usize = 16 << 20;
+
+/// Why a process brought no news.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// The exchange failed.
+    #[error(transparent)]
+    Exchange(#[from] crate::exchange::Error),
+    /// It took too long.
+    #[error("no answer within {} ms", TIMEOUT.as_millis())]
+    Timeout,
+    /// It answered with a failure.
+    #[error("answered {status}")]
+    Status {
+        /// The HTTP status.
+        status: u16,
+    },
+    /// The codec rejects a message.
+    #[error("codec: {reason}")]
+    Codec {
+        /// What it reported.
+        reason: String,
+    },
+}
+
+/// Sends `message` to another process of the system and takes the news that it answers.
+pub async fn post<T: Serialize>(
+    knowledge: &Knowledge,
+    peer: SocketAddr,
+    path: &str,
+    message: &T,
+) -> Result<(), Error> {
+    let body = rmp_serde::to_vec_named(message).map_err(|error| Error::Codec {
+        reason: error.to_string(),
+    })?;
+    let exchange = async {
+        let head = Request::new(Method::POST, path).head(peer)?;
+        let options = Options {
+            connect_timeout: CONNECT_TIMEOUT,
+            ..Options::default()
+        };
+        let body = Some(Bytes::from(body));
+        let mut answer = knowledge.client.exchange(peer, head, body, options).await?;
+        let body = answer.read(NEWS_MAX).await?;
+        if !answer.status.is_success() {
+            let status = answer.status.as_u16();
+            return Err(Error::Status { status });
+        }
+        rmp_serde::from_slice::<News>(&body).map_err(|error| Error::Codec {
+            reason: error.to_string(),
+        })
+    };
+    let news = timeout(TIMEOUT, exchange)
+        .await
+        .map_err(|_| Error::Timeout)??;
+    let now = knowledge.now();
+    if news
+        .peers
+        .iter()
+        .any(|told| told.address == peer && told.age_ms == 0)
+    {
+        knowledge.peers.borrow_mut().heard(peer, &news.hall, now);
+    }
+    knowledge.take_news(peer, news);
+    Ok(())
+}
+
+/// Exchanges heartbeats with other entries until dropped. `others` names processes beside replicas,
+/// which know entries too: they are asked when no entry answers.
+pub async fn run(knowledge: Rc<Knowledge>, others: impl Fn() -> Vec<SocketAddr>) {
+    let mut round = 0;
+    loop {
+        for peer in targets(&knowledge, round, &others) {
+            let knowledge = knowledge.clone();
+            actix_rt::spawn(async move {
+                let sync = knowledge.sync();
+                if let Err(error) = post(&knowledge, peer, SYNC_PATH, &sync).await {
+                    log::debug!(peer:% = peer; "heartbeat: {error}");
+                }
+            });
+        }
+        round += 1;
+        knowledge.peers.borrow_mut().sweep(knowledge.now());
+        let jitter = knowledge.rng.borrow_mut().random_range(0.8..1.2);
+        sleep(EVERY.mul_f64(jitter)).await;
+    }
+}
+
+fn targets(
+    knowledge: &Knowledge,
+    round: u32,
+    others: impl Fn() -> Vec<SocketAddr>,
+) -> Vec<SocketAddr> {
+    let now = knowledge.now();
+    let mut rng = knowledge.rng.borrow_mut();
+    let mut chosen = knowledge.peers.borrow().sample(ASKED, now, &mut *rng);
+    let alone = chosen.is_empty();
+    if alone || round % SEED_ROUNDS == 0 {
+        let own = knowledge.identity.address;
+        let seeds = knowledge.seeds.borrow();
+        chosen.extend(seeds.iter().copied().filter(|seed| *seed != own));
+    }
+    if alone && round > SEED_ROUNDS {
+        let mut others = others();
+        for _ in 0..ASKED.min(others.len()) {
+            let index = rng.random_range(0..others.len());
+            chosen.push(others.swap_remove(index));
+        }
+    }
+    chosen.sort_unstable();
+    chosen.dedup();
+    chosen
+}
--- a/src/limit.rs
+++ b/src/limit.rs
@@ -1,5 +1,7 @@
 //! Limits: what a target or a customer may have in progress, judged before any queue.
 
+pub mod admission;
+
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
--- /dev/null
+++ b/src/limit/admission.rs
@@ -0,0 +1,68 @@
+//! Whether a request that has no replica yet is sent, waits, or is refused.
+//!
+//! A refusal that comes at once leaves its caller time to try again; one that comes late is worth
+//! less than none. So a request waits here for a short part of its objective only.
+
+use std::time::Duration;
+
+/// Part of its objective within which the first event has to be expected, in hundredths.
+const EXPECTED_MAX: u32 = 90;
+
+/// Part of its objective that a request may wait here, in hundredths.
+const WAIT_MAX: u32 = 15;
+
+/// How long a waiting request waits before it is judged again.
+pub const LOOK: Duration = Duration::from_millis(12);
+
+/// Shortest time that a refused caller is asked to stay away.
+const RETRY_MIN: Duration = Duration::from_millis(60);
+
+/// Longest time that a refused caller is asked to stay away.
+const RETRY_MAX: Duration = Duration::from_millis(1_500);
+
+/// What is known of a request when it is judged.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Case {
+    /// Time since its head came.
+    pub elapsed: Duration,
+    /// Time within which its first event is in time.
+    pub objective: Duration,
+    /// Time until its deadline.
+    pub remaining: Duration,
+    /// When the first event is expected if it is sent now; `None` without a replica.
+    pub expected: Option<Duration>,
+}
+
+/// What is done with it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Verdict {
+    /// It is sent.
+    Send,
+    /// It waits for so long and is judged again.
+    Wait(Duration),
+    /// It is refused.
+    Refuse {
+        /// When its caller should come back.
+        retry_after: Duration,
+    },
+}
+
+/// Judges a request.
+pub fn judge(case: Case) -> Verdict {
+    let aim = case.objective * EXPECTED_MAX / 100;
+    if let Some(expected) = case.expected
+        && case.elapsed + expected <= aim
+    {
+        return Verdict::Send;
+    }
+    if case.elapsed + LOOK <= case.objective * WAIT_MAX / 100 {
+        return Verdict::Wait(LOOK);
+    }
+    let surplus = case
+        .expected
+        .map_or(RETRY_MAX / 3, |expected| expected.saturating_sub(aim / 2));
+    let longest = RETRY_MAX.min(case.remaining / 4).max(RETRY_MIN);
+    Verdict::Refuse {
+        retry_after: surplus.clamp(RETRY_MIN, longest),
+    }
+}
--- a/src/log.rs
+++ b/src/log.rs
@@ -1,13 +1,90 @@
-//! Logs as JSON lines on standard error.
+//! Logs as JSON lines. A reader that stands still never holds the process up: lines wait in a
+//! bounded queue, and those that find it full are counted and dropped.
 
 use std::collections::BTreeMap;
-use std::io::Write;
+use std::io::{self, Write};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::mpsc::{Receiver, SyncSender, TrySendError, sync_channel};
+use std::time::{Duration, Instant};
 
 use log::kv;
 use serde::Serialize;
 
 use crate::clock;
 
+/// Lines that may wait to be written.
+const WAITING_MAX: usize = 4_096;
+
+/// How long lines are gathered before they are written together.
+const GATHER: Duration = Duration::from_millis(20);
+
+/// How long the end of a process waits for its last lines.
+const FLUSH_MAX: Duration = Duration::from_millis(300);
+
+/// Lines that were dropped and not told of yet.
+static DROPPED: AtomicU64 = AtomicU64::new(0);
+
+/// Lines that wait.
+static WAITING: AtomicU64 = AtomicU64::new(0);
+
+/// Where lines go.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Output {
+    /// Standard output.
+    Standard,
+    /// Standard error.
+    Error,
+}
+
+/// Hands lines to the thread that writes them.
+struct Queue(SyncSender<Vec<u8>>);
+
+impl Write for Queue {
+    fn write(&mut self, line: &[u8]) -> io::Result<usize> {
+        WAITING.fetch_add(1, Ordering::Relaxed);
+        match self.0.try_send(line.to_vec()) {
+            Ok(()) => {}
+            Err(TrySendError::Full(_) | TrySendError::Disconnected(_)) => {
+                WAITING.fetch_sub(1, Ordering::Relaxed);
+                DROPPED.fetch_add(1, Ordering::Relaxed);
+            }
+        }
+        Ok(line.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+/// Writes lines until the process ends.
+fn write_lines(lines: &Receiver<Vec<u8>>, mut out: impl Write) {
+    while let Ok(first) = lines.recv() {
+        std::thread::sleep(GATHER);
+        let mut text = first;
+        let mut count = 1;
+        while let Ok(line) = lines.try_recv() {
+            text.extend_from_slice(&line);
+            count += 1;
+        }
+        let dropped = DROPPED.swap(0, Ordering::Relaxed);
+        if dropped > 0 {
+            let line = format!("{{\"level\":\"WARN\",\"message\":\"{dropped} lines dropped\"}}\n");
+            text.extend_from_slice(line.as_bytes());
+        }
+        let _ = out.write_all(&text).and_then(|()| out.flush());
+        WAITING.fetch_sub(count, Ordering::Relaxed);
+    }
+}
+
+/// Waits for the lines that were logged, for a short time at most.
+pub fn flush() {
+    let began = Instant::now();
+    while WAITING.load(Ordering::Relaxed) > 0 && began.elapsed() < FLUSH_MAX {
+        std::thread::sleep(GATHER);
+    }
+}
+
 /// One line of the log.
 #[derive(Debug, Serialize)]
 struct Line<'a> {
@@ -30,9 +107,24 @@
     }
 }
 
-/// Starts logging for `program`. `RUST_LOG` overrides `level`. A second call changes nothing.
+/// Starts logging for `program` on standard error. `RUST_LOG` overrides `level`. A second call
+/// changes nothing.
 pub fn start(program: &'static str, level: log::LevelFilter) {
+    start_at(program, level, Output::Error);
+}
+
+/// Starts logging for `program` at `output`.
+pub fn start_at(program: &'static str, level: log::LevelFilter, output: Output) {
+    let (sender, receiver) = sync_channel(WAITING_MAX);
+    let writer = std::thread::Builder::new().name("log".to_owned());
+    let started = writer.spawn(move || match output {
+        Output::Standard => write_lines(&receiver, io::stdout()),
+        Output::Error => write_lines(&receiver, io::stderr()),
+    });
     let mut builder = env_logger::Builder::new();
+    if started.is_ok() {
+        builder.target(env_logger::Target::Pipe(Box::new(Queue(sender))));
+    }
     builder.filter_level(level).parse_default_env();
     builder.format(move |out, record| {
         let mut fields = BTreeMap::new();
--- a/src/member.rs
+++ b/src/member.rs
@@ -3,6 +3,9 @@
 //! The list is a hint. A box that announced by itself that it leaves stays leaving for as long as
 //! its process lives, whatever the list says meanwhile.
 
+pub mod peer;
+pub mod replica;
+
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
--- /dev/null
+++ b/src/member/peer.rs
@@ -0,0 +1,123 @@
+//! Membership of the entries: who is there, told by heartbeats that carry what others were heard of.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::{Rng, RngExt};
+use serde::{Deserialize, Serialize};
+
+use crate::clock::Time;
+
+/// An entry that was not heard of for so long takes no part.
+pub const ALIVE: Duration = Duration::from_millis(4_000);
+
+/// An entry that was not heard of for so long is forgotten.
+pub const FORGET: Duration = Duration::from_secs(60);
+
+/// Entries that may be added without being known yet.
+const UNKNOWN: usize = 3;
+
+/// An entry as told to others.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Told {
+    /// Where it listens to other processes of the system.
+    pub address: SocketAddr,
+    /// The data hall that it stands in.
+    pub hall: Arc<str>,
+    /// Milliseconds since it was heard of.
+    pub age_ms: u64,
+}
+
+#[derive(Debug, Clone)]
+struct Peer {
+    hall: Arc<str>,
+    heard: Time,
+}
+
+/// The entries that a process knows.
+#[derive(Debug, Default)]
+pub struct Peers {
+    own: Option<SocketAddr>,
+    peers: BTreeMap<SocketAddr, Peer>,
+}
+
+impl Peers {
+    /// An empty table of the process at `own`, which is never listed; `None` for one that is no
+    /// entry.
+    pub fn new(own: Option<SocketAddr>) -> Self {
+        Self {
+            own,
+            peers: BTreeMap::new(),
+        }
+    }
+
+    /// An entry was heard at `at`, directly or through another.
+    pub fn heard(&mut self, address: SocketAddr, hall: &Arc<str>, at: Time) {
+        if self.own == Some(address) {
+            return;
+        }
+        let peer = self.peers.entry(address).or_insert_with(|| Peer {
+            hall: hall.clone(),
+            heard: at,
+        });
+        peer.heard = peer.heard.max(at);
+        if !hall.is_empty() {
+            peer.hall = hall.clone();
+        }
+    }
+
+    /// Takes what another process tells of the entries.
+    pub fn learn(&mut self, told: &[Told], now: Time) {
+        for entry in told {
+            let age = Duration::from_millis(entry.age_ms);
+            if age < FORGET && now.0 > age.as_micros() as u64 {
+                self.heard(entry.address, &entry.hall, now - age);
+            }
+        }
+    }
+
+    /// What others are told.
+    pub fn tell(&self, now: Time) -> Vec<Told> {
+        self.peers
+            .iter()
+            .map(|(address, peer)| Told {
+                address: *address,
+                hall: peer.hall.clone(),
+                age_ms: now.since(peer.heard).as_millis() as u64,
+            })
+            .collect()
+    }
+
+    /// Forgets entries that were silent for long.
+    pub fn sweep(&mut self, now: Time) {
+        self.peers.retain(|_, peer| now.since(peer.heard) < FORGET);
+    }
+
+    /// Entries heard of lately.
+    pub fn alive(&self, now: Time) -> impl Iterator<Item = (SocketAddr, &Arc<str>)> {
+        self.peers
+            .iter()
+            .filter(move |(_, peer)| now.since(peer.heard) < ALIVE)
+            .map(|(address, peer)| (*address, &peer.hall))
+    }
+
+    /// Upper bound of the entries that may be at work, this one included: all that are not
+    /// forgotten, and some that were added without being known yet. What is shared among entries
+    /// is divided by it.
+    pub fn bound(&self) -> usize {
+        self.peers.len() + 1 + UNKNOWN
+    }
+
+    /// Up to `count` entries to ask, at random: those heard of lately first.
+    pub fn sample(&self, count: usize, now: Time, rng: &mut impl Rng) -> Vec<SocketAddr> {
+        let mut alive: Vec<SocketAddr> = self.alive(now).map(|(address, _)| address).collect();
+        let mut chosen = Vec::new();
+        while chosen.len() < count && !alive.is_empty() {
+            let index = rng.random_range(0..alive.len());
+            chosen.push(alive.swap_remove(index));
+        }
+        chosen
+    }
+}
--- /dev/null
+++ b/src/member/replica.rs
@@ -0,0 +1,44 @@
+//! Replicas as the platform's list describes them.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+/// What a replica holds of one model.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Held {
+    /// The model.
+    pub model: Arc<str>,
+    /// The version of its weights.
+    pub version: u64,
+}
+
+/// A replica's entry in the list.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Record {
+    /// Drawn anew at each start of the replica.
+    pub id: Arc<str>,
+    /// Its service.
+    pub service: Arc<str>,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// The data hall that it stands in.
+    pub hall: Arc<str>,
+    /// Requests that it works on at once.
+    pub slots: u32,
+    /// Whether it takes no more work.
+    pub leaving: bool,
+    /// The models that it holds.
+    pub models: Vec<Held>,
+}
+
+impl Record {
+    /// The version of `model` that it holds.
+    pub fn version(&self, model: &str) -> Option<u64> {
+        self.models
+            .iter()
+            .find(|held| &*held.model == model)
+            .map(|held| held.version)
+    }
+}
--- a/src/metric.rs
+++ b/src/metric.rs
@@ -1,9 +1,12 @@
 //! Metrics by OpenTelemetry, readable over HTTP in the Prometheus text format.
 
+use actix_http::StatusCode;
 use opentelemetry::metrics::{Meter, MeterProvider};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Encoder, Registry, TextEncoder};
 
+use crate::http::{self, Answer};
+
 /// A process's metrics. Each process (or test instance) has its own registry.
 #[derive(Debug, Clone)]
 pub struct Metrics {
@@ -47,6 +50,17 @@
         self.provider.meter("pumicelatch")
     }
 
+    /// All metrics, as an answer to whoever reads them.
+    pub fn answer(&self) -> Answer {
+        match self.text() {
+            Ok(text) => http::body(StatusCode::OK, "text/plain; version=0.0.4", text),
+            Err(error) => {
+                log::error!("{error}");
+                http::status(StatusCode::INTERNAL_SERVER_ERROR)
+            }
+        }
+    }
+
     /// All metrics as text.
     pub fn text(&self) -> Result<Vec<u8>, Error> {
         let mut text = Vec::new();
--- a/src/node.rs
+++ b/src/node.rs
@@ -83,6 +83,7 @@
 }
 
 /// `awc::Client`, which shows nothing of itself.
+#[derive(Clone)]
 pub struct ClientHandle(pub awc::Client);
 
 impl std::fmt::Debug for ClientHandle {
@@ -114,13 +115,7 @@
 
     /// All metrics, as an answer.
     pub fn metrics_answer(&self) -> http::Answer {
-        match self.metrics.text() {
-            Ok(text) => http::body(StatusCode::OK, "text/plain; version=0.0.4", text),
-            Err(error) => {
-                log::error!("{error}");
-                http::status(StatusCode::INTERNAL_SERVER_ERROR)
-            }
-        }
+        self.metrics.answer()
     }
 
     /// What a peer lacks of the configuration, as the platform's service would answer it.
--- a/src/request.rs
+++ b/src/request.rs
@@ -1,6 +1,9 @@
 //! Requests: what is known of whether one ran, keys for those that must run at most once, and the
 //! budget of retries.
 
+pub mod attempt;
+pub mod budget;
+
 use std::collections::{BTreeMap, VecDeque};
 use std::fmt;
 use std::str::FromStr;
--- a/src/route.rs
+++ b/src/route.rs
@@ -3,6 +3,10 @@
 //! Eligibility is strict (version, hall, leaving); everything else is a matter of cost. Reports lag
 //! by up to a second, so the entry corrects them by what it sent and got back itself since.
 
+pub mod estimate;
+pub mod health;
+pub mod pool;
+
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
--- /dev/null
+++ b/src/route/estimate.rs
@@ -0,0 +1,67 @@
+//! How long a model engine takes, from the figures that its configuration gives.
+
+use std::time::Duration;
+
+use crate::config::routing::Engine;
+
+/// What a request asks of an engine.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Demand {
+    /// Tokens to read.
+    pub prompt: u32,
+    /// Tokens to write, as far as can be told beforehand.
+    pub output: u32,
+}
+
+/// What an engine has to do already.
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
+pub struct Work {
+    /// Requests that it works on or that wait there.
+    pub requests: u32,
+    /// Factor on all its times; above 1 it is slow.
+    pub pace: f64,
+}
+
+/// Part of a pass that a new request waits on average before it is looked at.
+const PASS_WAITED: f64 = 0.5;
+
+fn millis(value: f64) -> Duration {
+    Duration::from_secs_f64((value / 1_000.0).clamp(0.0, 3_600.0))
+}
+
+/// Milliseconds of one step with `batch` requests.
+fn step_ms(engine: &Engine, batch: f64) -> f64 {
+    let context = engine.usual_prompt + engine.usual_answer / 2.0;
+    let each = engine.sequence_ms + engine.context_ms_per_thousand * context / 1_000.0;
+    engine.step_ms + each * batch
+}
+
+fn read_ms(engine: &Engine, tokens: f64) -> f64 {
+    if engine.read_per_s <= 0.0 {
+        return 0.0;
+    }
+    tokens / engine.read_per_s * 1_000.0
+}
+
+/// Time between two requests that end at an engine whose slots are all taken.
+pub fn turnover(engine: &Engine, pace: f64) -> Duration {
+    let slots = f64::from(engine.slots.max(1));
+    let writing = engine.usual_answer * step_ms(engine, slots) / slots;
+    let reading = read_ms(engine, engine.usual_prompt);
+    millis((writing + reading) * pace.max(1.0))
+}
+
+/// Time until the first event of a request that is sent now.
+pub fn first_event(engine: &Engine, work: Work, demand: Demand) -> Duration {
+    let slots = engine.slots.max(1);
+    let batch = f64::from(work.requests.min(slots - 1) + 1);
+    let pass = step_ms(engine, batch) * f64::from(engine.stride.max(1));
+    // While slots are taken anew by others, their prompts are read between the passes.
+    let busy = f64::from(work.requests.min(slots)) / f64::from(slots);
+    let others = busy * read_ms(engine, engine.usual_prompt);
+    let own = read_ms(engine, f64::from(demand.prompt));
+    let waiting = work.requests.saturating_sub(slots - 1);
+    let queue = turnover(engine, 1.0) * waiting;
+    let started = millis((pass * (1.0 + PASS_WAITED) + others + own) * work.pace.max(1.0));
+    queue.mul_f64(work.pace.max(1.0)) + started
+}
--- /dev/null
+++ b/src/sidecar.rs
@@ -0,0 +1,315 @@
+//! The process beside a model replica whose weights it looks after: it takes part in bursts, stages
+//! verified chunks for its replica, orders the change of version when its wave comes, and tells the
+//! entries how the replica does.
+//!
+//! * [`engine`] is what a replica offers to the process beside it.
+//! * [`reconcile`] brings the replica to the wanted version.
+//! * [`observe`] asks the replica how it does, and tells the entries.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use actix_http::{Request, StatusCode};
+use actix_rt::task::JoinHandle;
+use tokio::net::TcpListener;
+
+use crate::audit::{Deed, Trail};
+use crate::burst::host::{Host, Instruments, Local, Origin};
+use crate::burst::{self, Burst};
+use crate::clock::Time;
+use crate::daemon;
+use crate::gateway::control::message;
+use crate::http::{self, Answer, ClientSetting, Server};
+use crate::knowledge::{Identity, Knowledge};
+use crate::metric::{self, Metrics};
+use crate::node::ClientHandle;
+use crate::source::Source;
+use crate::spread;
+use crate::version::rollout;
+use crate::weight::{Digest, Store};
+use crate::wire::sync::{SYNC_PATH, Sync};
+
+pub mod engine;
+pub mod observe;
+pub mod reconcile;
+
+use engine::{Engine, State};
+
+/// How long a planned stop waits for uploads.
+const UPLOADS_END: Duration = Duration::from_secs(1);
+
+/// The version that replicas hold before any was named.
+pub const FIRST_VERSION: u64 = 1;
+
+/// A sidecar's settings.
+#[derive(Debug, Clone)]
+pub struct Setting {
+    /// Who the process is, and where it listens.
+    pub identity: Identity,
+    /// Entries to begin with.
+    pub seeds: Vec<SocketAddr>,
+    /// Where the replica listens.
+    pub replica: SocketAddr,
+    /// Settings of the burst.
+    pub spread: spread::Setting,
+    /// Settings of the change of versions.
+    pub rollout: rollout::Setting,
+    /// Bytes of weights that the process may hold.
+    pub memory_bytes: u64,
+    /// Seed of random choices.
+    pub seed: u64,
+}
+
+/// Names the origin of one version of a model.
+pub trait Origins {
+    /// The origin at `address`, as far as `version` of `model` is concerned.
+    fn of(&self, address: SocketAddr, model: &str, version: u64) -> Rc<dyn Origin>;
+}
+
+/// A version of a model, and the name that it has in bursts.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Target {
+    /// The model.
+    pub model: Arc<str>,
+    /// The version.
+    pub version: u64,
+    /// When it was named.
+    pub named: Time,
+}
+
+impl Target {
+    /// Its name in bursts.
+    pub fn label(&self) -> Digest {
+        label(&self.model, self.version)
+    }
+}
+
+/// The name of a model's version in bursts.
+pub fn label(model: &str, version: u64) -> Digest {
+    Digest::of(format!("{model}\n{version}").as_bytes())
+}
+
+/// A sidecar. It lives on one thread.
+pub struct Sidecar {
+    /// Settings.
+    pub setting: Setting,
+    /// What the process knows.
+    pub knowledge: Rc<Knowledge>,
+    /// The bursts' side of the process.
+    pub host: Rc<Host>,
+    /// Metrics.
+    pub metrics: Metrics,
+    engine: Rc<dyn Engine>,
+    origins: Rc<dyn Origins>,
+    source: Rc<dyn Source>,
+    state: Rc<RefCell<Option<State>>>,
+    misses: Cell<u32>,
+    noticed: Cell<Option<Time>>,
+    bursts: RefCell<BTreeMap<Digest, Rc<Burst>>>,
+    staged: RefCell<reconcile::Staged>,
+    told: tokio::sync::watch::Sender<u64>,
+}
+
+/// A running sidecar. Dropping it stops its loops.
+pub struct Running {
+    /// The sidecar.
+    pub sidecar: Rc<Sidecar>,
+    _servers: Vec<Server>,
+    tasks: Vec<JoinHandle<()>>,
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        for task in &self.tasks {
+            task.abort();
+        }
+        self.sidecar.bursts.borrow_mut().clear();
+    }
+}
+
+impl Running {
+    /// Runs until a planned stop is over: peers get the chunks that are on their way to them.
+    pub async fn serve_until_stopped(self) -> Result<(), daemon::Error> {
+        let identity = &self.sidecar.setting.identity;
+        log::info!(
+            name = &*identity.name, hall = &*identity.hall, address:% = identity.address,
+            replica:% = self.sidecar.setting.replica, version = env!("CARGO_PKG_VERSION");
+            "started"
+        );
+        daemon::stop_signal().await?;
+        log::info!("planned stop begins");
+        daemon::wait_idle(UPLOADS_END, || self.sidecar.idle()).await;
+        log::info!("planned stop is over");
+        Ok(())
+    }
+}
+
+/// The sockets that a sidecar listens on.
+#[derive(Debug)]
+pub struct Listeners {
+    /// For other processes of the system.
+    pub control: TcpListener,
+    /// For those who read metrics.
+    pub metrics: Option<TcpListener>,
+}
+
+/// What a sidecar works with.
+pub struct Edges {
+    /// Its replica.
+    pub engine: Rc<dyn Engine>,
+    /// Names the origin of weights.
+    pub origins: Rc<dyn Origins>,
+    /// The platform's store, for when no entry answers.
+    pub source: Rc<dyn Source>,
+}
+
+/// The chunks that lie staged at the replica.
+struct StagedChunks {
+    engine: Rc<dyn Engine>,
+    state: Rc<RefCell<Option<State>>>,
+    first: Cell<bool>,
+}
+
+impl Local for StagedChunks {
+    fn chunk(
+        &self,
+        version: Digest,
+        chunk: u32,
+    ) -> futures_util::future::LocalBoxFuture<'_, Option<bytes::Bytes>> {
+        Box::pin(async move {
+            let model = {
+                let state = self.state.borrow();
+                let held = state.as_ref()?.models.first()?.clone();
+                let same = label(&held.model, held.version) == version;
+                // A process that began anew may find what its predecessor had staged.
+                (same || self.first.get()).then_some(held.model)?
+            };
+            self.engine.staged(&model, chunk).await.ok().flatten()
+        })
+    }
+
+    fn done(&self) {
+        self.first.set(false);
+    }
+}
+
+impl Sidecar {
+    /// Starts a sidecar on the present thread.
+    pub fn start(
+        setting: Setting,
+        edges: Edges,
+        listeners: Listeners,
+    ) -> Result<Running, metric::Error> {
+        let metrics = Metrics::new()?;
+        let identity = setting.identity.clone();
+        let knowledge = Knowledge::new(identity.clone(), setting.seeds.clone(), setting.seed);
+        let state = Rc::new(RefCell::new(None));
+        let local = StagedChunks {
+            engine: edges.engine.clone(),
+            state: state.clone(),
+            first: Cell::new(true),
+        };
+        let trail = RefCell::new(Trail::default());
+        let host = Host {
+            name: identity.address.ip().to_string().into(),
+            hall: identity.hall,
+            clock: knowledge.clock,
+            client: ClientHandle(http::client(ClientSetting::default())),
+            spread: setting.spread,
+            store: RefCell::new(Store::new(setting.memory_bytes)),
+            instruments: Instruments::new(&metrics.meter()),
+            bytes_sent: Cell::new(0),
+            wake: tokio::sync::Notify::new(),
+            trail: Rc::new(move |deed: Deed| trail.borrow_mut().add(0, deed)),
+            local: Some(Rc::new(local)),
+        };
+        let sidecar = Rc::new(Self {
+            knowledge,
+            host: Rc::new(host),
+            metrics,
+            engine: edges.engine,
+            origins: edges.origins,
+            source: edges.source,
+            state,
+            misses: Cell::new(0),
+            noticed: Cell::new(None),
+            bursts: RefCell::default(),
+            staged: RefCell::default(),
+            told: tokio::sync::watch::Sender::new(0),
+            setting,
+        });
+        let tasks = vec![
+            actix_rt::spawn(observe::observe(sidecar.clone())),
+            actix_rt::spawn(observe::tell(sidecar.clone())),
+            actix_rt::spawn(observe::read_store_when_alone(sidecar.clone())),
+            actix_rt::spawn(reconcile::run(sidecar.clone())),
+        ];
+        let servers = sidecar.serve(listeners);
+        Ok(Running {
+            sidecar,
+            _servers: servers,
+            tasks,
+        })
+    }
+
+    fn serve(self: &Rc<Self>, listeners: Listeners) -> Vec<Server> {
+        let sidecar = self.clone();
+        let control = Server::start(listeners.control, http::plain(), move |request, _| {
+            answer(sidecar.clone(), request)
+        });
+        let mut servers = vec![control];
+        if let Some(listener) = listeners.metrics {
+            let sidecar = self.clone();
+            servers.push(Server::start(listener, http::plain(), move |_, _| {
+                let answer = sidecar.metrics.answer();
+                async move { answer }
+            }));
+        }
+        servers
+    }
+
+    /// Whether no peer is being served.
+    pub fn idle(&self) -> bool {
+        !self.bursts.borrow().values().any(|burst| burst.uploading())
+    }
+
+    /// The version that the replica is to hold; `None` while nothing is known.
+    pub fn target(&self) -> Option<Target> {
+        let brief = self.knowledge.brief()?;
+        let model = brief.engine?.models.first()?.clone();
+        let belief = self.knowledge.belief.borrow();
+        let wanted = belief.wanted(&model);
+        Some(Target {
+            version: wanted.map_or(FIRST_VERSION, |wanted| wanted.version),
+            named: wanted.map_or(Time::default(), |wanted| wanted.since),
+            model,
+        })
+    }
+
+    fn burst(&self, version: Digest) -> Option<Rc<Burst>> {
+        self.bursts.borrow().get(&version).cloned()
+    }
+}
+
+async fn answer(sidecar: Rc<Sidecar>, mut request: Request) -> Answer {
+    let path = request.path().to_owned();
+    if path == SYNC_PATH {
+        return match message::<Sync>(&mut request).await {
+            Ok(sync) => http::pack(StatusCode::OK, &sidecar.knowledge.news_for(&sync, false)),
+            Err(answer) => answer,
+        };
+    }
+    let parts: Vec<&str> = path.trim_matches('/').split('/').collect();
+    let ["v1", "swarm", label, rest @ ..] = parts.as_slice() else {
+        return http::status(StatusCode::NOT_FOUND);
+    };
+    let burst = label.parse().ok().and_then(|label| sidecar.burst(label));
+    match burst {
+        Some(burst) => burst::serve::answer(&sidecar.host, burst, rest).await,
+        None => http::status(StatusCode::NOT_FOUND),
+    }
+}
--- /dev/null
+++ b/src/sidecar/engine.rs
@@ -0,0 +1,91 @@
+//! What a replica offers to the process beside it.
+
+use bytes::Bytes;
+use futures_util::future::LocalBoxFuture;
+
+use crate::member::replica::Held;
+
+/// What a replica reports of itself.
+#[derive(Debug, Clone, PartialEq, Default)]
+pub struct State {
+    /// The models that it holds.
+    pub models: Vec<Held>,
+    /// Whether it carries an order out.
+    pub busy: bool,
+    /// Requests that run.
+    pub running: u32,
+    /// Requests that wait.
+    pub queued: u32,
+    /// Factor on its times; above 1 it is slow.
+    pub pace: f64,
+}
+
+impl State {
+    /// The version of `model` that it holds.
+    pub fn held(&self, model: &str) -> Option<u64> {
+        let held = self.models.iter().find(|held| &*held.model == model);
+        held.map(|held| held.version)
+    }
+}
+
+/// How a replica took an order.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Taken {
+    /// It carries the order out.
+    Begun,
+    /// It holds what was ordered already.
+    Holds,
+    /// The order does not fit its state.
+    Unfit,
+}
+
+/// Why a replica did not answer.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum Error {
+    /// The exchange failed.
+    #[error("replica is out of reach: {reason}")]
+    Unreachable {
+        /// What happened.
+        reason: String,
+    },
+    /// It answered with an unexpected status.
+    #[error("replica answered {status}")]
+    Status {
+        /// The HTTP status.
+        status: u16,
+    },
+    /// The answer makes no sense.
+    #[error("replica's answer is not understood: {reason}")]
+    Text {
+        /// What the codec reported.
+        reason: String,
+    },
+}
+
+/// A replica, asked from its own machine.
+pub trait Engine {
+    /// How it does.
+    fn state(&self) -> LocalBoxFuture<'_, Result<State, Error>>;
+
+    /// A staged chunk, if there is one.
+    fn staged<'a>(
+        &'a self,
+        model: &'a str,
+        chunk: u32,
+    ) -> LocalBoxFuture<'a, Result<Option<Bytes>, Error>>;
+
+    /// Stages a chunk.
+    fn stage<'a>(
+        &'a self,
+        model: &'a str,
+        chunk: u32,
+        bytes: Bytes,
+    ) -> LocalBoxFuture<'a, Result<(), Error>>;
+
+    /// Orders it to take what is staged, once it has finished what runs.
+    fn start<'a>(
+        &'a self,
+        model: &'a str,
+        version: u64,
+    ) -> LocalBoxFuture<'a, Result<Taken, Error>>;
+}
--- /dev/null
+++ b/src/sidecar/observe.rs
@@ -0,0 +1,193 @@
+//! Asks the replica how it does, and tells the entries.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix_rt::time::{sleep, timeout};
+
+use super::Sidecar;
+use super::engine::State;
+use crate::clock::Time;
+use crate::knowledge::gossip::post;
+use crate::route::pool::Load;
+use crate::source::Topic;
+use crate::wire::sync::{REPORT_PATH, Report};
+
+/// How often the replica is asked.
+const LOOK: Duration = Duration::from_millis(100);
+
+/// How long it may take to answer.
+const LOOK_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Answers that may be missing before the replica counts as gone.
+const MISSES_MAX: u32 = 2;
+
+/// How often it is looked whether an entry is to be told.
+const TELL_LOOK: Duration = Duration::from_millis(50);
+
+/// Shortest time between two reports to an entry of the own hall.
+const TELL_NEAR: Duration = Duration::from_millis(150);
+
+/// Shortest time between two reports to any other entry.
+const TELL_FAR: Duration = Duration::from_millis(500);
+
+/// Longest time between two reports.
+const TELL_MAX: Duration = Duration::from_millis(1_000);
+
+/// How long no entry answers before the store is read.
+const ALONE: Duration = Duration::from_millis(2_500);
+
+/// How often the store is read then.
+const ALONE_READ: Duration = Duration::from_millis(2_000);
+
+/// Asks the replica until dropped.
+pub async fn observe(sidecar: Rc<Sidecar>) {
+    loop {
+        let state = timeout(LOOK_TIMEOUT, sidecar.engine.state()).await;
+        match state {
+            Ok(Ok(state)) => {
+                sidecar.misses.set(0);
+                sidecar.take_state(Some(state));
+            }
+            failed => {
+                sidecar.misses.set(sidecar.misses.get() + 1);
+                if sidecar.misses.get() == MISSES_MAX {
+                    log::warn!(failed:? = failed.map(|result| result.err()); "replica lost");
+                    sidecar.take_state(None);
+                }
+            }
+        }
+        sleep(LOOK).await;
+    }
+}
+
+impl Sidecar {
+    fn take_state(&self, state: Option<State>) {
+        let before = self.state.replace(state);
+        let now = self.state.borrow();
+        if before.is_none() && now.is_some() {
+            log::info!(models:? = now.as_ref().map(|state| &state.models); "replica answers");
+        }
+        if before != *now {
+            self.told.send_modify(|count| *count += 1);
+        }
+    }
+
+    /// Tells that the replica will change, or that it has.
+    pub(super) fn set_noticed(&self, noticed: Option<Time>) {
+        if self.noticed.replace(noticed) != noticed {
+            self.told.send_modify(|count| *count += 1);
+        }
+    }
+
+    fn load(&self) -> Load {
+        let state = self.state.borrow();
+        let Some(state) = state.as_ref() else {
+            return Load {
+                alive: self.misses.get() < MISSES_MAX,
+                pace: 1.0,
+                ..Load::default()
+            };
+        };
+        Load {
+            running: state.running,
+            queued: state.queued,
+            pace: state.pace,
+            models: state.models.clone(),
+            switching: state.busy || self.noticed.get().is_some(),
+            alive: true,
+        }
+    }
+
+    fn entries(&self) -> Vec<(SocketAddr, bool)> {
+        let now = self.knowledge.now();
+        let peers = self.knowledge.peers.borrow();
+        let own = &self.setting.identity.hall;
+        let alive = peers.alive(now);
+        let known: Vec<(SocketAddr, bool)> = alive
+            .map(|(address, hall)| (address, hall == own))
+            .collect();
+        if !known.is_empty() {
+            return known;
+        }
+        let seeds = self.knowledge.seeds.borrow();
+        seeds.iter().map(|seed| (*seed, true)).collect()
+    }
+}
+
+/// What was told to an entry.
+#[derive(Debug, Clone, Copy)]
+struct Told {
+    at: Time,
+    count: u64,
+    waiting: bool,
+}
+
+/// Tells the entries until dropped.
+pub async fn tell(sidecar: Rc<Sidecar>) {
+    let told: Rc<std::cell::RefCell<BTreeMap<SocketAddr, Told>>> = Rc::default();
+    loop {
+        let now = sidecar.knowledge.now();
+        let count = *sidecar.told.borrow();
+        for (entry, near) in sidecar.entries() {
+            let gap = if near { TELL_NEAR } else { TELL_FAR };
+            let due = match told.borrow().get(&entry) {
+                None => true,
+                Some(last) if last.waiting => false,
+                Some(last) => {
+                    let since = now.since(last.at);
+                    since >= TELL_MAX || (last.count != count && since >= gap)
+                }
+            };
+            if due {
+                let waiting = Told {
+                    at: now,
+                    count,
+                    waiting: true,
+                };
+                told.borrow_mut().insert(entry, waiting);
+                let (sidecar, told) = (sidecar.clone(), told.clone());
+                actix_rt::spawn(async move {
+                    tell_one(&sidecar, entry).await;
+                    if let Some(last) = told.borrow_mut().get_mut(&entry) {
+                        last.waiting = false;
+                    }
+                });
+            }
+        }
+        sidecar.knowledge.peers.borrow_mut().sweep(now);
+        sleep(TELL_LOOK).await;
+    }
+}
+
+async fn tell_one(sidecar: &Sidecar, entry: SocketAddr) {
+    let report = Report {
+        address: sidecar.setting.replica,
+        load: sidecar.load(),
+        sync: sidecar.knowledge.sync(),
+    };
+    if let Err(error) = post(&sidecar.knowledge, entry, REPORT_PATH, &report).await {
+        log::debug!(entry:% = entry; "report: {error}");
+    }
+}
+
+/// Reads the store while no entry answers.
+pub async fn read_store_when_alone(sidecar: Rc<Sidecar>) {
+    loop {
+        sleep(ALONE).await;
+        let now = sidecar.knowledge.now();
+        if sidecar.knowledge.peers.borrow().alive(now).next().is_some() {
+            continue;
+        }
+        log::info!("no entry answers; reading the store");
+        for topic in [Topic::Operator, Topic::Replicas] {
+            match timeout(ALONE_READ, sidecar.source.read(topic)).await {
+                Ok(Ok(batch)) => sidecar.knowledge.take_batch(topic, true, batch),
+                Ok(Err(error)) => log::debug!("store: {error}"),
+                Err(_) => log::debug!("store: no answer"),
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/sidecar/reconcile.rs
@@ -0,0 +1,255 @@
+//! Brings the replica to the wanted version: takes part in its burst, stages what is verified, and
+//! orders the change when the rollout says so.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix_rt::time::sleep;
+
+use super::engine::Taken;
+use super::{Sidecar, Target};
+use crate::audit::Deed;
+use crate::burst::Burst;
+use crate::clock::Time;
+use crate::member::{Listed, Role, State};
+use crate::spread::Favour;
+use crate::version::rollout::{self, Step};
+use crate::weight::Digest;
+
+/// How often the replica is looked over.
+const LOOK: Duration = Duration::from_millis(50);
+
+/// How long an order may go without an effect before it is given again.
+const ORDER_AGAIN: Duration = Duration::from_millis(1_500);
+
+/// Chunks that are staged before anything else is looked at.
+const STAGED_AT_ONCE: usize = 16;
+
+/// What lies staged at the replica, as far as this process put it there.
+#[derive(Debug, Default)]
+pub struct Staged {
+    version: Option<Digest>,
+    chunks: BTreeSet<u32>,
+    ordered: Option<Time>,
+}
+
+/// Runs until dropped.
+pub async fn run(sidecar: Rc<Sidecar>) {
+    loop {
+        let _ = actix_rt::time::timeout(LOOK, sidecar.host.wake.notified()).await;
+        let Some(target) = sidecar.target() else {
+            sleep(LOOK).await;
+            continue;
+        };
+        if !sidecar.looked() {
+            continue;
+        }
+        sidecar.join(&target);
+        sidecar.advance(&target).await;
+    }
+}
+
+impl Sidecar {
+    /// Whether the replica was asked: what it holds need not be drawn from others.
+    fn looked(&self) -> bool {
+        self.state.borrow().is_some() || self.misses.get() > 0
+    }
+
+    /// Takes part in the burst of the wanted version, and in no other.
+    fn join(&self, target: &Target) {
+        let label = target.label();
+        let Some(origin) = self.knowledge.brief().and_then(|brief| brief.origin) else {
+            return;
+        };
+        let old: Vec<Digest> = {
+            let bursts = self.bursts.borrow();
+            bursts
+                .keys()
+                .filter(|known| **known != label)
+                .copied()
+                .collect()
+        };
+        for version in old {
+            self.bursts.borrow_mut().remove(&version);
+            self.host.store.borrow_mut().release(version);
+            let version = version.short();
+            self.host.audit(Deed::Released { version });
+        }
+        let burst = self.bursts.borrow().get(&label).cloned();
+        let burst = burst.unwrap_or_else(|| {
+            log::info!(model = &*target.model, version = target.version; "burst joined");
+            let origin = self.origins.of(origin, &target.model, target.version);
+            let burst = Burst::start(&self.host, origin, label, Favour::OriginBytes);
+            self.bursts.borrow_mut().insert(label, burst.clone());
+            burst
+        });
+        burst.set_members(&self.host, self.members());
+    }
+
+    /// The processes beside the replicas of the own service.
+    fn members(&self) -> Vec<Listed> {
+        let belief = self.knowledge.belief.borrow();
+        let port = self.setting.identity.address.port();
+        let records = || belief.replicas().values().map(|listed| &listed.record);
+        let own = records().find(|record| record.address == self.setting.replica);
+        let service = own.map(|record| record.service.clone());
+        let fellows = records().filter(|record| Some(&record.service) == service.as_ref());
+        let member = |hall, address: SocketAddr| Listed {
+            name: address.ip().to_string().into(),
+            hall,
+            rack: "".into(),
+            address,
+            role: Role::Model,
+            capacity_bytes: 0,
+            state: State::Live,
+        };
+        let mut members: Vec<Listed> = fellows
+            .map(|record| {
+                let address = SocketAddr::new(record.address.ip(), port);
+                member(record.hall.clone(), address)
+            })
+            .collect();
+        let identity = &self.setting.identity;
+        if !members.iter().any(|known| known.name == self.host.name) {
+            members.push(member(identity.hall.clone(), identity.address));
+        }
+        members
+    }
+
+    fn wave(&self, label: Digest) -> u32 {
+        let members = self.members();
+        let hall = &self.host.hall;
+        let fellows: Vec<&str> = members
+            .iter()
+            .filter(|member| member.hall == *hall)
+            .map(|member| &*member.name)
+            .collect();
+        rollout::wave(label, &self.host.name, &fellows, self.setting.rollout.waves)
+    }
+
+    async fn advance(&self, target: &Target) {
+        let label = target.label();
+        let state = {
+            let state = self.state.borrow();
+            let Some(known) = state.as_ref() else {
+                return;
+            };
+            rollout::State {
+                wanted: target.version,
+                named: target.named,
+                held: known.held(&target.model),
+                busy: known.busy,
+                complete: self.host.store.borrow().complete(label),
+                wave: self.wave(label),
+                noticed: self.noticed.get(),
+            }
+        };
+        if state.held != Some(target.version) {
+            self.stage(target, label).await;
+        }
+        let now = self.knowledge.now();
+        match rollout::step(state, self.setting.rollout, now) {
+            Step::Rest => {
+                if state.held == Some(target.version) {
+                    self.set_noticed(None);
+                    self.staged.borrow_mut().ordered = None;
+                }
+            }
+            Step::Receive | Step::Await | Step::Noticed => {}
+            Step::Notice => self.set_noticed(Some(now)),
+            Step::Order => self.order(target, label).await,
+        }
+    }
+
+    /// Stages chunks that were verified since the last look.
+    async fn stage(&self, target: &Target, label: Digest) {
+        let chunks = self.host.store.borrow().progress(label).1;
+        let missing: Vec<u32> = {
+            let mut staged = self.staged.borrow_mut();
+            if staged.version != Some(label) {
+                *staged = Staged {
+                    version: Some(label),
+                    ..Staged::default()
+                };
+            }
+            let store = self.host.store.borrow();
+            (0..chunks as u32)
+                .filter(|chunk| !staged.chunks.contains(chunk))
+                .filter(|chunk| store.get(label, *chunk).is_some())
+                .take(STAGED_AT_ONCE)
+                .collect()
+        };
+        for chunk in missing {
+            self.stage_one(target, label, chunk).await;
+        }
+    }
+
+    async fn stage_one(&self, target: &Target, label: Digest, chunk: u32) -> bool {
+        let Some(bytes) = self.host.store.borrow().get(label, chunk) else {
+            return false;
+        };
+        match self.engine.stage(&target.model, chunk, bytes).await {
+            Ok(()) => {
+                self.staged.borrow_mut().chunks.insert(chunk);
+                true
+            }
+            Err(error) => {
+                log::warn!(chunk; "not staged: {error}");
+                false
+            }
+        }
+    }
+
+    /// Reads back what is staged, and mends what does not match.
+    async fn verify(&self, target: &Target, label: Digest) -> bool {
+        let chunks = self.host.store.borrow().progress(label).1 as u32;
+        for chunk in 0..chunks {
+            let staged = self.engine.staged(&target.model, chunk).await;
+            let expected = self.host.store.borrow().get(label, chunk);
+            let good = matches!((&staged, &expected), (Ok(Some(found)), Some(due)) if found == due);
+            if good {
+                continue;
+            }
+            log::warn!(chunk, version = target.version; "staged chunk is bad or missing; staged anew");
+            if !self.stage_one(target, label, chunk).await {
+                return false;
+            }
+            let again = self.engine.staged(&target.model, chunk).await;
+            if !matches!((again, expected), (Ok(Some(found)), Some(due)) if found == due) {
+                return false;
+            }
+        }
+        chunks > 0
+    }
+
+    async fn order(&self, target: &Target, label: Digest) {
+        let now = self.knowledge.now();
+        let ordered = self.staged.borrow().ordered;
+        if ordered.is_some_and(|ordered| now.since(ordered) < ORDER_AGAIN) {
+            return;
+        }
+        if !self.verify(target, label).await {
+            return;
+        }
+        let Some(newest) = self.target() else {
+            return;
+        };
+        if newest.label() != label {
+            return;
+        }
+        self.staged.borrow_mut().ordered = Some(self.knowledge.now());
+        match self.engine.start(&target.model, target.version).await {
+            Ok(Taken::Begun | Taken::Holds) => {
+                let version = label.short();
+                self.host.audit(Deed::LoadOrdered { version });
+                log::info!(model = &*target.model, version = target.version; "change ordered");
+            }
+            Ok(Taken::Unfit) => {
+                log::warn!(version = target.version; "order does not fit the replica's state");
+            }
+            Err(error) => log::warn!(version = target.version; "order: {error}"),
+        }
+    }
+}
--- a/src/spread.rs
+++ b/src/spread.rs
@@ -58,6 +58,9 @@
     pub patience: Duration,
     /// How long a peer that sent a bad chunk is passed over, doubled each time.
     pub penalty: Duration,
+    /// Whether each chunk enters a hall through one box of it, because bytes between halls are
+    /// dear. The others of the hall wait for that box for as long as for a sponsor.
+    pub import_once: bool,
 }
 
 impl Default for Setting {
@@ -77,11 +80,25 @@
             stall: Duration::from_millis(1_000),
             patience: Duration::from_millis(1_500),
             penalty: Duration::from_millis(500),
+            import_once: false,
         }
     }
 }
 
 impl Setting {
+    /// Settings for a few halls of a few boxes each, with dear bytes between halls: everyone
+    /// follows its whole hall.
+    pub fn in_few_halls() -> Self {
+        Self {
+            hall_neighbours: 16,
+            fleet_neighbours: 6,
+            peers_max: 32,
+            import_once: true,
+            patience: Duration::from_millis(500),
+            ..Self::default()
+        }
+    }
+
     /// The settings under a favour: origin bytes are spared by waiting longer before a second
     /// box draws what a sponsor may still bring.
     pub fn favouring(self, favour: Favour) -> Self {
--- a/src/spread/ring.rs
+++ b/src/spread/ring.rs
@@ -134,3 +134,15 @@
         .count();
     in_hall + among_halls
 }
+
+/// How many boxes of the own hall come before `own` to draw `chunk` from another hall.
+pub fn import_rank(version: Digest, chunk: u32, own: &Member, members: &[Member]) -> usize {
+    let chunk = chunk.to_le_bytes();
+    let score = |name: &str| weight(version, &[b"import", &chunk, name.as_bytes()]);
+    let own_score = score(&own.name);
+    members
+        .iter()
+        .filter(|member| member.hall == own.hall && member.name != own.name)
+        .filter(|member| score(&member.name) > own_score)
+        .count()
+}
--- a/src/spread/swarm.rs
+++ b/src/spread/swarm.rs
@@ -120,6 +120,7 @@
 #[derive(Debug)]
 struct Peer {
     name: Arc<str>,
+    near: bool,
     have: Bitmap,
     load: u32,
     fetches: u32,
@@ -154,6 +155,9 @@
     usual: Option<Duration>,
     members: Vec<Member>,
     sponsors: Vec<Arc<str>>,
+    import_ranks: Vec<usize>,
+    near_seen: Bitmap,
+    near_new: Time,
     origin_failures: u32,
     origin_pause_until: Time,
     tally: Tally,
@@ -185,6 +189,9 @@
             usual: None,
             members: Vec::new(),
             sponsors: Vec::new(),
+            import_ranks: Vec::new(),
+            near_seen: Bitmap::new(chunks),
+            near_new: now,
             origin_failures: 0,
             origin_pause_until: now,
             tally: Tally::default(),
@@ -194,10 +201,34 @@
     /// Sets who takes part, this box included.
     pub fn set_members(&mut self, members: Vec<Member>) {
         let count = self.setting.sponsors + self.setting.standbys;
+        if self.members == members {
+            return;
+        }
         self.sponsors = ring::sponsors(self.version, &members, count);
+        if self.setting.import_once {
+            let rank = |chunk| ring::import_rank(self.version, chunk, &self.own, &members);
+            self.import_ranks = (0..self.have.len() as u32).map(rank).collect();
+        }
         self.members = members;
     }
 
+    /// Whether a chunk may be drawn from another hall: by one box of the hall, and by more when
+    /// nothing new has come into the hall for a while.
+    fn may_import(&self, chunk: u32, now: Time) -> bool {
+        let Some(&rank) = self.import_ranks.get(chunk as usize) else {
+            return true;
+        };
+        let quiet = now.since(self.near_new).as_millis();
+        let turns = quiet / self.patience().as_millis().max(1);
+        rank as u128 <= turns
+    }
+
+    fn seen_near(&mut self, chunk: usize, now: Time) {
+        if self.near_seen.set(chunk) {
+            self.near_new = now;
+        }
+    }
+
     /// The names of the peers that this box ought to follow, the ones it needs most first. Peers
     /// that do not speak are made up for by others of the box's hall.
     pub fn wanted_peers(&mut self, now: Time) -> Vec<Arc<str>> {
@@ -248,8 +279,13 @@
 
     /// A peer is being followed from now on.
     pub fn join(&mut self, name: Arc<str>, now: Time) -> PeerKey {
+        let near = self
+            .members
+            .iter()
+            .any(|member| member.name == name && member.hall == self.own.hall);
         self.peers.insert(Peer {
             name,
+            near,
             have: Bitmap::new(self.have.len()),
             load: 0,
             fetches: 0,
@@ -275,11 +311,18 @@
         };
         peer.heard = now;
         peer.load = notice.load;
+        let near = peer.near;
         for &chunk in notice.gained {
             let chunk = chunk as usize;
+            let Some(peer) = self.peers.get_mut(key) else {
+                return;
+            };
             if !peer.have.set(chunk) {
                 continue;
             }
+            if near {
+                self.seen_near(chunk, now);
+            }
             self.rarity[chunk] += 1;
             if self.seen.set(chunk) {
                 self.new_seen = now;
@@ -334,6 +377,7 @@
     /// Marks a chunk as held, from wherever it came.
     pub fn hold(&mut self, chunk: u32, now: Time) {
         self.have.set(chunk as usize);
+        self.seen_near(chunk as usize, now);
         if self.seen.set(chunk as usize) {
             self.new_seen = now;
         }
@@ -455,8 +499,12 @@
     /// The holder of `chunk` with the least to do, if any has less than `load_max`.
     fn best_holder(&mut self, chunk: u32, load_max: u32, now: Time) -> Option<PeerKey> {
         let setting = self.setting;
+        let import = self.may_import(chunk, now);
         let mut best: Option<(u32, u32, PeerKey)> = None;
         for (key, peer) in &self.peers {
+            if !peer.near && !import {
+                continue;
+            }
             let load = peer.load.max(peer.fetches);
             let eligible = peer.have.get(chunk as usize)
                 && peer.fetches < setting.peer_fetches_max as u32
--- a/src/version.rs
+++ b/src/version.rs
@@ -3,6 +3,8 @@
 //! A replica is servable when every chunk is verified, the engine took the load order under the
 //! present fence, and the engine itself reports that digest.
 
+pub mod rollout;
+
 use std::collections::BTreeMap;
 
 use serde::{Deserialize, Serialize};
--- /dev/null
+++ b/src/version/rollout.rs
@@ -0,0 +1,115 @@
+//! When each replica of a service changes to a newly named version, and what its process does next.
+//!
+//! A replica that changes takes nothing new for a while, so replicas change in waves. Every process
+//! computes its own wave from the same list, and no wave waits for another: a process that died
+//! delays nobody.
+
+use std::time::Duration;
+
+use crate::clock::Time;
+use crate::weight::Digest;
+
+/// Settings of a rollout.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Setting {
+    /// Waves in which replicas change.
+    pub waves: u32,
+    /// Time after which no request may start on an older version.
+    pub bound: Duration,
+    /// Time before the bound at which the last wave begins.
+    pub margin: Duration,
+    /// Time between the end of a transfer, as expected, and the last wave.
+    pub spread: Duration,
+    /// How long a process tells that its replica will change before it orders that.
+    pub notice: Duration,
+}
+
+impl Default for Setting {
+    fn default() -> Self {
+        Self {
+            waves: 3,
+            bound: Duration::from_millis(8_000),
+            margin: Duration::from_millis(1_000),
+            spread: Duration::from_millis(2_600),
+            notice: Duration::from_millis(250),
+        }
+    }
+}
+
+/// A replica's place among its fellows: by a hash of version and name, so that each version begins
+/// elsewhere and each hall has replicas in every wave.
+pub fn wave(version: Digest, own: &str, fellows: &[&str], waves: u32) -> u32 {
+    let score = |name: &str| crate::spread::ring::weight(version, &[b"wave", name.as_bytes()]);
+    let own_score = (score(own), own);
+    let before = fellows
+        .iter()
+        .filter(|name| **name != own && (score(name), **name) < own_score)
+        .count();
+    (before as u32) % waves.max(1)
+}
+
+/// When a wave may begin, counted from when the version was named.
+pub fn begins(setting: Setting, wave: u32) -> Duration {
+    let last = setting.bound.saturating_sub(setting.margin);
+    let steps = setting.waves.max(2) - 1;
+    let wave = wave.min(steps);
+    last.saturating_sub(setting.spread * (steps - wave) / steps)
+}
+
+/// What a process knows of its replica and the wanted version.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct State {
+    /// The wanted version.
+    pub wanted: u64,
+    /// When it was named.
+    pub named: Time,
+    /// The version that the replica holds.
+    pub held: Option<u64>,
+    /// Whether the replica carries an order out.
+    pub busy: bool,
+    /// Whether every chunk of the wanted version is here and verified.
+    pub complete: bool,
+    /// The replica's wave.
+    pub wave: u32,
+    /// When the process began to tell that its replica will change.
+    pub noticed: Option<Time>,
+}
+
+/// What is next.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Step {
+    /// Nothing: the replica holds what is wanted, or is about to.
+    Rest,
+    /// Chunks are missing.
+    Receive,
+    /// The wave has not begun.
+    Await,
+    /// Tell that the replica will change.
+    Notice,
+    /// The notice runs.
+    Noticed,
+    /// Verify what is staged, and order the change.
+    Order,
+}
+
+/// Decides what is next.
+pub fn step(state: State, setting: Setting, now: Time) -> Step {
+    if state.held.is_some_and(|held| held >= state.wanted) || state.busy {
+        return Step::Rest;
+    }
+    if !state.complete {
+        return Step::Receive;
+    }
+    if state.held.is_none() {
+        // It serves nothing, so there is nobody to be told and nothing to wait for.
+        return Step::Order;
+    }
+    if now.since(state.named) + setting.notice < begins(setting, state.wave) {
+        return Step::Await;
+    }
+    match state.noticed {
+        None => Step::Notice,
+        Some(since) if now.since(since) < setting.notice => Step::Noticed,
+        Some(_) => Step::Order,
+    }
+}
--- a/src/weight.rs
+++ b/src/weight.rs
@@ -10,6 +10,7 @@
 
 use bytes::{Bytes, BytesMut};
 use serde::{Deserialize, Serialize};
+use sha2::Digest as _;
 
 /// Bytes in a digest.
 const DIGEST_BYTES: usize = 32;
@@ -23,12 +24,63 @@
 /// Chunks that one manifest may list.
 pub const CHUNKS_MAX: usize = 65_536;
 
-/// A BLAKE3 digest. Shown and serialized as 64 hexadecimal digits.
+/// How the digests of a version's chunks are computed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum Hash {
+    /// BLAKE3, as the product's own origin lists them.
+    #[default]
+    Blake3,
+    /// SHA-256.
+    Sha256,
+}
+
+impl Hash {
+    /// The digest of `bytes`.
+    pub fn of(self, bytes: &[u8]) -> Digest {
+        let mut hasher = self.hasher();
+        hasher.update(bytes);
+        hasher.finish()
+    }
+
+    fn hasher(self) -> Hasher {
+        match self {
+            Self::Blake3 => Hasher::Blake3(Box::default()),
+            Self::Sha256 => Hasher::Sha256(sha2::Sha256::new()),
+        }
+    }
+}
+
+/// A digest in the making.
+#[derive(Debug)]
+enum Hasher {
+    Blake3(Box<blake3::Hasher>),
+    Sha256(sha2::Sha256),
+}
+
+impl Hasher {
+    fn update(&mut self, part: &[u8]) {
+        match self {
+            Self::Blake3(hasher) => {
+                hasher.update(part);
+            }
+            Self::Sha256(hasher) => hasher.update(part),
+        }
+    }
+
+    fn finish(self) -> Digest {
+        match self {
+            Self::Blake3(hasher) => hasher.finalize().into(),
+            Self::Sha256(hasher) => Digest(hasher.finalize().into()),
+        }
+    }
+}
+
+/// A digest of 32 bytes. Shown and serialized as 64 hexadecimal digits.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Digest([u8; DIGEST_BYTES]);
 
 impl Digest {
-    /// The digest of `bytes`.
+    /// The BLAKE3 digest of `bytes`.
     pub fn of(bytes: &[u8]) -> Self {
         Self(*blake3::hash(bytes).as_bytes())
     }
@@ -98,6 +150,12 @@
         /// The text, cut to 80 characters.
         text: String,
     },
+    /// A manifest cannot be read.
+    #[error("manifest cannot be read: {reason}")]
+    ManifestText {
+        /// What the codec reported.
+        reason: String,
+    },
     /// A manifest does not hash to the digest it was asked for by.
     #[error("manifest hashes to {found}, expected {expected}")]
     ManifestDigest {
@@ -195,6 +253,11 @@
         if found != expected {
             return Err(Error::ManifestDigest { expected, found });
         }
+        self.verify_shape()
+    }
+
+    /// Confirms that the fields agree.
+    pub fn verify_shape(&self) -> Result<(), Error> {
         let chunk_bytes = u64::from(self.chunk_bytes.max(1));
         if self.chunks.len() > CHUNKS_MAX
             || self.chunks.len() as u64 != self.model_bytes.div_ceil(chunk_bytes)
@@ -225,7 +288,7 @@
     expected: Digest,
     length: usize,
     bytes: BytesMut,
-    hasher: blake3::Hasher,
+    hasher: Hasher,
 }
 
 impl Receipt {
@@ -250,8 +313,9 @@
 
     /// Compares what came with the manifest.
     pub fn finish(self) -> Result<Chunk, Error> {
-        if Digest::from(self.hasher.finalize()) != self.expected {
-            return Err(self.failure());
+        let failure = self.failure();
+        if self.hasher.finish() != self.expected {
+            return Err(failure);
         }
         Ok(Chunk {
             version: self.version,
@@ -292,6 +356,7 @@
 #[derive(Debug)]
 struct Version {
     manifest: Manifest,
+    hash: Hash,
     chunks: Vec<Option<Bytes>>,
     held: usize,
 }
@@ -317,10 +382,22 @@
     /// Makes room for a version. Its whole size is reserved at once, so that two versions that
     /// arrive together can never both get stuck half-way.
     pub fn admit(&mut self, version: Digest, manifest: Manifest) -> Result<(), Error> {
+        manifest.verify(version)?;
+        self.admit_checked(version, manifest, Hash::Blake3)
+    }
+
+    /// Makes room for a version whose manifest was checked against its name already: where the
+    /// origin counts versions, the name is no digest of the manifest.
+    pub fn admit_checked(
+        &mut self,
+        version: Digest,
+        manifest: Manifest,
+        hash: Hash,
+    ) -> Result<(), Error> {
         if self.versions.contains_key(&version) {
             return Ok(());
         }
-        manifest.verify(version)?;
+        manifest.verify_shape()?;
         let free = self.capacity.saturating_sub(self.reserved);
         if manifest.model_bytes > free {
             return Err(Error::Capacity {
@@ -336,6 +413,7 @@
             version,
             Version {
                 manifest,
+                hash,
                 chunks,
                 held: 0,
             },
@@ -361,7 +439,7 @@
             expected,
             length,
             bytes: BytesMut::new(),
-            hasher: blake3::Hasher::new(),
+            hasher: entry.hash.hasher(),
         })
     }
 
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -3,6 +3,8 @@
 //! Fields may be added with a default and are ignored by older readers; a message whose meaning
 //! changes gets a new [`VERSION`] and a new path.
 
+pub mod sync;
+
 use bytes::{Buf, Bytes, BytesMut};
 use serde::{Deserialize, Serialize};
 
--- /dev/null
+++ b/src/wire/sync.rs
@@ -0,0 +1,114 @@
+//! What entries tell each other, and what the processes beside replicas and entries tell each other.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+use crate::config::belief::Marks;
+use crate::config::routing::{Document, Engine};
+use crate::member::peer::Told;
+use crate::member::replica::Record;
+use crate::route::pool::Load;
+
+/// Path of a [`Sync`].
+pub const SYNC_PATH: &str = "/v1/sync";
+
+/// Path of a [`Report`].
+pub const REPORT_PATH: &str = "/v1/replica";
+
+/// A heartbeat: who asks, and what it knows.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Sync {
+    /// Where the sender listens.
+    pub from: SocketAddr,
+    /// The data hall that it stands in.
+    pub hall: Arc<str>,
+    /// Whether it is an entry.
+    pub entry: bool,
+    /// How fresh its beliefs are.
+    pub marks: Marks,
+    /// The entries that it knows.
+    pub peers: Vec<Told>,
+}
+
+/// The report of a process beside a replica.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Report {
+    /// Where the replica listens.
+    pub address: SocketAddr,
+    /// What it has to do, and what it holds.
+    pub load: Load,
+    /// The heartbeat that goes with it.
+    pub sync: Sync,
+}
+
+/// A version that was named for a model.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Named {
+    /// The model.
+    pub model: Arc<str>,
+    /// The version.
+    pub version: u64,
+    /// The revision that named it.
+    pub revision: u64,
+    /// Milliseconds since the teller heard of it.
+    pub age_ms: u64,
+}
+
+/// A routing configuration and its revision.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct DatedDocument {
+    /// The revision.
+    pub revision: u64,
+    /// The configuration.
+    pub document: Arc<Document>,
+}
+
+/// A replica's entry and its revision.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct DatedRecord {
+    /// The revision.
+    pub revision: u64,
+    /// The entry.
+    pub record: Record,
+}
+
+/// A list of replicas.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct List {
+    /// The revision up to which it is known.
+    pub at: u64,
+    /// The entries.
+    pub records: Vec<DatedRecord>,
+}
+
+/// What a process beside a replica needs of the configuration.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Brief {
+    /// The configuration's revision.
+    pub revision: u64,
+    /// The origin of weights.
+    pub origin: Option<SocketAddr>,
+    /// The engine's figures.
+    pub engine: Option<Engine>,
+}
+
+/// The answer to a heartbeat or a report: whatever its sender lacks.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct News {
+    /// The data hall of the process that answers.
+    pub hall: Arc<str>,
+    /// How fresh its beliefs are.
+    pub marks: Marks,
+    /// The entries that it knows.
+    pub peers: Vec<Told>,
+    /// Newer routing.
+    pub routing: Option<DatedDocument>,
+    /// Newer wanted versions.
+    pub versions: Vec<Named>,
+    /// A newer list.
+    pub replicas: Option<List>,
+    /// The newer configuration in brief.
+    pub brief: Option<Brief>,
+}
