Steer by prompts that wait to be read, and around changes of version

Change: the estimate counts prompts without a first event (own ones exactly, others by the report); a request that outlasts its replica's next change of version costs the excess; an attempt that has not started before its version's bound is ended; a sidecar joins a burst after its replica has answered.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -19,12 +19,16 @@
 
 use crate::daemon;
 use crate::exchange;
+use crate::config::belief::Belief;
 use crate::http::{self, Server, Timing};
 use crate::knowledge::{Identity, Knowledge, gossip, store};
+use crate::member::replica::Record;
 use crate::metric::{self, Metrics};
 use crate::request::budget::{self, Budget};
-use crate::route::pool::Pool;
+use crate::route::pool::{Due, Pool};
+use crate::sidecar;
 use crate::source::{Source, Topic};
+use crate::version::rollout;
 
 pub mod attempt;
 pub mod call;
@@ -48,6 +52,9 @@
 /// Time for the last answers to leave the process.
 const LAST_BYTES: Duration = Duration::from_millis(200);
 
+/// Part of a version's bound, before its end, in which nothing starts on an older one.
+pub const START_MARGIN: Duration = Duration::from_millis(300);
+
 /// How much longer than callers may rest a connection is kept.
 const IDLE_MARGIN: Duration = Duration::from_secs(1);
 
@@ -62,8 +69,8 @@
     pub sidecar_port: u16,
     /// The bounds of the budget that all entries share.
     pub budget: budget::Setting,
-    /// Time after which no request may start on an older version than the one that was named.
-    pub version_bound: Duration,
+    /// Settings of the change of versions.
+    pub rollout: rollout::Setting,
     /// Seed of random choices.
     pub seed: u64,
 }
@@ -267,10 +274,39 @@
     /// The pool, with the list as it is believed now.
     fn refresh_pool(&self) {
         let changes = *self.knowledge.changed.borrow();
-        if self.pool_at.replace(changes) != changes {
-            let belief = self.knowledge.belief.borrow();
-            self.pool.borrow_mut().update(belief.replicas());
+        if self.pool_at.replace(changes) == changes {
+            return;
         }
+        let belief = self.knowledge.belief.borrow();
+        let list = belief.replicas();
+        let due = |record: &Record| self.due(&belief, record);
+        self.pool.borrow_mut().update(list, due);
+    }
+
+    /// The change of version that a replica has before it, as its own process will carry it out.
+    fn due(&self, belief: &Belief, record: &Record) -> Option<Due> {
+        let routing = belief.routing()?;
+        let engine = routing.service(&record.service)?.engine.as_ref()?;
+        let model = engine.models.first()?;
+        let wanted = belief.wanted(model)?;
+        let fellows: Vec<String> = belief
+            .replicas()
+            .values()
+            .map(|listed| &listed.record)
+            .filter(|other| other.service == record.service && other.hall == record.hall)
+            .map(|other| other.address.ip().to_string())
+            .collect();
+        let fellows: Vec<&str> = fellows.iter().map(String::as_str).collect();
+        let rollout = self.setting.rollout;
+        let own = record.address.ip().to_string();
+        let label = sidecar::label(model, wanted.version);
+        let wave = rollout::wave(label, &own, &fellows, rollout.waves);
+        let at = wanted.since + rollout::begins(rollout, wave);
+        Some(Due {
+            version: wanted.version,
+            at: at - rollout.notice,
+            bound: wanted.since + rollout.bound - START_MARGIN,
+        })
     }
 
     /// Whether callers' requests can be served.
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -1,5 +1,6 @@
 //! One exchange with a replica.
 
+use std::cell::Cell;
 use std::future::Future;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -18,6 +19,7 @@
 use crate::exchange::{self, Options, Response, Reuse, Unframed};
 use crate::http::Answer;
 use crate::request::attempt::Ended;
+use crate::route::estimate::Demand;
 use crate::route::health::Sign;
 use crate::route::pool::{Choice, Key};
 
@@ -77,31 +79,50 @@
     choice: Choice,
     address: std::net::SocketAddr,
     began: Time,
+    demand: Demand,
+    start_bound: Option<Time>,
+    started: Cell<bool>,
 }
 
 impl Drop for Attempt {
     fn drop(&mut self) {
+        self.started();
         self.gateway.pool.borrow_mut().end(self.key);
     }
 }
 
 impl Attempt {
     /// Begins an attempt at a chosen replica, unless that has gone.
-    pub fn begin(gateway: &Rc<Gateway>, choice: Choice) -> Option<Self> {
+    pub fn begin(gateway: &Rc<Gateway>, job: &Job, choice: Choice) -> Option<Self> {
+        let now = gateway.knowledge.now();
         let mut pool = gateway.pool.borrow_mut();
         let replica = pool.get(choice.key)?;
         let (id, address) = (replica.record.id.clone(), replica.record.address);
-        pool.begin(choice.key);
+        let demand = job.demand();
+        let model = job.ask.work.as_ref().map(|work| &*work.model);
+        let start_bound = model.and_then(|model| pool.start_bound(choice.key, model, now));
+        pool.begin(choice.key, demand);
         Some(Self {
             gateway: gateway.clone(),
             key: choice.key,
             replica: id,
             choice,
             address,
-            began: gateway.knowledge.now(),
+            began: now,
+            demand,
+            start_bound,
+            started: Cell::new(false),
         })
     }
 
+    /// The first event came.
+    pub fn started(&self) {
+        if !self.started.replace(true) {
+            let mut pool = self.gateway.pool.borrow_mut();
+            pool.started(self.key, self.demand);
+        }
+    }
+
     /// Notes something about the replica's health.
     pub fn note(&self, sign: Sign) {
         let now = self.gateway.knowledge.now();
@@ -170,20 +191,26 @@
 
     /// Awaits `step` for as long as this replica may be silent.
     pub async fn within<T>(&self, job: &Job, step: impl Future<Output = T>) -> Option<T> {
-        let remaining = job.remaining(self.gateway.knowledge.now());
+        let now = self.gateway.knowledge.now();
+        let remaining = job.remaining(now);
         let silence = if job.route.repeatable() {
             (job.objective() * SILENCE_FACTOR).max(SILENCE_MIN)
         } else {
             remaining
         };
-        timeout(silence.min(remaining), step).await.ok()
+        // It may not start on its replica's version any more once the next one is due.
+        let start = self.start_bound.map_or(remaining, |bound| bound.since(now));
+        timeout(silence.min(remaining).min(start), step).await.ok()
     }
 
     /// The replica was silent for as long as it may be.
     pub fn silent(&self, job: &Job) -> Failure {
         let late = job.remaining(self.gateway.knowledge.now()).is_zero();
+        let bound = self.start_bound.is_some_and(|bound| bound <= self.gateway.knowledge.now());
         let detail = if late {
             "the request's time is over"
+        } else if bound {
+            "it has not started before its replica's version was over"
         } else {
             "the replica is silent"
         };
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use rand::RngExt;
 
-use super::Gateway;
+use super::{Gateway, START_MARGIN};
 use super::attempt::{Attempt, Begun, Failure};
 use super::dialect::{Ask, Code, Refusal};
 use super::relay::Relay;
@@ -31,10 +31,6 @@
 /// When a caller should come back after a replica refused its request.
 const REFUSED_RETRY: Duration = Duration::from_millis(150);
 
-/// Part of the version's bound, before its end, from which no older version is used: a request may
-/// wait at its replica before it starts.
-const VERSION_MARGIN: Duration = Duration::from_millis(700);
-
 /// Connections to a replica that an entry may always have.
 const CONNECTIONS_MIN: u32 = 3;
 
@@ -76,7 +72,8 @@
         self.deadline.since(now)
     }
 
-    fn demand(&self) -> Demand {
+    /// What it asks of an engine.
+    pub fn demand(&self) -> Demand {
         let work = self.ask.work.as_ref();
         Demand {
             prompt: work.map_or(0, |work| work.prompt),
@@ -492,9 +489,9 @@
     }
 
     fn oldest_version(&self, model: &str, now: Time) -> u64 {
-        let bound = self.gateway.setting.version_bound;
+        let bound = self.gateway.setting.rollout.bound;
         let belief = self.gateway.knowledge.belief.borrow();
-        belief.oldest_allowed(model, bound.saturating_sub(VERSION_MARGIN), now)
+        belief.oldest_allowed(model, bound.saturating_sub(START_MARGIN), now)
     }
 
     /// Sends the request to the chosen replica.
@@ -504,7 +501,7 @@
         last_event: Option<u64>,
         only: Option<u64>,
     ) -> Result<Begun, Failure> {
-        let Some(attempt) = Attempt::begin(&self.gateway, choice) else {
+        let Some(attempt) = Attempt::begin(&self.gateway, &self.job, choice) else {
             return Err(Failure::new(Ended::NotSent, "the replica has gone"));
         };
         self.tried.push(choice.key);
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -113,6 +113,7 @@
     }
 
     fn note_first(&mut self) {
+        self.attempt.started();
         if self.course.trace.first.is_some() {
             return;
         }
--- a/src/route/estimate.rs
+++ b/src/route/estimate.rs
@@ -16,12 +16,17 @@
 /// What an engine has to do already.
 #[derive(Debug, Clone, Copy, PartialEq, Default)]
 pub struct Work {
-    /// Requests that it works on or that wait there.
+    /// Requests that it writes, reads, or that wait there.
     pub requests: u32,
+    /// Prompt tokens of those that have not begun to be written.
+    pub unread: f64,
     /// Factor on all its times; above 1 it is slow.
     pub pace: f64,
 }
 
+/// Time that a full engine reads for each unit of time that it writes.
+const READING: f64 = 0.8;
+
 /// Part of a pass that a new request waits on average before it is looked at.
 const PASS_WAITED: f64 = 0.5;
 
@@ -56,12 +61,18 @@
     let slots = engine.slots.max(1);
     let batch = f64::from(work.requests.min(slots - 1) + 1);
     let pass = step_ms(engine, batch) * f64::from(engine.stride.max(1));
-    // While slots are taken anew by others, their prompts are read between the passes.
-    let busy = f64::from(work.requests.min(slots)) / f64::from(slots);
-    let others = busy * read_ms(engine, engine.usual_prompt);
-    let own = read_ms(engine, f64::from(demand.prompt));
+    let read = read_ms(engine, work.unread + f64::from(demand.prompt));
     let waiting = work.requests.saturating_sub(slots - 1);
     let queue = turnover(engine, 1.0) * waiting;
-    let started = millis((pass * (1.0 + PASS_WAITED) + others + own) * work.pace.max(1.0));
-    queue.mul_f64(work.pace.max(1.0)) + started
+    (queue + millis(pass * (1.0 + PASS_WAITED) + read)).mul_f64(work.pace.max(1.0))
+}
+
+/// Time that a request takes from its first event to its last.
+pub fn writing(engine: &Engine, work: Work, demand: Demand) -> Duration {
+    let slots = engine.slots.max(1);
+    let batch = f64::from(work.requests.min(slots - 1) + 1);
+    // While it is written, others come and are read between its steps.
+    let reading = batch / f64::from(slots) * READING;
+    let step = step_ms(engine, batch) * (1.0 + reading);
+    millis(step * f64::from(demand.output)).mul_f64(work.pace.max(1.0))
 }
--- a/src/route/pool.rs
+++ b/src/route/pool.rs
@@ -37,6 +37,9 @@
 /// Candidates whose cost is over the least by no more than this are equal.
 const EQUAL: Duration = Duration::from_millis(4);
 
+/// A request that outlasts its replica's next change of version costs this part of the excess.
+const OVERRUN: u32 = 2;
+
 /// Cost of each taken slot: a fuller engine writes more slowly.
 const CROWDING: Duration = Duration::from_millis(3);
 
@@ -65,10 +68,31 @@
     load: Option<(Load, Time)>,
     own: u32,
     own_at_report: u32,
+    unread: Unread,
+    unread_at_report: u32,
+    due: Option<Due>,
     health: Health,
     denied: bool,
 }
 
+/// Own requests that have had no event yet.
+#[derive(Debug, Clone, Copy, Default)]
+struct Unread {
+    requests: u32,
+    tokens: u64,
+}
+
+/// A change of version that a replica has before it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Due {
+    /// The version that it will hold.
+    pub version: u64,
+    /// When it takes nothing new any more.
+    pub at: Time,
+    /// When no request may start on its present version any more.
+    pub bound: Time,
+}
+
 impl Replica {
     fn new(record: Record) -> Self {
         Self {
@@ -76,6 +100,9 @@
             load: None,
             own: 0,
             own_at_report: 0,
+            unread: Unread::default(),
+            unread_at_report: 0,
+            due: None,
             health: Health::default(),
             denied: false,
         }
@@ -106,6 +133,19 @@
         reported.unwrap_or_else(|| self.record.version(model))
     }
 
+    /// Prompt tokens that wait to be read there, as far as this entry can tell.
+    fn unread(&self, usual_prompt: f64, now: Time) -> f64 {
+        let reported = self.fresh(now).map_or(0, |load| load.queued);
+        let others = reported.saturating_sub(self.unread_at_report);
+        f64::from(others) * usual_prompt + self.unread.tokens as f64
+    }
+
+    /// The change of version that it has before it.
+    fn change(&self, model: &str, now: Time) -> Option<Due> {
+        let held = self.version(model, now)?;
+        self.due.filter(|due| held < due.version)
+    }
+
     fn pace(&self, now: Time) -> f64 {
         self.fresh(now).map_or(1.0, |load| load.pace)
     }
@@ -193,12 +233,17 @@
         }
     }
 
-    /// Takes the list as it stands now.
-    pub fn update(&mut self, list: &BTreeMap<Arc<str>, Listed>) {
+    /// Takes the list as it stands now, and what change of version each replica has before it.
+    pub fn update(
+        &mut self,
+        list: &BTreeMap<Arc<str>, Listed>,
+        due: impl Fn(&Record) -> Option<Due>,
+    ) {
+        let usable = |listed: &Listed| listed.gone.is_none() || listed.doubted;
         let gone: Vec<Arc<str>> = self
             .ids
             .keys()
-            .filter(|id| !list.contains_key(*id))
+            .filter(|id| !list.get(*id).is_some_and(usable))
             .cloned()
             .collect();
         for id in gone {
@@ -206,7 +251,7 @@
                 self.replicas.remove(key);
             }
         }
-        for (id, listed) in list {
+        for (id, listed) in list.iter().filter(|(_, listed)| usable(listed)) {
             let key = match self.ids.get(id) {
                 Some(&key) => key,
                 None => {
@@ -216,6 +261,7 @@
                 }
             };
             self.replicas[key].record = listed.record.clone();
+            self.replicas[key].due = due(&listed.record);
         }
         self.services.clear();
         for (key, replica) in &self.replicas {
@@ -224,6 +270,13 @@
         }
     }
 
+    /// When a request that is sent now has to have started at a replica, if it is about to change
+    /// its version.
+    pub fn start_bound(&self, key: Key, model: &str, now: Time) -> Option<Time> {
+        let replica = self.replicas.get(key)?;
+        replica.change(model, now).map(|due| due.bound)
+    }
+
     /// One replica.
     pub fn get(&self, key: Key) -> Option<&Replica> {
         self.replicas.get(key)
@@ -241,6 +294,7 @@
             if replica.record.address == address {
                 replica.load = Some((load.clone(), now));
                 replica.own_at_report = replica.own;
+                replica.unread_at_report = replica.unread.requests;
                 found = true;
             }
         }
@@ -300,10 +354,14 @@
         let Some(need) = ask.model else {
             return true;
         };
-        let version = replica.version(need.model, now);
-        version.is_some_and(|version| {
-            version >= need.oldest && need.only.is_none_or(|only| only == version)
-        })
+        let Some(version) = replica.version(need.model, now) else {
+            return false;
+        };
+        let wanted = version >= need.oldest && need.only.is_none_or(|only| only == version);
+        // What waits there too long would start on a version that is not allowed any more.
+        let starts = || now + self.expected(replica, ask, now);
+        let change = replica.change(need.model, now);
+        wanted && change.is_none_or(|due| starts() < due.bound)
     }
 
     fn cheapest(
@@ -339,22 +397,45 @@
         } else {
             REMOTE
         };
-        self.expected(replica, ask, now) + crowding + far
+        let expected = self.expected(replica, ask, now);
+        expected + crowding + far + self.overrun(replica, ask, expected, now) / OVERRUN
+    }
+
+    /// How much longer than until its next change of version a replica would work on a request:
+    /// for so long it would take nothing new.
+    fn overrun(
+        &self,
+        replica: &Replica,
+        ask: Ask<'_>,
+        expected: Duration,
+        now: Time,
+    ) -> Duration {
+        let change = ask.model.and_then(|need| replica.change(need.model, now));
+        let (Some(due), Some(engine)) = (change, ask.engine) else {
+            return Duration::ZERO;
+        };
+        let work = self.work(replica, engine, now);
+        let ends = now + expected + estimate::writing(engine, work, ask.demand);
+        ends.since(due.at)
+    }
+
+    fn work(&self, replica: &Replica, engine: &Engine, now: Time) -> Work {
+        Work {
+            requests: replica.requests(now),
+            unread: replica.unread(engine.usual_prompt, now),
+            pace: replica.pace(now),
+        }
     }
 
     /// When the first event (or the answer) of a request that is sent now is expected.
     fn expected(&self, replica: &Replica, ask: Ask<'_>, now: Time) -> Duration {
-        let requests = replica.requests(now);
         let Some(engine) = ask.engine else {
             let usual = replica.health.usual().unwrap_or(USUAL_UNKNOWN);
             let slots = replica.record.slots.max(1);
-            let waiting = requests.saturating_sub(slots - 1);
+            let waiting = replica.requests(now).saturating_sub(slots - 1);
             return usual + usual * waiting / slots;
         };
-        let work = Work {
-            requests,
-            pace: replica.pace(now),
-        };
+        let work = self.work(replica, engine, now);
         let expected = estimate::first_event(engine, work, ask.demand);
         if !replica.switching(now) {
             return expected;
@@ -376,9 +457,21 @@
     }
 
     /// A request was sent to a replica.
-    pub fn begin(&mut self, key: Key) {
+    pub fn begin(&mut self, key: Key, demand: Demand) {
         if let Some(replica) = self.replicas.get_mut(key) {
             replica.own += 1;
+            replica.unread.requests += 1;
+            replica.unread.tokens += u64::from(demand.prompt);
+        }
+    }
+
+    /// A request's first event came, or it ended without one.
+    pub fn started(&mut self, key: Key, demand: Demand) {
+        if let Some(replica) = self.replicas.get_mut(key) {
+            let unread = &mut replica.unread;
+            unread.requests = unread.requests.saturating_sub(1);
+            unread.tokens = unread.tokens.saturating_sub(u64::from(demand.prompt));
+            replica.unread_at_report = replica.unread_at_report.min(unread.requests);
         }
     }
 
--- a/src/sidecar/reconcile.rs
+++ b/src/sidecar/reconcile.rs
@@ -52,9 +52,10 @@
 }
 
 impl Sidecar {
-    /// Whether the replica was asked: what it holds need not be drawn from others.
+    /// Whether the replica has answered since this process began: what it holds need not be drawn
+    /// from others, and one that is not there needs nothing.
     fn looked(&self) -> bool {
-        self.state.borrow().is_some() || self.misses.get() > 0
+        self.state.borrow().is_some() || !self.bursts.borrow().is_empty()
     }
 
     /// Takes part in the burst of the wanted version, and in no other.
