Keep the bound of every named version; close resting connections in a planned stop

Change: all named versions are kept, told and bound; Server::close closes connections as soon as they rest.

--- a/src/config/belief.rs
+++ b/src/config/belief.rs
@@ -65,6 +65,11 @@
     pub since: Time,
 }
 
+/// The oldest of `named` that a replica lacks which holds `held`: its bound comes first.
+pub fn first_lacking(named: &[Wanted], held: u64) -> Option<Wanted> {
+    named.iter().find(|wanted| wanted.version > held).copied()
+}
+
 /// A listed replica.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Listed {
@@ -124,11 +129,15 @@
         self.versions.get(model)?.last().copied()
     }
 
-    /// The newest named version of each model.
+    /// The versions that were named for a model, oldest first.
+    pub fn named(&self, model: &str) -> &[Wanted] {
+        self.versions.get(model).map_or(&[], Vec::as_slice)
+    }
+
+    /// All named versions, the oldest of each model first.
     pub fn versions(&self) -> impl Iterator<Item = (&Arc<str>, Wanted)> {
-        self.versions
-            .iter()
-            .filter_map(|(model, named)| Some((model, *named.last()?)))
+        let models = self.versions.iter();
+        models.flat_map(|(model, named)| named.iter().map(move |wanted| (model, *wanted)))
     }
 
     /// The oldest version of a model on which a request may start, where a named version is due
@@ -198,17 +207,19 @@
         since: Time,
     ) -> Effect {
         let named = self.versions.entry(model).or_default();
-        if named.last().is_some_and(|known| known.version >= version) {
+        let place = named.partition_point(|known| known.version < version);
+        if named.get(place).is_some_and(|known| known.version == version) {
             return Effect::None;
         }
-        if named.len() == NAMED_MAX {
-            named.remove(0);
-        }
-        named.push(Wanted {
+        let wanted = Wanted {
             version,
             revision,
             since,
-        });
+        };
+        named.insert(place, wanted);
+        if named.len() > NAMED_MAX {
+            named.remove(0);
+        }
         Effect::Version
     }
 
@@ -329,10 +340,8 @@
     ) -> Effect {
         let since = now - age;
         let effect = self.learn_version(wanted.revision, model.clone(), wanted.version, since);
-        let named = self.versions.get_mut(&model).and_then(|all| all.last_mut());
-        if let Some(known) = named
-            && known.version == wanted.version
-        {
+        let named = self.versions.get_mut(&model).into_iter().flatten();
+        for known in named.filter(|known| known.version == wanted.version) {
             known.since = known.since.min(since);
         }
         effect
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -142,7 +142,7 @@
         self.gateway.drain();
         // The balancer goes on sending until it has heard of it.
         sleep(daemon::HEAR).await;
-        self.front.stop_accepting();
+        self.front.close();
         let rest = grace.saturating_sub(daemon::HEAR + STOP_MARGIN);
         daemon::wait_idle(rest, || self.gateway.in_flight() == 0).await;
         sleep(LAST_BYTES).await;
@@ -301,11 +301,10 @@
         let own = record.address.ip().to_string();
         let label = sidecar::label(model, wanted.version);
         let wave = rollout::wave(label, &own, &fellows, rollout.waves);
-        let at = wanted.since + rollout::begins(rollout, wave);
         Some(Due {
-            version: wanted.version,
-            at: at - rollout.notice,
-            bound: wanted.since + rollout.bound - START_MARGIN,
+            named: belief.named(model).to_vec(),
+            begins: rollout::begins(rollout, wave).saturating_sub(rollout.notice),
+            bound: rollout.bound.saturating_sub(START_MARGIN),
         })
     }
 
--- a/src/route/pool.rs
+++ b/src/route/pool.rs
@@ -16,7 +16,7 @@
 use super::estimate::{self, Demand, Work};
 use super::health::{Health, Sign};
 use crate::clock::Time;
-use crate::config::belief::Listed;
+use crate::config::belief::{self, Listed, Wanted};
 use crate::config::routing::Engine;
 use crate::member::replica::{Held, Record};
 
@@ -82,15 +82,22 @@
     tokens: u64,
 }
 
+/// The versions that were named for a replica's model, and its place in the rollout.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Due {
+    /// The versions, oldest first.
+    pub named: Vec<Wanted>,
+    /// Time from a version's naming until the replica takes nothing new any more.
+    pub begins: Duration,
+    /// Time from a version's naming until nothing may start on an older one any more.
+    pub bound: Duration,
+}
+
 /// A change of version that a replica has before it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Due {
-    /// The version that it will hold.
-    pub version: u64,
-    /// When it takes nothing new any more.
-    pub at: Time,
-    /// When no request may start on its present version any more.
-    pub bound: Time,
+struct Change {
+    at: Time,
+    bound: Time,
 }
 
 impl Replica {
@@ -140,10 +147,14 @@
         f64::from(others) * usual_prompt + self.unread.tokens as f64
     }
 
-    /// The change of version that it has before it.
-    fn change(&self, model: &str, now: Time) -> Option<Due> {
-        let held = self.version(model, now)?;
-        self.due.filter(|due| held < due.version)
+    /// The change of version that it has before it: the oldest that it lacks sets the times.
+    fn change(&self, model: &str, now: Time) -> Option<Change> {
+        let due = self.due.as_ref()?;
+        let since = belief::first_lacking(&due.named, self.version(model, now)?)?.since;
+        Some(Change {
+            at: since + due.begins,
+            bound: since + due.bound,
+        })
     }
 
     fn pace(&self, now: Time) -> f64 {
--- a/src/sidecar.rs
+++ b/src/sidecar.rs
@@ -21,6 +21,7 @@
 use crate::burst::host::{Host, Instruments, Local, Origin};
 use crate::burst::{self, Burst};
 use crate::clock::Time;
+use crate::config::belief::first_lacking;
 use crate::daemon;
 use crate::gateway::control::message;
 use crate::http::{self, Answer, ClientSetting, Server};
@@ -77,7 +78,7 @@
     pub model: Arc<str>,
     /// The version.
     pub version: u64,
-    /// When it was named.
+    /// When the oldest version was named that the replica lacks.
     pub named: Time,
 }
 
@@ -283,9 +284,11 @@
         let model = brief.engine?.models.first()?.clone();
         let belief = self.knowledge.belief.borrow();
         let wanted = belief.wanted(&model);
+        let held = self.state.borrow().as_ref().and_then(|state| state.held(&model));
+        let lacking = held.and_then(|held| first_lacking(belief.named(&model), held));
         Some(Target {
             version: wanted.map_or(FIRST_VERSION, |wanted| wanted.version),
-            named: wanted.map_or(Time::default(), |wanted| wanted.since),
+            named: lacking.or(wanted).map_or(Time::default(), |wanted| wanted.since),
             model,
         })
     }
