Judge replicas by their lag; deal chunks evenly among sponsors; settle before drawing old versions

Causes: one sponsor drew 18 of 96 chunks while the others waited; boxes that joined an old burst drew 49 chunks before any peer had spoken; after a loss of power every request ran into 421 of replicas that had gone; requests sat at replicas behind squeezed links until their version was over (VERSION). Change: owners in rounds; a settling time; 421 without a version denies the replica; lag and overdue first events add to the estimate; nothing is sent to an old version in the last second of its bound.

--- a/src/agent.rs
+++ b/src/agent.rs
@@ -32,8 +32,8 @@
 pub mod serve;
 pub mod status;
 
-use crate::burst::Burst;
 use crate::burst::host::{ContentOrigin, Host, Instruments, Origin};
+use crate::burst::{Burst, Purpose};
 
 /// Keys for requests that run at most once, kept at a time.
 const KEYS_MAX: usize = 16_384;
@@ -243,6 +243,10 @@
             .map(Vec::as_slice)
             .unwrap_or_default();
         for carry in carried {
+            let purpose = Purpose {
+                favour: carry.favour,
+                fresh: true,
+            };
             let members: Vec<Listed> = assignment
                 .carriers(carry.digest)
                 .filter_map(|name| lookup(name))
@@ -252,7 +256,7 @@
                 .borrow_mut()
                 .entry(carry.digest)
                 .or_insert_with(|| {
-                    Burst::start(&self.host, self.origin.clone(), carry.digest, carry.favour)
+                    Burst::start(&self.host, self.origin.clone(), carry.digest, purpose)
                 })
                 .clone();
             burst.set_wanted(true);
--- a/src/burst.rs
+++ b/src/burst.rs
@@ -44,6 +44,15 @@
 /// A version that nobody asked for during so long may be let go once it is not wanted.
 const LINGER: Duration = Duration::from_secs(10);
 
+/// What a burst is for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Purpose {
+    /// What weighs more.
+    pub favour: Favour,
+    /// Whether the version was named just now, so that no peer holds anything yet.
+    pub fresh: bool,
+}
+
 /// A peer that is being followed.
 #[derive(Debug)]
 struct Follow {
@@ -62,7 +71,7 @@
 pub struct Burst {
     version: Digest,
     origin: Rc<dyn Origin>,
-    favour: Favour,
+    purpose: Purpose,
     wanted: Cell<bool>,
     members: RefCell<BTreeMap<Arc<str>, Listed>>,
     swarm: RefCell<Option<Swarm>>,
@@ -93,13 +102,13 @@
         host: &Rc<Host>,
         origin: Rc<dyn Origin>,
         version: Digest,
-        favour: Favour,
+        purpose: Purpose,
     ) -> Rc<Self> {
         let spread = host.spread;
         let burst = Rc::new(Self {
             version,
             origin,
-            favour,
+            purpose,
             wanted: Cell::new(true),
             members: RefCell::default(),
             swarm: RefCell::default(),
@@ -178,7 +187,10 @@
             hall: host.hall.clone(),
         };
         let now = host.clock.now();
-        let setting = host.spread.favouring(self.favour);
+        let mut setting = host.spread.favouring(self.purpose.favour);
+        if self.purpose.fresh {
+            setting.settle = Duration::ZERO;
+        }
         let seed = rand::rng().random();
         let mut swarm = Swarm::new(self.version, own, chunks, setting, seed, now);
         for &chunk in self.gained.borrow().iter() {
--- a/src/burst/fetch.rs
+++ b/src/burst/fetch.rs
@@ -156,6 +156,7 @@
         };
         if self.source == Source::Origin {
             host.instruments.drew(chunk.len() as u64);
+            log::info!(chunk = self.chunk, version:? = version; "chunk drawn from the origin");
         }
         match host.store.borrow_mut().put(chunk) {
             Ok(true) => Outcome::Stored,
--- a/src/config/belief.rs
+++ b/src/config/belief.rs
@@ -208,7 +208,10 @@
     ) -> Effect {
         let named = self.versions.entry(model).or_default();
         let place = named.partition_point(|known| known.version < version);
-        if named.get(place).is_some_and(|known| known.version == version) {
+        if named
+            .get(place)
+            .is_some_and(|known| known.version == version)
+        {
             return Effect::None;
         }
         let wanted = Wanted {
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -17,9 +17,9 @@
 use actix_rt::time::sleep;
 use tokio::net::TcpListener;
 
+use crate::config::belief::Belief;
 use crate::daemon;
 use crate::exchange;
-use crate::config::belief::Belief;
 use crate::http::{self, Server, Timing};
 use crate::knowledge::{Identity, Knowledge, gossip, store};
 use crate::member::replica::Record;
@@ -52,8 +52,12 @@
 /// Time for the last answers to leave the process.
 const LAST_BYTES: Duration = Duration::from_millis(200);
 
-/// Part of a version's bound, before its end, in which nothing starts on an older one.
-pub const START_MARGIN: Duration = Duration::from_millis(300);
+/// Part of a version's bound, before its end, in which nothing is sent to a replica of an older one.
+pub const SEND_MARGIN: Duration = Duration::from_millis(1_000);
+
+/// Part of a version's bound, before its end, in which what has not started on an older one is
+/// ended.
+const START_MARGIN: Duration = Duration::from_millis(600);
 
 /// How much longer than callers may rest a connection is kept.
 const IDLE_MARGIN: Duration = Duration::from_secs(1);
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -15,7 +15,6 @@
 use super::dialect::{Forward, Reading};
 use super::{Gateway, IDLE_MAX};
 use crate::clock::Time;
-use crate::config::routing::Kind;
 use crate::exchange::{self, Options, Response, Reuse, Unframed};
 use crate::http::Answer;
 use crate::request::attempt::Ended;
@@ -80,13 +79,14 @@
     address: std::net::SocketAddr,
     began: Time,
     demand: Demand,
+    number: u64,
     start_bound: Option<Time>,
     started: Cell<bool>,
 }
 
 impl Drop for Attempt {
     fn drop(&mut self) {
-        self.started();
+        self.count_start(false);
         self.gateway.pool.borrow_mut().end(self.key);
     }
 }
@@ -101,7 +101,7 @@
         let demand = job.demand();
         let model = job.ask.work.as_ref().map(|work| &*work.model);
         let start_bound = model.and_then(|model| pool.start_bound(choice.key, model, now));
-        pool.begin(choice.key, demand);
+        let number = pool.begin(choice.key, demand, choice.expected, now);
         Some(Self {
             gateway: gateway.clone(),
             key: choice.key,
@@ -110,6 +110,7 @@
             address,
             began: now,
             demand,
+            number,
             start_bound,
             started: Cell::new(false),
         })
@@ -117,9 +118,14 @@
 
     /// The first event came.
     pub fn started(&self) {
+        self.count_start(true);
+    }
+
+    fn count_start(&self, came: bool) {
         if !self.started.replace(true) {
+            let now = self.gateway.knowledge.now();
             let mut pool = self.gateway.pool.borrow_mut();
-            pool.started(self.key, self.demand);
+            pool.started(self.key, self.number, self.demand, came, now);
         }
     }
 
@@ -185,7 +191,7 @@
                 Err(self.fail(job, Ended::NotSent, Sign::Unreachable, detail))
             }
             Some(Err(error)) => Err(self.broken(job, error.to_string())),
-            Some(Ok(response)) => self.read(job, response).await,
+            Some(Ok(response)) => self.read(job, version.is_some(), response).await,
         }
     }
 
@@ -206,7 +212,9 @@
     /// The replica was silent for as long as it may be.
     pub fn silent(&self, job: &Job) -> Failure {
         let late = job.remaining(self.gateway.knowledge.now()).is_zero();
-        let bound = self.start_bound.is_some_and(|bound| bound <= self.gateway.knowledge.now());
+        let bound = self
+            .start_bound
+            .is_some_and(|bound| bound <= self.gateway.knowledge.now());
         let detail = if late {
             "the request's time is over"
         } else if bound {
@@ -217,7 +225,7 @@
         self.broken(job, detail.to_owned())
     }
 
-    async fn read(self, job: &Job, response: Response) -> Result<Begun, Failure> {
+    async fn read(self, job: &Job, versioned: bool, response: Response) -> Result<Begun, Failure> {
         let status = response.status.as_u16();
         match self.gateway.dialect.read(&response, &job.ask.id) {
             Reading::Success { version } => Ok(Begun {
@@ -230,13 +238,12 @@
                 Err(self.fail(job, Ended::Refused, Sign::Refused, detail))
             }
             Reading::Misdirected => {
-                let mut pool = self.gateway.pool.borrow_mut();
-                if version_asked_for(job) {
-                    pool.deny(self.key);
+                // Without a version in the request, it can only mean that the replica is another.
+                if !versioned {
+                    self.gateway.pool.borrow_mut().deny(self.key);
                 }
-                drop(pool);
-                let detail = "another replica has the address".to_owned();
-                Err(self.fail(job, Ended::Misdirected, Sign::None, detail))
+                let detail = "another replica has the address, or it holds another version";
+                Err(self.fail(job, Ended::Misdirected, Sign::None, detail.to_owned()))
             }
             Reading::Foreign => {
                 let detail = format!("answer {status} is none to this request");
@@ -261,11 +268,6 @@
     }
 }
 
-/// Without a version in the request, 421 can only mean that the replica is another one.
-fn version_asked_for(job: &Job) -> bool {
-    job.ask.work.is_none() || job.route.kind != Kind::Streaming
-}
-
 fn options(job: &Job) -> Options {
     Options {
         // A connection that its replica closes just now would leave unknown whether the request
@@ -304,6 +306,7 @@
     /// Gathers a whole success.
     pub async fn gather(self, course: &Course) -> Result<Answer, Failure> {
         let (attempt, answer) = self.whole(&course.job).await?;
+        attempt.started();
         attempt.note(Sign::Whole(attempt.elapsed()));
         attempt.count_whole();
         Ok(answer)
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -9,10 +9,10 @@
 use bytes::Bytes;
 use rand::RngExt;
 
-use super::{Gateway, START_MARGIN};
 use super::attempt::{Attempt, Begun, Failure};
 use super::dialect::{Ask, Code, Refusal};
 use super::relay::Relay;
+use super::{Gateway, SEND_MARGIN};
 use crate::clock::Time;
 use crate::config::routing::{Access, Kind, Limits, Route, Routing};
 use crate::http::{self, Answer, Error};
@@ -26,7 +26,7 @@
 const NOT_READY_RETRY: Duration = Duration::from_millis(300);
 
 /// When a caller should come back if a service has no replica.
-const NO_REPLICA_RETRY: Duration = Duration::from_millis(400);
+const NO_REPLICA_RETRY: Duration = Duration::from_millis(1_900);
 
 /// When a caller should come back after a replica refused its request.
 const REFUSED_RETRY: Duration = Duration::from_millis(150);
@@ -491,7 +491,7 @@
     fn oldest_version(&self, model: &str, now: Time) -> u64 {
         let bound = self.gateway.setting.rollout.bound;
         let belief = self.gateway.knowledge.belief.borrow();
-        belief.oldest_allowed(model, bound.saturating_sub(START_MARGIN), now)
+        belief.oldest_allowed(model, bound.saturating_sub(SEND_MARGIN), now)
     }
 
     /// Sends the request to the chosen replica.
--- a/src/http.rs
+++ b/src/http.rs
@@ -191,12 +191,7 @@
     }
 
     /// Serves `listener` with `handler`; each new connection is treated as `timing` says then.
-    pub fn with_timing<F, Fut, T>(
-        listener: TcpListener,
-        wrap: Wrap,
-        handler: F,
-        timing: T,
-    ) -> Self
+    pub fn with_timing<F, Fut, T>(listener: TcpListener, wrap: Wrap, handler: F, timing: T) -> Self
     where
         F: Fn(Request, SocketAddr) -> Fut + Clone + 'static,
         Fut: Future<Output = Answer> + 'static,
@@ -312,10 +307,8 @@
         actix_rt::spawn(async move {
             let activity = Rc::new(Activity::default());
             let closed = closed_at_rest(closing, activity.clone());
-            let both = futures_util::future::select(
-                Box::pin(connection(activity)),
-                Box::pin(closed),
-            );
+            let both =
+                futures_util::future::select(Box::pin(connection(activity)), Box::pin(closed));
             both.await;
         });
     }
--- a/src/route/pool.rs
+++ b/src/route/pool.rs
@@ -37,6 +37,12 @@
 /// Candidates whose cost is over the least by no more than this are equal.
 const EQUAL: Duration = Duration::from_millis(4);
 
+/// Time in which what is known of a replica's lag loses half of its weight.
+const LAG_HALF: Duration = Duration::from_millis(1_500);
+
+/// Weight of the newest lag: one in this many.
+const LAG_SMOOTHING: u32 = 4;
+
 /// A request that outlasts its replica's next change of version costs this part of the excess.
 const OVERRUN: u32 = 2;
 
@@ -70,18 +76,58 @@
     own_at_report: u32,
     unread: Unread,
     unread_at_report: u32,
+    lag: Lag,
     due: Option<Due>,
     health: Health,
     denied: bool,
 }
 
 /// Own requests that have had no event yet.
-#[derive(Debug, Clone, Copy, Default)]
+#[derive(Debug, Clone, Default)]
 struct Unread {
-    requests: u32,
+    requests: Vec<Pending>,
     tokens: u64,
 }
 
+impl Unread {
+    fn count(&self) -> u32 {
+        self.requests.len() as u32
+    }
+
+    /// By how much the most overdue of them is late.
+    fn overdue(&self, now: Time) -> Duration {
+        let late = self.requests.iter().map(|pending| now.since(pending.due));
+        late.max().unwrap_or_default()
+    }
+}
+
+/// A request without an event yet.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Pending {
+    number: u64,
+    due: Time,
+}
+
+/// How much later than expected a replica's first events come.
+#[derive(Debug, Clone, Copy, Default)]
+struct Lag {
+    mean: Duration,
+    at: Time,
+}
+
+impl Lag {
+    fn now(&self, now: Time) -> Duration {
+        let halvings = now.since(self.at).as_secs_f64() / LAG_HALF.as_secs_f64();
+        self.mean.mul_f64(0.5f64.powf(halvings))
+    }
+
+    fn note(&mut self, late: Duration, now: Time) {
+        let known = self.now(now);
+        self.mean = (known * (LAG_SMOOTHING - 1) + late) / LAG_SMOOTHING;
+        self.at = now;
+    }
+}
+
 /// The versions that were named for a replica's model, and its place in the rollout.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Due {
@@ -109,6 +155,7 @@
             own_at_report: 0,
             unread: Unread::default(),
             unread_at_report: 0,
+            lag: Lag::default(),
             due: None,
             health: Health::default(),
             denied: false,
@@ -233,6 +280,7 @@
     replicas: SlotMap<Key, Replica>,
     ids: BTreeMap<Arc<str>, Key>,
     services: BTreeMap<Arc<str>, Vec<Key>>,
+    begun: u64,
 }
 
 impl Pool {
@@ -305,7 +353,7 @@
             if replica.record.address == address {
                 replica.load = Some((load.clone(), now));
                 replica.own_at_report = replica.own;
-                replica.unread_at_report = replica.unread.requests;
+                replica.unread_at_report = replica.unread.count();
                 found = true;
             }
         }
@@ -414,13 +462,7 @@
 
     /// How much longer than until its next change of version a replica would work on a request:
     /// for so long it would take nothing new.
-    fn overrun(
-        &self,
-        replica: &Replica,
-        ask: Ask<'_>,
-        expected: Duration,
-        now: Time,
-    ) -> Duration {
+    fn overrun(&self, replica: &Replica, ask: Ask<'_>, expected: Duration, now: Time) -> Duration {
         let change = ask.model.and_then(|need| replica.change(need.model, now));
         let (Some(due), Some(engine)) = (change, ask.engine) else {
             return Duration::ZERO;
@@ -447,7 +489,8 @@
             return usual + usual * waiting / slots;
         };
         let work = self.work(replica, engine, now);
-        let expected = estimate::first_event(engine, work, ask.demand);
+        let late = replica.lag.now(now).max(replica.unread.overdue(now));
+        let expected = estimate::first_event(engine, work, ask.demand) + late;
         if !replica.switching(now) {
             return expected;
         }
@@ -467,22 +510,37 @@
         )
     }
 
-    /// A request was sent to a replica.
-    pub fn begin(&mut self, key: Key, demand: Demand) {
+    /// A request was sent to a replica. Returns the number by which its start is told.
+    pub fn begin(&mut self, key: Key, demand: Demand, expected: Duration, now: Time) -> u64 {
+        self.begun += 1;
+        let number = self.begun;
         if let Some(replica) = self.replicas.get_mut(key) {
             replica.own += 1;
-            replica.unread.requests += 1;
+            let due = now + expected;
+            replica.unread.requests.push(Pending { number, due });
             replica.unread.tokens += u64::from(demand.prompt);
         }
+        number
     }
 
-    /// A request's first event came, or it ended without one.
-    pub fn started(&mut self, key: Key, demand: Demand) {
-        if let Some(replica) = self.replicas.get_mut(key) {
-            let unread = &mut replica.unread;
-            unread.requests = unread.requests.saturating_sub(1);
-            unread.tokens = unread.tokens.saturating_sub(u64::from(demand.prompt));
-            replica.unread_at_report = replica.unread_at_report.min(unread.requests);
+    /// A request's first event came; `false` if it ended without one.
+    pub fn started(&mut self, key: Key, number: u64, demand: Demand, came: bool, now: Time) {
+        let Some(replica) = self.replicas.get_mut(key) else {
+            return;
+        };
+        let unread = &mut replica.unread;
+        let Some(place) = unread
+            .requests
+            .iter()
+            .position(|known| known.number == number)
+        else {
+            return;
+        };
+        let pending = unread.requests.swap_remove(place);
+        unread.tokens = unread.tokens.saturating_sub(u64::from(demand.prompt));
+        replica.unread_at_report = replica.unread_at_report.min(unread.count());
+        if came {
+            replica.lag.note(now.since(pending.due), now);
         }
     }
 
--- a/src/sidecar.rs
+++ b/src/sidecar.rs
@@ -284,11 +284,17 @@
         let model = brief.engine?.models.first()?.clone();
         let belief = self.knowledge.belief.borrow();
         let wanted = belief.wanted(&model);
-        let held = self.state.borrow().as_ref().and_then(|state| state.held(&model));
+        let held = self
+            .state
+            .borrow()
+            .as_ref()
+            .and_then(|state| state.held(&model));
         let lacking = held.and_then(|held| first_lacking(belief.named(&model), held));
         Some(Target {
             version: wanted.map_or(FIRST_VERSION, |wanted| wanted.version),
-            named: lacking.or(wanted).map_or(Time::default(), |wanted| wanted.since),
+            named: lacking
+                .or(wanted)
+                .map_or(Time::default(), |wanted| wanted.since),
             model,
         })
     }
--- a/src/sidecar/reconcile.rs
+++ b/src/sidecar/reconcile.rs
@@ -9,9 +9,9 @@
 use actix_rt::time::sleep;
 
 use super::engine::Taken;
-use super::{Sidecar, Target};
+use super::{FIRST_VERSION, Sidecar, Target};
 use crate::audit::Deed;
-use crate::burst::Burst;
+use crate::burst::{Burst, Purpose};
 use crate::clock::Time;
 use crate::member::{Listed, Role, State};
 use crate::spread::Favour;
@@ -24,6 +24,9 @@
 /// How long an order may go without an effect before it is given again.
 const ORDER_AGAIN: Duration = Duration::from_millis(1_500);
 
+/// A version that was named less than this ago is with nobody yet.
+const FRESH: Duration = Duration::from_millis(1_500);
+
 /// Chunks that are staged before anything else is looked at.
 const STAGED_AT_ONCE: usize = 16;
 
@@ -82,7 +85,12 @@
         let burst = burst.unwrap_or_else(|| {
             log::info!(model = &*target.model, version = target.version; "burst joined");
             let origin = self.origins.of(origin, &target.model, target.version);
-            let burst = Burst::start(&self.host, origin, label, Favour::OriginBytes);
+            let named = self.knowledge.now().since(target.named);
+            let purpose = Purpose {
+                favour: Favour::Time,
+                fresh: target.version > FIRST_VERSION && named < FRESH,
+            };
+            let burst = Burst::start(&self.host, origin, label, purpose);
             self.bursts.borrow_mut().insert(label, burst.clone());
             burst
         });
--- a/src/spread.rs
+++ b/src/spread.rs
@@ -58,6 +58,11 @@
     pub patience: Duration,
     /// How long a peer that sent a bad chunk is passed over, doubled each time.
     pub penalty: Duration,
+    /// Longest pause between two tries at an origin that fails.
+    pub origin_pause_max: Duration,
+    /// How long a box that joins waits for peers to tell what they hold before it draws from the
+    /// origin.
+    pub settle: Duration,
     /// Whether each chunk enters a hall through one box of it, because bytes between halls are
     /// dear. The others of the hall wait for that box for as long as for a sponsor.
     pub import_once: bool,
@@ -80,6 +85,8 @@
             stall: Duration::from_millis(1_000),
             patience: Duration::from_millis(1_500),
             penalty: Duration::from_millis(500),
+            origin_pause_max: Duration::from_secs(2),
+            settle: Duration::ZERO,
             import_once: false,
         }
     }
@@ -95,6 +102,8 @@
             peers_max: 32,
             import_once: true,
             patience: Duration::from_millis(500),
+            origin_pause_max: Duration::from_millis(400),
+            settle: Duration::from_millis(500),
             ..Self::default()
         }
     }
--- a/src/spread/ring.rs
+++ b/src/spread/ring.rs
@@ -105,12 +105,34 @@
         .collect()
 }
 
-/// Which of `sponsors` draws `chunk`, by rendezvous hashing; `None` when there are none.
-pub fn owner<'a>(version: Digest, chunk: u32, sponsors: &[&'a str]) -> Option<&'a str> {
-    sponsors
+/// Which of the `active` of `sponsors` draws `chunk`; `None` when there are none.
+///
+/// Chunks are dealt in rounds, each in another order of the sponsors, so that all draw equally
+/// many: by a hash of each chunk alone one of eight sponsors drew 18 of 96 chunks, and everyone
+/// waited for it. The chunk of a sponsor that is not active goes to the next one in its round.
+pub fn owner<'a>(
+    version: Digest,
+    chunk: u32,
+    sponsors: &[Arc<str>],
+    active: &[&'a str],
+) -> Option<&'a str> {
+    let count = sponsors.len() as u32;
+    if count == 0 {
+        return None;
+    }
+    let (round, place) = (chunk / count, chunk % count);
+    let mut order: Vec<(u64, &str)> = sponsors
         .iter()
-        .copied()
-        .max_by_key(|name| weight(version, &[b"owner", &chunk.to_le_bytes(), name.as_bytes()]))
+        .map(|name| {
+            let parts: [&[u8]; 3] = [b"owner", &round.to_le_bytes(), name.as_bytes()];
+            (weight(version, &parts), &**name)
+        })
+        .collect();
+    order.sort_unstable();
+    order.rotate_left(place as usize);
+    order
+        .into_iter()
+        .find_map(|(_, name)| active.iter().copied().find(|known| *known == name))
 }
 
 /// How many boxes come before `own` to step in for `chunk`: its rank in its hall, and its hall's
--- a/src/spread/swarm.rs
+++ b/src/spread/swarm.rs
@@ -33,12 +33,9 @@
 /// How long a peer that had no slot is left alone.
 const BUSY_PAUSE: Duration = Duration::from_millis(40);
 
-/// First pause after the origin failed, doubled up to [`ORIGIN_PAUSE_MAX`].
+/// First pause after the origin failed, doubled up to the setting's longest.
 const ORIGIN_PAUSE: Duration = Duration::from_millis(200);
 
-/// Longest pause between two tries at the origin.
-const ORIGIN_PAUSE_MAX: Duration = Duration::from_secs(2);
-
 /// Doublings of a penalty or pause after which it grows no more.
 const DOUBLINGS_MAX: u32 = 6;
 
@@ -523,7 +520,7 @@
     }
 
     fn fetch_from_origin(&mut self, now: Time, actions: &mut Vec<Action>) {
-        if now < self.origin_pause_until {
+        if now < self.origin_pause_until || self.settling(now) {
             return;
         }
         let drawing = self
@@ -539,6 +536,12 @@
         }
     }
 
+    /// Whether peers may still tell of chunks that the box would draw from the origin otherwise.
+    fn settling(&self, now: Time) -> bool {
+        let settle = self.setting.settle;
+        now.since(self.began) < settle && self.peers.len() < self.regular_peers().len()
+    }
+
     /// The chunk that this box should draw from the origin now.
     fn origin_chunk(&mut self, now: Time) -> Option<u32> {
         let unseen: Vec<u32> = (0..self.have.len())
@@ -555,8 +558,10 @@
         let active = self.active_sponsors(now);
         if active.contains(&&*self.own.name) {
             let version = self.version;
-            let own = order()
-                .find(|&chunk| ring::owner(version, chunk, &active) == Some(&*self.own.name));
+            let regular = &self.sponsors[..self.sponsors.len().min(self.setting.sponsors)];
+            let own = order().find(|&chunk| {
+                ring::owner(version, chunk, regular, &active) == Some(&*self.own.name)
+            });
             if own.is_some() {
                 return own;
             }
@@ -662,7 +667,7 @@
 
     fn pause_origin(&mut self, now: Time) {
         let doublings = self.origin_failures.min(DOUBLINGS_MAX);
-        let pause = (ORIGIN_PAUSE * 2u32.pow(doublings)).min(ORIGIN_PAUSE_MAX);
+        let pause = (ORIGIN_PAUSE * 2u32.pow(doublings)).min(self.setting.origin_pause_max);
         let jitter = self.rng.random_range(0.5..1.0);
         self.origin_pause_until = now + pause.mul_f64(jitter);
         self.origin_failures += 1;
