--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -19,10 +19,13 @@
 use actix_codec::Framed;
 use actix_http::body::BodySize;
 use actix_http::h1::{ClientCodec, ClientPayloadCodec, Message, MessageType};
-use actix_http::header::{HOST, HeaderMap, HeaderName, HeaderValue};
+use actix_http::header::{
+    CONTENT_LENGTH, HOST, HeaderMap, HeaderName, HeaderValue, TRANSFER_ENCODING,
+};
 use actix_http::{ConnectionType, Method, RequestHead, RequestHeadType, ResponseHead, StatusCode};
 use bytes::{Bytes, BytesMut};
 use futures_util::{Stream, StreamExt};
+use tokio::io::{AsyncRead, ReadBuf};
 use tokio::net::{TcpSocket, TcpStream};
 
 /// How long a connection may take to open.
@@ -31,6 +34,9 @@
 /// Idle connections kept for each peer.
 const IDLE_MAX: usize = 64;
 
+/// Bytes that are read at once of an answer without a length.
+const RAW_PART: usize = 8 * 1024;
+
 /// How long before a peer closes an idle connection, by its own word, it is not used any more.
 const IDLE_MARGIN: Duration = Duration::from_millis(500);
 
@@ -337,6 +343,8 @@
 enum Rest {
     /// Bytes are to come on this connection.
     Open(Framed<TcpStream, ClientPayloadCodec>),
+    /// Bytes are to come until the connection ends; the codec leaves those to its caller.
+    UntilClose(TcpStream, BytesMut),
     /// The answer is whole.
     Whole,
     /// It was cut off.
@@ -371,14 +379,22 @@
 impl Response {
     fn new(hop: Hop, head: ResponseHead, connection: Connection) -> Self {
         let kind = connection.codec_ref().message_type();
+        let unframed = matches!(kind, MessageType::None) && without_length(&head);
         let mut response = Self {
             status: head.status,
             headers: head.headers,
             hop,
             rest: Rest::Whole,
-            until_close: matches!(kind, MessageType::Stream),
+            until_close: unframed || matches!(kind, MessageType::Stream),
         };
         match kind {
+            MessageType::None if unframed => {
+                let parts = connection.into_parts();
+                response.rest = match response.hop.unframed {
+                    Unframed::Broken => Rest::Cut,
+                    Unframed::EndsWithConnection => Rest::UntilClose(parts.io, parts.read_buf),
+                };
+            }
             MessageType::None => response.keep(connection),
             MessageType::Payload | MessageType::Stream => {
                 let payload = connection.into_map_codec(ClientCodec::into_payload_codec);
@@ -435,6 +451,20 @@
         Some(Duration::from_secs(seconds).saturating_sub(IDLE_MARGIN))
     }
 
+    fn take_raw(&mut self, part: io::Result<Bytes>) -> Option<Result<Bytes, Error>> {
+        match part {
+            Ok(part) if part.is_empty() => {
+                self.rest = Rest::Whole;
+                None
+            }
+            Ok(part) => Some(Ok(part)),
+            Err(error) => {
+                self.rest = Rest::Cut;
+                Some(Err(broken(error)))
+            }
+        }
+    }
+
     fn ends_with_connection(&self) -> bool {
         self.until_close && self.hop.unframed == Unframed::EndsWithConnection
     }
@@ -452,6 +482,31 @@
     }
 }
 
+/// Whether an answer has a body whose length it does not tell.
+fn without_length(head: &ResponseHead) -> bool {
+    let bodiless = head.status.is_informational()
+        || head.status == StatusCode::NO_CONTENT
+        || head.status == StatusCode::NOT_MODIFIED;
+    let told =
+        head.headers.contains_key(CONTENT_LENGTH) || head.headers.contains_key(TRANSFER_ENCODING);
+    !bodiless && !told
+}
+
+/// The next bytes of a connection, empty at its orderly end.
+fn read_raw(
+    stream: &mut TcpStream,
+    buffer: &mut BytesMut,
+    cx: &mut Context<'_>,
+) -> Poll<io::Result<Bytes>> {
+    if !buffer.is_empty() {
+        return Poll::Ready(Ok(buffer.split().freeze()));
+    }
+    let mut space = [0; RAW_PART];
+    let mut part = ReadBuf::new(&mut space);
+    std::task::ready!(Pin::new(stream).poll_read(cx, &mut part))?;
+    Poll::Ready(Ok(Bytes::copy_from_slice(part.filled())))
+}
+
 impl Stream for Response {
     type Item = Result<Bytes, Error>;
 
@@ -459,6 +514,10 @@
         let payload = match &mut self.rest {
             Rest::Whole => return Poll::Ready(None),
             Rest::Cut => return Poll::Ready(Some(Err(broken("the answer was cut off")))),
+            Rest::UntilClose(stream, buffer) => {
+                let part = std::task::ready!(read_raw(stream, buffer, cx));
+                return Poll::Ready(self.take_raw(part));
+            }
             Rest::Open(payload) => payload,
         };
         let item = std::task::ready!(Pin::new(payload).next_item(cx));
