--- a/src/route/pool.rs
+++ b/src/route/pool.rs
@@ -43,6 +43,13 @@
 /// Weight of the newest lag: one in this many.
 const LAG_SMOOTHING: u32 = 4;
 
+/// A replica whose first events come later than estimated by more than this may stand behind a
+/// link that holds everything up, the end of a request included.
+const LATE_MAX: Duration = Duration::from_millis(100);
+
+/// Such a replica gets nothing that early before the bound of its version.
+const LATE_MARGIN: Duration = Duration::from_millis(1_600);
+
 /// A request that outlasts its replica's next change of version costs this part of the excess.
 const OVERRUN: u32 = 2;
 
@@ -204,6 +211,11 @@
         })
     }
 
+    /// How much later than estimated first events come from there.
+    fn late(&self, now: Time) -> Duration {
+        self.lag.now(now).max(self.unread.overdue(now))
+    }
+
     fn pace(&self, now: Time) -> f64 {
         self.fresh(now).map_or(1.0, |load| load.pace)
     }
@@ -420,7 +432,12 @@
         // What waits there too long would start on a version that is not allowed any more.
         let starts = || now + self.expected(replica, ask, now);
         let change = replica.change(need.model, now);
-        wanted && change.is_none_or(|due| starts() < due.bound)
+        wanted
+            && change.is_none_or(|change| {
+                let late = replica.late(now) > LATE_MAX;
+                let margin = if late { LATE_MARGIN } else { Duration::ZERO };
+                starts() + margin < change.bound
+            })
     }
 
     fn cheapest(
@@ -489,8 +506,7 @@
             return usual + usual * waiting / slots;
         };
         let work = self.work(replica, engine, now);
-        let late = replica.lag.now(now).max(replica.unread.overdue(now));
-        let expected = estimate::first_event(engine, work, ask.demand) + late;
+        let expected = estimate::first_event(engine, work, ask.demand) + replica.late(now);
         if !replica.switching(now) {
             return expected;
         }
--- a/src/sidecar/observe.rs
+++ b/src/sidecar/observe.rs
@@ -67,8 +67,9 @@
     fn take_state(&self, state: Option<State>) {
         let before = self.state.replace(state);
         let now = self.state.borrow();
-        if before.is_none() && now.is_some() {
-            log::info!(models:? = now.as_ref().map(|state| &state.models); "replica answers");
+        let models = |state: &Option<State>| state.as_ref().map(|state| state.models.clone());
+        if models(&before) != models(&now) {
+            log::info!(models:? = models(&now); "replica holds");
         }
         if before != *now {
             self.told.send_modify(|count| *count += 1);
--- a/src/spread.rs
+++ b/src/spread.rs
@@ -58,6 +58,11 @@
     pub patience: Duration,
     /// How long a peer that sent a bad chunk is passed over, doubled each time.
     pub penalty: Duration,
+    /// An unseen chunk is left to its sponsor for this many usual fetches at least.
+    pub patience_fetches: u32,
+    /// A sponsor that has drawn its part takes over what others have not: after so long where it is
+    /// the next in a chunk's order, after as long again where it is the next but one, and so on.
+    pub take_over: Duration,
     /// Longest pause between two tries at an origin that fails.
     pub origin_pause_max: Duration,
     /// How long a box that joins waits for peers to tell what they hold before it draws from the
@@ -85,6 +90,8 @@
             stall: Duration::from_millis(1_000),
             patience: Duration::from_millis(1_500),
             penalty: Duration::from_millis(500),
+            patience_fetches: 10,
+            take_over: Duration::from_millis(500),
             origin_pause_max: Duration::from_secs(2),
             settle: Duration::ZERO,
             import_once: false,
@@ -102,6 +109,9 @@
             peers_max: 32,
             import_once: true,
             patience: Duration::from_millis(500),
+            patience_fetches: 3,
+            take_over: Duration::from_millis(200),
+            fetches_max: 3,
             origin_pause_max: Duration::from_millis(400),
             settle: Duration::from_millis(500),
             ..Self::default()
--- a/src/spread/ring.rs
+++ b/src/spread/ring.rs
@@ -105,21 +105,19 @@
         .collect()
 }
 
-/// Which of the `active` of `sponsors` draws `chunk`; `None` when there are none.
+/// The order in which the `active` of `sponsors` are to draw `chunk`: the first is to, each next one
+/// steps in for those before it.
 ///
 /// Chunks are dealt in rounds, each in another order of the sponsors, so that all draw equally
 /// many: by a hash of each chunk alone one of eight sponsors drew 18 of 96 chunks, and everyone
-/// waited for it. The chunk of a sponsor that is not active goes to the next one in its round.
-pub fn owner<'a>(
+/// waited for it.
+pub fn drawers<'a>(
     version: Digest,
     chunk: u32,
     sponsors: &[Arc<str>],
     active: &[&'a str],
-) -> Option<&'a str> {
-    let count = sponsors.len() as u32;
-    if count == 0 {
-        return None;
-    }
+) -> Vec<&'a str> {
+    let count = sponsors.len().max(1) as u32;
     let (round, place) = (chunk / count, chunk % count);
     let mut order: Vec<(u64, &str)> = sponsors
         .iter()
@@ -129,10 +127,13 @@
         })
         .collect();
     order.sort_unstable();
-    order.rotate_left(place as usize);
+    if !order.is_empty() {
+        order.rotate_left(place as usize);
+    }
     order
         .into_iter()
-        .find_map(|(_, name)| active.iter().copied().find(|known| *known == name))
+        .filter_map(|(_, name)| active.iter().copied().find(|known| *known == name))
+        .collect()
 }
 
 /// How many boxes come before `own` to step in for `chunk`: its rank in its hall, and its hall's
--- a/src/spread/swarm.rs
+++ b/src/spread/swarm.rs
@@ -27,8 +27,8 @@
 /// A fetch may take this many times the usual before it counts as stalled.
 const STALL_FACTOR: u32 = 6;
 
-/// An unseen chunk is left to its sponsor for this many usual fetches at least.
-const PATIENCE_FACTOR: u32 = 10;
+/// A fetch that takes this many times the usual is dropped even if bytes still come.
+const SLOW_FACTOR: u32 = 8;
 
 /// How long a peer that had no slot is left alone.
 const BUSY_PAUSE: Duration = Duration::from_millis(40);
@@ -153,8 +153,8 @@
     members: Vec<Member>,
     sponsors: Vec<Arc<str>>,
     import_ranks: Vec<usize>,
-    near_seen: Bitmap,
-    near_new: Time,
+    seen_at: Vec<Time>,
+    drawn_since: Option<Time>,
     origin_failures: u32,
     origin_pause_until: Time,
     tally: Tally,
@@ -187,8 +187,8 @@
             members: Vec::new(),
             sponsors: Vec::new(),
             import_ranks: Vec::new(),
-            near_seen: Bitmap::new(chunks),
-            near_new: now,
+            seen_at: vec![now; chunks],
+            drawn_since: None,
             origin_failures: 0,
             origin_pause_until: now,
             tally: Tally::default(),
@@ -209,20 +209,22 @@
         self.members = members;
     }
 
-    /// Whether a chunk may be drawn from another hall: by one box of the hall, and by more when
-    /// nothing new has come into the hall for a while.
+    /// Whether a chunk may be drawn from another hall: by one box of the hall as soon as it is seen
+    /// anywhere, and by one more with each further stretch of patience.
     fn may_import(&self, chunk: u32, now: Time) -> bool {
         let Some(&rank) = self.import_ranks.get(chunk as usize) else {
             return true;
         };
-        let quiet = now.since(self.near_new).as_millis();
-        let turns = quiet / self.patience().as_millis().max(1);
+        let since = now.since(self.seen_at[chunk as usize]).as_millis();
+        let turns = since / self.setting.patience.as_millis().max(1);
         rank as u128 <= turns
     }
 
-    fn seen_near(&mut self, chunk: usize, now: Time) {
-        if self.near_seen.set(chunk) {
-            self.near_new = now;
+    /// A chunk was seen, here or at a peer.
+    fn see(&mut self, chunk: usize, now: Time) {
+        if self.seen.set(chunk) {
+            self.seen_at[chunk] = now;
+            self.new_seen = now;
         }
     }
 
@@ -308,7 +310,6 @@
         };
         peer.heard = now;
         peer.load = notice.load;
-        let near = peer.near;
         for &chunk in notice.gained {
             let chunk = chunk as usize;
             let Some(peer) = self.peers.get_mut(key) else {
@@ -317,13 +318,8 @@
             if !peer.have.set(chunk) {
                 continue;
             }
-            if near {
-                self.seen_near(chunk, now);
-            }
             self.rarity[chunk] += 1;
-            if self.seen.set(chunk) {
-                self.new_seen = now;
-            }
+            self.see(chunk, now);
         }
     }
 
@@ -374,10 +370,7 @@
     /// Marks a chunk as held, from wherever it came.
     pub fn hold(&mut self, chunk: u32, now: Time) {
         self.have.set(chunk as usize);
-        self.seen_near(chunk as usize, now);
-        if self.seen.set(chunk as usize) {
-            self.new_seen = now;
-        }
+        self.see(chunk as usize, now);
     }
 
     /// Whether every chunk is held.
@@ -417,11 +410,14 @@
 
     fn cancel_stalled(&mut self, now: Time, actions: &mut Vec<Action>) {
         let limit = self.stall_limit();
+        let slow = limit.max(self.usual.unwrap_or(limit) * SLOW_FACTOR);
         let stalled: Vec<FetchKey> = self
             .fetches
             .iter()
             .filter(|(_, fetch)| {
-                now.since(fetch.progressed) >= limit || self.silent(fetch.source, now)
+                now.since(fetch.progressed) >= limit
+                    || now.since(fetch.started) >= slow
+                    || self.silent(fetch.source, now)
             })
             .map(|(key, _)| key)
             .collect();
@@ -497,7 +493,7 @@
     fn best_holder(&mut self, chunk: u32, load_max: u32, now: Time) -> Option<PeerKey> {
         let setting = self.setting;
         let import = self.may_import(chunk, now);
-        let mut best: Option<(u32, u32, PeerKey)> = None;
+        let mut best: Option<(bool, u32, u32, PeerKey)> = None;
         for (key, peer) in &self.peers {
             if !peer.near && !import {
                 continue;
@@ -511,12 +507,14 @@
             if !eligible {
                 continue;
             }
-            let candidate = (load, self.rng.random(), key);
+            // Bytes between halls are dear where chunks are to enter a hall once.
+            let far = setting.import_once && !peer.near;
+            let candidate = (far, load, self.rng.random(), key);
             if best.is_none_or(|known| candidate < known) {
                 best = Some(candidate);
             }
         }
-        best.map(|(_, _, key)| key)
+        best.map(|(_, _, _, key)| key)
     }
 
     fn fetch_from_origin(&mut self, now: Time, actions: &mut Vec<Action>) {
@@ -553,18 +551,8 @@
         if unseen.is_empty() {
             return None;
         }
-        let start = self.rng.random_range(0..unseen.len());
-        let order = || unseen[start..].iter().chain(&unseen[..start]).copied();
-        let active = self.active_sponsors(now);
-        if active.contains(&&*self.own.name) {
-            let version = self.version;
-            let regular = &self.sponsors[..self.sponsors.len().min(self.setting.sponsors)];
-            let own = order().find(|&chunk| {
-                ring::owner(version, chunk, regular, &active) == Some(&*self.own.name)
-            });
-            if own.is_some() {
-                return own;
-            }
+        if let Some(chunk) = self.sponsored_chunk(&unseen, now) {
+            return Some(chunk);
         }
         let quiet = now.since(self.new_seen);
         let patience = self.patience();
@@ -572,15 +560,48 @@
             return None;
         }
         let turns = (quiet.as_millis() / patience.as_millis().max(1)) as usize;
-        order().find(|&chunk| {
+        let start = self.rng.random_range(0..unseen.len());
+        let order = unseen[start..].iter().chain(&unseen[..start]).copied();
+        let mut order = order;
+        order.find(|&chunk| {
             ring::substitute_rank(self.version, chunk, &self.own, &self.members) < turns
         })
     }
 
+    /// The chunk that this box should draw as a sponsor: one of its own part, from the first on, or
+    /// else one that another has not come to, from the last on.
+    fn sponsored_chunk(&mut self, unseen: &[u32], now: Time) -> Option<u32> {
+        let active = self.active_sponsors(now);
+        if !active.contains(&&*self.own.name) {
+            return None;
+        }
+        let regular = &self.sponsors[..self.sponsors.len().min(self.setting.sponsors)];
+        let place = |chunk: u32| {
+            let order = ring::drawers(self.version, chunk, regular, &active);
+            order.iter().position(|name| *name == &*self.own.name)
+        };
+        if let Some(own) = unseen
+            .iter()
+            .copied()
+            .find(|&chunk| place(chunk) == Some(0))
+        {
+            self.drawn_since = None;
+            return Some(own);
+        }
+        let since = now.since(self.drawn_since.unwrap_or(now)).as_millis();
+        let reach = since / self.setting.take_over.as_millis().max(1);
+        let within = |chunk: &u32| place(*chunk).is_some_and(|place| place as u128 <= reach);
+        let taken = unseen.iter().copied().rev().find(within);
+        self.drawn_since = self.drawn_since.or(Some(now));
+        taken
+    }
+
     /// How long unseen chunks are left to their sponsors after the last new one was seen.
     fn patience(&self) -> Duration {
         let usual = self.usual.unwrap_or_default();
-        self.setting.patience.max(usual * PATIENCE_FACTOR)
+        self.setting
+            .patience
+            .max(usual * self.setting.patience_fetches)
     }
 
     /// The sponsors on duty as far as this box, if a sponsor itself, can tell.
--- /dev/null
+++ b/tests/belief.rs
@@ -0,0 +1,257 @@
+//! Routing configurations and beliefs: which route, whose key, and that nothing goes back.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use pumicelatch::clock::Time;
+use pumicelatch::config::belief::{Belief, DOUBT, Dated, Effect, Fact, first_lacking};
+use pumicelatch::config::routing::{
+    Access, Customer, Document, Kind, Limits, Route, Routing, Share,
+};
+use pumicelatch::member::peer::{FORGET, Peers, Told};
+use pumicelatch::member::replica::Record;
+use quickcheck::{TestResult, quickcheck};
+
+fn route(name: &str, host: &str, prefix: &str) -> Route {
+    Route {
+        name: name.into(),
+        host: host.to_owned(),
+        prefix: prefix.to_owned(),
+        kind: Kind::Idempotent,
+        timeout_ms: 1_000,
+        objective_ms: 300,
+        priority: 1,
+        shares: vec![Share {
+            service: "bench".into(),
+            weight: 1,
+        }],
+        attempts_max: 2,
+        anonymous: false,
+        resumable: false,
+    }
+}
+
+fn document(version: u64) -> Document {
+    Document {
+        version,
+        routes: vec![
+            route("short", "a.example", "/lab/"),
+            route("long", "a.example", "/lab/marks/"),
+            route("other", "b.example", "/lab/"),
+        ],
+        services: Vec::new(),
+        customers: vec![Customer {
+            name: "escola".into(),
+            keys: vec!["k1".to_owned()],
+            priority: None,
+        }],
+        limits: Limits::default(),
+    }
+}
+
+fn record(id: &str) -> Record {
+    Record {
+        id: id.into(),
+        service: "tutor".into(),
+        address: "10.0.0.1:80".parse().unwrap(),
+        hall: "lis-a".into(),
+        slots: 16,
+        leaving: false,
+        models: Vec::new(),
+    }
+}
+
+fn learn(belief: &mut Belief, revision: u64, fact: Fact, now: Time) -> Effect {
+    belief.learn(Dated { revision, fact }, now, false)
+}
+
+fn usable(belief: &Belief, id: &str) -> bool {
+    let listed = belief.replicas().get(id);
+    listed.is_some_and(|listed| listed.gone.is_none() || listed.doubted)
+}
+
+#[test]
+fn the_longest_prefix_of_the_host_wins() {
+    let routing = Routing::new(document(1));
+    let name = |host: &str, path: &str| routing.route(host, path).map(|route| route.name.clone());
+    assert_eq!(name("a.example", "/lab/marks/7").as_deref(), Some("long"));
+    assert_eq!(name("a.example", "/lab/7").as_deref(), Some("short"));
+    assert_eq!(name("b.example", "/lab/marks/7").as_deref(), Some("other"));
+    assert_eq!(name("a.example", "/labs"), None);
+    assert_eq!(name("c.example", "/lab/"), None);
+}
+
+#[test]
+fn a_key_opens_what_its_customer_may_use_and_nothing_else_does() {
+    let routing = Routing::new(document(1));
+    let closed = route("r", "a.example", "/");
+    assert!(matches!(
+        routing.access(&closed, Some("k1")),
+        Access::Customer(customer) if &*customer.name == "escola"
+    ));
+    assert_eq!(routing.access(&closed, Some("k2")), Access::Denied);
+    assert_eq!(routing.access(&closed, None), Access::Denied);
+    let open = Route {
+        anonymous: true,
+        ..closed
+    };
+    assert_eq!(routing.access(&open, None), Access::Anonymous);
+}
+
+#[test]
+fn shares_are_drawn_by_weight() {
+    let shares = [("a", 90), ("b", 10)].map(|(service, weight)| Share {
+        service: service.into(),
+        weight,
+    });
+    let route = Route {
+        shares: shares.to_vec(),
+        ..route("r", "a.example", "/")
+    };
+    // A power of two, so that the draws are spread exactly.
+    let count = 1_024u64;
+    let to_b = (0..count)
+        .map(|step| ((step << 32) / count) as u32)
+        .filter(|&draw| route.service(draw).is_some_and(|service| &**service == "b"))
+        .count();
+    let expected = (0..count).filter(|step| step * 100 / count >= 90);
+    assert_eq!(to_b, expected.count());
+}
+
+#[test]
+fn an_older_configuration_never_comes_back() {
+    fn property(steps: Vec<(u8, u8)>) -> bool {
+        let mut belief = Belief::default();
+        let mut highest = (0, 0);
+        for (revision, version) in steps {
+            let (revision, version) = (u64::from(revision), u64::from(version));
+            let fact = Fact::Routing(Arc::new(document(version)));
+            learn(&mut belief, revision, fact, Time::default());
+            let known = belief.routing().map_or(0, |known| known.document.version);
+            let marks = belief.marks().routing;
+            if known < highest.0 || marks < highest.1 {
+                return false;
+            }
+            highest = (known, marks);
+        }
+        true
+    }
+    quickcheck(property as fn(Vec<(u8, u8)>) -> bool);
+}
+
+#[test]
+fn a_removed_replica_does_not_come_back_with_an_old_entry() {
+    let mut belief = Belief::default();
+    let now = Time::from_millis(1_000);
+    learn(&mut belief, 5, Fact::Replica(record("i-1")), now);
+    assert!(usable(&belief, "i-1"));
+    learn(&mut belief, 9, Fact::ReplicaGone("i-1".into()), now);
+    assert!(!usable(&belief, "i-1"));
+    belief.sweep(now);
+    learn(&mut belief, 7, Fact::Replica(record("i-1")), now);
+    assert!(!usable(&belief, "i-1"));
+    learn(&mut belief, 11, Fact::Replica(record("i-1")), now);
+    assert!(usable(&belief, "i-1"));
+}
+
+#[test]
+fn a_removal_just_after_the_store_was_lost_is_doubted_for_a_while() {
+    let mut belief = Belief::default();
+    let now = Time::from_millis(1_000);
+    learn(&mut belief, 5, Fact::Replica(record("i-1")), now);
+    let gone = Dated {
+        revision: 6,
+        fact: Fact::ReplicaGone("i-1".into()),
+    };
+    belief.learn(gone, now, true);
+    assert!(usable(&belief, "i-1"));
+    assert!(belief.sweep(now + DOUBT));
+    assert!(!usable(&belief, "i-1"));
+    assert!(
+        DOUBT < Duration::from_millis(1_500),
+        "it ends before a leaving replica is due"
+    );
+}
+
+#[test]
+fn replicas_that_vanish_together_are_doubted_and_one_alone_is_not() {
+    let mut belief = Belief::default();
+    let now = Time::from_millis(1_000);
+    for index in 0..12 {
+        let id = format!("i-{index}");
+        learn(&mut belief, 5, Fact::Replica(record(&id)), now);
+    }
+    learn(&mut belief, 6, Fact::ReplicaGone("i-0".into()), now);
+    assert!(!usable(&belief, "i-0"));
+    for index in 1..5 {
+        let id: Arc<str> = format!("i-{index}").into();
+        learn(&mut belief, 7, Fact::ReplicaGone(id), now);
+    }
+    assert!((1..5).all(|index| usable(&belief, &format!("i-{index}"))));
+}
+
+#[test]
+fn every_named_version_keeps_its_own_bound() {
+    let mut belief = Belief::default();
+    let bound = Duration::from_secs(8);
+    let name = |belief: &mut Belief, version, at: u64| {
+        let fact = Fact::Version {
+            model: "m".into(),
+            version,
+        };
+        learn(belief, version, fact, Time::from_millis(at));
+    };
+    name(&mut belief, 2, 18_000);
+    name(&mut belief, 3, 20_000);
+    let allowed = |at: u64| belief.oldest_allowed("m", bound, Time::from_millis(at));
+    assert_eq!(allowed(25_999), 0);
+    assert_eq!(allowed(26_000), 2);
+    assert_eq!(allowed(28_000), 3);
+    let first = first_lacking(belief.named("m"), 1).unwrap();
+    assert_eq!((first.version, first.since), (2, Time::from_millis(18_000)));
+    assert_eq!(first_lacking(belief.named("m"), 3), None);
+}
+
+#[test]
+fn versions_are_kept_in_order_however_they_are_heard() {
+    fn property(versions: Vec<u8>) -> TestResult {
+        if versions.is_empty() {
+            return TestResult::discard();
+        }
+        let mut belief = Belief::default();
+        for &version in &versions {
+            let fact = Fact::Version {
+                model: "m".into(),
+                version: u64::from(version),
+            };
+            learn(&mut belief, u64::from(version), fact, Time::default());
+        }
+        let named = belief.named("m");
+        let ordered = named
+            .windows(2)
+            .all(|pair| pair[0].version < pair[1].version);
+        let newest = versions.iter().copied().max().map(u64::from);
+        TestResult::from_bool(ordered && named.last().map(|last| last.version) == newest)
+    }
+    quickcheck(property as fn(Vec<u8>) -> TestResult);
+}
+
+#[test]
+fn the_bound_of_entries_covers_all_that_may_be_at_work() {
+    let own = "10.0.0.1:8000".parse().unwrap();
+    let mut peers = Peers::new(Some(own));
+    let now = Time::from_millis(100_000);
+    let told: Vec<Told> = (1..=6)
+        .map(|index| Told {
+            address: format!("10.0.0.{index}:8000").parse().unwrap(),
+            hall: "lis-a".into(),
+            age_ms: 0,
+        })
+        .collect();
+    peers.learn(&told, now);
+    // Itself and five others; more may have been added that nobody has told of.
+    assert!(peers.bound() > 6);
+    peers.sweep(now + FORGET);
+    assert!(peers.alive(now + FORGET).next().is_none());
+    assert!(peers.bound() >= 1);
+}
--- a/tests/burst_plan.rs
+++ b/tests/burst_plan.rs
@@ -379,3 +379,113 @@
         Err(Error::ManifestShape { .. })
     ));
 }
+
+#[test]
+fn sponsors_draw_equally_many_chunks_and_step_in_for_each_other() {
+    let all = members(20, 3);
+    let sponsors = ring::sponsors(version(), &all, 8);
+    let active: Vec<&str> = sponsors.iter().map(|name| &**name).collect();
+    let mut drawn: BTreeMap<&str, u32> = BTreeMap::new();
+    for chunk in 0..96 {
+        let order = ring::drawers(version(), chunk, &sponsors, &active);
+        assert_eq!(order.len(), 8);
+        *drawn.entry(order[0]).or_default() += 1;
+        let without: Vec<&str> = active
+            .iter()
+            .copied()
+            .filter(|name| *name != order[0])
+            .collect();
+        let second = ring::drawers(version(), chunk, &sponsors, &without);
+        assert_eq!(second[0], order[1]);
+    }
+    assert!(drawn.values().all(|count| *count == 12), "{drawn:?}");
+}
+
+#[test]
+fn a_chunk_enters_a_hall_through_one_box_at_first_and_through_more_with_time() {
+    let all = members(20, 3);
+    let setting = Setting::in_few_halls();
+    let sponsor = ring::sponsors(version(), &all, 1)[0].clone();
+    let hall = |name: &str| {
+        all.iter()
+            .find(|member| &*member.name == name)
+            .unwrap()
+            .hall
+            .clone()
+    };
+    let far = hall(&sponsor);
+    let chunk = 5;
+    let draws = |after: Duration| {
+        let boxes = all.iter().filter(|member| member.hall != far);
+        let drawing = boxes.filter(|own| {
+            let began = Time::from_millis(1_000);
+            let mut swarm = Swarm::new(version(), (*own).clone(), 96, setting, 1, began);
+            swarm.set_members(all.clone());
+            let peer = swarm.join(sponsor.clone(), began);
+            let notice = Notice {
+                gained: &[chunk],
+                load: 0,
+            };
+            swarm.notice(peer, notice, began);
+            let actions = swarm.tick(began + after);
+            actions.iter().any(|action| {
+                matches!(
+                    action,
+                    Action::Fetch {
+                        chunk: 5,
+                        source: Source::Peer(_),
+                        ..
+                    }
+                )
+            })
+        });
+        drawing.count()
+    };
+    // One box in each of the two other halls.
+    assert_eq!(draws(Duration::ZERO), 2);
+    assert_eq!(draws(setting.patience), 4);
+}
+
+#[test]
+fn a_box_that_joins_late_waits_for_its_peers_before_it_asks_the_origin() {
+    let all = members(6, 1);
+    let setting = Setting::in_few_halls();
+    let began = Time::from_millis(1_000);
+    let mut swarm = Swarm::new(version(), all[0].clone(), 96, setting, 1, began);
+    swarm.set_members(all.clone());
+    let origin = |actions: Vec<Action>| {
+        actions.iter().any(|action| {
+            matches!(
+                action,
+                Action::Fetch {
+                    source: Source::Origin,
+                    ..
+                }
+            )
+        })
+    };
+    assert!(!origin(swarm.tick(began)));
+    assert!(origin(swarm.tick(began + setting.settle)));
+}
+
+#[test]
+fn chunks_are_verified_by_the_hash_that_their_origin_uses() {
+    use pumicelatch::weight::Hash;
+
+    let bytes = Bytes::from_static(b"some weights");
+    let manifest = Manifest {
+        model_bytes: bytes.len() as u64,
+        chunk_bytes: bytes.len() as u32,
+        chunks: vec![Hash::Sha256.of(&bytes)],
+    };
+    let mut store = Store::new(1_000);
+    let label = Digest::of(b"model 2");
+    store.admit_checked(label, manifest, Hash::Sha256).unwrap();
+    let mut spoilt = store.receive(label, 0).unwrap();
+    spoilt.push(b"some weightz").unwrap();
+    assert!(matches!(spoilt.finish(), Err(Error::ChunkDigest { .. })));
+    let mut receipt = store.receive(label, 0).unwrap();
+    receipt.push(&bytes).unwrap();
+    store.put(receipt.finish().unwrap()).unwrap();
+    assert!(store.complete(label));
+}
--- /dev/null
+++ b/tests/gateway.rs
@@ -0,0 +1,528 @@
+//! The gateway's decisions: choice, admission, budget, what follows an attempt, versions, events.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use pumicelatch::clock::Time;
+use pumicelatch::config::belief::{Listed, Wanted};
+use pumicelatch::config::routing::Engine;
+use pumicelatch::gateway::event::Cutter;
+use pumicelatch::limit::admission::{self, Case, Verdict};
+use pumicelatch::member::replica::{Held, Record};
+use pumicelatch::request::Outcome;
+use pumicelatch::request::attempt::{self, Ended, Next, Situation};
+use pumicelatch::request::budget::{Budget, Setting};
+use pumicelatch::route::estimate::{self, Demand, Work};
+use pumicelatch::route::health::{Health, Sign};
+use pumicelatch::route::pool::{Ask, Due, Key, Load, ModelNeed, Pool, Shortage};
+use pumicelatch::version::rollout;
+use pumicelatch::weight::Digest;
+use quickcheck::{TestResult, quickcheck};
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+const MODEL: &str = "tutor-model";
+
+fn engine() -> Engine {
+    Engine {
+        slots: 16,
+        memory_tokens: 317_000,
+        step_ms: 9.27,
+        sequence_ms: 0.0232,
+        context_ms_per_thousand: 0.0322,
+        read_per_s: 20_700.0,
+        stride: 5,
+        usual_prompt: 979.0,
+        usual_answer: 92.0,
+        models: vec![MODEL.into()],
+        chunks: 96,
+        chunk_bytes: 24_576,
+    }
+}
+
+fn address(index: u8) -> std::net::SocketAddr {
+    format!("10.0.0.{index}:80").parse().unwrap()
+}
+
+fn record(index: u8, version: u64) -> Record {
+    Record {
+        id: format!("i-{index}").into(),
+        service: "tutor".into(),
+        address: address(index),
+        hall: "lis-a".into(),
+        slots: 16,
+        leaving: false,
+        models: vec![Held {
+            model: MODEL.into(),
+            version,
+        }],
+    }
+}
+
+fn listed(record: Record) -> Listed {
+    Listed {
+        record,
+        revision: 1,
+        gone: None,
+        doubted: false,
+    }
+}
+
+fn pool_of(records: Vec<Record>, due: Option<Due>) -> Pool {
+    let mut pool = Pool::new("lis-a".into());
+    let list: BTreeMap<Arc<str>, Listed> = records
+        .into_iter()
+        .map(|record| (record.id.clone(), listed(record)))
+        .collect();
+    pool.update(&list, |_| due.clone());
+    pool
+}
+
+struct Asking {
+    engine: Engine,
+    tried: Vec<Key>,
+    oldest: u64,
+    only: Option<u64>,
+}
+
+impl Default for Asking {
+    fn default() -> Self {
+        Self {
+            engine: engine(),
+            tried: Vec::new(),
+            oldest: 0,
+            only: None,
+        }
+    }
+}
+
+impl Asking {
+    fn ask(&self) -> Ask<'_> {
+        Ask {
+            service: "tutor",
+            model: Some(ModelNeed {
+                model: MODEL,
+                oldest: self.oldest,
+                only: self.only,
+            }),
+            engine: Some(&self.engine),
+            demand: Demand {
+                prompt: 979,
+                output: 92,
+            },
+            tried: &self.tried,
+            connections_max: 20,
+        }
+    }
+
+    fn choose(&self, pool: &Pool, now: Time) -> Result<String, Shortage> {
+        let mut rng = SmallRng::seed_from_u64(7);
+        let choice = pool.choose(self.ask(), now, &mut rng)?;
+        Ok(pool.get(choice.key).unwrap().record.id.to_string())
+    }
+}
+
+fn report(running: u32, queued: u32, version: u64) -> Load {
+    Load {
+        running,
+        queued,
+        pace: 1.0,
+        models: vec![Held {
+            model: MODEL.into(),
+            version,
+        }],
+        switching: false,
+        alive: true,
+    }
+}
+
+const NOW: Time = Time::from_millis(50_000);
+
+#[test]
+fn the_replica_with_less_to_read_is_chosen() {
+    let mut pool = pool_of(vec![record(1, 1), record(2, 1)], None);
+    pool.report(address(1), &report(4, 3, 1), NOW);
+    pool.report(address(2), &report(6, 0, 1), NOW);
+    assert_eq!(Asking::default().choose(&pool, NOW).unwrap(), "i-2");
+}
+
+#[test]
+fn a_leaving_a_dead_and_a_denied_replica_take_nothing() {
+    let leaving = Record {
+        leaving: true,
+        ..record(1, 1)
+    };
+    let mut pool = pool_of(vec![leaving, record(2, 1), record(3, 1)], None);
+    let dead = Load {
+        alive: false,
+        ..report(0, 0, 1)
+    };
+    pool.report(address(2), &dead, NOW);
+    assert_eq!(Asking::default().choose(&pool, NOW).unwrap(), "i-3");
+    let third = *pool
+        .of("tutor")
+        .iter()
+        .find(|key| &*pool.get(**key).unwrap().record.id == "i-3")
+        .unwrap();
+    pool.deny(third);
+    assert_eq!(Asking::default().choose(&pool, NOW), Err(Shortage::NoneFit));
+}
+
+#[test]
+fn a_replica_without_weights_or_of_a_forbidden_version_takes_nothing() {
+    let empty = Record {
+        models: Vec::new(),
+        ..record(1, 1)
+    };
+    let pool = pool_of(vec![empty, record(2, 1), record(3, 2)], None);
+    let oldest = Asking {
+        oldest: 2,
+        ..Asking::default()
+    };
+    assert_eq!(oldest.choose(&pool, NOW).unwrap(), "i-3");
+    let only = Asking {
+        only: Some(1),
+        ..Asking::default()
+    };
+    assert_eq!(only.choose(&pool, NOW).unwrap(), "i-2");
+}
+
+#[test]
+fn nothing_is_sent_that_would_start_on_an_old_version_after_its_bound() {
+    let due = Due {
+        named: vec![Wanted {
+            version: 2,
+            revision: 1,
+            since: NOW,
+        }],
+        begins: Duration::from_millis(5_000),
+        bound: Duration::from_millis(7_400),
+    };
+    let mut pool = pool_of(vec![record(1, 1)], Some(due));
+    let at = |millis| NOW + Duration::from_millis(millis);
+    assert!(Asking::default().choose(&pool, at(1_000)).is_ok());
+    assert_eq!(
+        Asking::default().choose(&pool, at(7_390)),
+        Err(Shortage::NoneFit)
+    );
+    // Behind others it would wait too long already a little earlier.
+    pool.report(address(1), &report(16, 8, 1), at(6_900));
+    assert_eq!(
+        Asking::default().choose(&pool, at(6_900)),
+        Err(Shortage::NoneFit)
+    );
+}
+
+#[test]
+fn a_request_that_outlasts_a_change_of_version_goes_to_a_replica_that_changes_later() {
+    let due = |begins| Due {
+        named: vec![Wanted {
+            version: 2,
+            revision: 1,
+            since: NOW,
+        }],
+        begins: Duration::from_millis(begins),
+        bound: Duration::from_millis(7_400),
+    };
+    let mut pool = Pool::new("lis-a".into());
+    let list: BTreeMap<Arc<str>, Listed> = [record(1, 1), record(2, 1)]
+        .into_iter()
+        .map(|record| (record.id.clone(), listed(record)))
+        .collect();
+    pool.update(&list, |record| {
+        Some(due(if &*record.id == "i-1" { 4_400 } else { 7_000 }))
+    });
+    let now = NOW + Duration::from_millis(4_000);
+    for _ in 0..5 {
+        assert_eq!(Asking::default().choose(&pool, now).unwrap(), "i-2");
+    }
+}
+
+#[test]
+fn a_replica_whose_first_events_are_overdue_is_left_for_another() {
+    let mut pool = pool_of(vec![record(1, 1), record(2, 1)], None);
+    let key = |pool: &Pool, id: &str| {
+        let keys = pool.of("tutor").to_vec();
+        keys.into_iter()
+            .find(|key| &*pool.get(*key).unwrap().record.id == id)
+            .unwrap()
+    };
+    let first = key(&pool, "i-1");
+    pool.begin(first, Demand::default(), Duration::from_millis(100), NOW);
+    let later = NOW + Duration::from_millis(600);
+    for _ in 0..5 {
+        assert_eq!(Asking::default().choose(&pool, later).unwrap(), "i-2");
+    }
+}
+
+#[test]
+fn the_list_says_who_is_gone_at_once() {
+    let mut pool = pool_of(vec![record(1, 1)], None);
+    pool.update(&BTreeMap::new(), |_| None);
+    assert_eq!(
+        Asking::default().choose(&pool, NOW),
+        Err(Shortage::NoneListed)
+    );
+}
+
+#[test]
+fn the_estimate_grows_with_what_is_to_be_read_and_with_the_queue() {
+    let engine = engine();
+    let demand = Demand {
+        prompt: 979,
+        output: 92,
+    };
+    let work = |requests, unread| Work {
+        requests,
+        unread,
+        pace: 1.0,
+    };
+    let idle = estimate::first_event(&engine, work(0, 0.0), demand);
+    let reading = estimate::first_event(&engine, work(2, 2_000.0), demand);
+    let full = estimate::first_event(&engine, work(18, 0.0), demand);
+    assert!(idle > Duration::from_millis(80) && idle < Duration::from_millis(200));
+    assert!(reading > idle + Duration::from_millis(80));
+    assert!(full > idle + Duration::from_millis(200));
+}
+
+#[test]
+fn a_replica_that_fails_more_than_its_fellows_is_passed_over_and_tried_again() {
+    let mut health = Health::default();
+    for _ in 0..6 {
+        health.note(Sign::Failed, 0.1, NOW);
+    }
+    assert!(health.paused(NOW));
+    assert!(!health.paused(health.paused_until()));
+    let mut usual = Health::default();
+    for step in 0..50 {
+        let sign = if step % 7 == 0 {
+            Sign::Failed
+        } else {
+            Sign::Whole(Duration::ZERO)
+        };
+        usual.note(sign, 0.14, NOW);
+        assert!(!usual.paused(NOW), "it fails no more than its fellows");
+    }
+}
+
+#[test]
+fn a_request_is_refused_early_or_not_at_all() {
+    fn property(elapsed: u16, expected: u16, objective: u16) -> TestResult {
+        if objective < 50 {
+            return TestResult::discard();
+        }
+        let case = Case {
+            elapsed: Duration::from_millis(u64::from(elapsed)),
+            objective: Duration::from_millis(u64::from(objective)),
+            remaining: Duration::from_secs(6),
+            expected: Some(Duration::from_millis(u64::from(expected))),
+        };
+        let quarter = case.objective / 4;
+        TestResult::from_bool(match admission::judge(case) {
+            Verdict::Send => case.elapsed + case.expected.unwrap() <= case.objective,
+            Verdict::Wait(pause) => case.elapsed + pause <= quarter,
+            Verdict::Refuse { retry_after } => !retry_after.is_zero(),
+        })
+    }
+    quickcheck(property as fn(u16, u16, u16) -> TestResult);
+}
+
+fn situation() -> Situation {
+    Situation {
+        repeatable: false,
+        tainted: false,
+        sent: 1,
+        sent_max: 2,
+        unreached: 0,
+        time_left: true,
+    }
+}
+
+#[test]
+fn what_may_run_once_goes_elsewhere_only_when_it_surely_did_not_run() {
+    for ended in [Ended::Broken, Ended::Failed] {
+        let next = attempt::after(ended, situation());
+        assert!(!matches!(next, Next::Elsewhere { .. }), "{ended:?}");
+    }
+    assert_eq!(
+        attempt::after(Ended::Broken, situation()),
+        Next::GiveUp(Outcome::Unknown)
+    );
+    assert_eq!(
+        attempt::after(Ended::Refused, situation()),
+        Next::Elsewhere { charged: true }
+    );
+    let tainted = Situation {
+        tainted: true,
+        ..situation()
+    };
+    assert_eq!(
+        attempt::after(Ended::Refused, tainted),
+        Next::GiveUp(Outcome::Unknown)
+    );
+}
+
+#[test]
+fn not_run_is_never_said_of_what_may_have_run() {
+    fn property(ended: u8, repeatable: bool, tainted: bool, sent: u8, left: bool) -> bool {
+        let all = [
+            Ended::NotSent,
+            Ended::Refused,
+            Ended::Misdirected,
+            Ended::Failed,
+            Ended::Broken,
+        ];
+        let ended = all[usize::from(ended) % all.len()];
+        let situation = Situation {
+            repeatable,
+            tainted,
+            sent: u32::from(sent % 4),
+            sent_max: 2,
+            unreached: 0,
+            time_left: left,
+        };
+        let may_have_run = tainted || matches!(ended, Ended::Failed | Ended::Broken);
+        match attempt::after(ended, situation) {
+            Next::GiveUp(Outcome::NotRun) => !may_have_run,
+            Next::Elsewhere { .. } => (repeatable || !may_have_run) && situation.sent < 2,
+            Next::PassOn => ended == Ended::Failed,
+            Next::GiveUp(_) => true,
+        }
+    }
+    quickcheck(property as fn(u8, bool, bool, u8, bool) -> bool);
+}
+
+/// Repeats of all entries within every window, however requests and wishes are spread.
+#[test]
+fn the_shared_budget_holds_in_every_window_over_all_entries() {
+    fn property(steps: Vec<(u8, bool)>) -> bool {
+        let setting = Setting {
+            ratio: 0.2,
+            slack: 20.0,
+            window: Duration::from_secs(2),
+        };
+        let entries = 4;
+        let mut budgets: Vec<Budget> = (0..entries).map(|_| Budget::default()).collect();
+        let (mut requests, mut repeats) = (Vec::new(), Vec::new());
+        for (step, (pick, repeat)) in steps.iter().enumerate() {
+            let now = Time::from_millis(1_000 + step as u64 * 20);
+            let budget = &mut budgets[usize::from(*pick) % entries];
+            budget.request(setting, now);
+            requests.push(now);
+            if *repeat && budget.spend(setting, entries, now) {
+                repeats.push(now);
+            }
+        }
+        requests.iter().all(|&end| {
+            let within = |at: &Time| *at <= end && end.since(*at) <= setting.window;
+            let asked = requests.iter().filter(|at| within(at)).count() as f64;
+            let spent = repeats.iter().filter(|at| within(at)).count() as f64;
+            spent <= setting.ratio * asked + setting.slack
+        })
+    }
+    quickcheck(property as fn(Vec<(u8, bool)>) -> bool);
+}
+
+#[test]
+fn waves_leave_places_in_each_hall_and_end_before_the_bound() {
+    let setting = rollout::Setting::default();
+    let version = Digest::of(b"v2");
+    let names: Vec<String> = (0..7).map(|index| format!("10.0.0.{index}")).collect();
+    let fellows: Vec<&str> = names.iter().map(String::as_str).collect();
+    let mut sizes = BTreeMap::new();
+    for name in &fellows {
+        let wave = rollout::wave(version, name, &fellows, setting.waves);
+        assert!(rollout::begins(setting, wave) < setting.bound);
+        *sizes.entry(wave).or_insert(0) += 1;
+    }
+    assert_eq!(sizes.len(), setting.waves as usize);
+    assert!(sizes.values().all(|size| *size <= 3));
+}
+
+#[test]
+fn a_change_is_ordered_only_when_everything_is_here_and_told() {
+    let setting = rollout::Setting::default();
+    let state = rollout::State {
+        wanted: 2,
+        named: NOW,
+        held: Some(1),
+        busy: false,
+        complete: false,
+        wave: 0,
+        noticed: None,
+    };
+    let late = NOW + setting.bound;
+    assert_eq!(rollout::step(state, setting, late), rollout::Step::Receive);
+    let complete = rollout::State {
+        complete: true,
+        ..state
+    };
+    assert_eq!(rollout::step(complete, setting, NOW), rollout::Step::Await);
+    assert_eq!(
+        rollout::step(complete, setting, late),
+        rollout::Step::Notice
+    );
+    let noticed = rollout::State {
+        noticed: Some(late),
+        ..complete
+    };
+    assert_eq!(
+        rollout::step(noticed, setting, late),
+        rollout::Step::Noticed
+    );
+    let told = late + setting.notice;
+    assert_eq!(rollout::step(noticed, setting, told), rollout::Step::Order);
+    let empty = rollout::State {
+        held: None,
+        ..complete
+    };
+    assert_eq!(rollout::step(empty, setting, NOW), rollout::Step::Order);
+    let held = rollout::State {
+        held: Some(2),
+        ..complete
+    };
+    assert_eq!(rollout::step(held, setting, late), rollout::Step::Rest);
+}
+
+fn events(count: u64) -> Vec<u8> {
+    (1..=count)
+        .flat_map(|number| format!("id: {number}\ndata: token {number}\n\n").into_bytes())
+        .collect()
+}
+
+#[test]
+fn events_are_the_same_however_the_bytes_come() {
+    fn property(count: u8, cuts: Vec<u8>) -> bool {
+        let all = events(u64::from(count));
+        let mut cutter = Cutter::default();
+        let mut out = Vec::new();
+        let mut rest = &all[..];
+        for cut in cuts {
+            let (part, tail) = rest.split_at(usize::from(cut).min(rest.len()));
+            out.extend_from_slice(&cutter.push(Bytes::copy_from_slice(part)).unwrap());
+            rest = tail;
+        }
+        out.extend_from_slice(&cutter.push(Bytes::copy_from_slice(rest)).unwrap());
+        out == all && !cutter.midway() && cutter.passed() == u64::from(count)
+    }
+    quickcheck(property as fn(u8, Vec<u8>) -> bool);
+}
+
+#[test]
+fn a_stream_that_is_taken_up_has_every_event_once() {
+    let all = events(9);
+    let half = all.len() / 2;
+    let mut cutter = Cutter::default();
+    let mut out = cutter
+        .push(Bytes::copy_from_slice(&all[..half]))
+        .unwrap()
+        .to_vec();
+    assert!(cutter.midway());
+    cutter.restart();
+    // The second replica goes on a little before the place that it was asked for.
+    out.extend_from_slice(&cutter.push(Bytes::from(all.clone())).unwrap());
+    assert_eq!(out, all);
+    assert_eq!(cutter.last(), Some(9));
+}
