--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -23,7 +23,7 @@
 use crate::route::pool::{Choice, Key};
 
 /// How long a connection to a replica may take to open.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
 
 /// Objectives that a replica may be silent before a request that may be repeated goes elsewhere.
 const SILENCE_FACTOR: u32 = 3;
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -421,8 +421,8 @@
             let (choice, idle) = self.choose(None);
             let now = self.gateway.knowledge.now();
             let remaining = self.job.remaining(now);
-            if self.trace.sent > 0 {
-                // A request that was sent already is worth the rest of its time.
+            if self.trace.sent + self.unreached > 0 {
+                // A request that was chosen a replica for already is worth the rest of its time.
                 return choice
                     .map_err(|shortage| self.refusal_after(Ended::Refused, shortage.to_string()));
             }
--- a/src/route/pool.rs
+++ b/src/route/pool.rs
@@ -32,7 +32,7 @@
 const USUAL_UNKNOWN: Duration = Duration::from_millis(50);
 
 /// Handicap of a replica in another hall.
-const REMOTE: Duration = Duration::from_millis(25);
+const REMOTE: Duration = Duration::from_millis(60);
 
 /// Candidates whose cost is over the least by no more than this are equal.
 const EQUAL: Duration = Duration::from_millis(4);
--- a/src/sidecar.rs
+++ b/src/sidecar.rs
@@ -55,6 +55,8 @@
     pub seeds: Vec<SocketAddr>,
     /// Where the replica listens.
     pub replica: SocketAddr,
+    /// Whether the whole system begins now for the first time.
+    pub first_start: bool,
     /// Settings of the burst.
     pub spread: spread::Setting,
     /// Settings of the change of versions.
--- a/src/sidecar/observe.rs
+++ b/src/sidecar/observe.rs
@@ -22,7 +22,7 @@
 const LOOK_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Answers that may be missing before the replica counts as gone.
-const MISSES_MAX: u32 = 2;
+pub(super) const MISSES_MAX: u32 = 2;
 
 /// How often it is looked whether an entry is to be told.
 const TELL_LOOK: Duration = Duration::from_millis(50);
--- a/src/sidecar/reconcile.rs
+++ b/src/sidecar/reconcile.rs
@@ -9,6 +9,7 @@
 use actix_rt::time::sleep;
 
 use super::engine::Taken;
+use super::observe::MISSES_MAX;
 use super::{FIRST_VERSION, Sidecar, Target};
 use crate::audit::Deed;
 use crate::burst::{Burst, Purpose};
@@ -55,10 +56,12 @@
 }
 
 impl Sidecar {
-    /// Whether the replica has answered since this process began: what it holds need not be drawn
-    /// from others, and one that is not there needs nothing.
+    /// Whether it is known what the replica lacks. When the whole system begins, replicas hold their
+    /// first version and answer a little later; at any other time one that does not answer will
+    /// come up with nothing.
     fn looked(&self) -> bool {
-        self.state.borrow().is_some() || !self.bursts.borrow().is_empty()
+        let empty = !self.setting.first_start && self.misses.get() >= MISSES_MAX;
+        self.state.borrow().is_some() || !self.bursts.borrow().is_empty() || empty
     }
 
     /// Takes part in the burst of the wanted version, and in no other.
--- a/src/spread.rs
+++ b/src/spread.rs
@@ -113,7 +113,7 @@
             take_over: Duration::from_millis(200),
             fetches_max: 3,
             origin_pause_max: Duration::from_millis(400),
-            settle: Duration::from_millis(500),
+            settle: Duration::from_millis(300),
             ..Self::default()
         }
     }
