Entries relay chunks: their links are wide, those of the boxes are narrow

Change: members may be relays (Role::Entry): they draw from the origin, bring chunks into their halls and serve 24 uploads at once; boxes prefer them and draw two chunks at a time; four waves over 3.6 s.

--- a/src/agent.rs
+++ b/src/agent.rs
@@ -33,7 +33,7 @@
 pub mod status;
 
 use crate::burst::host::{ContentOrigin, Host, Instruments, Origin};
-use crate::burst::{Burst, Purpose};
+use crate::burst::{Burst, Holders, Purpose};
 
 /// Keys for requests that run at most once, kept at a time.
 const KEYS_MAX: usize = 16_384;
@@ -245,7 +245,7 @@
         for carry in carried {
             let purpose = Purpose {
                 favour: carry.favour,
-                fresh: true,
+                holders: Holders::Nobody,
             };
             let members: Vec<Listed> = assignment
                 .carriers(carry.digest)
--- a/src/burst.rs
+++ b/src/burst.rs
@@ -3,6 +3,7 @@
 //! * [`host`] is what a burst needs of its process.
 //! * [`follow`] listens to peers.
 //! * [`fetch`] draws the manifest and the chunks.
+//! * [`joined`] keeps to the burst of one wanted version.
 //! * [`serve`] answers peers, [`upload`] gives them chunks, a few at a time.
 
 use std::cell::{Cell, RefCell};
@@ -17,7 +18,7 @@
 use tokio::sync::{oneshot, watch};
 
 use crate::audit::Deed;
-use crate::member::Listed;
+use crate::member::{Listed, Role};
 use crate::spread::Favour;
 use crate::spread::ring::Member;
 use crate::spread::swarm::{Action, FetchKey, Outcome, PeerKey, Source, Swarm, Tally};
@@ -27,6 +28,7 @@
 pub mod fetch;
 pub mod follow;
 pub mod host;
+pub mod joined;
 pub mod serve;
 pub mod upload;
 
@@ -38,6 +40,9 @@
 /// How often the set of followed peers is looked over.
 const REVIEW: Duration = Duration::from_millis(500);
 
+/// How much longer a peer's word is awaited when the whole system begins.
+const BEGIN_FACTOR: u32 = 20;
+
 /// How long a version that finds no room waits before it asks again.
 const ROOM_PAUSE: Duration = Duration::from_secs(1);
 
@@ -49,8 +54,19 @@
 pub struct Purpose {
     /// What weighs more.
     pub favour: Favour,
-    /// Whether the version was named just now, so that no peer holds anything yet.
-    pub fresh: bool,
+    /// Who holds the version already, as far as is known.
+    pub holders: Holders,
+}
+
+/// Who holds a version already.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Holders {
+    /// Nobody: it was named just now.
+    Nobody,
+    /// Perhaps some: their word is awaited for a moment before the origin is asked.
+    Some,
+    /// All whom it concerns: the whole system begins, and boxes come up with it one by one.
+    All,
 }
 
 /// A peer that is being followed.
@@ -180,6 +196,13 @@
             .collect()
     }
 
+    /// The members that carry chunks for others and have no engine.
+    fn relays(&self) -> Vec<Arc<str>> {
+        let members = self.members.borrow();
+        let relays = members.values().filter(|listed| listed.role == Role::Entry);
+        relays.map(|listed| listed.name.clone()).collect()
+    }
+
     /// Begins the plan once the manifest is there.
     fn begin(self: &Rc<Self>, host: &Rc<Host>, chunks: usize) {
         let own = Member {
@@ -188,9 +211,12 @@
         };
         let now = host.clock.now();
         let mut setting = host.spread.favouring(self.purpose.favour);
-        if self.purpose.fresh {
-            setting.settle = Duration::ZERO;
-        }
+        setting.settle_whole = self.purpose.holders == Holders::All;
+        setting.settle = match self.purpose.holders {
+            Holders::Nobody => Duration::ZERO,
+            Holders::Some => setting.settle,
+            Holders::All => setting.settle * BEGIN_FACTOR,
+        };
         let seed = rand::rng().random();
         let mut swarm = Swarm::new(self.version, own, chunks, setting, seed, now);
         for &chunk in self.gained.borrow().iter() {
@@ -226,12 +252,12 @@
 
     /// Follows the peers that the plan wants, and lets go of those that are no members any more.
     fn review(self: &Rc<Self>, host: &Rc<Host>) {
-        let ring = self.ring();
+        let (ring, relays) = (self.ring(), self.relays());
         let mut guard = self.swarm.borrow_mut();
         let Some(swarm) = guard.as_mut() else {
             return;
         };
-        swarm.set_members(ring);
+        swarm.set_members_and_relays(ring, relays);
         if swarm.complete() {
             drop(guard);
             self.follows.borrow_mut().clear();
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -16,19 +16,26 @@
 use actix_rt::task::JoinHandle;
 use actix_rt::time::sleep;
 use tokio::net::TcpListener;
+use tokio::sync::Notify;
 
+use crate::audit::{Deed, Trail};
+use crate::burst::host::{Host, Instruments};
+use crate::burst::joined::{self, Joined, Origins};
 use crate::config::belief::Belief;
 use crate::daemon;
 use crate::exchange;
-use crate::http::{self, Server, Timing};
+use crate::http::{self, ClientSetting, Server, Timing};
 use crate::knowledge::{Identity, Knowledge, gossip, store};
+use crate::member::Role;
 use crate::member::replica::Record;
 use crate::metric::{self, Metrics};
+use crate::node::ClientHandle;
 use crate::request::budget::{self, Budget};
 use crate::route::pool::{Due, Pool};
-use crate::sidecar;
 use crate::source::{Source, Topic};
+use crate::spread;
 use crate::version::rollout;
+use crate::weight::Store;
 
 pub mod attempt;
 pub mod call;
@@ -59,6 +66,9 @@
 /// ended.
 const START_MARGIN: Duration = Duration::from_millis(600);
 
+/// How often the members of a burst are looked over.
+const RELAY_LOOK: Duration = Duration::from_millis(500);
+
 /// How much longer than callers may rest a connection is kept.
 const IDLE_MARGIN: Duration = Duration::from_secs(1);
 
@@ -75,6 +85,12 @@
     pub budget: budget::Setting,
     /// Settings of the change of versions.
     pub rollout: rollout::Setting,
+    /// Settings of bursts.
+    pub spread: spread::Setting,
+    /// Whether the whole system begins now for the first time.
+    pub first_start: bool,
+    /// Bytes of weights that the process may hold for others.
+    pub memory_bytes: u64,
     /// Seed of random choices.
     pub seed: u64,
 }
@@ -98,6 +114,17 @@
     leaving: Cell<bool>,
     in_flight: Cell<u64>,
     instruments: status::Instruments,
+    joined: Joined,
+}
+
+/// What a gateway works with.
+pub struct Edges {
+    /// How callers and replicas speak.
+    pub dialect: Rc<dyn Dialect>,
+    /// The platform's store.
+    pub source: Rc<dyn Source>,
+    /// Names the origin of weights.
+    pub origins: Rc<dyn Origins>,
 }
 
 /// The sockets that a gateway listens on.
@@ -155,21 +182,44 @@
     }
 }
 
+fn relay_host(setting: &Setting, knowledge: &Rc<Knowledge>, metrics: &Metrics) -> Host {
+    let trail = RefCell::new(Trail::default());
+    Host {
+        name: setting.identity.address.to_string().into(),
+        hall: setting.identity.hall.clone(),
+        clock: knowledge.clock,
+        client: ClientHandle(http::client(ClientSetting::default())),
+        spread: setting.spread.of_relay(),
+        store: RefCell::new(Store::new(setting.memory_bytes)),
+        instruments: Instruments::new(&metrics.meter()),
+        bytes_sent: Cell::new(0),
+        wake: Notify::new(),
+        trail: Rc::new(move |deed: Deed| trail.borrow_mut().add(0, deed)),
+        local: None,
+    }
+}
+
 impl Gateway {
     /// Starts a gateway on the present thread.
     pub fn start(
         setting: Setting,
-        dialect: Rc<dyn Dialect>,
-        source: Rc<dyn Source>,
+        edges: Edges,
         listeners: Listeners,
     ) -> Result<Running, metric::Error> {
+        let Edges {
+            dialect,
+            source,
+            origins,
+        } = edges;
         let metrics = Metrics::new()?;
         let knowledge = Knowledge::new(
             setting.identity.clone(),
             setting.seeds.clone(),
             setting.seed,
         );
+        let host = Rc::new(relay_host(&setting, &knowledge, &metrics));
         let gateway = Rc::new(Self {
+            joined: Joined::new(host, origins, setting.first_start),
             client: exchange::Client::default(),
             pool: RefCell::new(Pool::new(setting.identity.hall.clone())),
             pool_at: Cell::new(0),
@@ -192,6 +242,7 @@
             actix_rt::spawn(store::follow(knowledge.clone(), source, Topic::Replicas)),
             actix_rt::spawn(gossip::run(knowledge, move || others.sidecars())),
             actix_rt::spawn(gateway.clone().tick()),
+            actix_rt::spawn(gateway.clone().relay()),
         ];
         let front = gateway.serve_front(listeners.front);
         let mut servers = vec![
@@ -263,6 +314,41 @@
             .collect()
     }
 
+    /// Takes part in the burst of the wanted version as a relay: this process's link is wide, and
+    /// those of the boxes are narrow.
+    async fn relay(self: Rc<Self>) {
+        loop {
+            self.join_burst();
+            let mut changed = self.knowledge.changed.subscribe();
+            let _ = actix_rt::time::timeout(RELAY_LOOK, changed.changed()).await;
+        }
+    }
+
+    fn join_burst(&self) {
+        let knowledge = &self.knowledge;
+        let origin = knowledge.brief().and_then(|brief| brief.origin);
+        let (Some(target), Some(origin)) = (joined::newest(knowledge), origin) else {
+            return;
+        };
+        let service = {
+            let belief = knowledge.belief.borrow();
+            let mut services = belief.routing().into_iter().flat_map(|routing| {
+                let services = routing.document.services.iter();
+                services.filter(|service| service.engine.is_some())
+            });
+            services.next().map(|service| service.name.clone())
+        };
+        let members = joined::members(knowledge, service.as_deref(), self.setting.sidecar_port);
+        let identity = &self.setting.identity;
+        let own = joined::member(
+            identity.address.to_string(),
+            identity.hall.clone(),
+            identity.address,
+            Role::Entry,
+        );
+        self.joined.join(&target, origin, members, own);
+    }
+
     async fn tick(self: Rc<Self>) {
         loop {
             sleep(TICK).await;
@@ -303,7 +389,7 @@
         let fellows: Vec<&str> = fellows.iter().map(String::as_str).collect();
         let rollout = self.setting.rollout;
         let own = record.address.ip().to_string();
-        let label = sidecar::label(model, wanted.version);
+        let label = joined::label(model, wanted.version);
         let wave = rollout::wave(label, &own, &fellows, rollout.waves);
         Some(Due {
             named: belief.named(model).to_vec(),
--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -6,6 +6,7 @@
 use serde::de::DeserializeOwned;
 
 use super::Gateway;
+use crate::burst::serve;
 use crate::http::{self, Answer};
 use crate::wire::sync::{REPORT_PATH, Report, SYNC_PATH, Sync};
 
@@ -40,7 +41,26 @@
             Ok(report) => take_report(&gateway, &report),
             Err(answer) => answer,
         },
-        _ => http::status(StatusCode::NOT_FOUND),
+        path => {
+            let path = path.to_owned();
+            swarm(&gateway, &path).await
+        }
+    }
+}
+
+/// A peer of a burst asks.
+async fn swarm(gateway: &Gateway, path: &str) -> Answer {
+    let parts: Vec<&str> = path.trim_matches('/').split('/').collect();
+    let ["v1", "swarm", label, rest @ ..] = parts.as_slice() else {
+        return http::status(StatusCode::NOT_FOUND);
+    };
+    let burst = label
+        .parse()
+        .ok()
+        .and_then(|label| gateway.joined.get(label));
+    match burst {
+        Some(burst) => serve::answer(&gateway.joined.host, burst, rest).await,
+        None => http::status(StatusCode::NOT_FOUND),
     }
 }
 
--- a/src/sidecar.rs
+++ b/src/sidecar.rs
@@ -7,10 +7,8 @@
 //! * [`observe`] asks the replica how it does, and tells the entries.
 
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
 
 use actix_http::{Request, StatusCode};
@@ -18,8 +16,9 @@
 use tokio::net::TcpListener;
 
 use crate::audit::{Deed, Trail};
-use crate::burst::host::{Host, Instruments, Local, Origin};
-use crate::burst::{self, Burst};
+use crate::burst::host::{Host, Instruments, Local};
+use crate::burst::joined::{self, Joined, Origins, Target, label};
+use crate::burst::{self};
 use crate::clock::Time;
 use crate::config::belief::first_lacking;
 use crate::daemon;
@@ -43,9 +42,6 @@
 /// How long a planned stop waits for uploads.
 const UPLOADS_END: Duration = Duration::from_secs(1);
 
-/// The version that replicas hold before any was named.
-pub const FIRST_VERSION: u64 = 1;
-
 /// A sidecar's settings.
 #[derive(Debug, Clone)]
 pub struct Setting {
@@ -67,35 +63,6 @@
     pub seed: u64,
 }
 
-/// Names the origin of one version of a model.
-pub trait Origins {
-    /// The origin at `address`, as far as `version` of `model` is concerned.
-    fn of(&self, address: SocketAddr, model: &str, version: u64) -> Rc<dyn Origin>;
-}
-
-/// A version of a model, and the name that it has in bursts.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Target {
-    /// The model.
-    pub model: Arc<str>,
-    /// The version.
-    pub version: u64,
-    /// When the oldest version was named that the replica lacks.
-    pub named: Time,
-}
-
-impl Target {
-    /// Its name in bursts.
-    pub fn label(&self) -> Digest {
-        label(&self.model, self.version)
-    }
-}
-
-/// The name of a model's version in bursts.
-pub fn label(model: &str, version: u64) -> Digest {
-    Digest::of(format!("{model}\n{version}").as_bytes())
-}
-
 /// A sidecar. It lives on one thread.
 pub struct Sidecar {
     /// Settings.
@@ -107,12 +74,11 @@
     /// Metrics.
     pub metrics: Metrics,
     engine: Rc<dyn Engine>,
-    origins: Rc<dyn Origins>,
+    joined: Joined,
     source: Rc<dyn Source>,
     state: Rc<RefCell<Option<State>>>,
     misses: Cell<u32>,
     noticed: Cell<Option<Time>>,
-    bursts: RefCell<BTreeMap<Digest, Rc<Burst>>>,
     staged: RefCell<reconcile::Staged>,
     told: tokio::sync::watch::Sender<u64>,
 }
@@ -130,7 +96,7 @@
         for task in &self.tasks {
             task.abort();
         }
-        self.sidecar.bursts.borrow_mut().clear();
+        self.sidecar.joined.leave();
     }
 }
 
@@ -230,17 +196,17 @@
             trail: Rc::new(move |deed: Deed| trail.borrow_mut().add(0, deed)),
             local: Some(Rc::new(local)),
         };
+        let host = Rc::new(host);
         let sidecar = Rc::new(Self {
             knowledge,
-            host: Rc::new(host),
+            joined: Joined::new(host.clone(), edges.origins, setting.first_start),
+            host,
             metrics,
             engine: edges.engine,
-            origins: edges.origins,
             source: edges.source,
             state,
             misses: Cell::new(0),
             noticed: Cell::new(None),
-            bursts: RefCell::default(),
             staged: RefCell::default(),
             told: tokio::sync::watch::Sender::new(0),
             setting,
@@ -277,33 +243,22 @@
 
     /// Whether no peer is being served.
     pub fn idle(&self) -> bool {
-        !self.bursts.borrow().values().any(|burst| burst.uploading())
+        self.joined.idle()
     }
 
-    /// The version that the replica is to hold; `None` while nothing is known.
+    /// The version that the replica is to hold, counted from when the oldest was named that it
+    /// lacks; `None` while nothing is known.
     pub fn target(&self) -> Option<Target> {
-        let brief = self.knowledge.brief()?;
-        let model = brief.engine?.models.first()?.clone();
+        let target = joined::newest(&self.knowledge)?;
+        let state = self.state.borrow();
+        let held = state.as_ref().and_then(|state| state.held(&target.model));
         let belief = self.knowledge.belief.borrow();
-        let wanted = belief.wanted(&model);
-        let held = self
-            .state
-            .borrow()
-            .as_ref()
-            .and_then(|state| state.held(&model));
-        let lacking = held.and_then(|held| first_lacking(belief.named(&model), held));
+        let lacking = held.and_then(|held| first_lacking(belief.named(&target.model), held));
         Some(Target {
-            version: wanted.map_or(FIRST_VERSION, |wanted| wanted.version),
-            named: lacking
-                .or(wanted)
-                .map_or(Time::default(), |wanted| wanted.since),
-            model,
+            named: lacking.map_or(target.named, |wanted| wanted.since),
+            ..target
         })
     }
-
-    fn burst(&self, version: Digest) -> Option<Rc<Burst>> {
-        self.bursts.borrow().get(&version).cloned()
-    }
 }
 
 async fn answer(sidecar: Rc<Sidecar>, mut request: Request) -> Answer {
@@ -318,7 +273,10 @@
     let ["v1", "swarm", label, rest @ ..] = parts.as_slice() else {
         return http::status(StatusCode::NOT_FOUND);
     };
-    let burst = label.parse().ok().and_then(|label| sidecar.burst(label));
+    let burst = label
+        .parse()
+        .ok()
+        .and_then(|label| sidecar.joined.get(label));
     match burst {
         Some(burst) => burst::serve::answer(&sidecar.host, burst, rest).await,
         None => http::status(StatusCode::NOT_FOUND),
--- a/src/sidecar/reconcile.rs
+++ b/src/sidecar/reconcile.rs
@@ -2,20 +2,18 @@
 //! orders the change when the rollout says so.
 
 use std::collections::BTreeSet;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use actix_rt::time::sleep;
 
+use super::Sidecar;
 use super::engine::Taken;
 use super::observe::MISSES_MAX;
-use super::{FIRST_VERSION, Sidecar, Target};
 use crate::audit::Deed;
-use crate::burst::{Burst, Purpose};
+use crate::burst::joined::{self, Target};
 use crate::clock::Time;
-use crate::member::{Listed, Role, State};
-use crate::spread::Favour;
+use crate::member::{Listed, Role};
 use crate::version::rollout::{self, Step};
 use crate::weight::Digest;
 
@@ -25,9 +23,6 @@
 /// How long an order may go without an effect before it is given again.
 const ORDER_AGAIN: Duration = Duration::from_millis(1_500);
 
-/// A version that was named less than this ago is with nobody yet.
-const FRESH: Duration = Duration::from_millis(1_500);
-
 /// Chunks that are staged before anything else is looked at.
 const STAGED_AT_ONCE: usize = 16;
 
@@ -61,73 +56,34 @@
     /// come up with nothing.
     fn looked(&self) -> bool {
         let empty = !self.setting.first_start && self.misses.get() >= MISSES_MAX;
-        self.state.borrow().is_some() || !self.bursts.borrow().is_empty() || empty
+        self.state.borrow().is_some() || self.joined.any() || empty
     }
 
     /// Takes part in the burst of the wanted version, and in no other.
     fn join(&self, target: &Target) {
-        let label = target.label();
         let Some(origin) = self.knowledge.brief().and_then(|brief| brief.origin) else {
             return;
         };
-        let old: Vec<Digest> = {
-            let bursts = self.bursts.borrow();
-            bursts
-                .keys()
-                .filter(|known| **known != label)
-                .copied()
-                .collect()
-        };
-        for version in old {
-            self.bursts.borrow_mut().remove(&version);
-            self.host.store.borrow_mut().release(version);
-            let version = version.short();
-            self.host.audit(Deed::Released { version });
-        }
-        let burst = self.bursts.borrow().get(&label).cloned();
-        let burst = burst.unwrap_or_else(|| {
-            log::info!(model = &*target.model, version = target.version; "burst joined");
-            let origin = self.origins.of(origin, &target.model, target.version);
-            let named = self.knowledge.now().since(target.named);
-            let purpose = Purpose {
-                favour: Favour::Time,
-                fresh: target.version > FIRST_VERSION && named < FRESH,
-            };
-            let burst = Burst::start(&self.host, origin, label, purpose);
-            self.bursts.borrow_mut().insert(label, burst.clone());
-            burst
-        });
-        burst.set_members(&self.host, self.members());
+        let identity = &self.setting.identity;
+        let own = joined::member(
+            self.host.name.to_string(),
+            identity.hall.clone(),
+            identity.address,
+            Role::Model,
+        );
+        self.joined.join(target, origin, self.members(), own);
     }
 
-    /// The processes beside the replicas of the own service.
+    /// The processes beside the replicas of the own service, and the entries.
     fn members(&self) -> Vec<Listed> {
-        let belief = self.knowledge.belief.borrow();
-        let port = self.setting.identity.address.port();
-        let records = || belief.replicas().values().map(|listed| &listed.record);
-        let own = records().find(|record| record.address == self.setting.replica);
-        let service = own.map(|record| record.service.clone());
-        let fellows = records().filter(|record| Some(&record.service) == service.as_ref());
-        let member = |hall, address: SocketAddr| Listed {
-            name: address.ip().to_string().into(),
-            hall,
-            rack: "".into(),
-            address,
-            role: Role::Model,
-            capacity_bytes: 0,
-            state: State::Live,
+        let service = {
+            let belief = self.knowledge.belief.borrow();
+            let mut records = belief.replicas().values().map(|listed| &listed.record);
+            let own = records.find(|record| record.address == self.setting.replica);
+            own.map(|record| record.service.clone())
         };
-        let mut members: Vec<Listed> = fellows
-            .map(|record| {
-                let address = SocketAddr::new(record.address.ip(), port);
-                member(record.hall.clone(), address)
-            })
-            .collect();
-        let identity = &self.setting.identity;
-        if !members.iter().any(|known| known.name == self.host.name) {
-            members.push(member(identity.hall.clone(), identity.address));
-        }
-        members
+        let port = self.setting.identity.address.port();
+        joined::members(&self.knowledge, service.as_deref(), port)
     }
 
     fn wave(&self, label: Digest) -> u32 {
@@ -135,7 +91,7 @@
         let hall = &self.host.hall;
         let fellows: Vec<&str> = members
             .iter()
-            .filter(|member| member.hall == *hall)
+            .filter(|member| member.hall == *hall && member.role == Role::Model)
             .map(|member| &*member.name)
             .collect();
         rollout::wave(label, &self.host.name, &fellows, self.setting.rollout.waves)
--- a/src/spread.rs
+++ b/src/spread.rs
@@ -46,6 +46,10 @@
     pub sponsors: usize,
     /// Further sponsors that stand by for one that falls silent.
     pub standbys: usize,
+    /// Uploads that a relay serves at once: a member with a wide link and no engine of its own.
+    pub relay_slots: usize,
+    /// Relays of its hall that a box follows.
+    pub relay_neighbours: usize,
     /// Uploads that share a box's link.
     pub upload_slots: usize,
     /// Uploads that may wait for a slot.
@@ -68,6 +72,8 @@
     /// How long a box that joins waits for peers to tell what they hold before it draws from the
     /// origin.
     pub settle: Duration,
+    /// Whether it waits for so long even if all its peers have spoken.
+    pub settle_whole: bool,
     /// Whether each chunk enters a hall through one box of it, because bytes between halls are
     /// dear. The others of the hall wait for that box for as long as for a sponsor.
     pub import_once: bool,
@@ -84,6 +90,8 @@
             origin_fetches_max: 1,
             sponsors: 8,
             standbys: 2,
+            relay_slots: 24,
+            relay_neighbours: 4,
             upload_slots: 2,
             upload_queue_max: 2,
             silence: Duration::from_millis(1_500),
@@ -94,6 +102,7 @@
             take_over: Duration::from_millis(500),
             origin_pause_max: Duration::from_secs(2),
             settle: Duration::ZERO,
+            settle_whole: false,
             import_once: false,
         }
     }
@@ -111,13 +120,23 @@
             patience: Duration::from_millis(500),
             patience_fetches: 3,
             take_over: Duration::from_millis(200),
-            fetches_max: 3,
+            fetches_max: 2,
             origin_pause_max: Duration::from_millis(400),
             settle: Duration::from_millis(300),
             ..Self::default()
         }
     }
 
+    /// The settings of a relay, instead of those of the boxes around it.
+    pub fn of_relay(self) -> Self {
+        Self {
+            upload_slots: self.relay_slots,
+            upload_queue_max: self.relay_slots,
+            fetches_max: 2 * self.fetches_max,
+            ..self
+        }
+    }
+
     /// The settings under a favour: origin bytes are spared by waiting longer before a second
     /// box draws what a sponsor may still bring.
     pub fn favouring(self, favour: Favour) -> Self {
--- a/src/spread/ring.rs
+++ b/src/spread/ring.rs
@@ -158,10 +158,19 @@
     in_hall + among_halls
 }
 
-/// How many boxes of the own hall come before `own` to draw `chunk` from another hall.
-pub fn import_rank(version: Digest, chunk: u32, own: &Member, members: &[Member]) -> usize {
+/// How many of the own hall come before `own` to draw `chunk` from another hall: relays first.
+pub fn import_rank(
+    version: Digest,
+    chunk: u32,
+    own: &Member,
+    members: &[Member],
+    relays: &[Arc<str>],
+) -> usize {
     let chunk = chunk.to_le_bytes();
-    let score = |name: &str| weight(version, &[b"import", &chunk, name.as_bytes()]);
+    let score = |name: &Arc<str>| {
+        let parts: [&[u8]; 3] = [b"import", &chunk, name.as_bytes()];
+        (relays.contains(name), weight(version, &parts))
+    };
     let own_score = score(&own.name);
     members
         .iter()
@@ -169,3 +178,23 @@
         .filter(|member| score(&member.name) > own_score)
         .count()
 }
+
+/// The first `count` of `candidates` for `own` by rendezvous hashing, so that each has about as many
+/// followers as any other.
+pub fn nearest<'a>(
+    version: Digest,
+    own: &str,
+    candidates: impl Iterator<Item = &'a Member>,
+    count: usize,
+) -> Vec<Arc<str>> {
+    let mut ranked: Vec<(u64, &Member)> = candidates
+        .filter(|member| &*member.name != own)
+        .map(|member| {
+            let parts: [&[u8]; 3] = [b"nearest", own.as_bytes(), member.name.as_bytes()];
+            (weight(version, &parts), member)
+        })
+        .collect();
+    ranked.sort_unstable_by(|left, right| right.cmp(left));
+    let chosen = ranked.into_iter().take(count);
+    chosen.map(|(_, member)| member.name.clone()).collect()
+}
--- a/src/spread/swarm.rs
+++ b/src/spread/swarm.rs
@@ -118,6 +118,7 @@
 struct Peer {
     name: Arc<str>,
     near: bool,
+    relay: bool,
     have: Bitmap,
     load: u32,
     fetches: u32,
@@ -151,6 +152,7 @@
     fetches: SlotMap<FetchKey, Fetch>,
     usual: Option<Duration>,
     members: Vec<Member>,
+    relays: Vec<Arc<str>>,
     sponsors: Vec<Arc<str>>,
     import_ranks: Vec<usize>,
     seen_at: Vec<Time>,
@@ -185,6 +187,7 @@
             fetches: SlotMap::with_key(),
             usual: None,
             members: Vec::new(),
+            relays: Vec::new(),
             sponsors: Vec::new(),
             import_ranks: Vec::new(),
             seen_at: vec![now; chunks],
@@ -197,16 +200,34 @@
 
     /// Sets who takes part, this box included.
     pub fn set_members(&mut self, members: Vec<Member>) {
-        let count = self.setting.sponsors + self.setting.standbys;
-        if self.members == members {
+        self.set_members_and_relays(members, Vec::new());
+    }
+
+    /// Sets who takes part, and who of them is a relay. Relays draw from the origin and bring chunks
+    /// into their halls before anyone else does.
+    pub fn set_members_and_relays(&mut self, members: Vec<Member>, relays: Vec<Arc<str>>) {
+        if self.members == members && self.relays == relays {
             return;
         }
-        self.sponsors = ring::sponsors(self.version, &members, count);
+        let count = self.setting.sponsors + self.setting.standbys;
+        let mut drawing: Vec<Member> = members.clone();
+        if !relays.is_empty() {
+            drawing.retain(|member| relays.contains(&member.name));
+        }
+        self.sponsors = ring::sponsors(self.version, &drawing, count);
         if self.setting.import_once {
-            let rank = |chunk| ring::import_rank(self.version, chunk, &self.own, &members);
+            let rank = |chunk| ring::import_rank(self.version, chunk, &self.own, &members, &relays);
             self.import_ranks = (0..self.have.len() as u32).map(rank).collect();
         }
+        for peer in self.peers.values_mut() {
+            peer.relay = relays.contains(&peer.name);
+        }
         self.members = members;
+        self.relays = relays;
+    }
+
+    fn relay(&self, name: &Arc<str>) -> bool {
+        self.relays.contains(name)
     }
 
     /// Whether a chunk may be drawn from another hall: by one box of the hall as soon as it is seen
@@ -256,12 +277,22 @@
         if self.sponsors.contains(&self.own.name) {
             wanted.extend(self.sponsors.iter().cloned());
         }
+        let setting = &self.setting;
+        let (in_hall, anywhere) = if self.relays.is_empty() {
+            (setting.hall_neighbours, setting.fleet_neighbours)
+        } else {
+            let near = |member: &&Member| member.hall == self.own.hall && self.relay(&member.name);
+            let relays = self.members.iter().filter(near);
+            let count = setting.relay_neighbours;
+            wanted.extend(ring::nearest(self.version, &self.own.name, relays, count));
+            (count, count / 2)
+        };
         wanted.extend(ring::neighbours(
             self.version,
             &self.own,
             &self.members,
-            self.setting.hall_neighbours,
-            self.setting.fleet_neighbours,
+            in_hall,
+            anywhere,
         ));
         let mut unique: Vec<Arc<str>> = Vec::new();
         for name in wanted {
@@ -283,6 +314,7 @@
             .iter()
             .any(|member| member.name == name && member.hall == self.own.hall);
         self.peers.insert(Peer {
+            relay: self.relays.contains(&name),
             name,
             near,
             have: Bitmap::new(self.have.len()),
@@ -493,14 +525,19 @@
     fn best_holder(&mut self, chunk: u32, load_max: u32, now: Time) -> Option<PeerKey> {
         let setting = self.setting;
         let import = self.may_import(chunk, now);
-        let mut best: Option<(bool, u32, u32, PeerKey)> = None;
+        let mut best: Option<(bool, bool, u32, u32, PeerKey)> = None;
         for (key, peer) in &self.peers {
             if !peer.near && !import {
                 continue;
             }
             let load = peer.load.max(peer.fetches);
+            let (fetches_max, load_max) = if peer.relay {
+                (setting.fetches_max as u32, setting.relay_slots as u32)
+            } else {
+                (setting.peer_fetches_max as u32, load_max)
+            };
             let eligible = peer.have.get(chunk as usize)
-                && peer.fetches < setting.peer_fetches_max as u32
+                && peer.fetches < fetches_max
                 && peer.avoid_until <= now
                 && now.since(peer.heard) < setting.silence
                 && load < load_max;
@@ -509,12 +546,12 @@
             }
             // Bytes between halls are dear where chunks are to enter a hall once.
             let far = setting.import_once && !peer.near;
-            let candidate = (far, load, self.rng.random(), key);
+            let candidate = (far, !peer.relay, load, self.rng.random(), key);
             if best.is_none_or(|known| candidate < known) {
                 best = Some(candidate);
             }
         }
-        best.map(|(_, _, _, key)| key)
+        best.map(|(_, _, _, _, key)| key)
     }
 
     fn fetch_from_origin(&mut self, now: Time, actions: &mut Vec<Action>) {
@@ -537,7 +574,8 @@
     /// Whether peers may still tell of chunks that the box would draw from the origin otherwise.
     fn settling(&self, now: Time) -> bool {
         let settle = self.setting.settle;
-        now.since(self.began) < settle && self.peers.len() < self.regular_peers().len()
+        let heard = !self.setting.settle_whole && self.peers.len() >= self.regular_peers().len();
+        now.since(self.began) < settle && !heard
     }
 
     /// The chunk that this box should draw from the origin now.
--- a/src/version/rollout.rs
+++ b/src/version/rollout.rs
@@ -27,10 +27,10 @@
 impl Default for Setting {
     fn default() -> Self {
         Self {
-            waves: 3,
+            waves: 4,
             bound: Duration::from_millis(8_000),
             margin: Duration::from_millis(1_000),
-            spread: Duration::from_millis(2_600),
+            spread: Duration::from_millis(3_600),
             notice: Duration::from_millis(250),
         }
     }
