--- a/tests/burst_plan.rs
+++ b/tests/burst_plan.rs
@@ -489,3 +489,55 @@
     store.put(receipt.finish().unwrap()).unwrap();
     assert!(store.complete(label));
 }
+
+#[test]
+fn relays_draw_from_the_origin_and_boxes_draw_from_relays() {
+    let boxes = members(6, 1);
+    let relays: Vec<Member> = ["relay-1", "relay-2"]
+        .map(|name| Member {
+            name: name.into(),
+            hall: "hall-0".into(),
+        })
+        .to_vec();
+    let names: Vec<_> = relays.iter().map(|relay| relay.name.clone()).collect();
+    let all: Vec<Member> = boxes.iter().chain(&relays).cloned().collect();
+    let setting = Setting {
+        settle: Duration::ZERO,
+        ..Setting::in_few_halls()
+    };
+    let began = Time::from_millis(1_000);
+    let swarm_of = |own: &Member| {
+        let mut swarm = Swarm::new(version(), own.clone(), 8, setting, 1, began);
+        swarm.set_members_and_relays(all.clone(), names.clone());
+        swarm
+    };
+    let from_origin = |own: &Member| {
+        let actions = swarm_of(own).tick(began);
+        actions.iter().any(|action| {
+            matches!(
+                action,
+                Action::Fetch {
+                    source: Source::Origin,
+                    ..
+                }
+            )
+        })
+    };
+    assert!(relays.iter().all(from_origin));
+    assert!(!boxes.iter().any(from_origin));
+    let mut swarm = swarm_of(&boxes[0]);
+    let fellow = swarm.join(boxes[1].name.clone(), began);
+    let relay = swarm.join(names[0].clone(), began);
+    for peer in [fellow, relay] {
+        let notice = Notice {
+            gained: &[3],
+            load: 1,
+        };
+        swarm.notice(peer, notice, began);
+    }
+    let actions = swarm.tick(began);
+    assert!(
+        matches!(actions[..], [Action::Fetch { source: Source::Peer(peer), .. }] if peer == relay),
+        "{actions:?}"
+    );
+}
