--- a/src/knowledge.rs
+++ b/src/knowledge.rs
@@ -215,6 +215,7 @@
             } else {
                 Vec::new()
             },
+            wants_peers: true,
         }
     }
 
@@ -231,17 +232,15 @@
         }
         let belief = self.belief.borrow();
         let marks = belief.marks();
-        let mut told = self.peers.borrow().tell(now);
-        if self.identity.entry {
-            told.push(crate::member::peer::Told {
-                address: self.identity.address,
-                hall: self.identity.hall.clone(),
-                age_ms: 0,
-            });
-        }
+        let told = if sync.wants_peers {
+            self.peers.borrow().tell(now)
+        } else {
+            Vec::new()
+        };
         let newer_routing = marks.routing > sync.marks.routing;
         News {
             hall: self.identity.hall.clone(),
+            entry: self.identity.entry,
             marks,
             peers: told,
             routing: (newer_routing && !brief).then(|| self.document()).flatten(),
--- a/src/knowledge/gossip.rs
+++ b/src/knowledge/gossip.rs
@@ -86,11 +86,7 @@
         .await
         .map_err(|_| Error::Timeout)??;
     let now = knowledge.now();
-    if news
-        .peers
-        .iter()
-        .any(|told| told.address == peer && told.age_ms == 0)
-    {
+    if news.entry {
         knowledge.peers.borrow_mut().heard(peer, &news.hall, now);
     }
     knowledge.take_news(peer, news);
--- a/src/sidecar/observe.rs
+++ b/src/sidecar/observe.rs
@@ -13,7 +13,7 @@
 use crate::knowledge::gossip::post;
 use crate::route::pool::Load;
 use crate::source::Topic;
-use crate::wire::sync::{REPORT_PATH, Report};
+use crate::wire::sync::{REPORT_PATH, Report, Sync};
 
 /// How often the replica is asked.
 const LOOK: Duration = Duration::from_millis(100);
@@ -36,6 +36,9 @@
 /// Longest time between two reports.
 const TELL_MAX: Duration = Duration::from_millis(1_000);
 
+/// How often an entry is asked for the entries that it knows.
+const ASK: Duration = Duration::from_millis(1_500);
+
 /// How long no entry answers before the store is read.
 const ALONE: Duration = Duration::from_millis(2_500);
 
@@ -124,6 +127,8 @@
     at: Time,
     count: u64,
     waiting: bool,
+    /// When it was last asked for the entries that it knows.
+    asked: Time,
 }
 
 /// Tells the entries until dropped.
@@ -143,15 +148,18 @@
                 }
             };
             if due {
+                let asked = told.borrow().get(&entry).map(|last| last.asked);
+                let asks = asked.is_none_or(|asked| now.since(asked) >= ASK);
                 let waiting = Told {
                     at: now,
                     count,
                     waiting: true,
+                    asked: if asks { now } else { asked.unwrap_or(now) },
                 };
                 told.borrow_mut().insert(entry, waiting);
                 let (sidecar, told) = (sidecar.clone(), told.clone());
                 actix_rt::spawn(async move {
-                    tell_one(&sidecar, entry).await;
+                    tell_one(&sidecar, entry, asks).await;
                     if let Some(last) = told.borrow_mut().get_mut(&entry) {
                         last.waiting = false;
                     }
@@ -163,11 +171,14 @@
     }
 }
 
-async fn tell_one(sidecar: &Sidecar, entry: SocketAddr) {
+async fn tell_one(sidecar: &Sidecar, entry: SocketAddr, asks: bool) {
     let report = Report {
         address: sidecar.setting.replica,
         load: sidecar.load(),
-        sync: sidecar.knowledge.sync(),
+        sync: Sync {
+            wants_peers: asks,
+            ..sidecar.knowledge.sync()
+        },
     };
     if let Err(error) = post(&sidecar.knowledge, entry, REPORT_PATH, &report).await {
         log::debug!(entry:% = entry; "report: {error}");
--- a/src/wire/sync.rs
+++ b/src/wire/sync.rs
@@ -30,6 +30,8 @@
     pub marks: Marks,
     /// The entries that it knows.
     pub peers: Vec<Told>,
+    /// Whether it wants to be told of entries.
+    pub wants_peers: bool,
 }
 
 /// The report of a process beside a replica.
@@ -99,9 +101,11 @@
 pub struct News {
     /// The data hall of the process that answers.
     pub hall: Arc<str>,
+    /// Whether that is an entry.
+    pub entry: bool,
     /// How fresh its beliefs are.
     pub marks: Marks,
-    /// The entries that it knows.
+    /// The entries that it knows, if that was asked for.
     pub peers: Vec<Told>,
     /// Newer routing.
     pub routing: Option<DatedDocument>,
