--- a/src/burst/serve.rs
+++ b/src/burst/serve.rs
@@ -6,8 +6,22 @@
 
 use super::Burst;
 use super::host::Host;
+use super::joined::Joined;
 use crate::http::{self, Answer};
 
+/// Answers a peer that asks for `path`, if it is of a burst that the process takes part in.
+pub async fn answer_path(joined: &Joined, path: &str) -> Answer {
+    let parts: Vec<&str> = path.trim_matches('/').split('/').collect();
+    let ["v1", "swarm", label, rest @ ..] = parts.as_slice() else {
+        return http::status(StatusCode::NOT_FOUND);
+    };
+    let burst = label.parse().ok().and_then(|label| joined.get(label));
+    match burst {
+        Some(burst) => answer(&joined.host, burst, rest).await,
+        None => http::status(StatusCode::NOT_FOUND),
+    }
+}
+
 /// Answers a peer; `rest` is the path after the version's name.
 pub async fn answer(host: &Rc<Host>, burst: Rc<Burst>, rest: &[&str]) -> Answer {
     match rest {
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -4,6 +4,7 @@
 //! * [`dialect`] is how callers and replicas speak.
 //! * [`call`] takes one request through admission and attempts; [`attempt`] is one exchange with a
 //!   replica, [`relay`] passes a stream on.
+//! * [`trace`] is what is counted and written down of a request.
 //! * [`control`] answers other processes of the system.
 
 use std::cell::{Cell, RefCell};
@@ -44,6 +45,7 @@
 pub mod event;
 pub mod relay;
 pub mod status;
+pub mod trace;
 
 use dialect::Dialect;
 
--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -43,27 +43,11 @@
         },
         path => {
             let path = path.to_owned();
-            swarm(&gateway, &path).await
+            serve::answer_path(&gateway.joined, &path).await
         }
     }
 }
 
-/// A peer of a burst asks.
-async fn swarm(gateway: &Gateway, path: &str) -> Answer {
-    let parts: Vec<&str> = path.trim_matches('/').split('/').collect();
-    let ["v1", "swarm", label, rest @ ..] = parts.as_slice() else {
-        return http::status(StatusCode::NOT_FOUND);
-    };
-    let burst = label
-        .parse()
-        .ok()
-        .and_then(|label| gateway.joined.get(label));
-    match burst {
-        Some(burst) => serve::answer(&gateway.joined.host, burst, rest).await,
-        None => http::status(StatusCode::NOT_FOUND),
-    }
-}
-
 fn take_report(gateway: &Gateway, report: &Report) -> Answer {
     gateway.refresh_pool();
     let now = gateway.knowledge.now();
--- /dev/null
+++ b/src/gateway/trace.rs
@@ -0,0 +1,81 @@
+//! What is counted and written down of one request.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::Gateway;
+use crate::clock::Time;
+
+/// Counts a request for as long as it lives, and writes down how it ended.
+pub struct Trace {
+    gateway: Rc<Gateway>,
+    /// Its id.
+    pub id: String,
+    /// Its route.
+    pub route: Arc<str>,
+    /// The replica that answers, or the last that was tried.
+    pub replica: Option<Arc<str>>,
+    /// Replicas that received it.
+    pub sent: u32,
+    /// Time to the first event of its stream.
+    pub first: Option<Duration>,
+    /// Why it ended as it did.
+    pub reason: String,
+    /// When its head came.
+    pub arrived: Time,
+    outcome: &'static str,
+}
+
+impl Trace {
+    /// A request whose head came.
+    pub fn begin(gateway: &Rc<Gateway>, arrived: Time) -> Self {
+        gateway.in_flight.set(gateway.in_flight.get() + 1);
+        Self {
+            gateway: gateway.clone(),
+            id: String::new(),
+            route: "".into(),
+            replica: None,
+            sent: 0,
+            first: None,
+            reason: String::new(),
+            arrived,
+            outcome: "caller_left",
+        }
+    }
+
+    /// Says how the request ended.
+    pub fn ended(&mut self, outcome: &'static str) {
+        self.outcome = outcome;
+    }
+
+    /// Time since the request's head came.
+    pub fn elapsed(&self) -> Duration {
+        self.gateway.knowledge.now().since(self.arrived)
+    }
+}
+
+impl Drop for Trace {
+    fn drop(&mut self) {
+        let gateway = &self.gateway;
+        gateway.in_flight.set(gateway.in_flight.get() - 1);
+        let took = self.elapsed();
+        gateway.instruments.request(self.outcome, took);
+        let belief = gateway.knowledge.belief.borrow();
+        let version = belief
+            .routing()
+            .map_or(0, |routing| routing.document.version);
+        log::info!(
+            request = self.id.as_str(),
+            route = &*self.route,
+            outcome = self.outcome,
+            replica = self.replica.as_deref().unwrap_or_default(),
+            sent = self.sent,
+            ms = took.as_millis() as u64,
+            first_ms = self.first.map_or(0, |first| first.as_millis() as u64),
+            config = version,
+            reason = self.reason.as_str();
+            "request ended"
+        );
+    }
+}
--- a/src/knowledge/gossip.rs
+++ b/src/knowledge/gossip.rs
@@ -123,7 +123,7 @@
     let mut rng = knowledge.rng.borrow_mut();
     let mut chosen = knowledge.peers.borrow().sample(ASKED, now, &mut *rng);
     let alone = chosen.is_empty();
-    if alone || round % SEED_ROUNDS == 0 {
+    if alone || round.is_multiple_of(SEED_ROUNDS) {
         let own = knowledge.identity.address;
         let seeds = knowledge.seeds.borrow();
         chosen.extend(seeds.iter().copied().filter(|seed| *seed != own));
--- a/src/sidecar.rs
+++ b/src/sidecar.rs
@@ -269,16 +269,5 @@
             Err(answer) => answer,
         };
     }
-    let parts: Vec<&str> = path.trim_matches('/').split('/').collect();
-    let ["v1", "swarm", label, rest @ ..] = parts.as_slice() else {
-        return http::status(StatusCode::NOT_FOUND);
-    };
-    let burst = label
-        .parse()
-        .ok()
-        .and_then(|label| sidecar.joined.get(label));
-    match burst {
-        Some(burst) => burst::serve::answer(&sidecar.host, burst, rest).await,
-        None => http::status(StatusCode::NOT_FOUND),
-    }
+    burst::serve::answer_path(&sidecar.joined, &path).await
 }
