--- a/src/burst/fetch.rs
+++ b/src/burst/fetch.rs
@@ -76,12 +76,7 @@
 impl Burst {
     fn manifest_sources(&self, host: &Host, round: u32) -> Vec<ManifestSource> {
         let members = self.ring();
-        let relays = self.relays();
-        let drawing: Vec<Member> = members
-            .iter()
-            .filter(|member| relays.is_empty() || relays.contains(&member.name))
-            .cloned()
-            .collect();
+        let drawing = ring::drawing(&members, &self.relays());
         let sponsors = ring::sponsors(self.version, &drawing, host.spread.sponsors);
         let mut sources = Vec::new();
         if sponsors.contains(&host.name) || round >= MANIFEST_ROUNDS {
--- a/src/config/belief.rs
+++ b/src/config/belief.rs
@@ -366,9 +366,4 @@
         }
         before != self.replicas.len()
     }
-
-    /// Whether a doubted removal still waits for its end.
-    pub fn doubts(&self) -> bool {
-        self.replicas.values().any(|listed| listed.gone.is_some())
-    }
 }
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -469,11 +469,6 @@
         self.until_close && self.hop.unframed == Unframed::EndsWithConnection
     }
 
-    /// Whether the answer told where it ends.
-    pub fn framed(&self) -> bool {
-        !self.until_close
-    }
-
     fn ended(&mut self) {
         let rest = std::mem::replace(&mut self.rest, Rest::Whole);
         if let Rest::Open(payload) = rest {
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -74,6 +74,14 @@
 /// How much longer than callers may rest a connection is kept.
 const IDLE_MARGIN: Duration = Duration::from_secs(1);
 
+/// Part of its machine's memory that a process gives to weights: callers come first.
+const MEMORY_PART: u64 = 8;
+
+/// Bytes of weights that a process may hold on a machine of `machine_bytes`.
+pub fn memory_for_weights(machine_bytes: u64) -> u64 {
+    machine_bytes / MEMORY_PART
+}
+
 /// A gateway's settings.
 #[derive(Debug, Clone)]
 pub struct Setting {
--- a/src/member/replica.rs
+++ b/src/member/replica.rs
@@ -14,6 +14,12 @@
     pub version: u64,
 }
 
+/// The version of `model` among what a replica holds.
+pub fn version_of(models: &[Held], model: &str) -> Option<u64> {
+    let held = models.iter().find(|held| &*held.model == model);
+    held.map(|held| held.version)
+}
+
 /// A replica's entry in the list.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Record {
@@ -36,9 +42,6 @@
 impl Record {
     /// The version of `model` that it holds.
     pub fn version(&self, model: &str) -> Option<u64> {
-        self.models
-            .iter()
-            .find(|held| &*held.model == model)
-            .map(|held| held.version)
+        version_of(&self.models, model)
     }
 }
--- a/src/route/pool.rs
+++ b/src/route/pool.rs
@@ -18,7 +18,7 @@
 use crate::clock::Time;
 use crate::config::belief::{self, Listed, Wanted};
 use crate::config::routing::Engine;
-use crate::member::replica::{Held, Record};
+use crate::member::replica::{self, Held, Record};
 
 slotmap::new_key_type! {
     /// A replica in a [`Pool`].
@@ -174,11 +174,6 @@
         (now.since(*at) < STALE).then_some(load)
     }
 
-    /// Requests of this entry in progress there.
-    pub fn own(&self) -> u32 {
-        self.own
-    }
-
     /// Requests in progress there, as far as this entry can tell.
     pub fn requests(&self, now: Time) -> u32 {
         let reported = self.fresh(now).map_or(0, |load| load.running + load.queued);
@@ -187,10 +182,9 @@
 
     /// The version of `model` that it holds, by the newer of report and list.
     pub fn version(&self, model: &str, now: Time) -> Option<u64> {
-        let reported = self.fresh(now).map(|load| {
-            let held = load.models.iter().find(|held| &*held.model == model);
-            held.map(|held| held.version)
-        });
+        let reported = self
+            .fresh(now)
+            .map(|load| replica::version_of(&load.models, model));
         reported.unwrap_or_else(|| self.record.version(model))
     }
 
--- a/src/sidecar.rs
+++ b/src/sidecar.rs
@@ -42,6 +42,14 @@
 /// How long a planned stop waits for uploads.
 const UPLOADS_END: Duration = Duration::from_secs(1);
 
+/// Part of its machine's memory that a process gives to weights: two versions and what is on its way fit in.
+const MEMORY_PART: u64 = 4;
+
+/// Bytes of weights that a process may hold on a machine of `machine_bytes`.
+pub fn memory_for_weights(machine_bytes: u64) -> u64 {
+    machine_bytes / MEMORY_PART
+}
+
 /// A sidecar's settings.
 #[derive(Debug, Clone)]
 pub struct Setting {
--- a/src/sidecar/engine.rs
+++ b/src/sidecar/engine.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use futures_util::future::LocalBoxFuture;
 
-use crate::member::replica::Held;
+use crate::member::replica::{self, Held};
 
 /// What a replica reports of itself.
 #[derive(Debug, Clone, PartialEq, Default)]
@@ -23,8 +23,7 @@
 impl State {
     /// The version of `model` that it holds.
     pub fn held(&self, model: &str) -> Option<u64> {
-        let held = self.models.iter().find(|held| &*held.model == model);
-        held.map(|held| held.version)
+        replica::version_of(&self.models, model)
     }
 }
 
--- a/src/spread/ring.rs
+++ b/src/spread/ring.rs
@@ -86,6 +86,12 @@
     chosen
 }
 
+/// The members who draw from the origin: the relays if there are any, or else everyone.
+pub fn drawing(members: &[Member], relays: &[Arc<str>]) -> Vec<Member> {
+    let draws = |member: &&Member| relays.is_empty() || relays.contains(&member.name);
+    members.iter().filter(draws).cloned().collect()
+}
+
 /// The first `count` boxes for a version by rendezvous hashing, best first.
 pub fn sponsors(version: Digest, members: &[Member], count: usize) -> Vec<Arc<str>> {
     let mut ranked: Vec<(u64, &Member)> = members
--- a/src/spread/swarm.rs
+++ b/src/spread/swarm.rs
@@ -210,10 +210,7 @@
             return;
         }
         let count = self.setting.sponsors + self.setting.standbys;
-        let mut drawing: Vec<Member> = members.clone();
-        if !relays.is_empty() {
-            drawing.retain(|member| relays.contains(&member.name));
-        }
+        let drawing = ring::drawing(&members, &relays);
         self.sponsors = ring::sponsors(self.version, &drawing, count);
         if self.setting.import_once {
             let rank = |chunk| ring::import_rank(self.version, chunk, &self.own, &members, &relays);
