Entries reckon with what the others send unseen since the last report

Change: an entry multiplies what it sent since a replica's last report by the entries that are at work (what it knows of them by heartbeats), in the estimate that chooses and admits. Test: entries_that_see_the_same_reports_do_not_all_rush_to_an_empty_replica.

--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -12,7 +12,7 @@
 use super::attempt::{Attempt, Begun, Failure};
 use super::dialect::{Ask, Code, Refusal};
 use super::relay::Relay;
-use super::trace::Trace;
+use super::trace::{Expected, Trace};
 use super::{Gateway, SEND_MARGIN};
 use crate::clock::Time;
 use crate::config::routing::{Access, Kind, Limits, Route, Routing};
@@ -398,6 +398,7 @@
         let engine = service.and_then(|service| service.engine.as_ref());
         let model = model.filter(|_| engine.is_some());
         let entries = gateway.knowledge.peers.borrow().bound() as u32;
+        let fellows = gateway.knowledge.peers.borrow().alive(now).count() as u32;
         let connections = service.map_or(u32::MAX, |service| service.connections_max);
         let ask = pool::Ask {
             service: &self.job.service,
@@ -410,6 +411,7 @@
             demand: self.job.demand(),
             tried: &self.tried,
             connections_max: (connections / entries.max(1)).max(CONNECTIONS_MIN),
+            fellows,
         };
         let pool = gateway.pool.borrow();
         let mut rng = gateway.knowledge.rng.borrow_mut();
@@ -436,6 +438,11 @@
         };
         self.tried.push(choice.key);
         self.trace.replica = Some(attempt.replica.clone());
+        self.trace.expected = Some(Expected {
+            chosen: self.trace.elapsed(),
+            first: choice.expected,
+            requests: choice.requests,
+        });
         let result = attempt.send(&self.job, last_event, only).await;
         let sent = !matches!(
             &result,
--- a/src/gateway/trace.rs
+++ b/src/gateway/trace.rs
@@ -7,6 +7,17 @@
 use super::Gateway;
 use crate::clock::Time;
 
+/// What was expected of a replica when it was chosen for a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Expected {
+    /// When it was chosen, from the request's arrival.
+    pub chosen: Duration,
+    /// Time until the first event.
+    pub first: Duration,
+    /// Requests that it was known to have.
+    pub requests: u32,
+}
+
 /// Counts a request for as long as it lives, and writes down how it ended.
 pub struct Trace {
     gateway: Rc<Gateway>,
@@ -16,6 +27,8 @@
     pub route: Arc<str>,
     /// The replica that answers, or the last that was tried.
     pub replica: Option<Arc<str>>,
+    /// What was expected of that replica when it was chosen.
+    pub expected: Option<Expected>,
     /// Replicas that received it.
     pub sent: u32,
     /// Time to the first event of its stream.
@@ -36,6 +49,7 @@
             id: String::new(),
             route: "".into(),
             replica: None,
+            expected: None,
             sent: 0,
             first: None,
             reason: String::new(),
@@ -55,6 +69,10 @@
     }
 }
 
+fn millis(time: Option<Duration>) -> u64 {
+    time.map_or(0, |time| time.as_millis() as u64)
+}
+
 impl Drop for Trace {
     fn drop(&mut self) {
         let gateway = &self.gateway;
@@ -72,7 +90,10 @@
             replica = self.replica.as_deref().unwrap_or_default(),
             sent = self.sent,
             ms = took.as_millis() as u64,
-            first_ms = self.first.map_or(0, |first| first.as_millis() as u64),
+            chosen_ms = millis(self.expected.map(|expected| expected.chosen)),
+            expected_ms = millis(self.expected.map(|expected| expected.first)),
+            known_requests = self.expected.map_or(0, |expected| expected.requests),
+            first_ms = millis(self.first),
             config = version,
             reason = self.reason.as_str();
             "request ended"
--- a/src/route/pool.rs
+++ b/src/route/pool.rs
@@ -83,6 +83,7 @@
     own_at_report: u32,
     unread: Unread,
     unread_at_report: u32,
+    since_report: u32,
     lag: Lag,
     due: Option<Due>,
     health: Health,
@@ -162,6 +163,7 @@
             own_at_report: 0,
             unread: Unread::default(),
             unread_at_report: 0,
+            since_report: 0,
             lag: Lag::default(),
             due: None,
             health: Health::default(),
@@ -180,6 +182,16 @@
         reported.saturating_sub(self.own_at_report) + self.own
     }
 
+    /// Requests that `fellows` other entries are likely to have sent since the last report: as many
+    /// each as this one, for they see the same reports and judge alike.
+    fn unseen(&self, fellows: u32, now: Time) -> u32 {
+        let own = match self.fresh(now) {
+            Some(_) => self.since_report.min(self.own),
+            None => self.own,
+        };
+        own * fellows
+    }
+
     /// The version of `model` that it holds, by the newer of report and list.
     pub fn version(&self, model: &str, now: Time) -> Option<u64> {
         let reported = self
@@ -249,6 +261,8 @@
     pub tried: &'a [Key],
     /// Connections that this entry may have to one replica.
     pub connections_max: u32,
+    /// Other entries that choose among the same replicas.
+    pub fellows: u32,
 }
 
 /// A replica that was chosen.
@@ -360,6 +374,7 @@
                 replica.load = Some((load.clone(), now));
                 replica.own_at_report = replica.own;
                 replica.unread_at_report = replica.unread.count();
+                replica.since_report = 0;
                 found = true;
             }
         }
@@ -478,15 +493,17 @@
         let (Some(due), Some(engine)) = (change, ask.engine) else {
             return Duration::ZERO;
         };
-        let work = self.work(replica, engine, now);
+        let work = self.work(replica, engine, ask, now);
         let ends = now + expected + estimate::writing(engine, work, ask.demand);
         ends.since(due.at)
     }
 
-    fn work(&self, replica: &Replica, engine: &Engine, now: Time) -> Work {
+    fn work(&self, replica: &Replica, engine: &Engine, ask: Ask<'_>, now: Time) -> Work {
+        let unseen = replica.unseen(ask.fellows, now);
+        let unseen_tokens = f64::from(unseen) * engine.usual_prompt;
         Work {
-            requests: replica.requests(now),
-            unread: replica.unread(engine.usual_prompt, now),
+            requests: replica.requests(now) + unseen,
+            unread: replica.unread(engine.usual_prompt, now) + unseen_tokens,
             pace: replica.pace(now),
         }
     }
@@ -499,7 +516,7 @@
             let waiting = replica.requests(now).saturating_sub(slots - 1);
             return usual + usual * waiting / slots;
         };
-        let work = self.work(replica, engine, now);
+        let work = self.work(replica, engine, ask, now);
         let expected = estimate::first_event(engine, work, ask.demand) + replica.late(now);
         if !replica.switching(now) {
             return expected;
@@ -526,6 +543,7 @@
         let number = self.begun;
         if let Some(replica) = self.replicas.get_mut(key) {
             replica.own += 1;
+            replica.since_report += 1;
             let due = now + expected;
             replica.unread.requests.push(Pending { number, due });
             replica.unread.tokens += u64::from(demand.prompt);
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -85,6 +85,7 @@
     tried: Vec<Key>,
     oldest: u64,
     only: Option<u64>,
+    fellows: u32,
 }
 
 impl Default for Asking {
@@ -94,6 +95,7 @@
             tried: Vec::new(),
             oldest: 0,
             only: None,
+            fellows: 0,
         }
     }
 }
@@ -114,6 +116,7 @@
             },
             tried: &self.tried,
             connections_max: 20,
+            fellows: self.fellows,
         }
     }
 
@@ -148,6 +151,44 @@
     assert_eq!(Asking::default().choose(&pool, NOW).unwrap(), "i-2");
 }
 
+/// Requests of `entries` entries that an empty replica gets before the next reports, when each
+/// entry places `each` and all see the same reports.
+fn herd(entries: u32, each: u32) -> u32 {
+    let asking = Asking {
+        fellows: entries - 1,
+        ..Asking::default()
+    };
+    let mut at_empty = 0;
+    for entry in 0..entries {
+        let mut pool = pool_of((1..=8).map(|host| record(host, 1)).collect(), None);
+        for host in 2..=8 {
+            pool.report(address(host), &report(9, 1, 1), NOW);
+        }
+        pool.report(address(1), &report(0, 0, 1), NOW);
+        let mut rng = SmallRng::seed_from_u64(u64::from(entry));
+        for _ in 0..each {
+            let choice = pool.choose(asking.ask(), NOW, &mut rng).unwrap();
+            let chosen = pool.get(choice.key).unwrap();
+            at_empty += u32::from(&*chosen.record.id == "i-1");
+            let demand = asking.ask().demand;
+            pool.begin(choice.key, demand, choice.expected, NOW);
+        }
+    }
+    at_empty
+}
+
+#[test]
+fn entries_that_see_the_same_reports_do_not_all_rush_to_an_empty_replica() {
+    // Each prompt that it reads delays all others there.
+    let at_empty = herd(7, 3);
+    assert!((4..=8).contains(&at_empty), "{at_empty} requests");
+}
+
+#[test]
+fn a_lone_entry_counts_only_what_it_sent() {
+    assert!(herd(1, 3) >= 2);
+}
+
 #[test]
 fn a_leaving_a_dead_and_a_denied_replica_take_nothing() {
     let leaving = Record {
