Entries reckon with a replica's link: round trips of its agent, and missing reports

Cause: a replica behind a squeezed link looked idle (a report over 2 s old counts as no load), and what was sent there came up to 3 s later, its end as well. Change: an agent reports the shortest of its late exchanges with entries; an entry takes that, or the time by which reports are missing, as the delay of the link, in the estimate (0.25 s at most) and, twice over, in the margin before a version's bound. The state of one replica has its own module. Tests: a_link_that_holds_requests_up..., a_replica_whose_reports_are_missing..., the_shortest_exchange...

--- a/src/route.rs
+++ b/src/route.rs
@@ -6,6 +6,7 @@
 pub mod estimate;
 pub mod health;
 pub mod pool;
+pub mod replica;
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
--- a/src/route/pool.rs
+++ b/src/route/pool.rs
@@ -10,24 +10,21 @@
 use std::time::Duration;
 
 use rand::{Rng, RngExt};
-use serde::{Deserialize, Serialize};
 use slotmap::SlotMap;
 
 use super::estimate::{self, Demand, Work};
-use super::health::{Health, Sign};
+use super::health::Sign;
+use super::replica::{Due, Load, Replica};
 use crate::clock::Time;
-use crate::config::belief::{self, Listed, Wanted};
+use crate::config::belief::Listed;
 use crate::config::routing::Engine;
-use crate::member::replica::{self, Held, Record};
+use crate::member::replica::Record;
 
 slotmap::new_key_type! {
     /// A replica in a [`Pool`].
     pub struct Key;
 }
 
-/// A report older than this says nothing of the load any more.
-const STALE: Duration = Duration::from_millis(2_000);
-
 /// Service time of a plain service before any was measured.
 const USUAL_UNKNOWN: Duration = Duration::from_millis(50);
 
@@ -37,12 +34,6 @@
 /// Candidates whose cost is over the least by no more than this are equal.
 const EQUAL: Duration = Duration::from_millis(4);
 
-/// Time in which what is known of a replica's lag loses half of its weight.
-const LAG_HALF: Duration = Duration::from_millis(1_500);
-
-/// Weight of the newest lag: one in this many.
-const LAG_SMOOTHING: u32 = 4;
-
 /// A replica whose first events come later than estimated by more than this may stand behind a
 /// link that holds everything up, the end of a request included.
 const LATE_MAX: Duration = Duration::from_millis(100);
@@ -50,191 +41,18 @@
 /// Such a replica gets nothing that early before the bound of its version.
 const LATE_MARGIN: Duration = Duration::from_millis(1_600);
 
+/// Nor so many times its delay before: a request takes so long to come there, and so does its end.
+const LATE_FACTOR: u32 = 2;
+
+/// Most that a link's delay counts in estimates: it is known from other exchanges than requests.
+const LINK_DELAY_COUNTED: Duration = Duration::from_millis(250);
+
 /// A request that outlasts its replica's next change of version costs this part of the excess.
 const OVERRUN: u32 = 2;
 
 /// Cost of each taken slot: a fuller engine writes more slowly.
 const CROWDING: Duration = Duration::from_millis(3);
 
-/// What the process beside a replica reports of it.
-#[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
-pub struct Load {
-    /// Requests that run.
-    pub running: u32,
-    /// Requests that wait.
-    pub queued: u32,
-    /// Factor on the replica's times; above 1 it is slow.
-    pub pace: f64,
-    /// The models that it holds.
-    pub models: Vec<Held>,
-    /// Whether it is about to change its weights, or does so, and takes nothing new meanwhile.
-    pub switching: bool,
-    /// Whether it answers.
-    pub alive: bool,
-}
-
-/// A replica.
-#[derive(Debug, Clone)]
-pub struct Replica {
-    /// What the list says.
-    pub record: Record,
-    load: Option<(Load, Time)>,
-    own: u32,
-    own_at_report: u32,
-    unread: Unread,
-    unread_at_report: u32,
-    since_report: u32,
-    lag: Lag,
-    due: Option<Due>,
-    health: Health,
-    denied: bool,
-}
-
-/// Own requests that have had no event yet.
-#[derive(Debug, Clone, Default)]
-struct Unread {
-    requests: Vec<Pending>,
-    tokens: u64,
-}
-
-impl Unread {
-    fn count(&self) -> u32 {
-        self.requests.len() as u32
-    }
-
-    /// By how much the most overdue of them is late.
-    fn overdue(&self, now: Time) -> Duration {
-        let late = self.requests.iter().map(|pending| now.since(pending.due));
-        late.max().unwrap_or_default()
-    }
-}
-
-/// A request without an event yet.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-struct Pending {
-    number: u64,
-    due: Time,
-}
-
-/// How much later than expected a replica's first events come.
-#[derive(Debug, Clone, Copy, Default)]
-struct Lag {
-    mean: Duration,
-    at: Time,
-}
-
-impl Lag {
-    fn now(&self, now: Time) -> Duration {
-        let halvings = now.since(self.at).as_secs_f64() / LAG_HALF.as_secs_f64();
-        self.mean.mul_f64(0.5f64.powf(halvings))
-    }
-
-    fn note(&mut self, late: Duration, now: Time) {
-        let known = self.now(now);
-        self.mean = (known * (LAG_SMOOTHING - 1) + late) / LAG_SMOOTHING;
-        self.at = now;
-    }
-}
-
-/// The versions that were named for a replica's model, and its place in the rollout.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Due {
-    /// The versions, oldest first.
-    pub named: Vec<Wanted>,
-    /// Time from a version's naming until the replica takes nothing new any more.
-    pub begins: Duration,
-    /// Time from a version's naming until nothing may start on an older one any more.
-    pub bound: Duration,
-}
-
-/// A change of version that a replica has before it.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-struct Change {
-    at: Time,
-    bound: Time,
-}
-
-impl Replica {
-    fn new(record: Record) -> Self {
-        Self {
-            record,
-            load: None,
-            own: 0,
-            own_at_report: 0,
-            unread: Unread::default(),
-            unread_at_report: 0,
-            since_report: 0,
-            lag: Lag::default(),
-            due: None,
-            health: Health::default(),
-            denied: false,
-        }
-    }
-
-    fn fresh(&self, now: Time) -> Option<&Load> {
-        let (load, at) = self.load.as_ref()?;
-        (now.since(*at) < STALE).then_some(load)
-    }
-
-    /// Requests in progress there, as far as this entry can tell.
-    pub fn requests(&self, now: Time) -> u32 {
-        let reported = self.fresh(now).map_or(0, |load| load.running + load.queued);
-        reported.saturating_sub(self.own_at_report) + self.own
-    }
-
-    /// Requests that `fellows` other entries are likely to have sent since the last report: as many
-    /// each as this one, for they see the same reports and judge alike.
-    fn unseen(&self, fellows: u32, now: Time) -> u32 {
-        let own = match self.fresh(now) {
-            Some(_) => self.since_report.min(self.own),
-            None => self.own,
-        };
-        own * fellows
-    }
-
-    /// The version of `model` that it holds, by the newer of report and list.
-    pub fn version(&self, model: &str, now: Time) -> Option<u64> {
-        let reported = self
-            .fresh(now)
-            .map(|load| replica::version_of(&load.models, model));
-        reported.unwrap_or_else(|| self.record.version(model))
-    }
-
-    /// Prompt tokens that wait to be read there, as far as this entry can tell.
-    fn unread(&self, usual_prompt: f64, now: Time) -> f64 {
-        let reported = self.fresh(now).map_or(0, |load| load.queued);
-        let others = reported.saturating_sub(self.unread_at_report);
-        f64::from(others) * usual_prompt + self.unread.tokens as f64
-    }
-
-    /// The change of version that it has before it: the oldest that it lacks sets the times.
-    fn change(&self, model: &str, now: Time) -> Option<Change> {
-        let due = self.due.as_ref()?;
-        let since = belief::first_lacking(&due.named, self.version(model, now)?)?.since;
-        Some(Change {
-            at: since + due.begins,
-            bound: since + due.bound,
-        })
-    }
-
-    /// How much later than estimated first events come from there.
-    fn late(&self, now: Time) -> Duration {
-        self.lag.now(now).max(self.unread.overdue(now))
-    }
-
-    fn pace(&self, now: Time) -> f64 {
-        self.fresh(now).map_or(1.0, |load| load.pace)
-    }
-
-    fn switching(&self, now: Time) -> bool {
-        self.fresh(now).is_some_and(|load| load.switching)
-    }
-
-    fn dead(&self, now: Time) -> bool {
-        self.fresh(now).is_some_and(|load| !load.alive)
-    }
-}
-
 /// The model that a request needs.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ModelNeed<'a> {
@@ -293,6 +111,16 @@
     Connections,
 }
 
+/// How much earlier than its version's bound a replica's last request has to be expected to start.
+fn start_margin(replica: &Replica, now: Time) -> Duration {
+    let late = replica.late(now).max(replica.link_delay(now));
+    if late > LATE_MAX {
+        LATE_MARGIN.max(late * LATE_FACTOR)
+    } else {
+        Duration::ZERO
+    }
+}
+
 /// The replicas that an entry knows.
 #[derive(Debug, Default)]
 pub struct Pool {
@@ -371,10 +199,7 @@
         let mut found = false;
         for (_, replica) in &mut self.replicas {
             if replica.record.address == address {
-                replica.load = Some((load.clone(), now));
-                replica.own_at_report = replica.own;
-                replica.unread_at_report = replica.unread.count();
-                replica.since_report = 0;
+                replica.report(load, now);
                 found = true;
             }
         }
@@ -411,7 +236,7 @@
         }
         let connected: Vec<Key> = untried
             .into_iter()
-            .filter(|&key| self.replicas[key].own < ask.connections_max)
+            .filter(|&key| self.replicas[key].own() < ask.connections_max)
             .collect();
         if connected.is_empty() {
             return Err(Shortage::Connections);
@@ -441,12 +266,7 @@
         // What waits there too long would start on a version that is not allowed any more.
         let starts = || now + self.expected(replica, ask, now);
         let change = replica.change(need.model, now);
-        wanted
-            && change.is_none_or(|change| {
-                let late = replica.late(now) > LATE_MAX;
-                let margin = if late { LATE_MARGIN } else { Duration::ZERO };
-                starts() + margin < change.bound
-            })
+        wanted && change.is_none_or(|change| starts() + start_margin(replica, now) < change.bound)
     }
 
     fn cheapest(
@@ -517,7 +337,9 @@
             return usual + usual * waiting / slots;
         };
         let work = self.work(replica, engine, ask, now);
-        let expected = estimate::first_event(engine, work, ask.demand) + replica.late(now);
+        let held_up = replica.link_delay(now).min(LINK_DELAY_COUNTED);
+        let late = replica.late(now).max(held_up);
+        let expected = estimate::first_event(engine, work, ask.demand) + late;
         if !replica.switching(now) {
             return expected;
         }
@@ -540,43 +362,23 @@
     /// A request was sent to a replica. Returns the number by which its start is told.
     pub fn begin(&mut self, key: Key, demand: Demand, expected: Duration, now: Time) -> u64 {
         self.begun += 1;
-        let number = self.begun;
         if let Some(replica) = self.replicas.get_mut(key) {
-            replica.own += 1;
-            replica.since_report += 1;
-            let due = now + expected;
-            replica.unread.requests.push(Pending { number, due });
-            replica.unread.tokens += u64::from(demand.prompt);
+            replica.begin(self.begun, demand, now + expected);
         }
-        number
+        self.begun
     }
 
     /// A request's first event came; `false` if it ended without one.
     pub fn started(&mut self, key: Key, number: u64, demand: Demand, came: bool, now: Time) {
-        let Some(replica) = self.replicas.get_mut(key) else {
-            return;
-        };
-        let unread = &mut replica.unread;
-        let Some(place) = unread
-            .requests
-            .iter()
-            .position(|known| known.number == number)
-        else {
-            return;
-        };
-        let pending = unread.requests.swap_remove(place);
-        unread.tokens = unread.tokens.saturating_sub(u64::from(demand.prompt));
-        replica.unread_at_report = replica.unread_at_report.min(unread.count());
-        if came {
-            replica.lag.note(now.since(pending.due), now);
+        if let Some(replica) = self.replicas.get_mut(key) {
+            replica.started(number, demand, came, now);
         }
     }
 
     /// A request at a replica ended.
     pub fn end(&mut self, key: Key) {
         if let Some(replica) = self.replicas.get_mut(key) {
-            replica.own = replica.own.saturating_sub(1);
-            replica.own_at_report = replica.own_at_report.min(replica.own);
+            replica.end();
         }
     }
 
--- /dev/null
+++ b/src/route/replica.rs
@@ -0,0 +1,267 @@
+//! One replica as an entry knows it: what the list and reports say, and what this entry sent there.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use super::estimate::Demand;
+use super::health::Health;
+use crate::clock::Time;
+use crate::config::belief::{self, Wanted};
+use crate::member::replica::{self, Held, Record};
+
+/// A report older than this says nothing of the load any more.
+const STALE: Duration = Duration::from_millis(2_000);
+
+/// Longest time between two reports of a process in reach.
+const REPORT_GAP_MAX: Duration = Duration::from_millis(1_200);
+
+/// Longest round trip over a link that weights are drawn through, but that is not held up.
+const ROUND_TRIP_USUAL: Duration = Duration::from_millis(80);
+
+/// Time in which what is known of a replica's lag loses half of its weight.
+const LAG_HALF: Duration = Duration::from_millis(1_500);
+
+/// Weight of the newest lag: one in this many.
+const LAG_SMOOTHING: u32 = 4;
+
+/// What the process beside a replica reports of it.
+#[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
+pub struct Load {
+    /// Requests that run.
+    pub running: u32,
+    /// Requests that wait.
+    pub queued: u32,
+    /// Factor on the replica's times; above 1 it is slow.
+    pub pace: f64,
+    /// The models that it holds.
+    pub models: Vec<Held>,
+    /// Whether it is about to change its weights, or does so, and takes nothing new meanwhile.
+    pub switching: bool,
+    /// Whether it answers.
+    pub alive: bool,
+    /// Milliseconds that the shortest late exchange of its process with an entry took.
+    #[serde(default)]
+    pub round_trip_ms: u64,
+}
+
+/// A replica.
+#[derive(Debug, Clone)]
+pub struct Replica {
+    /// What the list says.
+    pub record: Record,
+    pub(super) health: Health,
+    load: Option<(Load, Time)>,
+    own: u32,
+    own_at_report: u32,
+    unread: Unread,
+    unread_at_report: u32,
+    since_report: u32,
+    lag: Lag,
+    pub(super) due: Option<Due>,
+    pub(super) denied: bool,
+}
+
+/// Own requests that have had no event yet.
+#[derive(Debug, Clone, Default)]
+struct Unread {
+    requests: Vec<Pending>,
+    tokens: u64,
+}
+
+impl Unread {
+    fn count(&self) -> u32 {
+        self.requests.len() as u32
+    }
+
+    /// By how much the most overdue of them is late.
+    fn overdue(&self, now: Time) -> Duration {
+        let late = self.requests.iter().map(|pending| now.since(pending.due));
+        late.max().unwrap_or_default()
+    }
+}
+
+/// A request without an event yet.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Pending {
+    number: u64,
+    due: Time,
+}
+
+/// How much later than expected a replica's first events come.
+#[derive(Debug, Clone, Copy, Default)]
+struct Lag {
+    mean: Duration,
+    at: Time,
+}
+
+impl Lag {
+    fn now(&self, now: Time) -> Duration {
+        let halvings = now.since(self.at).as_secs_f64() / LAG_HALF.as_secs_f64();
+        self.mean.mul_f64(0.5f64.powf(halvings))
+    }
+
+    fn note(&mut self, late: Duration, now: Time) {
+        let known = self.now(now);
+        self.mean = (known * (LAG_SMOOTHING - 1) + late) / LAG_SMOOTHING;
+        self.at = now;
+    }
+}
+
+/// The versions that were named for a replica's model, and its place in the rollout.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Due {
+    /// The versions, oldest first.
+    pub named: Vec<Wanted>,
+    /// Time from a version's naming until the replica takes nothing new any more.
+    pub begins: Duration,
+    /// Time from a version's naming until nothing may start on an older one any more.
+    pub bound: Duration,
+}
+
+/// A change of version that a replica has before it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct Change {
+    /// When the replica takes nothing new any more.
+    pub at: Time,
+    /// When nothing may start on its version any more.
+    pub bound: Time,
+}
+
+impl Replica {
+    /// A replica of which only its entry is known.
+    pub fn new(record: Record) -> Self {
+        Self {
+            record,
+            load: None,
+            own: 0,
+            own_at_report: 0,
+            unread: Unread::default(),
+            unread_at_report: 0,
+            since_report: 0,
+            lag: Lag::default(),
+            due: None,
+            health: Health::default(),
+            denied: false,
+        }
+    }
+
+    fn fresh(&self, now: Time) -> Option<&Load> {
+        let (load, at) = self.load.as_ref()?;
+        (now.since(*at) < STALE).then_some(load)
+    }
+
+    /// Requests in progress there, as far as this entry can tell.
+    pub fn requests(&self, now: Time) -> u32 {
+        let reported = self.fresh(now).map_or(0, |load| load.running + load.queued);
+        reported.saturating_sub(self.own_at_report) + self.own
+    }
+
+    /// Requests that `fellows` other entries are likely to have sent since the last report: as many
+    /// each as this one, for they see the same reports and judge alike.
+    pub(super) fn unseen(&self, fellows: u32, now: Time) -> u32 {
+        let own = match self.fresh(now) {
+            Some(_) => self.since_report.min(self.own),
+            None => self.own,
+        };
+        own * fellows
+    }
+
+    /// The version of `model` that it holds, by the newer of report and list.
+    pub fn version(&self, model: &str, now: Time) -> Option<u64> {
+        let reported = self
+            .fresh(now)
+            .map(|load| replica::version_of(&load.models, model));
+        reported.unwrap_or_else(|| self.record.version(model))
+    }
+
+    /// Prompt tokens that wait to be read there, as far as this entry can tell.
+    pub(super) fn unread(&self, usual_prompt: f64, now: Time) -> f64 {
+        let reported = self.fresh(now).map_or(0, |load| load.queued);
+        let others = reported.saturating_sub(self.unread_at_report);
+        f64::from(others) * usual_prompt + self.unread.tokens as f64
+    }
+
+    /// The change of version that it has before it: the oldest that it lacks sets the times.
+    pub(super) fn change(&self, model: &str, now: Time) -> Option<Change> {
+        let due = self.due.as_ref()?;
+        let since = belief::first_lacking(&due.named, self.version(model, now)?)?.since;
+        Some(Change {
+            at: since + due.begins,
+            bound: since + due.bound,
+        })
+    }
+
+    /// How much later than estimated first events come from there.
+    pub(super) fn late(&self, now: Time) -> Duration {
+        self.lag.now(now).max(self.unread.overdue(now))
+    }
+
+    /// How long its link seems to hold up what is sent there, beyond the usual: exchanges take long
+    /// that the process beside it has with entries, or its reports are missing.
+    pub(super) fn link_delay(&self, now: Time) -> Duration {
+        let Some((load, at)) = &self.load else {
+            return Duration::ZERO;
+        };
+        let trip = Duration::from_millis(load.round_trip_ms).saturating_sub(ROUND_TRIP_USUAL);
+        let silent = now.since(*at).saturating_sub(REPORT_GAP_MAX);
+        trip.max(silent)
+    }
+
+    /// Factor on its times.
+    pub(super) fn pace(&self, now: Time) -> f64 {
+        self.fresh(now).map_or(1.0, |load| load.pace)
+    }
+
+    /// Whether it takes nothing new because of a change of version.
+    pub(super) fn switching(&self, now: Time) -> bool {
+        self.fresh(now).is_some_and(|load| load.switching)
+    }
+
+    /// Whether the process beside it finds nobody there.
+    pub(super) fn dead(&self, now: Time) -> bool {
+        self.fresh(now).is_some_and(|load| !load.alive)
+    }
+
+    /// The process beside it reported.
+    pub(super) fn report(&mut self, load: &Load, now: Time) {
+        self.load = Some((load.clone(), now));
+        self.own_at_report = self.own;
+        self.unread_at_report = self.unread.count();
+        self.since_report = 0;
+    }
+
+    /// This entry's requests in progress there.
+    pub(super) fn own(&self) -> u32 {
+        self.own
+    }
+
+    /// This entry sends it the request of that number, whose first event is due then.
+    pub(super) fn begin(&mut self, number: u64, demand: Demand, due: Time) {
+        self.own += 1;
+        self.since_report += 1;
+        self.unread.requests.push(Pending { number, due });
+        self.unread.tokens += u64::from(demand.prompt);
+    }
+
+    /// A request's first event came; `false` if it ended without one.
+    pub(super) fn started(&mut self, number: u64, demand: Demand, came: bool, now: Time) {
+        let unread = &mut self.unread;
+        let mut pending = unread.requests.iter();
+        let Some(place) = pending.position(|known| known.number == number) else {
+            return;
+        };
+        let pending = unread.requests.swap_remove(place);
+        unread.tokens = unread.tokens.saturating_sub(u64::from(demand.prompt));
+        self.unread_at_report = self.unread_at_report.min(unread.count());
+        if came {
+            self.lag.note(now.since(pending.due), now);
+        }
+    }
+
+    /// A request of this entry ended there.
+    pub(super) fn end(&mut self) {
+        self.own = self.own.saturating_sub(1);
+        self.own_at_report = self.own_at_report.min(self.own);
+    }
+}
--- a/src/sidecar.rs
+++ b/src/sidecar.rs
@@ -5,6 +5,7 @@
 //! * [`engine`] is what a replica offers to the process beside it.
 //! * [`reconcile`] brings the replica to the wanted version.
 //! * [`observe`] asks the replica how it does, and tells the entries.
+//! * [`trip`] measures the box's link by that.
 
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
@@ -36,6 +37,7 @@
 pub mod engine;
 pub mod observe;
 pub mod reconcile;
+pub mod trip;
 
 use engine::{Engine, State};
 
@@ -88,6 +90,7 @@
     misses: Cell<u32>,
     noticed: Cell<Option<Time>>,
     staged: RefCell<reconcile::Staged>,
+    trips: RefCell<trip::Trips>,
     told: tokio::sync::watch::Sender<u64>,
 }
 
@@ -205,6 +208,7 @@
             local: Some(Rc::new(local)),
         };
         let host = Rc::new(host);
+        let now = knowledge.now();
         let sidecar = Rc::new(Self {
             knowledge,
             joined: Joined::new(host.clone(), edges.origins, setting.first_start),
@@ -216,6 +220,7 @@
             misses: Cell::new(0),
             noticed: Cell::new(None),
             staged: RefCell::default(),
+            trips: RefCell::new(trip::Trips::new(now)),
             told: tokio::sync::watch::Sender::new(0),
             setting,
         });
--- a/src/sidecar/observe.rs
+++ b/src/sidecar/observe.rs
@@ -11,7 +11,7 @@
 use super::engine::State;
 use crate::clock::Time;
 use crate::knowledge::gossip::post;
-use crate::route::pool::Load;
+use crate::route::replica::Load;
 use crate::source::Topic;
 use crate::wire::sync::{REPORT_PATH, Report, Sync};
 
@@ -87,11 +87,14 @@
     }
 
     fn load(&self) -> Load {
+        let trip = self.trips.borrow_mut().shortest(self.knowledge.now());
+        let round_trip_ms = trip.as_millis() as u64;
         let state = self.state.borrow();
         let Some(state) = state.as_ref() else {
             return Load {
                 alive: self.misses.get() < MISSES_MAX,
                 pace: 1.0,
+                round_trip_ms,
                 ..Load::default()
             };
         };
@@ -102,6 +105,7 @@
             models: state.models.clone(),
             switching: state.busy || self.noticed.get().is_some(),
             alive: true,
+            round_trip_ms,
         }
     }
 
@@ -180,8 +184,13 @@
             ..sidecar.knowledge.sync()
         },
     };
-    if let Err(error) = post(&sidecar.knowledge, entry, REPORT_PATH, &report).await {
-        log::debug!(entry:% = entry; "report: {error}");
+    let began = sidecar.knowledge.now();
+    match post(&sidecar.knowledge, entry, REPORT_PATH, &report).await {
+        Ok(()) => {
+            let now = sidecar.knowledge.now();
+            sidecar.trips.borrow_mut().finish(now.since(began), now);
+        }
+        Err(error) => log::debug!(entry:% = entry; "report: {error}"),
     }
 }
 
--- a/src/wire/sync.rs
+++ b/src/wire/sync.rs
@@ -9,7 +9,7 @@
 use crate::config::routing::{Document, Engine};
 use crate::member::peer::Told;
 use crate::member::replica::Record;
-use crate::route::pool::Load;
+use crate::route::replica::Load;
 
 /// Path of a [`Sync`].
 pub const SYNC_PATH: &str = "/v1/sync";
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -16,7 +16,9 @@
 use pumicelatch::request::budget::{Budget, Setting};
 use pumicelatch::route::estimate::{self, Demand, Work};
 use pumicelatch::route::health::{Health, Sign};
-use pumicelatch::route::pool::{Ask, Due, Key, Load, ModelNeed, Pool, Shortage};
+use pumicelatch::route::pool::{Ask, Key, ModelNeed, Pool, Shortage};
+use pumicelatch::route::replica::{Due, Load};
+use pumicelatch::sidecar::trip::Trips;
 use pumicelatch::version::rollout;
 use pumicelatch::weight::Digest;
 use quickcheck::{TestResult, quickcheck};
@@ -138,6 +140,7 @@
         }],
         switching: false,
         alive: true,
+        round_trip_ms: 8,
     }
 }
 
@@ -298,6 +301,62 @@
     }
 }
 
+/// A replica that has version 2 before it, named now, with its bound after 7.4 s.
+fn due_in_seven_seconds() -> Due {
+    Due {
+        named: vec![Wanted {
+            version: 2,
+            revision: 1,
+            since: NOW,
+        }],
+        begins: Duration::from_millis(7_000),
+        bound: Duration::from_millis(7_400),
+    }
+}
+
+#[test]
+fn a_link_that_holds_requests_up_gets_nothing_that_would_start_after_the_bound() {
+    let mut pool = pool_of(vec![record(1, 1)], Some(due_in_seven_seconds()));
+    let slow = Load {
+        round_trip_ms: 1_500,
+        ..report(2, 0, 1)
+    };
+    // A request takes so long to come there, and so does its end: 2.8 s before the bound.
+    for (after, fits) in [(4_000, true), (5_000, false)] {
+        let now = NOW + Duration::from_millis(after);
+        pool.report(address(1), &slow, now);
+        assert_eq!(
+            Asking::default().choose(&pool, now).is_ok(),
+            fits,
+            "{after}"
+        );
+        pool.report(address(1), &report(2, 0, 1), now);
+        assert!(Asking::default().choose(&pool, now).is_ok());
+    }
+}
+
+#[test]
+fn a_replica_whose_reports_are_missing_counts_as_behind_a_slow_link() {
+    let mut pool = pool_of(vec![record(1, 1), record(2, 1)], None);
+    pool.report(address(1), &report(0, 0, 1), NOW);
+    let later = NOW + Duration::from_millis(1_700);
+    pool.report(address(2), &report(3, 0, 1), later);
+    assert_eq!(Asking::default().choose(&pool, later).unwrap(), "i-2");
+}
+
+#[test]
+fn the_shortest_exchange_measures_a_link() {
+    let mut trips = Trips::new(NOW);
+    assert_eq!(trips.shortest(NOW), Duration::ZERO);
+    let at = |ms| NOW + Duration::from_millis(ms);
+    trips.finish(Duration::from_millis(900), at(1_000));
+    trips.finish(Duration::from_millis(12), at(1_100));
+    assert_eq!(trips.shortest(at(1_200)), Duration::from_millis(12));
+    trips.finish(Duration::from_millis(700), at(2_500));
+    assert_eq!(trips.shortest(at(2_700)), Duration::from_millis(700));
+    assert_eq!(trips.shortest(at(5_500)), Duration::from_millis(3_000));
+}
+
 #[test]
 fn the_list_says_who_is_gone_at_once() {
     let mut pool = pool_of(vec![record(1, 1)], None);
