Agents tell the entries of their own hall only; halls exchange digests

Gossip stays within the hall but for one exchange in six rounds; entries are named only when asked for.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -5,7 +5,7 @@
 //! * [`call`] takes one request through admission and attempts; [`attempt`] is one exchange with a
 //!   replica, [`relay`] passes a stream on.
 //! * [`trace`] is what is counted and written down of a request.
-//! * [`control`] answers other processes of the system.
+//! * [`control`] answers other processes of the system, [`halls`] asks other halls.
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -26,6 +26,7 @@
 use crate::daemon;
 use crate::exchange;
 use crate::http::{self, ClientSetting, Server, Timing};
+use crate::knowledge::halls::Halls;
 use crate::knowledge::{Identity, Knowledge, gossip, store};
 use crate::member::Role;
 use crate::member::replica::Record;
@@ -44,6 +45,7 @@
 pub mod control;
 pub mod dialect;
 pub mod event;
+pub mod halls;
 pub mod relay;
 pub mod status;
 pub mod trace;
@@ -126,6 +128,7 @@
     in_flight: Cell<u64>,
     instruments: status::Instruments,
     joined: Joined,
+    halls: RefCell<Halls>,
 }
 
 /// What a gateway works with.
@@ -237,6 +240,7 @@
             budgets: RefCell::default(),
             leaving: Cell::new(false),
             in_flight: Cell::new(0),
+            halls: RefCell::default(),
             instruments: status::Instruments::new(&metrics.meter()),
             metrics,
             knowledge: knowledge.clone(),
@@ -254,6 +258,7 @@
             actix_rt::spawn(gossip::run(knowledge, move || others.sidecars())),
             actix_rt::spawn(gateway.clone().tick()),
             actix_rt::spawn(gateway.clone().relay()),
+            actix_rt::spawn(halls::run(gateway.clone())),
         ];
         let front = gateway.serve_front(listeners.front);
         let mut servers = vec![
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -87,7 +87,7 @@
 impl Drop for Attempt {
     fn drop(&mut self) {
         self.count_start(false);
-        self.gateway.pool.borrow_mut().end(self.key);
+        self.gateway.pool.borrow_mut().end(self.key, self.number);
     }
 }
 
--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -8,7 +8,7 @@
 use super::Gateway;
 use crate::burst::serve;
 use crate::http::{self, Answer};
-use crate::wire::sync::{REPORT_PATH, Report, SYNC_PATH, Sync};
+use crate::wire::sync::{Digest, HALL_PATH, PASS_ON_PATH, REPORT_PATH, Report, SYNC_PATH, Sync};
 
 /// Longest message of another process.
 const MESSAGE_MAX: usize = 1 << 20;
@@ -37,6 +37,17 @@
             ),
             Err(answer) => answer,
         },
+        HALL_PATH => match message::<Sync>(&mut request).await {
+            Ok(sync) => http::pack(StatusCode::OK, &gateway.hall_news(&sync)),
+            Err(answer) => answer,
+        },
+        PASS_ON_PATH => match message::<Digest>(&mut request).await {
+            Ok(digest) => {
+                gateway.take_digest(&digest);
+                http::pack(StatusCode::OK, &())
+            }
+            Err(answer) => answer,
+        },
         REPORT_PATH => match message::<Report>(&mut request).await {
             Ok(report) => take_report(&gateway, &report),
             Err(answer) => answer,
--- a/src/knowledge.rs
+++ b/src/knowledge.rs
@@ -1,6 +1,7 @@
 //! What a process knows of the platform and of the other processes, and how it keeps that fresh.
 //!
 //! * [`store`] reads and watches the platform's store.
+//! * [`halls`] decides who asks another hall how its replicas do.
 //! * [`gossip`] exchanges what is newer with other processes of the system, so that one that the
 //!   store turns away, or that just began, knows what the others know.
 
@@ -22,6 +23,7 @@
 use crate::wire::sync::{Brief, DatedDocument, DatedRecord, List, Named, News, Sync};
 
 pub mod gossip;
+pub mod halls;
 pub mod store;
 
 /// The store counts as shaky for so long after it was out of reach.
@@ -202,20 +204,21 @@
         self.tell(effect);
     }
 
-    /// The heartbeat that this process sends.
-    pub fn sync(&self) -> Sync {
+    /// The heartbeat that this process sends. With `names_entries` it tells the entries that it
+    /// knows, and wants to be told.
+    pub fn sync(&self, names_entries: bool) -> Sync {
         let now = self.now();
         Sync {
             from: self.identity.address,
             hall: self.identity.hall.clone(),
             entry: self.identity.entry,
             marks: self.belief.borrow().marks(),
-            peers: if self.identity.entry {
+            peers: if self.identity.entry && names_entries {
                 self.peers.borrow().tell(now)
             } else {
                 Vec::new()
             },
-            wants_peers: true,
+            wants_peers: names_entries,
         }
     }
 
--- a/src/knowledge/gossip.rs
+++ b/src/knowledge/gossip.rs
@@ -9,6 +9,7 @@
 use bytes::Bytes;
 use rand::RngExt;
 use serde::Serialize;
+use serde::de::DeserializeOwned;
 
 use super::Knowledge;
 use crate::exchange::{Options, Request};
@@ -20,7 +21,7 @@
 /// Entries that are asked at a time.
 const ASKED: usize = 2;
 
-/// Rounds between two in which the seeds are asked as well.
+/// Rounds between two in which the seeds and an entry of any hall are asked as well.
 const SEED_ROUNDS: u32 = 6;
 
 /// How long a process may take to answer.
@@ -62,6 +63,22 @@
     path: &str,
     message: &T,
 ) -> Result<(), Error> {
+    let news: News = ask(knowledge, peer, path, message).await?;
+    let now = knowledge.now();
+    if news.entry {
+        knowledge.peers.borrow_mut().heard(peer, &news.hall, now);
+    }
+    knowledge.take_news(peer, news);
+    Ok(())
+}
+
+/// Sends `message` to another process of the system and reads its answer.
+pub async fn ask<T: Serialize, A: DeserializeOwned>(
+    knowledge: &Knowledge,
+    peer: SocketAddr,
+    path: &str,
+    message: &T,
+) -> Result<A, Error> {
     let body = rmp_serde::to_vec_named(message).map_err(|error| Error::Codec {
         reason: error.to_string(),
     })?;
@@ -78,19 +95,13 @@
             let status = answer.status.as_u16();
             return Err(Error::Status { status });
         }
-        rmp_serde::from_slice::<News>(&body).map_err(|error| Error::Codec {
+        rmp_serde::from_slice(&body).map_err(|error| Error::Codec {
             reason: error.to_string(),
         })
     };
-    let news = timeout(TIMEOUT, exchange)
+    timeout(TIMEOUT, exchange)
         .await
-        .map_err(|_| Error::Timeout)??;
-    let now = knowledge.now();
-    if news.entry {
-        knowledge.peers.borrow_mut().heard(peer, &news.hall, now);
-    }
-    knowledge.take_news(peer, news);
-    Ok(())
+        .map_err(|_| Error::Timeout)?
 }
 
 /// Exchanges heartbeats with other entries until dropped. `others` names processes beside replicas,
@@ -101,7 +112,7 @@
         for peer in targets(&knowledge, round, &others) {
             let knowledge = knowledge.clone();
             actix_rt::spawn(async move {
-                let sync = knowledge.sync();
+                let sync = knowledge.sync(true);
                 if let Err(error) = post(&knowledge, peer, SYNC_PATH, &sync).await {
                     log::debug!(peer:% = peer; "heartbeat: {error}");
                 }
@@ -121,9 +132,16 @@
 ) -> Vec<SocketAddr> {
     let now = knowledge.now();
     let mut rng = knowledge.rng.borrow_mut();
-    let mut chosen = knowledge.peers.borrow().sample(ASKED, now, &mut *rng);
+    let peers = knowledge.peers.borrow();
+    let hall = Some(&*knowledge.identity.hall);
+    let mut chosen = peers.sample(hall, ASKED, now, &mut *rng);
+    // Bytes between halls are dear.
+    let wide = round.is_multiple_of(SEED_ROUNDS);
+    if wide || chosen.is_empty() {
+        chosen.extend(peers.sample(None, 1, now, &mut *rng));
+    }
     let alone = chosen.is_empty();
-    if alone || round.is_multiple_of(SEED_ROUNDS) {
+    if alone || wide {
         let own = knowledge.identity.address;
         let seeds = knowledge.seeds.borrow();
         chosen.extend(seeds.iter().copied().filter(|seed| *seed != own));
--- a/src/member.rs
+++ b/src/member.rs
@@ -4,6 +4,7 @@
 //! its process lives, whatever the list says meanwhile.
 
 pub mod peer;
+pub mod rank;
 pub mod replica;
 
 use std::collections::BTreeMap;
--- /dev/null
+++ b/src/member/rank.rs
@@ -0,0 +1,20 @@
+//! Who of several processes does a job for all of them, worked out by each alone.
+
+use std::net::SocketAddr;
+
+/// How many of `others` come before `own` for the job that `subject` names, by rendezvous hashing:
+/// 0 for the one that does it. When it goes, the next one is first; nobody else's place changes.
+pub fn rank(own: SocketAddr, others: impl Iterator<Item = SocketAddr>, subject: &str) -> u32 {
+    let own_weight = weight(own, subject);
+    let before = others.filter(|other| weight(*other, subject) > own_weight);
+    before.count() as u32
+}
+
+fn weight(address: SocketAddr, subject: &str) -> (u64, SocketAddr) {
+    let mut hasher = blake3::Hasher::new();
+    hasher.update(address.to_string().as_bytes());
+    hasher.update(subject.as_bytes());
+    let mut word = [0; 8];
+    word.copy_from_slice(&hasher.finalize().as_bytes()[..8]);
+    (u64::from_le_bytes(word), address)
+}
--- a/src/route/pool.rs
+++ b/src/route/pool.rs
@@ -19,6 +19,7 @@
 use crate::config::belief::Listed;
 use crate::config::routing::Engine;
 use crate::member::replica::Record;
+use crate::wire::sync::Reported;
 
 slotmap::new_key_type! {
     /// A replica in a [`Pool`].
@@ -194,12 +195,28 @@
         self.services.get(service).map_or(&[], Vec::as_slice)
     }
 
-    /// The process beside the replica at `address` reported. Returns whether anyone is there.
-    pub fn report(&mut self, address: SocketAddr, load: &Load, now: Time) -> bool {
+    /// How the replicas of `hall` do, by reports that are fresh.
+    pub fn reports(&self, hall: &str, now: Time) -> Vec<Reported> {
+        let of_hall = self.replicas.values();
+        let of_hall = of_hall.filter(|replica| &*replica.record.hall == hall);
+        let told = of_hall.filter_map(|replica| {
+            let (load, at) = replica.reported(now)?;
+            Some(Reported {
+                address: replica.record.address,
+                load: load.clone(),
+                age_ms: now.since(at).as_millis() as u64,
+            })
+        });
+        told.collect()
+    }
+
+    /// The process beside the replica at `address` reported at `at`. Returns whether anyone is
+    /// there.
+    pub fn report(&mut self, address: SocketAddr, load: &Load, at: Time) -> bool {
         let mut found = false;
         for (_, replica) in &mut self.replicas {
             if replica.record.address == address {
-                replica.report(load, now);
+                replica.report(load, at);
                 found = true;
             }
         }
@@ -363,7 +380,7 @@
     pub fn begin(&mut self, key: Key, demand: Demand, expected: Duration, now: Time) -> u64 {
         self.begun += 1;
         if let Some(replica) = self.replicas.get_mut(key) {
-            replica.begin(self.begun, demand, now + expected);
+            replica.begin(self.begun, demand, now, now + expected);
         }
         self.begun
     }
@@ -376,9 +393,9 @@
     }
 
     /// A request at a replica ended.
-    pub fn end(&mut self, key: Key) {
+    pub fn end(&mut self, key: Key, number: u64) {
         if let Some(replica) = self.replicas.get_mut(key) {
-            replica.end();
+            replica.end(number);
         }
     }
 
--- a/src/route/replica.rs
+++ b/src/route/replica.rs
@@ -52,11 +52,10 @@
     pub record: Record,
     pub(super) health: Health,
     load: Option<(Load, Time)>,
-    own: u32,
+    own: Vec<Sent>,
     own_at_report: u32,
     unread: Unread,
     unread_at_report: u32,
-    since_report: u32,
     lag: Lag,
     pub(super) due: Option<Due>,
     pub(super) denied: bool,
@@ -81,10 +80,18 @@
     }
 }
 
+/// A request that was sent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Sent {
+    number: u64,
+    at: Time,
+}
+
 /// A request without an event yet.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 struct Pending {
     number: u64,
+    at: Time,
     due: Time,
 }
 
@@ -134,11 +141,10 @@
         Self {
             record,
             load: None,
-            own: 0,
+            own: Vec::new(),
             own_at_report: 0,
             unread: Unread::default(),
             unread_at_report: 0,
-            since_report: 0,
             lag: Lag::default(),
             due: None,
             health: Health::default(),
@@ -146,25 +152,28 @@
         }
     }
 
-    fn fresh(&self, now: Time) -> Option<&Load> {
+    /// The last report and its time, unless it says nothing any more.
+    pub(super) fn reported(&self, now: Time) -> Option<(&Load, Time)> {
         let (load, at) = self.load.as_ref()?;
-        (now.since(*at) < STALE).then_some(load)
+        (now.since(*at) < STALE).then_some((load, *at))
+    }
+
+    fn fresh(&self, now: Time) -> Option<&Load> {
+        self.reported(now).map(|(load, _)| load)
     }
 
     /// Requests in progress there, as far as this entry can tell.
     pub fn requests(&self, now: Time) -> u32 {
         let reported = self.fresh(now).map_or(0, |load| load.running + load.queued);
-        reported.saturating_sub(self.own_at_report) + self.own
+        reported.saturating_sub(self.own_at_report) + self.own()
     }
 
     /// Requests that `fellows` other entries are likely to have sent since the last report: as many
     /// each as this one, for they see the same reports and judge alike.
     pub(super) fn unseen(&self, fellows: u32, now: Time) -> u32 {
-        let own = match self.fresh(now) {
-            Some(_) => self.since_report.min(self.own),
-            None => self.own,
-        };
-        own * fellows
+        let reported = self.reported(now).map(|(_, at)| at);
+        let unknown = |sent: &&Sent| reported.is_none_or(|at| sent.at > at);
+        self.own.iter().filter(unknown).count() as u32 * fellows
     }
 
     /// The version of `model` that it holds, by the newer of report and list.
@@ -224,23 +233,25 @@
     }
 
     /// The process beside it reported.
-    pub(super) fn report(&mut self, load: &Load, now: Time) {
-        self.load = Some((load.clone(), now));
-        self.own_at_report = self.own;
-        self.unread_at_report = self.unread.count();
-        self.since_report = 0;
+    pub(super) fn report(&mut self, load: &Load, at: Time) {
+        if self.load.as_ref().is_some_and(|(_, known)| *known > at) {
+            return;
+        }
+        self.load = Some((load.clone(), at));
+        self.own_at_report = self.own.iter().filter(|sent| sent.at <= at).count() as u32;
+        let unread = self.unread.requests.iter();
+        self.unread_at_report = unread.filter(|pending| pending.at <= at).count() as u32;
     }
 
     /// This entry's requests in progress there.
     pub(super) fn own(&self) -> u32 {
-        self.own
+        self.own.len() as u32
     }
 
     /// This entry sends it the request of that number, whose first event is due then.
-    pub(super) fn begin(&mut self, number: u64, demand: Demand, due: Time) {
-        self.own += 1;
-        self.since_report += 1;
-        self.unread.requests.push(Pending { number, due });
+    pub(super) fn begin(&mut self, number: u64, demand: Demand, at: Time, due: Time) {
+        self.own.push(Sent { number, at });
+        self.unread.requests.push(Pending { number, at, due });
         self.unread.tokens += u64::from(demand.prompt);
     }
 
@@ -260,8 +271,10 @@
     }
 
     /// A request of this entry ended there.
-    pub(super) fn end(&mut self) {
-        self.own = self.own.saturating_sub(1);
-        self.own_at_report = self.own_at_report.min(self.own);
+    pub(super) fn end(&mut self, number: u64) {
+        if let Some(place) = self.own.iter().position(|sent| sent.number == number) {
+            self.own.swap_remove(place);
+        }
+        self.own_at_report = self.own_at_report.min(self.own());
     }
 }
--- a/src/sidecar/observe.rs
+++ b/src/sidecar/observe.rs
@@ -13,7 +13,7 @@
 use crate::knowledge::gossip::post;
 use crate::route::replica::Load;
 use crate::source::Topic;
-use crate::wire::sync::{REPORT_PATH, Report, Sync};
+use crate::wire::sync::{REPORT_PATH, Report};
 
 /// How often the replica is asked.
 const LOOK: Duration = Duration::from_millis(100);
@@ -27,11 +27,8 @@
 /// How often it is looked whether an entry is to be told.
 const TELL_LOOK: Duration = Duration::from_millis(50);
 
-/// Shortest time between two reports to an entry of the own hall.
-const TELL_NEAR: Duration = Duration::from_millis(150);
-
-/// Shortest time between two reports to any other entry.
-const TELL_FAR: Duration = Duration::from_millis(500);
+/// Shortest time between two reports to an entry.
+const TELL_MIN: Duration = Duration::from_millis(150);
 
 /// Longest time between two reports.
 const TELL_MAX: Duration = Duration::from_millis(1_000);
@@ -109,19 +106,18 @@
         }
     }
 
-    fn entries(&self) -> Vec<(SocketAddr, bool)> {
+    fn entries(&self) -> Vec<SocketAddr> {
         let now = self.knowledge.now();
         let peers = self.knowledge.peers.borrow();
         let own = &self.setting.identity.hall;
         let alive = peers.alive(now);
-        let known: Vec<(SocketAddr, bool)> = alive
-            .map(|(address, hall)| (address, hall == own))
-            .collect();
-        if !known.is_empty() {
-            return known;
+        let (near, far): (Vec<_>, Vec<_>) = alive.partition(|(_, hall)| *hall == own);
+        // The entries of other halls hear of it from those of this one, if there are any.
+        let told = if near.is_empty() { far } else { near };
+        if told.is_empty() {
+            return self.knowledge.seeds.borrow().clone();
         }
-        let seeds = self.knowledge.seeds.borrow();
-        seeds.iter().map(|seed| (*seed, true)).collect()
+        told.into_iter().map(|(address, _)| address).collect()
     }
 }
 
@@ -141,14 +137,13 @@
     loop {
         let now = sidecar.knowledge.now();
         let count = *sidecar.told.borrow();
-        for (entry, near) in sidecar.entries() {
-            let gap = if near { TELL_NEAR } else { TELL_FAR };
+        for entry in sidecar.entries() {
             let due = match told.borrow().get(&entry) {
                 None => true,
                 Some(last) if last.waiting => false,
                 Some(last) => {
                     let since = now.since(last.at);
-                    since >= TELL_MAX || (last.count != count && since >= gap)
+                    since >= TELL_MAX || (last.count != count && since >= TELL_MIN)
                 }
             };
             if due {
@@ -179,10 +174,7 @@
     let report = Report {
         address: sidecar.setting.replica,
         load: sidecar.load(),
-        sync: Sync {
-            wants_peers: asks,
-            ..sidecar.knowledge.sync()
-        },
+        sync: sidecar.knowledge.sync(asks),
     };
     let began = sidecar.knowledge.now();
     match post(&sidecar.knowledge, entry, REPORT_PATH, &report).await {
--- a/src/wire/sync.rs
+++ b/src/wire/sync.rs
@@ -45,6 +45,41 @@
     pub sync: Sync,
 }
 
+/// Path at which an entry is asked how its hall's replicas do; the message is a [`Sync`].
+pub const HALL_PATH: &str = "/v1/hall";
+
+/// Path at which an entry is told what another hall answered.
+pub const PASS_ON_PATH: &str = "/v1/hall/told";
+
+/// How one replica does, as an entry was told.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Reported {
+    /// Where the replica listens.
+    pub address: SocketAddr,
+    /// What it has to do, and what it holds.
+    pub load: Load,
+    /// Milliseconds since it was reported.
+    pub age_ms: u64,
+}
+
+/// How the replicas of one hall do.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Digest {
+    /// The hall.
+    pub hall: Arc<str>,
+    /// Its replicas.
+    pub replicas: Vec<Reported>,
+}
+
+/// An entry's answer about its hall.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct HallNews {
+    /// How the hall's replicas do.
+    pub digest: Digest,
+    /// Whatever the asker lacks besides.
+    pub news: News,
+}
+
 /// A version that was named for a model.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Named {
