Few entries of a hall read the store, and tell the others at once

Change: the first two entries of a hall by rank watch what operators write, the first one the list; they tell the hall at once that there is news, every message carries how long ago the store answered its sender, and an entry reads for itself when none before it has had an answer for 1.6 s and a bit, or does not answer. Ruled out: load of the entries (a probe was answered in 3 ms), size of the history (one document each). Tests: few_entries_of_a_hall_read_the_store..., an_entry_that_does_not_answer..., readers_are_asked...

--- a/src/config/belief.rs
+++ b/src/config/belief.rs
@@ -158,6 +158,11 @@
         &self.replicas
     }
 
+    /// The revision up to which the list of replicas is known.
+    pub fn listed_at(&self) -> u64 {
+        self.replicas_at
+    }
+
     /// Whether the list of replicas was ever read.
     pub fn lists_replicas(&self) -> bool {
         self.replicas_at > 0
@@ -194,7 +199,6 @@
         if !newer {
             return Effect::None;
         }
-        let document = Arc::unwrap_or_clone(document);
         self.routing = Some((revision, Rc::new(Routing::new(document))));
         Effect::Routing
     }
--- a/src/config/routing.rs
+++ b/src/config/routing.rs
@@ -192,7 +192,7 @@
 #[derive(Debug, Default)]
 pub struct Routing {
     /// The configuration as it was published.
-    pub document: Document,
+    pub document: Arc<Document>,
     hosts: HashMap<String, Vec<usize>>,
     keys: HashMap<String, usize>,
     services: BTreeMap<Arc<str>, usize>,
@@ -200,7 +200,7 @@
 
 impl Routing {
     /// Puts `document` in force.
-    pub fn new(document: Document) -> Self {
+    pub fn new(document: Arc<Document>) -> Self {
         let mut hosts: HashMap<String, Vec<usize>> = HashMap::new();
         for (index, route) in document.routes.iter().enumerate() {
             hosts.entry(route.host.clone()).or_default().push(index);
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -255,6 +255,7 @@
                 Topic::Operator,
             )),
             actix_rt::spawn(store::follow(knowledge.clone(), source, Topic::Replicas)),
+            actix_rt::spawn(gossip::tell_news(knowledge.clone())),
             actix_rt::spawn(gossip::run(knowledge, move || others.sidecars())),
             actix_rt::spawn(gateway.clone().tick()),
             actix_rt::spawn(gateway.clone().relay()),
--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -8,6 +8,7 @@
 use super::Gateway;
 use crate::burst::serve;
 use crate::http::{self, Answer};
+use crate::knowledge::gossip;
 use crate::wire::sync::{Digest, HALL_PATH, PASS_ON_PATH, REPORT_PATH, Report, SYNC_PATH, Sync};
 
 /// Longest message of another process.
@@ -31,10 +32,7 @@
 pub async fn answer(gateway: Rc<Gateway>, mut request: Request) -> Answer {
     match request.path() {
         SYNC_PATH => match message::<Sync>(&mut request).await {
-            Ok(sync) => http::pack(
-                StatusCode::OK,
-                &gateway.knowledge.news_for(&sync, !sync.entry),
-            ),
+            Ok(sync) => take_sync(&gateway, &sync),
             Err(answer) => answer,
         },
         HALL_PATH => match message::<Sync>(&mut request).await {
@@ -59,6 +57,14 @@
     }
 }
 
+fn take_sync(gateway: &Gateway, sync: &Sync) -> Answer {
+    let knowledge = &gateway.knowledge;
+    if sync.entry && sync.hall == knowledge.identity.hall && knowledge.lacks(sync.marks) {
+        actix_rt::spawn(gossip::fetch_news(knowledge.clone(), sync.from));
+    }
+    http::pack(StatusCode::OK, &knowledge.news_for(sync, !sync.entry))
+}
+
 fn take_report(gateway: &Gateway, report: &Report) -> Answer {
     gateway.refresh_pool();
     let now = gateway.knowledge.now();
--- a/src/gateway/halls.rs
+++ b/src/gateway/halls.rs
@@ -49,7 +49,7 @@
 
 fn pass_on(gateway: &Rc<Gateway>, digest: Digest) {
     let digest = Rc::new(digest);
-    for fellow in gateway.fellows() {
+    for fellow in gateway.knowledge.fellows() {
         let (gateway, digest) = (gateway.clone(), digest.clone());
         actix_rt::spawn(async move {
             let knowledge = &gateway.knowledge;
@@ -77,15 +77,6 @@
         )
     }
 
-    /// The other entries of this hall.
-    fn fellows(&self) -> Vec<std::net::SocketAddr> {
-        let peers = self.knowledge.peers.borrow();
-        let own = &self.knowledge.identity.hall;
-        let alive = peers.alive(self.knowledge.now());
-        let of_hall = alive.filter(|(_, hall)| *hall == own);
-        of_hall.map(|(address, _)| address).collect()
-    }
-
     /// Answers how this hall's replicas do.
     pub(super) fn hall_news(&self, sync: &Sync) -> HallNews {
         let now = self.knowledge.now();
--- a/src/knowledge.rs
+++ b/src/knowledge.rs
@@ -2,6 +2,7 @@
 //!
 //! * [`store`] reads and watches the platform's store.
 //! * [`halls`] decides who asks another hall how its replicas do.
+//! * [`readers`] decides who reads it for a whole hall.
 //! * [`gossip`] exchanges what is newer with other processes of the system, so that one that the
 //!   store turns away, or that just began, knows what the others know.
 
@@ -13,9 +14,11 @@
 
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
+use readers::Readers;
+use tokio::sync::Notify;
 
 use crate::clock::{Clock, Time};
-use crate::config::belief::{Belief, Dated, Effect, Fact, Wanted};
+use crate::config::belief::{Belief, Dated, Effect, Fact, Marks, Wanted};
 use crate::exchange;
 use crate::member::peer::Peers;
 use crate::member::replica::Record;
@@ -24,6 +27,7 @@
 
 pub mod gossip;
 pub mod halls;
+pub mod readers;
 pub mod store;
 
 /// The store counts as shaky for so long after it was out of reach.
@@ -63,7 +67,12 @@
     pub seeds: RefCell<Vec<SocketAddr>>,
     /// Changes of what is believed.
     pub changed: tokio::sync::watch::Sender<u64>,
+    /// Wakes those who tell the hall's entries that there is news.
+    pub news: Notify,
     trouble: Cell<Option<Time>>,
+    fetching: Cell<bool>,
+    readers: RefCell<Readers>,
+    answered: Cell<Option<Time>>,
 }
 
 impl Knowledge {
@@ -79,7 +88,11 @@
             brief: RefCell::default(),
             seeds: RefCell::new(seeds),
             changed: tokio::sync::watch::Sender::new(0),
+            news: Notify::new(),
             trouble: Cell::new(None),
+            fetching: Cell::new(false),
+            readers: RefCell::default(),
+            answered: Cell::new(None),
             identity,
         })
     }
@@ -89,6 +102,61 @@
         self.clock.now()
     }
 
+    /// The other entries of the own hall.
+    pub fn fellows(&self) -> Vec<SocketAddr> {
+        let peers = self.peers.borrow();
+        let alive = peers.alive(self.now());
+        let of_hall = alive.filter(|(_, hall)| **hall == self.identity.hall);
+        of_hall.map(|(address, _)| address).collect()
+    }
+
+    /// Whether this entry reads `topic` from the store, or others of its hall do.
+    pub fn reads(&self, topic: Topic) -> bool {
+        let readers = self.readers.borrow();
+        readers.reads(topic, self.identity.address, &self.fellows(), self.now())
+    }
+
+    /// Milliseconds since the store answered this process.
+    fn store_age_ms(&self, now: Time) -> Option<u64> {
+        let at = self.answered.get()?;
+        Some(now.since(at).as_millis() as u64)
+    }
+
+    /// Takes when the store answered another entry, if that stands in this hall.
+    fn take_store_age(&self, entry: SocketAddr, hall: &str, age_ms: Option<u64>) {
+        if *hall != *self.identity.hall {
+            return;
+        }
+        if let Some(age) = age_ms.map(Duration::from_millis) {
+            self.readers.borrow_mut().told(entry, self.now() - age);
+        }
+    }
+
+    /// An entry does not answer.
+    pub fn lost(&self, entry: SocketAddr) {
+        self.readers.borrow_mut().lost(entry);
+    }
+
+    /// Whether another process with these marks knows something newer.
+    pub fn lacks(&self, marks: Marks) -> bool {
+        let own = self.belief.borrow().marks();
+        marks.routing > own.routing
+            || marks.versions > own.versions
+            || marks.replicas > own.replicas
+    }
+
+    /// The revision up to which a topic is known.
+    pub fn revision(&self, topic: Topic) -> u64 {
+        let belief = self.belief.borrow();
+        match topic {
+            Topic::Operator => {
+                let marks = belief.marks();
+                marks.routing.max(marks.versions)
+            }
+            Topic::Replicas => belief.listed_at(),
+        }
+    }
+
     /// The store was out of reach.
     pub fn trouble(&self) {
         self.trouble.set(Some(self.now()));
@@ -107,7 +175,7 @@
         }
     }
 
-    fn learn(&self, dated: Dated, origin: &str) {
+    fn learn(&self, dated: Dated, origin: &str) -> Effect {
         let revision = dated.revision;
         let text = describe(&dated.fact);
         let (now, shaky) = (self.now(), self.shaky());
@@ -116,10 +184,19 @@
             log::info!(revision, origin, shaky; "learned: {text}");
         }
         self.tell(effect);
+        effect
     }
 
     /// Takes what the store answered; `whole` if that is everything of its topic.
     pub fn take_batch(&self, topic: Topic, whole: bool, batch: Batch) {
+        self.answered.set(Some(self.now()));
+        if self.learn_batch(topic, whole, batch) {
+            self.news.notify_one();
+        }
+    }
+
+    /// Returns whether anything changed.
+    fn learn_batch(&self, topic: Topic, whole: bool, batch: Batch) -> bool {
         for reason in &batch.rejected {
             log::warn!(revision = batch.at; "entry of the store not understood: {reason}");
         }
@@ -131,25 +208,28 @@
                     Fact::Replica(record) => Some((dated.revision, record)),
                     _ => None,
                 });
-            self.take_list(records.collect(), batch.at, "store");
-            return;
+            let effect = self.take_list(records.collect(), batch.at, self.shaky(), "store");
+            return effect != Effect::None;
         }
+        let mut changed = false;
         for dated in batch.facts {
-            self.learn(dated, "store");
+            changed |= self.learn(dated, "store") != Effect::None;
         }
         if topic == Topic::Replicas {
             self.belief.borrow_mut().reached(batch.at);
         }
+        changed
     }
 
-    fn take_list(&self, records: Vec<(u64, Record)>, at: u64, origin: &str) {
+    fn take_list(&self, records: Vec<(u64, Record)>, at: u64, shaky: bool, origin: &str) -> Effect {
         let count = records.len();
-        let (now, shaky) = (self.now(), self.shaky());
+        let now = self.now();
         let effect = self.belief.borrow_mut().learn_list(records, at, now, shaky);
         if effect != Effect::None {
             log::info!(revision = at, origin, replicas = count, shaky; "learned: list of replicas");
         }
         self.tell(effect);
+        effect
     }
 
     /// Takes what another process answered.
@@ -159,6 +239,7 @@
             let mut peers = self.peers.borrow_mut();
             peers.learn(&news.peers, now);
         }
+        self.take_store_age(from, &news.hall, news.store_age_ms);
         if let Some(dated) = news.routing {
             let fact = Fact::Routing(dated.document);
             let revision = dated.revision;
@@ -170,7 +251,8 @@
         if let Some(list) = news.replicas {
             let records = list.records.into_iter();
             let records = records.map(|dated| (dated.revision, dated.record));
-            self.take_list(records.collect(), list.at, &from.to_string());
+            let shaky = list.shaky || self.shaky();
+            self.take_list(records.collect(), list.at, shaky, &from.to_string());
         }
         if let Some(brief) = news.brief {
             let newer = self
@@ -213,6 +295,7 @@
             hall: self.identity.hall.clone(),
             entry: self.identity.entry,
             marks: self.belief.borrow().marks(),
+            store_age_ms: self.store_age_ms(now),
             peers: if self.identity.entry && names_entries {
                 self.peers.borrow().tell(now)
             } else {
@@ -233,6 +316,9 @@
             }
             peers.learn(&sync.peers, now);
         }
+        if sync.entry {
+            self.take_store_age(sync.from, &sync.hall, sync.store_age_ms);
+        }
         let belief = self.belief.borrow();
         let marks = belief.marks();
         let told = if sync.wants_peers {
@@ -245,6 +331,7 @@
             hall: self.identity.hall.clone(),
             entry: self.identity.entry,
             marks,
+            store_age_ms: self.store_age_ms(now),
             peers: told,
             routing: (newer_routing && !brief).then(|| self.document()).flatten(),
             versions: if marks.versions > sync.marks.versions {
@@ -252,7 +339,7 @@
             } else {
                 Vec::new()
             },
-            replicas: (marks.replicas > sync.marks.replicas).then(|| list(&belief, marks.replicas)),
+            replicas: (marks.replicas > sync.marks.replicas).then(|| list(&belief, self.shaky())),
             brief: (newer_routing && brief).then(|| self.brief()).flatten(),
         }
     }
@@ -262,7 +349,7 @@
         let routing = belief.routing()?;
         Some(DatedDocument {
             revision: belief.marks().routing,
-            document: Arc::new(routing.document.clone()),
+            document: routing.document.clone(),
         })
     }
 
@@ -294,11 +381,12 @@
     }
 }
 
-fn list(belief: &Belief, at: u64) -> List {
+fn list(belief: &Belief, shaky: bool) -> List {
     let present = belief.replicas().values();
     let present = present.filter(|listed| listed.gone.is_none());
     List {
-        at,
+        at: belief.marks().replicas,
+        shaky,
         records: present
             .map(|listed| DatedRecord {
                 revision: listed.revision,
--- a/src/knowledge/gossip.rs
+++ b/src/knowledge/gossip.rs
@@ -12,18 +12,22 @@
 use serde::de::DeserializeOwned;
 
 use super::Knowledge;
+use super::readers::Readers;
 use crate::exchange::{Options, Request};
 use crate::wire::sync::{News, SYNC_PATH};
 
 /// How often an entry asks others.
 const EVERY: Duration = Duration::from_millis(500);
 
-/// Entries that are asked at a time.
+/// Processes beside replicas that are asked at a time.
 const ASKED: usize = 2;
 
 /// Rounds between two in which the seeds and an entry of any hall are asked as well.
 const SEED_ROUNDS: u32 = 6;
 
+/// Shortest time between two rounds of telling that there is news.
+const NEWS_GAP: Duration = Duration::from_millis(150);
+
 /// How long a process may take to answer.
 const TIMEOUT: Duration = Duration::from_millis(1_000);
 
@@ -114,6 +118,7 @@
             actix_rt::spawn(async move {
                 let sync = knowledge.sync(true);
                 if let Err(error) = post(&knowledge, peer, SYNC_PATH, &sync).await {
+                    knowledge.lost(peer);
                     log::debug!(peer:% = peer; "heartbeat: {error}");
                 }
             });
@@ -125,6 +130,41 @@
     }
 }
 
+/// Tells the other entries of the hall at once that there is news, if this one reads the store for
+/// them. Runs until dropped.
+pub async fn tell_news(knowledge: Rc<Knowledge>) {
+    loop {
+        knowledge.news.notified().await;
+        let fellows = knowledge.fellows();
+        if !Readers::is_reader(knowledge.identity.address, &fellows) {
+            continue;
+        }
+        for fellow in fellows {
+            let knowledge = knowledge.clone();
+            actix_rt::spawn(async move {
+                let sync = knowledge.sync(false);
+                if let Err(error) = post(&knowledge, fellow, SYNC_PATH, &sync).await {
+                    log::debug!(peer:% = fellow; "news: {error}");
+                }
+            });
+        }
+        sleep(NEWS_GAP).await;
+    }
+}
+
+/// Asks `peer`, which knows something newer, for its news.
+pub async fn fetch_news(knowledge: Rc<Knowledge>, peer: SocketAddr) {
+    // Several tell of the same news; a configuration is too long to be drawn twice.
+    if knowledge.fetching.replace(true) {
+        return;
+    }
+    let sync = knowledge.sync(false);
+    if let Err(error) = post(&knowledge, peer, SYNC_PATH, &sync).await {
+        log::debug!(peer:% = peer; "news: {error}");
+    }
+    knowledge.fetching.set(false);
+}
+
 fn targets(
     knowledge: &Knowledge,
     round: u32,
@@ -132,13 +172,12 @@
 ) -> Vec<SocketAddr> {
     let now = knowledge.now();
     let mut rng = knowledge.rng.borrow_mut();
+    let mut chosen = Readers::asked(&knowledge.fellows());
     let peers = knowledge.peers.borrow();
-    let hall = Some(&*knowledge.identity.hall);
-    let mut chosen = peers.sample(hall, ASKED, now, &mut *rng);
     // Bytes between halls are dear.
     let wide = round.is_multiple_of(SEED_ROUNDS);
     if wide || chosen.is_empty() {
-        chosen.extend(peers.sample(None, 1, now, &mut *rng));
+        chosen.extend(peers.sample(1, now, &mut *rng));
     }
     let alone = chosen.is_empty();
     if alone || wide {
--- /dev/null
+++ b/src/knowledge/readers.rs
@@ -0,0 +1,86 @@
+//! Which entries of a data hall read the platform's store for all of them.
+//!
+//! Each call has its price, and a configuration that all entries draw at once fills the links to
+//! the store. So the first ones of a hall read, tell the others that there is news, and tell with
+//! every message how long ago the store answered them. The others read for themselves as soon as
+//! none of those before them has had an answer lately, as far as they were told.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use crate::clock::Time;
+use crate::member::rank::rank;
+use crate::source::Topic;
+
+/// Entries of a hall that read what operators write: one that is cut off must not hold it up.
+const OPERATOR_READERS: u32 = 2;
+
+/// Entries of a hall that read the list of replicas, which changes all the time.
+const REPLICAS_READERS: u32 = 1;
+
+/// Subject of the ranking.
+const SUBJECT: &str = "store";
+
+/// How long ago the store may have answered those before in rank.
+const MISSING: Duration = Duration::from_millis(1_600);
+
+/// How much longer each further entry in rank waits.
+const STEP: Duration = Duration::from_millis(100);
+
+/// Most that an entry waits longer for its rank.
+const STEPS_MAX: u32 = 4;
+
+/// Entries of a hall that are asked for news: its readers.
+pub const ASKED: usize = 2;
+
+/// What the entries of the own hall told of the store.
+#[derive(Debug, Default)]
+pub struct Readers {
+    answered: BTreeMap<SocketAddr, Time>,
+}
+
+impl Readers {
+    /// The store answered `entry` last at `at`.
+    pub fn told(&mut self, entry: SocketAddr, at: Time) {
+        let known = self.answered.entry(entry).or_default();
+        *known = (*known).max(at);
+    }
+
+    /// An entry does not answer.
+    pub fn lost(&mut self, entry: SocketAddr) {
+        self.answered.remove(&entry);
+    }
+
+    /// Whether the entry at `own` reads `topic` itself, beside the other entries of its hall.
+    pub fn reads(&self, topic: Topic, own: SocketAddr, fellows: &[SocketAddr], now: Time) -> bool {
+        let rank = rank(own, fellows.iter().copied(), SUBJECT);
+        if rank < readers(topic) {
+            return true;
+        }
+        let answered = fellows.iter().filter_map(|entry| self.answered.get(entry));
+        let patience = MISSING + STEP * rank.min(STEPS_MAX);
+        answered.max().is_none_or(|at| now.since(*at) >= patience)
+    }
+
+    /// Whether the entry at `own` is one of those whom the others ask.
+    pub fn is_reader(own: SocketAddr, fellows: &[SocketAddr]) -> bool {
+        rank(own, fellows.iter().copied(), SUBJECT) < ASKED as u32
+    }
+
+    /// The entries of the hall to ask for news.
+    pub fn asked(fellows: &[SocketAddr]) -> Vec<SocketAddr> {
+        let place = |entry: &SocketAddr| rank(*entry, fellows.iter().copied(), SUBJECT);
+        let mut ranked: Vec<SocketAddr> = fellows.to_vec();
+        ranked.sort_by_cached_key(place);
+        ranked.truncate(ASKED);
+        ranked
+    }
+}
+
+fn readers(topic: Topic) -> u32 {
+    match topic {
+        Topic::Operator => OPERATOR_READERS,
+        Topic::Replicas => REPLICAS_READERS,
+    }
+}
--- a/src/knowledge/store.rs
+++ b/src/knowledge/store.rs
@@ -9,11 +9,15 @@
 use super::Knowledge;
 use crate::source::{Batch, Error, Source, Topic};
 
-/// How long one watch waits.
-const WAIT: Duration = Duration::from_secs(5);
+/// How long a watch of what operators write waits.
+const OPERATOR_WAIT: Duration = Duration::from_secs(5);
+
+/// How long a watch of the list waits. Heartbeats of replicas end it long before that: a watch
+/// that waits so long shows that the store is not in reach.
+const REPLICAS_WAIT: Duration = Duration::from_secs(1);
 
 /// How much longer than its wait an answer may take.
-const MARGIN: Duration = Duration::from_millis(1_500);
+const MARGIN: Duration = Duration::from_millis(700);
 
 /// How long a whole read may take.
 const READ_TIMEOUT: Duration = Duration::from_secs(2);
@@ -24,6 +28,9 @@
 /// Pause between two watches of the list, which changes with every heartbeat of a replica.
 const REPLICAS_GAP: Duration = Duration::from_millis(500);
 
+/// How often an entry looks whether it has to read for itself.
+const STANDBY: Duration = Duration::from_millis(100);
+
 /// First pause after a failure, doubled up to [`PAUSE_MAX`].
 const PAUSE: Duration = Duration::from_millis(150);
 
@@ -37,12 +44,30 @@
     }
 }
 
+fn wait(topic: Topic) -> Duration {
+    match topic {
+        Topic::Operator => OPERATOR_WAIT,
+        Topic::Replicas => REPLICAS_WAIT,
+    }
+}
+
 /// Follows one topic until dropped.
 pub async fn follow(knowledge: Rc<Knowledge>, source: Rc<dyn Source>, topic: Topic) {
     let mut after = None;
     let mut pause = PAUSE;
     let mut reached = true;
+    let mut reads_whole = false;
     loop {
+        if !knowledge.reads(topic) {
+            // What others learned meanwhile need not be read again.
+            after = None;
+            sleep(STANDBY).await;
+            continue;
+        }
+        let known = knowledge.revision(topic);
+        if !reads_whole {
+            after = after.or((known > 0).then_some(known));
+        }
         match ask(&*source, topic, after).await {
             Ok(batch) => {
                 if !reached {
@@ -52,12 +77,14 @@
                 pause = PAUSE;
                 let at = batch.at;
                 knowledge.take_batch(topic, after.is_none(), batch);
+                reads_whole = false;
                 after = Some(at);
                 sleep(gap(topic)).await;
             }
             Err(Error::Forgotten) => {
                 log::info!(topic:? = topic, after:? = after; "store has forgotten; reading anew");
                 after = None;
+                reads_whole = true;
             }
             Err(error) => {
                 knowledge.trouble();
@@ -76,7 +103,10 @@
 async fn ask(source: &dyn Source, topic: Topic, after: Option<u64>) -> Result<Batch, Error> {
     let (call, longest) = match after {
         None => (source.read(topic), READ_TIMEOUT),
-        Some(after) => (source.watch(topic, after, WAIT), WAIT + MARGIN),
+        Some(after) => (
+            source.watch(topic, after, wait(topic)),
+            wait(topic) + MARGIN,
+        ),
     };
     timeout(longest, call).await.unwrap_or_else(|_| {
         Err(Error::Unreachable {
--- a/src/member/peer.rs
+++ b/src/member/peer.rs
@@ -110,18 +110,9 @@
         self.peers.len() + 1 + UNKNOWN
     }
 
-    /// Up to `count` entries to ask, at random among those that were heard of lately, of one hall
-    /// or of any.
-    pub fn sample(
-        &self,
-        hall: Option<&str>,
-        count: usize,
-        now: Time,
-        rng: &mut impl Rng,
-    ) -> Vec<SocketAddr> {
-        let alive = self.alive(now);
-        let of_hall = alive.filter(|(_, at)| hall.is_none_or(|hall| hall == &***at));
-        let mut alive: Vec<SocketAddr> = of_hall.map(|(address, _)| address).collect();
+    /// Up to `count` entries to ask, at random among those that were heard of lately.
+    pub fn sample(&self, count: usize, now: Time, rng: &mut impl Rng) -> Vec<SocketAddr> {
+        let mut alive: Vec<SocketAddr> = self.alive(now).map(|(address, _)| address).collect();
         let mut chosen = Vec::new();
         while chosen.len() < count && !alive.is_empty() {
             let index = rng.random_range(0..alive.len());
--- a/src/wire/sync.rs
+++ b/src/wire/sync.rs
@@ -28,6 +28,9 @@
     pub entry: bool,
     /// How fresh its beliefs are.
     pub marks: Marks,
+    /// Milliseconds since the platform's store answered it, if it ever did.
+    #[serde(default)]
+    pub store_age_ms: Option<u64>,
     /// The entries that it knows.
     pub peers: Vec<Told>,
     /// Whether it wants to be told of entries.
@@ -116,6 +119,9 @@
 pub struct List {
     /// The revision up to which it is known.
     pub at: u64,
+    /// Whether the store was out of reach shortly before.
+    #[serde(default)]
+    pub shaky: bool,
     /// The entries.
     pub records: Vec<DatedRecord>,
 }
@@ -140,6 +146,9 @@
     pub entry: bool,
     /// How fresh its beliefs are.
     pub marks: Marks,
+    /// Milliseconds since the platform's store answered it, if it ever did.
+    #[serde(default)]
+    pub store_age_ms: Option<u64>,
     /// The entries that it knows, if that was asked for.
     pub peers: Vec<Told>,
     /// Newer routing.
--- a/tests/belief.rs
+++ b/tests/belief.rs
@@ -72,7 +72,7 @@
 
 #[test]
 fn the_longest_prefix_of_the_host_wins() {
-    let routing = Routing::new(document(1));
+    let routing = Routing::new(Arc::new(document(1)));
     let name = |host: &str, path: &str| routing.route(host, path).map(|route| route.name.clone());
     assert_eq!(name("a.example", "/lab/marks/7").as_deref(), Some("long"));
     assert_eq!(name("a.example", "/lab/7").as_deref(), Some("short"));
@@ -83,7 +83,7 @@
 
 #[test]
 fn a_key_opens_what_its_customer_may_use_and_nothing_else_does() {
-    let routing = Routing::new(document(1));
+    let routing = Routing::new(Arc::new(document(1)));
     let closed = route("r", "a.example", "/");
     assert!(matches!(
         routing.access(&closed, Some("k1")),
--- a/tests/knowledge.rs
+++ b/tests/knowledge.rs
@@ -6,8 +6,10 @@
 
 use pumicelatch::clock::Time;
 use pumicelatch::knowledge::halls::{Ask, Halls, PERIOD};
+use pumicelatch::knowledge::readers::Readers;
 use pumicelatch::member::peer::{ALIVE, Peers};
 use pumicelatch::member::rank::rank;
+use pumicelatch::source::Topic;
 use quickcheck::quickcheck;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -106,3 +108,72 @@
     let mut halls = Halls::default();
     assert!(asked(&mut halls, own, &peers, NOW + ALIVE).is_empty());
 }
+
+fn fellows(index: u8, count: u8) -> Vec<SocketAddr> {
+    let others = (1..=count).filter(|other| *other != index);
+    others.map(|other| entry(1, other)).collect()
+}
+
+/// The entries of a hall of `count` that read `topic`, when each was told that the store answered
+/// the entries `told` so long ago.
+fn reading(topic: Topic, count: u8, told: &[(u8, u64)]) -> Vec<u8> {
+    let reads = |index: &u8| {
+        let mut readers = Readers::default();
+        for (other, age_ms) in told {
+            let at = NOW - Duration::from_millis(*age_ms);
+            readers.told(entry(1, *other), at);
+        }
+        readers.reads(topic, entry(1, *index), &fellows(*index, count), NOW)
+    };
+    (1..=count).filter(reads).collect()
+}
+
+#[test]
+fn few_entries_of_a_hall_read_the_store_and_the_others_when_those_hear_nothing() {
+    let first = reading(Topic::Replicas, 6, &[(1, 0), (2, 0), (3, 0)]);
+    assert_eq!(first.len(), 1);
+    let operator = reading(Topic::Operator, 6, &[(first[0], 400)]);
+    assert!(operator.len() == 2 && operator.contains(&first[0]));
+    // The first one hears nothing any more: everyone reads.
+    assert_eq!(reading(Topic::Replicas, 6, &[(first[0], 2_100)]).len(), 6);
+    assert_eq!(reading(Topic::Operator, 6, &[]).len(), 6);
+}
+
+#[test]
+fn an_entry_that_does_not_answer_counts_no_more() {
+    let index = (1..=4)
+        .find(|index| !reading(Topic::Operator, 4, &[(1, 0)]).contains(index))
+        .unwrap();
+    let others = fellows(index, 4);
+    let mut readers = Readers::default();
+    readers.told(others[0], NOW);
+    let own = entry(1, index);
+    assert!(!readers.reads(Topic::Operator, own, &others, NOW));
+    readers.lost(others[0]);
+    assert!(readers.reads(Topic::Operator, own, &others, NOW));
+}
+
+#[test]
+fn readers_are_asked_for_news_by_all_others() {
+    let everyone: Vec<SocketAddr> = (1..=5).map(|index| entry(1, index)).collect();
+    let is_reader = |own: &SocketAddr| {
+        let others: Vec<SocketAddr> = everyone
+            .iter()
+            .copied()
+            .filter(|other| other != own)
+            .collect();
+        Readers::is_reader(*own, &others)
+    };
+    let readers: Vec<SocketAddr> = everyone.iter().copied().filter(is_reader).collect();
+    assert_eq!(readers.len(), 2);
+    for own in everyone.iter().filter(|own| !readers.contains(own)) {
+        let others: Vec<SocketAddr> = everyone
+            .iter()
+            .copied()
+            .filter(|other| other != own)
+            .collect();
+        let mut asked = Readers::asked(&others);
+        asked.sort_unstable();
+        assert_eq!(asked, readers);
+    }
+}
