--- a/src/route/estimate.rs
+++ b/src/route/estimate.rs
@@ -30,6 +30,9 @@
 /// Part of a pass that a new request waits on average before it is looked at.
 const PASS_WAITED: f64 = 0.5;
 
+/// Factor on the mean time in a queue: whoever waits has to be in time mostly, not just on average.
+const QUEUE_SPREAD: f64 = 2.0;
+
 fn millis(value: f64) -> Duration {
     Duration::from_secs_f64((value / 1_000.0).clamp(0.0, 3_600.0))
 }
@@ -63,7 +66,7 @@
     let pass = step_ms(engine, batch) * f64::from(engine.stride.max(1));
     let read = read_ms(engine, work.unread + f64::from(demand.prompt));
     let waiting = work.requests.saturating_sub(slots - 1);
-    let queue = turnover(engine, 1.0) * waiting;
+    let queue = (turnover(engine, 1.0) * waiting).mul_f64(QUEUE_SPREAD);
     (queue + millis(pass * (1.0 + PASS_WAITED) + read)).mul_f64(work.pace.max(1.0))
 }
 
