Free places that a report shows are dealt among the entries

Change: entries tell the rate of their requests with every message. What others send unseen follows the rates. Each free place of a report is dealt to one entry by its part of the requests, the same for all that compute it; an entry keeps to its places where it has fewer than 8 over all replicas. Test: each_free_place_is_meant_for_one_entry_and_more_of_them_for_a_busier_one.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -22,6 +22,7 @@
 use crate::audit::{Deed, Trail};
 use crate::burst::host::{Host, Instruments};
 use crate::burst::joined::{self, Joined, Origins};
+use crate::clock::Time;
 use crate::config::belief::Belief;
 use crate::daemon;
 use crate::exchange;
@@ -33,6 +34,7 @@
 use crate::metric::{self, Metrics};
 use crate::node::ClientHandle;
 use crate::request::budget::{self, Budget};
+use crate::route::crowd::{self, Crowd};
 use crate::route::pool::Pool;
 use crate::route::replica::Due;
 use crate::source::{Source, Topic};
@@ -55,6 +57,9 @@
 /// How often beliefs are looked over.
 const TICK: Duration = Duration::from_millis(200);
 
+/// Weight of the newest rate of requests: one in this many.
+const RATE_SMOOTHING: f64 = 8.0;
+
 /// Longest rest of a connection to a replica that is used again.
 pub const IDLE_MAX: Duration = Duration::from_millis(2_000);
 
@@ -126,6 +131,7 @@
     budgets: RefCell<BTreeMap<Arc<str>, Budget>>,
     leaving: Cell<bool>,
     in_flight: Cell<u64>,
+    arrived: Cell<u32>,
     instruments: status::Instruments,
     joined: Joined,
     halls: RefCell<Halls>,
@@ -240,6 +246,7 @@
             budgets: RefCell::default(),
             leaving: Cell::new(false),
             in_flight: Cell::new(0),
+            arrived: Cell::new(0),
             halls: RefCell::default(),
             instruments: status::Instruments::new(&metrics.meter()),
             metrics,
@@ -370,6 +377,7 @@
         loop {
             sleep(TICK).await;
             let now = self.knowledge.now();
+            self.look_at_crowd(now);
             let swept = self.knowledge.belief.borrow_mut().sweep(now);
             if swept {
                 self.knowledge.changed.send_modify(|count| *count += 1);
@@ -378,6 +386,23 @@
         }
     }
 
+    /// Measures this entry's rate of requests, and takes the others'.
+    fn look_at_crowd(&self, now: Time) {
+        let knowledge = &self.knowledge;
+        let arrived = f64::from(self.arrived.replace(0)) / TICK.as_secs_f64();
+        let rate = knowledge.rate.get();
+        knowledge.rate.set(rate + (arrived - rate) / RATE_SMOOTHING);
+        let own = crowd::Entry {
+            address: knowledge.identity.address,
+            rate: knowledge.rate.get(),
+        };
+        let peers = knowledge.peers.borrow();
+        let others = peers.rates(now);
+        let others = others.map(|(address, rate)| crowd::Entry { address, rate });
+        let crowd = Crowd::new(own, others.collect());
+        self.pool.borrow_mut().set_crowd(crowd);
+    }
+
     /// The pool, with the list as it is believed now.
     fn refresh_pool(&self) {
         let changes = *self.knowledge.changed.borrow();
@@ -433,6 +458,7 @@
     }
 
     fn count_request(&self, service: &Arc<str>) {
+        self.arrived.set(self.arrived.get() + 1);
         let now = self.knowledge.now();
         let mut budgets = self.budgets.borrow_mut();
         let budget = budgets.entry(service.clone()).or_default();
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -398,7 +398,6 @@
         let engine = service.and_then(|service| service.engine.as_ref());
         let model = model.filter(|_| engine.is_some());
         let entries = gateway.knowledge.peers.borrow().bound() as u32;
-        let fellows = gateway.knowledge.peers.borrow().alive(now).count() as u32;
         let connections = service.map_or(u32::MAX, |service| service.connections_max);
         let ask = pool::Ask {
             service: &self.job.service,
@@ -411,7 +410,6 @@
             demand: self.job.demand(),
             tried: &self.tried,
             connections_max: (connections / entries.max(1)).max(CONNECTIONS_MIN),
-            fellows,
         };
         let pool = gateway.pool.borrow();
         let mut rng = gateway.knowledge.rng.borrow_mut();
--- a/src/gateway/halls.rs
+++ b/src/gateway/halls.rs
@@ -35,11 +35,6 @@
             return;
         }
     };
-    let now = knowledge.now();
-    knowledge
-        .peers
-        .borrow_mut()
-        .heard(ask.entry, &news.hall, now);
     knowledge.take_news(ask.entry, news);
     gateway.take_digest(&digest);
     if ask.pass_on {
--- a/src/knowledge.rs
+++ b/src/knowledge.rs
@@ -70,6 +70,8 @@
     /// Wakes those who tell the hall's entries that there is news.
     pub news: Notify,
     trouble: Cell<Option<Time>>,
+    /// Callers' requests a second that go to engines.
+    pub rate: Cell<f64>,
     fetching: Cell<bool>,
     readers: RefCell<Readers>,
     answered: Cell<Option<Time>>,
@@ -90,6 +92,7 @@
             changed: tokio::sync::watch::Sender::new(0),
             news: Notify::new(),
             trouble: Cell::new(None),
+            rate: Cell::new(0.0),
             fetching: Cell::new(false),
             readers: RefCell::default(),
             answered: Cell::new(None),
@@ -238,6 +241,10 @@
         {
             let mut peers = self.peers.borrow_mut();
             peers.learn(&news.peers, now);
+            if news.entry {
+                peers.heard(from, &news.hall, now);
+                peers.rated(from, news.rate);
+            }
         }
         self.take_store_age(from, &news.hall, news.store_age_ms);
         if let Some(dated) = news.routing {
@@ -296,6 +303,7 @@
             entry: self.identity.entry,
             marks: self.belief.borrow().marks(),
             store_age_ms: self.store_age_ms(now),
+            rate: self.rate.get(),
             peers: if self.identity.entry && names_entries {
                 self.peers.borrow().tell(now)
             } else {
@@ -313,6 +321,7 @@
             let mut peers = self.peers.borrow_mut();
             if sync.entry {
                 peers.heard(sync.from, &sync.hall, now);
+                peers.rated(sync.from, sync.rate);
             }
             peers.learn(&sync.peers, now);
         }
@@ -332,6 +341,7 @@
             entry: self.identity.entry,
             marks,
             store_age_ms: self.store_age_ms(now),
+            rate: self.rate.get(),
             peers: told,
             routing: (newer_routing && !brief).then(|| self.document()).flatten(),
             versions: if marks.versions > sync.marks.versions {
--- a/src/knowledge/gossip.rs
+++ b/src/knowledge/gossip.rs
@@ -68,10 +68,6 @@
     message: &T,
 ) -> Result<(), Error> {
     let news: News = ask(knowledge, peer, path, message).await?;
-    let now = knowledge.now();
-    if news.entry {
-        knowledge.peers.borrow_mut().heard(peer, &news.hall, now);
-    }
     knowledge.take_news(peer, news);
     Ok(())
 }
--- a/src/member/peer.rs
+++ b/src/member/peer.rs
@@ -20,7 +20,7 @@
 const UNKNOWN: usize = 3;
 
 /// An entry as told to others.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Told {
     /// Where it listens to other processes of the system.
     pub address: SocketAddr,
@@ -28,12 +28,16 @@
     pub hall: Arc<str>,
     /// Milliseconds since it was heard of.
     pub age_ms: u64,
+    /// Its requests a second.
+    #[serde(default)]
+    pub rate: f64,
 }
 
 #[derive(Debug, Clone)]
 struct Peer {
     hall: Arc<str>,
     heard: Time,
+    rate: f64,
 }
 
 /// The entries that a process knows.
@@ -61,6 +65,7 @@
         let peer = self.peers.entry(address).or_insert_with(|| Peer {
             hall: hall.clone(),
             heard: at,
+            rate: 0.0,
         });
         peer.heard = peer.heard.max(at);
         if !hall.is_empty() {
@@ -68,12 +73,32 @@
         }
     }
 
+    /// An entry told the rate of its requests.
+    pub fn rated(&mut self, address: SocketAddr, rate: f64) {
+        if let Some(peer) = self.peers.get_mut(&address) {
+            peer.rate = rate;
+        }
+    }
+
+    /// Entries heard of lately, with the rates of their requests.
+    pub fn rates(&self, now: Time) -> impl Iterator<Item = (SocketAddr, f64)> {
+        let alive = self.peers.iter();
+        let alive = alive.filter(move |(_, peer)| now.since(peer.heard) < ALIVE);
+        alive.map(|(address, peer)| (*address, peer.rate))
+    }
+
     /// Takes what another process tells of the entries.
     pub fn learn(&mut self, told: &[Told], now: Time) {
         for entry in told {
             let age = Duration::from_millis(entry.age_ms);
             if age < FORGET && now.0 > age.as_micros() as u64 {
-                self.heard(entry.address, &entry.hall, now - age);
+                let at = now - age;
+                let newer = |peer: &Peer| peer.heard < at;
+                let newer = self.peers.get(&entry.address).is_none_or(newer);
+                self.heard(entry.address, &entry.hall, at);
+                if newer {
+                    self.rated(entry.address, entry.rate);
+                }
             }
         }
     }
@@ -86,6 +111,7 @@
                 address: *address,
                 hall: peer.hall.clone(),
                 age_ms: now.since(peer.heard).as_millis() as u64,
+                rate: peer.rate,
             })
             .collect()
     }
--- a/src/member/rank.rs
+++ b/src/member/rank.rs
@@ -10,7 +10,8 @@
     before.count() as u32
 }
 
-fn weight(address: SocketAddr, subject: &str) -> (u64, SocketAddr) {
+/// The weight of the process at `address` for `subject`, the same everywhere; no two are equal.
+pub fn weight(address: SocketAddr, subject: &str) -> (u64, SocketAddr) {
     let mut hasher = blake3::Hasher::new();
     hasher.update(address.to_string().as_bytes());
     hasher.update(subject.as_bytes());
--- a/src/route/pool.rs
+++ b/src/route/pool.rs
@@ -12,6 +12,7 @@
 use rand::{Rng, RngExt};
 use slotmap::SlotMap;
 
+use super::crowd::Crowd;
 use super::estimate::{self, Demand, Work};
 use super::health::Sign;
 use super::replica::{Due, Load, Replica};
@@ -54,6 +55,9 @@
 /// Cost of each taken slot: a fuller engine writes more slowly.
 const CROWDING: Duration = Duration::from_millis(3);
 
+/// Free places that are meant for this entry, over all replicas, with which it need not keep to them.
+const SHARES_ENOUGH: u32 = 8;
+
 /// The model that a request needs.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ModelNeed<'a> {
@@ -80,8 +84,6 @@
     pub tried: &'a [Key],
     /// Connections that this entry may have to one replica.
     pub connections_max: u32,
-    /// Other entries that choose among the same replicas.
-    pub fellows: u32,
 }
 
 /// A replica that was chosen.
@@ -126,6 +128,8 @@
 #[derive(Debug, Default)]
 pub struct Pool {
     own_hall: Arc<str>,
+    crowd: Crowd,
+    scarce: bool,
     replicas: SlotMap<Key, Replica>,
     ids: BTreeMap<Arc<str>, Key>,
     services: BTreeMap<Arc<str>, Vec<Key>>,
@@ -141,6 +145,13 @@
         }
     }
 
+    /// The entries that choose among the same replicas are these.
+    pub fn set_crowd(&mut self, crowd: Crowd) {
+        self.crowd = crowd;
+        let shares = self.replicas.values().map(Replica::share);
+        self.scarce = shares.sum::<u32>() < SHARES_ENOUGH;
+    }
+
     /// Takes the list as it stands now, and what change of version each replica has before it.
     pub fn update(
         &mut self,
@@ -216,7 +227,7 @@
         let mut found = false;
         for (_, replica) in &mut self.replicas {
             if replica.record.address == address {
-                replica.report(load, at);
+                replica.report(load, &self.crowd, at);
                 found = true;
             }
         }
@@ -330,13 +341,13 @@
         let (Some(due), Some(engine)) = (change, ask.engine) else {
             return Duration::ZERO;
         };
-        let work = self.work(replica, engine, ask, now);
+        let work = self.work(replica, engine, now);
         let ends = now + expected + estimate::writing(engine, work, ask.demand);
         ends.since(due.at)
     }
 
-    fn work(&self, replica: &Replica, engine: &Engine, ask: Ask<'_>, now: Time) -> Work {
-        let unseen = replica.unseen(ask.fellows, now);
+    fn work(&self, replica: &Replica, engine: &Engine, now: Time) -> Work {
+        let unseen = replica.unseen(&self.crowd, self.scarce, now);
         let unseen_tokens = f64::from(unseen) * engine.usual_prompt;
         Work {
             requests: replica.requests(now) + unseen,
@@ -353,7 +364,7 @@
             let waiting = replica.requests(now).saturating_sub(slots - 1);
             return usual + usual * waiting / slots;
         };
-        let work = self.work(replica, engine, ask, now);
+        let work = self.work(replica, engine, now);
         let held_up = replica.link_delay(now).min(LINK_DELAY_COUNTED);
         let late = replica.late(now).max(held_up);
         let expected = estimate::first_event(engine, work, ask.demand) + late;
--- a/src/route/replica.rs
+++ b/src/route/replica.rs
@@ -4,6 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::crowd::Crowd;
 use super::estimate::Demand;
 use super::health::Health;
 use crate::clock::Time;
@@ -40,6 +41,9 @@
     pub switching: bool,
     /// Whether it answers.
     pub alive: bool,
+    /// Number of the report, by which all entries draw alike whose its free places are.
+    #[serde(default)]
+    pub number: u64,
     /// Milliseconds that the shortest late exchange of its process with an entry took.
     #[serde(default)]
     pub round_trip_ms: u64,
@@ -54,6 +58,8 @@
     load: Option<(Load, Time)>,
     own: Vec<Sent>,
     own_at_report: u32,
+    free_at_report: u32,
+    share: u32,
     unread: Unread,
     unread_at_report: u32,
     lag: Lag,
@@ -143,6 +149,8 @@
             load: None,
             own: Vec::new(),
             own_at_report: 0,
+            free_at_report: 0,
+            share: 0,
             unread: Unread::default(),
             unread_at_report: 0,
             lag: Lag::default(),
@@ -168,12 +176,19 @@
         reported.saturating_sub(self.own_at_report) + self.own()
     }
 
-    /// Requests that `fellows` other entries are likely to have sent since the last report: as many
-    /// each as this one, for they see the same reports and judge alike.
-    pub(super) fn unseen(&self, fellows: u32, now: Time) -> u32 {
+    /// Requests that other entries are likely to have sent since the last report: in proportion to
+    /// this one's, for they see the same reports and judge alike. Once this entry has used the free
+    /// places that are meant for it, the others have used theirs, where places are `scarce`.
+    pub(super) fn unseen(&self, crowd: &Crowd, scarce: bool, now: Time) -> u32 {
         let reported = self.reported(now).map(|(_, at)| at);
         let unknown = |sent: &&Sent| reported.is_none_or(|at| sent.at > at);
-        self.own.iter().filter(unknown).count() as u32 * fellows
+        let own = self.own.iter().filter(unknown).count() as u32;
+        let others = (f64::from(own) * crowd.factor()) as u32;
+        if scarce && reported.is_some() && own >= self.share {
+            others.max(self.free_at_report - self.share)
+        } else {
+            others
+        }
     }
 
     /// The version of `model` that it holds, by the newer of report and list.
@@ -233,16 +248,24 @@
     }
 
     /// The process beside it reported.
-    pub(super) fn report(&mut self, load: &Load, at: Time) {
+    pub(super) fn report(&mut self, load: &Load, crowd: &Crowd, at: Time) {
         if self.load.as_ref().is_some_and(|(_, known)| *known > at) {
             return;
         }
         self.load = Some((load.clone(), at));
+        let taken = load.running + load.queued;
+        self.free_at_report = self.record.slots.saturating_sub(taken);
+        self.share = crowd.share(self.record.address, load.number, self.free_at_report);
         self.own_at_report = self.own.iter().filter(|sent| sent.at <= at).count() as u32;
         let unread = self.unread.requests.iter();
         self.unread_at_report = unread.filter(|pending| pending.at <= at).count() as u32;
     }
 
+    /// Free places of the last report that are meant for this entry.
+    pub(super) fn share(&self) -> u32 {
+        self.share
+    }
+
     /// This entry's requests in progress there.
     pub(super) fn own(&self) -> u32 {
         self.own.len() as u32
--- a/src/sidecar/observe.rs
+++ b/src/sidecar/observe.rs
@@ -86,11 +86,13 @@
     fn load(&self) -> Load {
         let trip = self.trips.borrow_mut().shortest(self.knowledge.now());
         let round_trip_ms = trip.as_millis() as u64;
+        let number = *self.told.borrow();
         let state = self.state.borrow();
         let Some(state) = state.as_ref() else {
             return Load {
                 alive: self.misses.get() < MISSES_MAX,
                 pace: 1.0,
+                number,
                 round_trip_ms,
                 ..Load::default()
             };
@@ -102,6 +104,7 @@
             models: state.models.clone(),
             switching: state.busy || self.noticed.get().is_some(),
             alive: true,
+            number,
             round_trip_ms,
         }
     }
--- a/src/wire/sync.rs
+++ b/src/wire/sync.rs
@@ -31,6 +31,9 @@
     /// Milliseconds since the platform's store answered it, if it ever did.
     #[serde(default)]
     pub store_age_ms: Option<u64>,
+    /// Its requests a second.
+    #[serde(default)]
+    pub rate: f64,
     /// The entries that it knows.
     pub peers: Vec<Told>,
     /// Whether it wants to be told of entries.
@@ -149,6 +152,9 @@
     /// Milliseconds since the platform's store answered it, if it ever did.
     #[serde(default)]
     pub store_age_ms: Option<u64>,
+    /// Its requests a second.
+    #[serde(default)]
+    pub rate: f64,
     /// The entries that it knows, if that was asked for.
     pub peers: Vec<Told>,
     /// Newer routing.
--- a/tests/belief.rs
+++ b/tests/belief.rs
@@ -246,6 +246,7 @@
             address: format!("10.0.0.{index}:8000").parse().unwrap(),
             hall: "lis-a".into(),
             age_ms: 0,
+            rate: 0.0,
         })
         .collect();
     peers.learn(&told, now);
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -14,6 +14,7 @@
 use pumicelatch::request::Outcome;
 use pumicelatch::request::attempt::{self, Ended, Next, Situation};
 use pumicelatch::request::budget::{Budget, Setting};
+use pumicelatch::route::crowd::{self, Crowd};
 use pumicelatch::route::estimate::{self, Demand, Work};
 use pumicelatch::route::health::{Health, Sign};
 use pumicelatch::route::pool::{Ask, Key, ModelNeed, Pool, Shortage};
@@ -87,7 +88,6 @@
     tried: Vec<Key>,
     oldest: u64,
     only: Option<u64>,
-    fellows: u32,
 }
 
 impl Default for Asking {
@@ -97,7 +97,6 @@
             tried: Vec::new(),
             oldest: 0,
             only: None,
-            fellows: 0,
         }
     }
 }
@@ -118,7 +117,6 @@
             },
             tried: &self.tried,
             connections_max: 20,
-            fellows: self.fellows,
         }
     }
 
@@ -140,6 +138,7 @@
         }],
         switching: false,
         alive: true,
+        number: 1,
         round_trip_ms: 8,
     }
 }
@@ -157,18 +156,21 @@
 /// Requests of `entries` entries that an empty replica gets before the next reports, when each
 /// entry places `each` and all see the same reports.
 fn herd(entries: u32, each: u32) -> u32 {
-    let asking = Asking {
-        fellows: entries - 1,
-        ..Asking::default()
+    let asking = Asking::default();
+    let entry = |index: u32| crowd::Entry {
+        address: format!("10.1.0.{}:8000", index + 1).parse().unwrap(),
+        rate: 20.0,
     };
     let mut at_empty = 0;
-    for entry in 0..entries {
+    for own in 0..entries {
         let mut pool = pool_of((1..=8).map(|host| record(host, 1)).collect(), None);
+        let others = (0..entries).filter(|other| *other != own).map(entry);
+        pool.set_crowd(Crowd::new(entry(own), others.collect()));
         for host in 2..=8 {
             pool.report(address(host), &report(9, 1, 1), NOW);
         }
         pool.report(address(1), &report(0, 0, 1), NOW);
-        let mut rng = SmallRng::seed_from_u64(u64::from(entry));
+        let mut rng = SmallRng::seed_from_u64(u64::from(own));
         let now = NOW + Duration::from_millis(20);
         for _ in 0..each {
             let choice = pool.choose(asking.ask(), now, &mut rng).unwrap();
@@ -188,6 +190,35 @@
     assert!((4..=8).contains(&at_empty), "{at_empty} requests");
 }
 
+#[test]
+fn each_free_place_is_meant_for_one_entry_and_more_of_them_for_a_busier_one() {
+    let entries: Vec<crowd::Entry> = (1..=6)
+        .map(|index| crowd::Entry {
+            address: format!("10.1.0.{index}:8000").parse().unwrap(),
+            rate: if index == 1 { 50.0 } else { 10.0 },
+        })
+        .collect();
+    let crowds: Vec<Crowd> = entries
+        .iter()
+        .map(|own| {
+            let others = entries.iter().filter(|other| other.address != own.address);
+            Crowd::new(*own, others.copied().collect())
+        })
+        .collect();
+    let mut busiest = 0;
+    for number in 0..1_000 {
+        let free = number as u32 % 17;
+        let shares = crowds
+            .iter()
+            .map(|crowd| crowd.share(address(1), number, free));
+        assert_eq!(shares.sum::<u32>(), free);
+        busiest += crowds[0].share(address(1), number, 1);
+    }
+    // Its part of all requests is a half.
+    assert!((420..580).contains(&busiest), "{busiest}");
+    assert!((crowds[0].factor() - 1.0).abs() < 1e-9);
+}
+
 #[test]
 fn a_lone_entry_counts_only_what_it_sent() {
     assert!(herd(1, 3) >= 2);
