Each sponsor begins with other chunks

Change: a sponsor's order begins at a place that its name gives; who steps in takes what the sponsor comes to last. Test: sponsors_that_do_not_know_each_other_yet_begin_with_different_chunks (failed before).

--- a/src/spread/ring.rs
+++ b/src/spread/ring.rs
@@ -142,6 +142,14 @@
         .collect()
 }
 
+/// The place of `chunk` of `count` in the order in which the sponsor `name` draws. Each begins
+/// elsewhere: sponsors that do not know of each other yet would all draw the same chunks.
+pub fn turn(version: Digest, chunk: u32, name: &str, count: usize) -> u32 {
+    let count = count.max(1) as u32;
+    let start = weight(version, &[b"turn", name.as_bytes()]) % u64::from(count);
+    (chunk + count - start as u32) % count
+}
+
 /// How many boxes come before `own` to step in for `chunk`: its rank in its hall, and its hall's
 /// rank among the halls, so that a cut-off hall has a first box of its own.
 pub fn substitute_rank(version: Digest, chunk: u32, own: &Member, members: &[Member]) -> usize {
--- a/src/spread/swarm.rs
+++ b/src/spread/swarm.rs
@@ -603,8 +603,8 @@
         })
     }
 
-    /// The chunk that this box should draw as a sponsor: one of its own part, from the first on, or
-    /// else one that another has not come to, from the last on.
+    /// The chunk that this box should draw as a sponsor: one of its own part in its own order, or
+    /// else the one that its sponsor comes to last.
     fn sponsored_chunk(&mut self, unseen: &[u32], now: Time) -> Option<u32> {
         let active = self.active_sponsors(now);
         if !active.contains(&&*self.own.name) {
@@ -615,18 +615,23 @@
             let order = ring::drawers(self.version, chunk, regular, &active);
             order.iter().position(|name| *name == &*self.own.name)
         };
-        if let Some(own) = unseen
+        let own = unseen
             .iter()
             .copied()
-            .find(|&chunk| place(chunk) == Some(0))
-        {
+            .filter(|&chunk| place(chunk) == Some(0));
+        let turn = |chunk: u32, name: &str| ring::turn(self.version, chunk, name, self.have.len());
+        if let Some(own) = own.min_by_key(|&chunk| turn(chunk, &self.own.name)) {
             self.drawn_since = None;
             return Some(own);
         }
         let since = now.since(self.drawn_since.unwrap_or(now)).as_millis();
         let reach = since / self.setting.take_over.as_millis().max(1);
         let within = |chunk: &u32| place(*chunk).is_some_and(|place| place as u128 <= reach);
-        let taken = unseen.iter().copied().rev().find(within);
+        let last = |chunk: &u32| {
+            let sponsor = ring::drawers(self.version, *chunk, regular, &active);
+            sponsor.first().map(|name| turn(*chunk, name))
+        };
+        let taken = unseen.iter().copied().filter(within).max_by_key(last);
         self.drawn_since = self.drawn_since.or(Some(now));
         taken
     }
--- a/tests/burst_plan.rs
+++ b/tests/burst_plan.rs
@@ -1,5 +1,6 @@
 //! The pure plan of a burst: rings, sponsors, swarms, uploads, and the store behind them.
 
+use std::collections::BTreeSet;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
@@ -229,6 +230,33 @@
     assert_eq!(owners, [1; 40], "each chunk is drawn once");
 }
 
+#[test]
+fn sponsors_that_do_not_know_each_other_yet_begin_with_different_chunks() {
+    let mut drawn = BTreeSet::new();
+    for own in members(6, 3) {
+        let mut swarm = Swarm::new(
+            version(),
+            own.clone(),
+            96,
+            Setting::default(),
+            1,
+            Time::default(),
+        );
+        swarm.set_members(vec![own]);
+        let mut now = Time::default();
+        for _ in 0..4 {
+            for action in swarm.tick(now) {
+                if let Action::Fetch { fetch, chunk, .. } = action {
+                    drawn.insert(chunk);
+                    swarm.finish(fetch, chunk, Outcome::Stored, now);
+                }
+            }
+            now = now + Duration::from_millis(10);
+        }
+    }
+    assert!(drawn.len() >= 18, "{} chunks of 24 draws", drawn.len());
+}
+
 #[test]
 fn boxes_that_see_no_sponsor_draw_each_chunk_by_themselves_in_the_end() {
     let mut swarm = swarm(&ordinary(), 5);
