--- a/tests/burst_plan.rs
+++ b/tests/burst_plan.rs
@@ -1,6 +1,5 @@
 //! The pure plan of a burst: rings, sponsors, swarms, uploads, and the store behind them.
 
-use std::collections::BTreeSet;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
