--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -34,7 +34,7 @@
 use crate::metric::{self, Metrics};
 use crate::node::ClientHandle;
 use crate::request::budget::{self, Budget};
-use crate::route::crowd::{self, Crowd};
+use crate::route::entries::{self, Entries};
 use crate::route::pool::Pool;
 use crate::route::replica::Due;
 use crate::source::{Source, Topic};
@@ -377,7 +377,7 @@
         loop {
             sleep(TICK).await;
             let now = self.knowledge.now();
-            self.look_at_crowd(now);
+            self.look_at_entries(now);
             let swept = self.knowledge.belief.borrow_mut().sweep(now);
             if swept {
                 self.knowledge.changed.send_modify(|count| *count += 1);
@@ -387,20 +387,20 @@
     }
 
     /// Measures this entry's rate of requests, and takes the others'.
-    fn look_at_crowd(&self, now: Time) {
+    fn look_at_entries(&self, now: Time) {
         let knowledge = &self.knowledge;
         let arrived = f64::from(self.arrived.replace(0)) / TICK.as_secs_f64();
         let rate = knowledge.rate.get();
         knowledge.rate.set(rate + (arrived - rate) / RATE_SMOOTHING);
-        let own = crowd::Entry {
+        let own = entries::Entry {
             address: knowledge.identity.address,
             rate: knowledge.rate.get(),
         };
         let peers = knowledge.peers.borrow();
         let others = peers.rates(now);
-        let others = others.map(|(address, rate)| crowd::Entry { address, rate });
-        let crowd = Crowd::new(own, others.collect());
-        self.pool.borrow_mut().set_crowd(crowd);
+        let others = others.map(|(address, rate)| entries::Entry { address, rate });
+        let entries = Entries::new(own, others.collect());
+        self.pool.borrow_mut().set_entries(entries);
     }
 
     /// The pool, with the list as it is believed now.
--- a/src/route/crowd.rs
+++ b/src/route/entries.rs
@@ -30,12 +30,12 @@
 
 /// This entry and the others.
 #[derive(Debug, Clone, Default)]
-pub struct Crowd {
+pub struct Entries {
     own: Option<Entry>,
     others: Vec<Entry>,
 }
 
-impl Crowd {
+impl Entries {
     /// The entry `own` among `others`.
     pub fn new(own: Entry, others: Vec<Entry>) -> Self {
         Self {
--- a/src/route/pool.rs
+++ b/src/route/pool.rs
@@ -12,7 +12,7 @@
 use rand::{Rng, RngExt};
 use slotmap::SlotMap;
 
-use super::crowd::Crowd;
+use super::entries::Entries;
 use super::estimate::{self, Demand, Work};
 use super::health::Sign;
 use super::replica::{Due, Load, Replica};
@@ -128,7 +128,7 @@
 #[derive(Debug, Default)]
 pub struct Pool {
     own_hall: Arc<str>,
-    crowd: Crowd,
+    entries: Entries,
     scarce: bool,
     replicas: SlotMap<Key, Replica>,
     ids: BTreeMap<Arc<str>, Key>,
@@ -146,8 +146,8 @@
     }
 
     /// The entries that choose among the same replicas are these.
-    pub fn set_crowd(&mut self, crowd: Crowd) {
-        self.crowd = crowd;
+    pub fn set_entries(&mut self, entries: Entries) {
+        self.entries = entries;
         let shares = self.replicas.values().map(Replica::share);
         self.scarce = shares.sum::<u32>() < SHARES_ENOUGH;
     }
@@ -227,7 +227,7 @@
         let mut found = false;
         for (_, replica) in &mut self.replicas {
             if replica.record.address == address {
-                replica.report(load, &self.crowd, at);
+                replica.report(load, &self.entries, at);
                 found = true;
             }
         }
@@ -347,7 +347,7 @@
     }
 
     fn work(&self, replica: &Replica, engine: &Engine, now: Time) -> Work {
-        let unseen = replica.unseen(&self.crowd, self.scarce, now);
+        let unseen = replica.unseen(&self.entries, self.scarce, now);
         let unseen_tokens = f64::from(unseen) * engine.usual_prompt;
         Work {
             requests: replica.requests(now) + unseen,
--- a/src/route/replica.rs
+++ b/src/route/replica.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::crowd::Crowd;
+use super::entries::Entries;
 use super::estimate::Demand;
 use super::health::Health;
 use crate::clock::Time;
@@ -179,11 +179,11 @@
     /// Requests that other entries are likely to have sent since the last report: in proportion to
     /// this one's, for they see the same reports and judge alike. Once this entry has used the free
     /// places that are meant for it, the others have used theirs, where places are `scarce`.
-    pub(super) fn unseen(&self, crowd: &Crowd, scarce: bool, now: Time) -> u32 {
+    pub(super) fn unseen(&self, entries: &Entries, scarce: bool, now: Time) -> u32 {
         let reported = self.reported(now).map(|(_, at)| at);
         let unknown = |sent: &&Sent| reported.is_none_or(|at| sent.at > at);
         let own = self.own.iter().filter(unknown).count() as u32;
-        let others = (f64::from(own) * crowd.factor()) as u32;
+        let others = (f64::from(own) * entries.factor()) as u32;
         if scarce && reported.is_some() && own >= self.share {
             others.max(self.free_at_report - self.share)
         } else {
@@ -248,14 +248,14 @@
     }
 
     /// The process beside it reported.
-    pub(super) fn report(&mut self, load: &Load, crowd: &Crowd, at: Time) {
+    pub(super) fn report(&mut self, load: &Load, entries: &Entries, at: Time) {
         if self.load.as_ref().is_some_and(|(_, known)| *known > at) {
             return;
         }
         self.load = Some((load.clone(), at));
         let taken = load.running + load.queued;
         self.free_at_report = self.record.slots.saturating_sub(taken);
-        self.share = crowd.share(self.record.address, load.number, self.free_at_report);
+        self.share = entries.share(self.record.address, load.number, self.free_at_report);
         self.own_at_report = self.own.iter().filter(|sent| sent.at <= at).count() as u32;
         let unread = self.unread.requests.iter();
         self.unread_at_report = unread.filter(|pending| pending.at <= at).count() as u32;
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -14,7 +14,7 @@
 use pumicelatch::request::Outcome;
 use pumicelatch::request::attempt::{self, Ended, Next, Situation};
 use pumicelatch::request::budget::{Budget, Setting};
-use pumicelatch::route::crowd::{self, Crowd};
+use pumicelatch::route::entries::{self, Entries};
 use pumicelatch::route::estimate::{self, Demand, Work};
 use pumicelatch::route::health::{Health, Sign};
 use pumicelatch::route::pool::{Ask, Key, ModelNeed, Pool, Shortage};
@@ -157,7 +157,7 @@
 /// entry places `each` and all see the same reports.
 fn herd(entries: u32, each: u32) -> u32 {
     let asking = Asking::default();
-    let entry = |index: u32| crowd::Entry {
+    let entry = |index: u32| entries::Entry {
         address: format!("10.1.0.{}:8000", index + 1).parse().unwrap(),
         rate: 20.0,
     };
@@ -165,7 +165,7 @@
     for own in 0..entries {
         let mut pool = pool_of((1..=8).map(|host| record(host, 1)).collect(), None);
         let others = (0..entries).filter(|other| *other != own).map(entry);
-        pool.set_crowd(Crowd::new(entry(own), others.collect()));
+        pool.set_entries(Entries::new(entry(own), others.collect()));
         for host in 2..=8 {
             pool.report(address(host), &report(9, 1, 1), NOW);
         }
@@ -192,31 +192,31 @@
 
 #[test]
 fn each_free_place_is_meant_for_one_entry_and_more_of_them_for_a_busier_one() {
-    let entries: Vec<crowd::Entry> = (1..=6)
-        .map(|index| crowd::Entry {
+    let entries: Vec<entries::Entry> = (1..=6)
+        .map(|index| entries::Entry {
             address: format!("10.1.0.{index}:8000").parse().unwrap(),
             rate: if index == 1 { 50.0 } else { 10.0 },
         })
         .collect();
-    let crowds: Vec<Crowd> = entries
+    let tables: Vec<Entries> = entries
         .iter()
         .map(|own| {
             let others = entries.iter().filter(|other| other.address != own.address);
-            Crowd::new(*own, others.copied().collect())
+            Entries::new(*own, others.copied().collect())
         })
         .collect();
     let mut busiest = 0;
     for number in 0..1_000 {
         let free = number as u32 % 17;
-        let shares = crowds
+        let shares = tables
             .iter()
-            .map(|crowd| crowd.share(address(1), number, free));
+            .map(|entries| entries.share(address(1), number, free));
         assert_eq!(shares.sum::<u32>(), free);
-        busiest += crowds[0].share(address(1), number, 1);
+        busiest += tables[0].share(address(1), number, 1);
     }
     // Its part of all requests is a half.
     assert!((420..580).contains(&busiest), "{busiest}");
-    assert!((crowds[0].factor() - 1.0).abs() < 1e-9);
+    assert!((tables[0].factor() - 1.0).abs() < 1e-9);
 }
 
 #[test]
