Re-read: say once what stood twice, and stop early again where a sponsor looks for its chunk

What an entry tells of itself is taken in one place (was in news and in heartbeats), entries heard of lately are picked in one (was in alive and rates), an agent asks for the entries of its hall where the entries do. Since sponsors begin with different chunks, each look for the next chunk ranked the sponsors of all unseen chunks; it walks them in its own order now and stops at the first.

--- a/src/knowledge.rs
+++ b/src/knowledge.rs
@@ -1,8 +1,8 @@
 //! What a process knows of the platform and of the other processes, and how it keeps that fresh.
 //!
 //! * [`store`] reads and watches the platform's store.
-//! * [`halls`] decides who asks another hall how its replicas do.
 //! * [`readers`] decides who reads it for a whole hall.
+//! * [`halls`] decides who asks another hall how its replicas do.
 //! * [`gossip`] exchanges what is newer with other processes of the system, so that one that the
 //!   store turns away, or that just began, knows what the others know.
 
@@ -125,13 +125,20 @@
         Some(now.since(at).as_millis() as u64)
     }
 
-    /// Takes when the store answered another entry, if that stands in this hall.
-    fn take_store_age(&self, entry: SocketAddr, hall: &str, age_ms: Option<u64>) {
-        if *hall != *self.identity.hall {
+    /// Takes what an entry tells of itself with every message: that it is there, the rate of its
+    /// requests, and, if it stands in this hall, how long ago the store answered it.
+    fn hear(&self, entry: SocketAddr, hall: &Arc<str>, rate: f64, store_age_ms: Option<u64>) {
+        let now = self.now();
+        {
+            let mut peers = self.peers.borrow_mut();
+            peers.heard(entry, hall, now);
+            peers.rated(entry, rate);
+        }
+        if *hall != self.identity.hall {
             return;
         }
-        if let Some(age) = age_ms.map(Duration::from_millis) {
-            self.readers.borrow_mut().told(entry, self.now() - age);
+        if let Some(age) = store_age_ms.map(Duration::from_millis) {
+            self.readers.borrow_mut().told(entry, now - age);
         }
     }
 
@@ -237,16 +244,10 @@
 
     /// Takes what another process answered.
     pub fn take_news(&self, from: SocketAddr, news: News) {
-        let now = self.now();
-        {
-            let mut peers = self.peers.borrow_mut();
-            peers.learn(&news.peers, now);
-            if news.entry {
-                peers.heard(from, &news.hall, now);
-                peers.rated(from, news.rate);
-            }
+        self.peers.borrow_mut().learn(&news.peers, self.now());
+        if news.entry {
+            self.hear(from, &news.hall, news.rate, news.store_age_ms);
         }
-        self.take_store_age(from, &news.hall, news.store_age_ms);
         if let Some(dated) = news.routing {
             let fact = Fact::Routing(dated.document);
             let revision = dated.revision;
@@ -317,16 +318,9 @@
     /// whole configuration.
     pub fn news_for(&self, sync: &Sync, brief: bool) -> News {
         let now = self.now();
-        {
-            let mut peers = self.peers.borrow_mut();
-            if sync.entry {
-                peers.heard(sync.from, &sync.hall, now);
-                peers.rated(sync.from, sync.rate);
-            }
-            peers.learn(&sync.peers, now);
-        }
+        self.peers.borrow_mut().learn(&sync.peers, now);
         if sync.entry {
-            self.take_store_age(sync.from, &sync.hall, sync.store_age_ms);
+            self.hear(sync.from, &sync.hall, sync.rate, sync.store_age_ms);
         }
         let belief = self.belief.borrow();
         let marks = belief.marks();
--- a/src/member/peer.rs
+++ b/src/member/peer.rs
@@ -82,9 +82,14 @@
 
     /// Entries heard of lately, with the rates of their requests.
     pub fn rates(&self, now: Time) -> impl Iterator<Item = (SocketAddr, f64)> {
-        let alive = self.peers.iter();
-        let alive = alive.filter(move |(_, peer)| now.since(peer.heard) < ALIVE);
-        alive.map(|(address, peer)| (*address, peer.rate))
+        let at_work = self.at_work(now);
+        at_work.map(|(address, peer)| (address, peer.rate))
+    }
+
+    fn at_work(&self, now: Time) -> impl Iterator<Item = (SocketAddr, &Peer)> {
+        let heard = self.peers.iter();
+        let heard = heard.filter(move |(_, peer)| now.since(peer.heard) < ALIVE);
+        heard.map(|(address, peer)| (*address, peer))
     }
 
     /// Takes what another process tells of the entries.
@@ -123,10 +128,8 @@
 
     /// Entries heard of lately.
     pub fn alive(&self, now: Time) -> impl Iterator<Item = (SocketAddr, &Arc<str>)> {
-        self.peers
-            .iter()
-            .filter(move |(_, peer)| now.since(peer.heard) < ALIVE)
-            .map(|(address, peer)| (*address, &peer.hall))
+        let at_work = self.at_work(now);
+        at_work.map(|(address, peer)| (address, &peer.hall))
     }
 
     /// Upper bound of the entries that may be at work, this one included: all that are not
--- a/src/sidecar/observe.rs
+++ b/src/sidecar/observe.rs
@@ -110,17 +110,18 @@
     }
 
     fn entries(&self) -> Vec<SocketAddr> {
-        let now = self.knowledge.now();
-        let peers = self.knowledge.peers.borrow();
-        let own = &self.setting.identity.hall;
-        let alive = peers.alive(now);
-        let (near, far): (Vec<_>, Vec<_>) = alive.partition(|(_, hall)| *hall == own);
         // The entries of other halls hear of it from those of this one, if there are any.
-        let told = if near.is_empty() { far } else { near };
-        if told.is_empty() {
+        let near = self.knowledge.fellows();
+        if !near.is_empty() {
+            return near;
+        }
+        let peers = self.knowledge.peers.borrow();
+        let alive = peers.alive(self.knowledge.now());
+        let far: Vec<SocketAddr> = alive.map(|(address, _)| address).collect();
+        if far.is_empty() {
             return self.knowledge.seeds.borrow().clone();
         }
-        told.into_iter().map(|(address, _)| address).collect()
+        far
     }
 }
 
--- a/src/spread/ring.rs
+++ b/src/spread/ring.rs
@@ -142,12 +142,18 @@
         .collect()
 }
 
-/// The place of `chunk` of `count` in the order in which the sponsor `name` draws. Each begins
-/// elsewhere: sponsors that do not know of each other yet would all draw the same chunks.
+/// The chunk of `count` with which the sponsor `name` begins; the others follow in their order. Each
+/// begins elsewhere: sponsors that do not know of each other yet would all draw the same chunks.
+pub fn first_chunk(version: Digest, name: &str, count: usize) -> u32 {
+    let count = count.max(1) as u64;
+    (weight(version, &[b"turn", name.as_bytes()]) % count) as u32
+}
+
+/// The place of `chunk` of `count` in the order in which the sponsor `name` draws.
 pub fn turn(version: Digest, chunk: u32, name: &str, count: usize) -> u32 {
+    let first = first_chunk(version, name, count);
     let count = count.max(1) as u32;
-    let start = weight(version, &[b"turn", name.as_bytes()]) % u64::from(count);
-    (chunk + count - start as u32) % count
+    (chunk + count - first) % count
 }
 
 /// How many boxes come before `own` to step in for `chunk`: its rank in its hall, and its hall's
--- a/src/spread/swarm.rs
+++ b/src/spread/swarm.rs
@@ -615,12 +615,11 @@
             let order = ring::drawers(self.version, chunk, regular, &active);
             order.iter().position(|name| *name == &*self.own.name)
         };
-        let own = unseen
-            .iter()
-            .copied()
-            .filter(|&chunk| place(chunk) == Some(0));
-        let turn = |chunk: u32, name: &str| ring::turn(self.version, chunk, name, self.have.len());
-        if let Some(own) = own.min_by_key(|&chunk| turn(chunk, &self.own.name)) {
+        let count = self.have.len();
+        let first = ring::first_chunk(self.version, &self.own.name, count);
+        let (before, after) = unseen.split_at(unseen.partition_point(|&chunk| chunk < first));
+        let mut order = after.iter().chain(before).copied();
+        if let Some(own) = order.find(|&chunk| place(chunk) == Some(0)) {
             self.drawn_since = None;
             return Some(own);
         }
@@ -629,7 +628,9 @@
         let within = |chunk: &u32| place(*chunk).is_some_and(|place| place as u128 <= reach);
         let last = |chunk: &u32| {
             let sponsor = ring::drawers(self.version, *chunk, regular, &active);
-            sponsor.first().map(|name| turn(*chunk, name))
+            sponsor
+                .first()
+                .map(|name| ring::turn(self.version, *chunk, name, count))
         };
         let taken = unseen.iter().copied().filter(within).max_by_key(last);
         self.drawn_since = self.drawn_since.or(Some(now));
