--- a/src/config/belief.rs
+++ b/src/config/belief.rs
@@ -194,7 +194,8 @@
 
     fn learn_routing(&mut self, revision: u64, document: Arc<Document>) -> Effect {
         let newer = self.routing.as_ref().is_none_or(|(known, routing)| {
-            *known < revision && routing.document.version < document.version
+            let untold = document.version == 0 || routing.document.version == 0;
+            *known < revision && (untold || routing.document.version < document.version)
         });
         if !newer {
             return Effect::None;
--- a/src/config/routing.rs
+++ b/src/config/routing.rs
@@ -29,8 +29,19 @@
     pub weight: u32,
 }
 
+/// Longest time that a request is held where its route tells none, in milliseconds: the longest
+/// deadline of callers seen at any deployment, five times over.
+const TIMEOUT_DEFAULT_MS: u64 = 30_000;
+
+/// Objective of a route that tells none, in milliseconds: the usual one of routes to engines.
+const OBJECTIVE_DEFAULT_MS: u64 = 400;
+
+/// Rank of a route that tells none: what a replica takes for a request without one.
+const PRIORITY_DEFAULT: u8 = 5;
+
 /// A route.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
 pub struct Route {
     /// Its name.
     pub name: Arc<str>,
@@ -56,6 +67,25 @@
     pub resumable: bool,
 }
 
+impl Default for Route {
+    /// What is assumed of a route that does not tell: nothing may be repeated.
+    fn default() -> Self {
+        Self {
+            name: "".into(),
+            host: String::new(),
+            prefix: String::new(),
+            kind: Kind::NonIdempotent,
+            timeout_ms: TIMEOUT_DEFAULT_MS,
+            objective_ms: OBJECTIVE_DEFAULT_MS,
+            priority: PRIORITY_DEFAULT,
+            shares: Vec::new(),
+            attempts_max: 1,
+            anonymous: false,
+            resumable: false,
+        }
+    }
+}
+
 impl Route {
     /// Whether a request may run twice.
     pub fn repeatable(&self) -> bool {
@@ -86,7 +116,8 @@
 }
 
 /// What a service's configuration says of its model engines.
-#[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
 pub struct Engine {
     /// Requests that a replica writes at once.
     pub slots: u32,
@@ -108,10 +139,42 @@
     pub usual_answer: f64,
     /// The models that it serves.
     pub models: Vec<Arc<str>>,
-    /// Chunks of a model's weights.
+    /// Chunks of a model's weights; 0 if untold.
     pub chunks: u32,
-    /// Bytes of a chunk.
+    /// Bytes of a chunk; 0 if untold.
     pub chunk_bytes: u32,
+    /// Whether a figure that estimates need was missing, so that they have to be corrected by what
+    /// is observed.
+    pub guessed: bool,
+}
+
+impl Default for Engine {
+    /// Figures for an engine that does not tell its own: round ones near the middle of the engines
+    /// that were seen. What is observed corrects them.
+    fn default() -> Self {
+        Self {
+            slots: 8,
+            memory_tokens: 300_000,
+            step_ms: 10.0,
+            sequence_ms: 0.02,
+            context_ms_per_thousand: 0.02,
+            read_per_s: 20_000.0,
+            stride: 5,
+            usual_prompt: 1_000.0,
+            usual_answer: 100.0,
+            models: Vec::new(),
+            chunks: 0,
+            chunk_bytes: 0,
+            guessed: true,
+        }
+    }
+}
+
+/// Connections to a replica of a service that tells no bound: the lowest bound that was seen.
+pub const CONNECTIONS_DEFAULT: u32 = 48;
+
+fn connections_default() -> u32 {
+    CONNECTIONS_DEFAULT
 }
 
 /// A service.
@@ -120,10 +183,13 @@
     /// Its name.
     pub name: Arc<str>,
     /// Connections that one of its replicas accepts from all callers together.
+    #[serde(default = "connections_default")]
     pub connections_max: u32,
     /// Its engines, if it serves models.
+    #[serde(default)]
     pub engine: Option<Engine>,
     /// Its address, if it is the origin of weights.
+    #[serde(default)]
     pub origin: Option<SocketAddr>,
 }
 
@@ -162,10 +228,21 @@
     }
 }
 
+/// What of a configuration could not be read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Gaps {
+    /// A route at least: a request without a route may belong to it.
+    pub routes: bool,
+    /// A customer at least: an unknown key may be its.
+    pub customers: bool,
+}
+
 /// A routing configuration as plain data.
 #[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
+#[serde(default)]
 pub struct Document {
-    /// Its version, which rises in uneven steps.
+    /// Its version, which rises in uneven steps; 0 if it tells none.
     pub version: u64,
     /// Routes.
     pub routes: Vec<Route>,
@@ -175,6 +252,8 @@
     pub customers: Vec<Customer>,
     /// Limits on callers.
     pub limits: Limits,
+    /// What could not be read.
+    pub gaps: Gaps,
 }
 
 /// Whose key a request carries.
@@ -186,6 +265,8 @@
     Anonymous,
     /// It has no valid key and needs one.
     Denied,
+    /// It needs a valid key, and not all keys could be read.
+    Unknown,
 }
 
 /// A routing configuration in force.
@@ -256,7 +337,9 @@
         let owner = key.and_then(|key| self.keys.get(key));
         match owner {
             Some(&index) => Access::Customer(&self.document.customers[index]),
-            None if route.anonymous || self.document.customers.is_empty() => Access::Anonymous,
+            None if route.anonymous => Access::Anonymous,
+            None if self.document.gaps.customers => Access::Unknown,
+            None if self.document.customers.is_empty() => Access::Anonymous,
             None => Access::Denied,
         }
     }
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -383,6 +383,8 @@
                 self.knowledge.changed.send_modify(|count| *count += 1);
             }
             self.client.reap(IDLE_MAX);
+            let losses = self.knowledge.losses.borrow().count;
+            self.instruments.losses(losses);
         }
     }
 
@@ -417,9 +419,7 @@
 
     /// The change of version that a replica has before it, as its own process will carry it out.
     fn due(&self, belief: &Belief, record: &Record) -> Option<Due> {
-        let routing = belief.routing()?;
-        let engine = routing.service(&record.service)?.engine.as_ref()?;
-        let model = engine.models.first()?;
+        let model = &self.knowledge.model_of(&record.service)?;
         let wanted = belief.wanted(model)?;
         let fellows: Vec<String> = belief
             .replicas()
@@ -440,6 +440,13 @@
         })
     }
 
+    /// Whether the replicas of a service hold models, whatever its configuration says.
+    fn serves_models(&self, service: &str) -> bool {
+        let belief = self.knowledge.belief.borrow();
+        let mut records = belief.replicas().values().map(|listed| &listed.record);
+        records.any(|record| &*record.service == service && !record.models.is_empty())
+    }
+
     /// Whether callers' requests can be served.
     pub fn ready(&self) -> bool {
         let belief = self.knowledge.belief.borrow();
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -129,7 +129,7 @@
     let route = routing
         .route(&ask.host, &ask.path)
         .cloned()
-        .ok_or_else(|| Refusal::new(Code::NoRoute, "no route takes this host and path"))?;
+        .ok_or_else(|| no_route(&routing))?;
     trace.route = route.name.clone();
     let (customer, priority) = match routing.access(&route, ask.key.as_deref()) {
         Access::Customer(customer) => (
@@ -141,12 +141,13 @@
             let text = "a valid key is needed";
             return Err(Refusal::new(Code::NoAccess, text));
         }
+        Access::Unknown => return Err(not_understood("customers")),
     };
     let draw = gateway.knowledge.rng.borrow_mut().random();
     let service = route
         .service(draw)
         .cloned()
-        .ok_or_else(|| Refusal::new(Code::NoRoute, "the route has no service"))?;
+        .ok_or_else(|| not_understood("the services of this route"))?;
     let held = Duration::from_millis(route.timeout_ms);
     let longest = ask.deadline.map_or(held, |deadline| deadline.min(held));
     let arrived = trace.arrived;
@@ -165,6 +166,20 @@
     })
 }
 
+/// A part of the configuration could not be read, and this request may need it: nobody may tell its
+/// caller that it is not allowed.
+fn not_understood(part: &str) -> Refusal {
+    let text = format!("{part} of the configuration could not be read");
+    Refusal::new(Code::NotReady, text).retry_after(NOT_READY_RETRY)
+}
+
+fn no_route(routing: &Routing) -> Refusal {
+    if routing.document.gaps.routes {
+        return not_understood("routes");
+    }
+    Refusal::new(Code::NoRoute, "no route takes this host and path")
+}
+
 fn copy_head(head: &RequestHead) -> RequestHead {
     let mut copy = RequestHead::default();
     copy.method = head.method.clone();
@@ -396,7 +411,7 @@
         let service = self.job.routing.service(&self.job.service);
         let model = self.job.ask.work.as_ref().map(|work| &*work.model);
         let engine = service.and_then(|service| service.engine.as_ref());
-        let model = model.filter(|_| engine.is_some());
+        let model = model.filter(|_| engine.is_some() || gateway.serves_models(&self.job.service));
         let entries = gateway.knowledge.peers.borrow().bound() as u32;
         let connections = service.map_or(u32::MAX, |service| service.connections_max);
         let ask = pool::Ask {
--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 
 use actix_http::{Request, StatusCode};
+use serde::Serialize;
 use serde::de::DeserializeOwned;
 
 use super::Gateway;
@@ -14,13 +15,31 @@
 /// Longest message of another process.
 const MESSAGE_MAX: usize = 1 << 20;
 
+/// What the answer about readiness tells if documents of the platform were read with losses.
+#[derive(Serialize)]
+struct Damage<'a> {
+    /// Parts that could not be read since the process began.
+    unread_parts: u64,
+    /// The latest of them.
+    latest: Option<&'a str>,
+}
+
 /// The balancer asks whether this process is ready.
 pub async fn ready(gateway: Rc<Gateway>, _: Request) -> Answer {
-    if gateway.ready() {
-        http::status(StatusCode::OK)
+    let status = if gateway.ready() {
+        StatusCode::OK
     } else {
-        http::status(StatusCode::SERVICE_UNAVAILABLE)
+        StatusCode::SERVICE_UNAVAILABLE
+    };
+    let losses = gateway.knowledge.losses.borrow();
+    if losses.count == 0 {
+        return http::status(status);
     }
+    let damage = Damage {
+        unread_parts: losses.count,
+        latest: losses.latest.as_deref(),
+    };
+    http::json(status, &damage)
 }
 
 /// Someone reads the metrics.
--- a/src/gateway/status.rs
+++ b/src/gateway/status.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use opentelemetry::KeyValue;
-use opentelemetry::metrics::{Counter, Histogram, Meter};
+use opentelemetry::metrics::{Counter, Gauge, Histogram, Meter};
 
 /// Bounds of the histograms' buckets, in seconds.
 const SECONDS: [f64; 14] = [
@@ -17,6 +17,7 @@
     attempts: Counter<u64>,
     duration: Histogram<f64>,
     first: Histogram<f64>,
+    losses: Gauge<u64>,
 }
 
 impl Instruments {
@@ -43,6 +44,10 @@
                 .with_boundaries(SECONDS.to_vec())
                 .with_description("Time from a request's head to the first event of its stream")
                 .build(),
+            losses: meter
+                .u64_gauge("pumicelatch.platform.losses")
+                .with_description("Parts of the platform's documents that could not be read")
+                .build(),
         }
     }
 
@@ -57,6 +62,11 @@
         self.first.record(took.as_secs_f64(), &[]);
     }
 
+    /// So many parts of the platform's documents could not be read until now.
+    pub fn losses(&self, count: u64) {
+        self.losses.record(count, &[]);
+    }
+
     /// An attempt ended.
     pub fn attempt(&self, ended: &'static str) {
         self.attempts.add(1, &[KeyValue::new("ended", ended)]);
--- a/src/knowledge.rs
+++ b/src/knowledge.rs
@@ -22,7 +22,7 @@
 use crate::exchange;
 use crate::member::peer::Peers;
 use crate::member::replica::Record;
-use crate::source::{Batch, Topic};
+use crate::source::{Batch, Damaged, Topic};
 use crate::wire::sync::{Brief, DatedDocument, DatedRecord, List, Named, News, Sync};
 
 pub mod gossip;
@@ -46,6 +46,15 @@
     pub entry: bool,
 }
 
+/// What could not be read of the platform's documents since the process began.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Losses {
+    /// Fields, items and whole documents.
+    pub count: u64,
+    /// The latest of them.
+    pub latest: Option<String>,
+}
+
 /// What a process knows. It lives on one thread.
 #[derive(Debug)]
 pub struct Knowledge {
@@ -72,6 +81,8 @@
     trouble: Cell<Option<Time>>,
     /// Callers' requests a second that go to engines.
     pub rate: Cell<f64>,
+    /// What could not be read of the platform's documents.
+    pub losses: RefCell<Losses>,
     fetching: Cell<bool>,
     readers: RefCell<Readers>,
     answered: Cell<Option<Time>>,
@@ -93,6 +104,7 @@
             news: Notify::new(),
             trouble: Cell::new(None),
             rate: Cell::new(0.0),
+            losses: RefCell::default(),
             fetching: Cell::new(false),
             readers: RefCell::default(),
             answered: Cell::new(None),
@@ -207,9 +219,7 @@
 
     /// Returns whether anything changed.
     fn learn_batch(&self, topic: Topic, whole: bool, batch: Batch) -> bool {
-        for reason in &batch.rejected {
-            log::warn!(revision = batch.at; "entry of the store not understood: {reason}");
-        }
+        self.note_damage(&batch.damaged, batch.at);
         if whole && topic == Topic::Replicas {
             let records = batch
                 .facts
@@ -231,6 +241,21 @@
         changed
     }
 
+    /// Writes down what could not be read of entries of the store.
+    fn note_damage(&self, damaged: &[Damaged], revision: u64) {
+        let mut losses = self.losses.borrow_mut();
+        for entry in damaged {
+            for loss in &entry.losses {
+                log::warn!(revision, key = entry.key.as_str(); "entry of the store: {loss}");
+            }
+            losses.count += entry.losses.len() as u64;
+            losses.latest = entry
+                .losses
+                .last()
+                .map(|loss| format!("{}: {loss}", entry.key));
+        }
+    }
+
     fn take_list(&self, records: Vec<(u64, Record)>, at: u64, shaky: bool, origin: &str) -> Effect {
         let count = records.len();
         let now = self.now();
@@ -370,6 +395,20 @@
             .collect()
     }
 
+    /// The model that `service` serves, by the engine's figures, or by what its replicas hold.
+    pub fn model_of(&self, service: &str) -> Option<Arc<str>> {
+        let belief = self.belief.borrow();
+        let configured = belief.routing().and_then(|routing| {
+            let engine = routing.service(service)?.engine.as_ref()?;
+            engine.models.first().cloned()
+        });
+        configured.or_else(|| {
+            let records = belief.replicas().values().map(|listed| &listed.record);
+            let mut fellows = records.filter(|record| &*record.service == service);
+            fellows.find_map(|record| Some(record.models.first()?.model.clone()))
+        })
+    }
+
     /// The configuration in brief, from the whole if that is known.
     pub fn brief(&self) -> Option<Brief> {
         let belief = self.belief.borrow();
--- a/src/member/replica.rs
+++ b/src/member/replica.rs
@@ -32,10 +32,13 @@
     /// The data hall that it stands in.
     pub hall: Arc<str>,
     /// Requests that it works on at once.
+    #[serde(default)]
     pub slots: u32,
     /// Whether it takes no more work.
+    #[serde(default)]
     pub leaving: bool,
     /// The models that it holds.
+    #[serde(default)]
     pub models: Vec<Held>,
 }
 
--- a/src/route/pool.rs
+++ b/src/route/pool.rs
@@ -12,6 +12,7 @@
 use rand::{Rng, RngExt};
 use slotmap::SlotMap;
 
+use super::correction::Correction;
 use super::entries::Entries;
 use super::estimate::{self, Demand, Work};
 use super::health::Sign;
@@ -133,6 +134,7 @@
     replicas: SlotMap<Key, Replica>,
     ids: BTreeMap<Arc<str>, Key>,
     services: BTreeMap<Arc<str>, Vec<Key>>,
+    corrections: BTreeMap<Arc<str>, Correction>,
     begun: u64,
 }
 
@@ -367,7 +369,8 @@
         let work = self.work(replica, engine, now);
         let held_up = replica.link_delay(now).min(LINK_DELAY_COUNTED);
         let late = replica.late(now).max(held_up);
-        let expected = estimate::first_event(engine, work, ask.demand) + late;
+        let first = estimate::first_event(engine, work, ask.demand);
+        let expected = self.corrected(ask.service, engine, first) + late;
         if !replica.switching(now) {
             return expected;
         }
@@ -375,6 +378,12 @@
         expected + estimate::turnover(engine, work.pace) * engine.slots / 2
     }
 
+    /// The estimate `first` of an engine of `service`, corrected if its figures are guesses.
+    fn corrected(&self, service: &str, engine: &Engine, first: Duration) -> Duration {
+        let known = self.corrections.get(service).filter(|_| engine.guessed);
+        known.map_or(first, |correction| correction.apply(first))
+    }
+
     /// Taken places of a service's fit replicas, and all of them.
     pub fn occupancy(&self, ask: Ask<'_>, now: Time) -> (u32, u32) {
         let fit = self.of(ask.service).iter().map(|&key| &self.replicas[key]);
@@ -398,8 +407,15 @@
 
     /// A request's first event came; `false` if it ended without one.
     pub fn started(&mut self, key: Key, number: u64, demand: Demand, came: bool, now: Time) {
-        if let Some(replica) = self.replicas.get_mut(key) {
-            replica.started(number, demand, came, now);
+        let Some(replica) = self.replicas.get_mut(key) else {
+            return;
+        };
+        if let Some((expected, took)) = replica.started(number, demand, came, now) {
+            let service = replica.record.service.clone();
+            self.corrections
+                .entry(service)
+                .or_default()
+                .note(expected, took);
         }
     }
 
--- a/src/route/replica.rs
+++ b/src/route/replica.rs
@@ -28,6 +28,7 @@
 
 /// What the process beside a replica reports of it.
 #[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
+#[serde(default)]
 pub struct Load {
     /// Requests that run.
     pub running: u32,
@@ -42,10 +43,8 @@
     /// Whether it answers.
     pub alive: bool,
     /// Number of the report, by which all entries draw alike whose its free places are.
-    #[serde(default)]
     pub number: u64,
     /// Milliseconds that the shortest late exchange of its process with an entry took.
-    #[serde(default)]
     pub round_trip_ms: u64,
 }
 
@@ -278,19 +277,26 @@
         self.unread.tokens += u64::from(demand.prompt);
     }
 
-    /// A request's first event came; `false` if it ended without one.
-    pub(super) fn started(&mut self, number: u64, demand: Demand, came: bool, now: Time) {
+    /// A request's first event came; `false` if it ended without one. Returns how long the first
+    /// event was expected to take, and how long it took.
+    pub(super) fn started(
+        &mut self,
+        number: u64,
+        demand: Demand,
+        came: bool,
+        now: Time,
+    ) -> Option<(Duration, Duration)> {
         let unread = &mut self.unread;
         let mut pending = unread.requests.iter();
-        let Some(place) = pending.position(|known| known.number == number) else {
-            return;
-        };
+        let place = pending.position(|known| known.number == number)?;
         let pending = unread.requests.swap_remove(place);
         unread.tokens = unread.tokens.saturating_sub(u64::from(demand.prompt));
         self.unread_at_report = self.unread_at_report.min(unread.count());
-        if came {
-            self.lag.note(now.since(pending.due), now);
+        if !came {
+            return None;
         }
+        self.lag.note(now.since(pending.due), now);
+        Some((pending.due.since(pending.at), now.since(pending.at)))
     }
 
     /// A request of this entry ended there.
--- a/src/source.rs
+++ b/src/source.rs
@@ -15,15 +15,58 @@
     Replicas,
 }
 
+/// What is wrong with a part of a document.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+pub enum Flaw {
+    /// It is not there.
+    #[error("missing")]
+    Missing,
+    /// It is of another type than expected, or has a value that makes no sense.
+    #[error("not readable")]
+    Unreadable,
+}
+
+/// What is done without a part of a document.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+pub enum Remedy {
+    /// What it belongs to is left out.
+    #[error("left out")]
+    LeftOut,
+    /// A default takes its place.
+    #[error("default taken")]
+    Default,
+}
+
+/// A part of a document that could not be read.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+#[error("{place}: {flaw}, {remedy}")]
+pub struct Loss {
+    /// Where in the document.
+    pub place: String,
+    /// What is wrong.
+    pub flaw: Flaw,
+    /// What is done without it.
+    pub remedy: Remedy,
+}
+
+/// An entry of the store that was read with losses.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Damaged {
+    /// The entry's key.
+    pub key: String,
+    /// What could not be read of it.
+    pub losses: Vec<Loss>,
+}
+
 /// Facts, and the revision up to which they are all.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Default)]
 pub struct Batch {
     /// The facts.
     pub facts: Vec<Dated>,
     /// The store's revision.
     pub at: u64,
-    /// Entries that could not be understood, with the reason.
-    pub rejected: Vec<String>,
+    /// Entries that could not be understood, or not whole.
+    pub damaged: Vec<Damaged>,
 }
 
 /// Why the store did not answer.
--- a/src/wire/sync.rs
+++ b/src/wire/sync.rs
@@ -23,10 +23,13 @@
     /// Where the sender listens.
     pub from: SocketAddr,
     /// The data hall that it stands in.
+    #[serde(default)]
     pub hall: Arc<str>,
     /// Whether it is an entry.
+    #[serde(default)]
     pub entry: bool,
     /// How fresh its beliefs are.
+    #[serde(default)]
     pub marks: Marks,
     /// Milliseconds since the platform's store answered it, if it ever did.
     #[serde(default)]
@@ -35,8 +38,10 @@
     #[serde(default)]
     pub rate: f64,
     /// The entries that it knows.
+    #[serde(default)]
     pub peers: Vec<Told>,
     /// Whether it wants to be told of entries.
+    #[serde(default)]
     pub wants_peers: bool,
 }
 
@@ -46,6 +51,7 @@
     /// Where the replica listens.
     pub address: SocketAddr,
     /// What it has to do, and what it holds.
+    #[serde(default)]
     pub load: Load,
     /// The heartbeat that goes with it.
     pub sync: Sync,
@@ -63,8 +69,10 @@
     /// Where the replica listens.
     pub address: SocketAddr,
     /// What it has to do, and what it holds.
+    #[serde(default)]
     pub load: Load,
     /// Milliseconds since it was reported.
+    #[serde(default)]
     pub age_ms: u64,
 }
 
@@ -72,8 +80,10 @@
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Digest {
     /// The hall.
+    #[serde(default)]
     pub hall: Arc<str>,
     /// Its replicas.
+    #[serde(default)]
     pub replicas: Vec<Reported>,
 }
 
@@ -96,6 +106,7 @@
     /// The revision that named it.
     pub revision: u64,
     /// Milliseconds since the teller heard of it.
+    #[serde(default)]
     pub age_ms: u64,
 }
 
@@ -135,8 +146,10 @@
     /// The configuration's revision.
     pub revision: u64,
     /// The origin of weights.
+    #[serde(default)]
     pub origin: Option<SocketAddr>,
     /// The engine's figures.
+    #[serde(default)]
     pub engine: Option<Engine>,
 }
 
@@ -144,10 +157,13 @@
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct News {
     /// The data hall of the process that answers.
+    #[serde(default)]
     pub hall: Arc<str>,
     /// Whether that is an entry.
+    #[serde(default)]
     pub entry: bool,
     /// How fresh its beliefs are.
+    #[serde(default)]
     pub marks: Marks,
     /// Milliseconds since the platform's store answered it, if it ever did.
     #[serde(default)]
@@ -156,13 +172,18 @@
     #[serde(default)]
     pub rate: f64,
     /// The entries that it knows, if that was asked for.
+    #[serde(default)]
     pub peers: Vec<Told>,
     /// Newer routing.
+    #[serde(default)]
     pub routing: Option<DatedDocument>,
     /// Newer wanted versions.
+    #[serde(default)]
     pub versions: Vec<Named>,
     /// A newer list.
+    #[serde(default)]
     pub replicas: Option<List>,
     /// The newer configuration in brief.
+    #[serde(default)]
     pub brief: Option<Brief>,
 }
--- a/tests/belief.rs
+++ b/tests/belief.rs
@@ -6,7 +6,7 @@
 use pumicelatch::clock::Time;
 use pumicelatch::config::belief::{Belief, DOUBT, Dated, Effect, Fact, first_lacking};
 use pumicelatch::config::routing::{
-    Access, Customer, Document, Kind, Limits, Route, Routing, Share,
+    Access, Customer, Document, Gaps, Kind, Limits, Route, Routing, Share,
 };
 use pumicelatch::member::peer::{FORGET, Peers, Told};
 use pumicelatch::member::replica::Record;
@@ -46,6 +46,7 @@
             priority: None,
         }],
         limits: Limits::default(),
+        gaps: Gaps::default(),
     }
 }
 
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -42,6 +42,7 @@
         models: vec![MODEL.into()],
         chunks: 96,
         chunk_bytes: 24_576,
+        guessed: false,
     }
 }
 
--- a/tests/knowledge.rs
+++ b/tests/knowledge.rs
@@ -5,11 +5,14 @@
 use std::time::Duration;
 
 use pumicelatch::clock::Time;
+use pumicelatch::config::belief::Marks;
+use pumicelatch::config::routing::{Document, Kind};
 use pumicelatch::knowledge::halls::{Ask, Halls, PERIOD};
 use pumicelatch::knowledge::readers::Readers;
 use pumicelatch::member::peer::{ALIVE, Peers};
 use pumicelatch::member::rank::rank;
 use pumicelatch::source::Topic;
+use pumicelatch::wire::sync::{News, Sync};
 use quickcheck::quickcheck;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -177,3 +180,28 @@
         assert_eq!(asked, readers);
     }
 }
+
+#[test]
+fn messages_of_other_versions_are_understood_without_what_they_lack() {
+    let encode = |message: &serde_json::Value| rmp_serde::to_vec_named(message).unwrap();
+    #[derive(serde::Serialize)]
+    struct Other {
+        from: SocketAddr,
+        unknown: [u8; 2],
+    }
+    let other = Other {
+        from: entry(1, 1),
+        unknown: [1, 2],
+    };
+    let sync = rmp_serde::to_vec_named(&other).unwrap();
+    let sync: Sync = rmp_serde::from_slice(&sync).unwrap();
+    assert_eq!(sync.marks, Marks::default());
+    let news: News = rmp_serde::from_slice(&encode(&serde_json::json!({}))).unwrap();
+    assert!(news.routing.is_none() && news.peers.is_empty());
+    let document = serde_json::json!({"routes": [{"host": "a.example", "prefix": "/x/"}],
+        "services": [{"name": "s", "engine": {"step_ms": 9.0}}]});
+    let document: Document = rmp_serde::from_slice(&encode(&document)).unwrap();
+    assert_eq!(document.routes[0].kind, Kind::NonIdempotent);
+    let engine = document.services[0].engine.as_ref().unwrap();
+    assert!(engine.guessed && engine.read_per_s > 0.0);
+}
