A call that hangs into the store's silence no longer keeps an entry from hearing

Ruled out: pauses after failures (1 s at most), readers that were killed (they began anew and hung the same way), ages told by peers.

Change: pure times of calls (knowledge::pace): a watch waits 2 s instead of 5, 0.3 s after a failure; and a call that hangs is asked again as soon as the other topic's call is answered. Test: for any silence the next call that can be answered begins less than 3 s after its end; with a wait of 5 s it fails.

--- a/src/knowledge.rs
+++ b/src/knowledge.rs
@@ -1,6 +1,7 @@
 //! What a process knows of the platform and of the other processes, and how it keeps that fresh.
 //!
 //! * [`store`] reads and watches the platform's store.
+//! * [`pace`] says how long calls to it wait, and how long they pause.
 //! * [`readers`] decides who reads it for a whole hall.
 //! * [`halls`] decides who asks another hall how its replicas do.
 //! * [`gossip`] exchanges what is newer with other processes of the system, so that one that the
@@ -27,6 +28,7 @@
 
 pub mod gossip;
 pub mod halls;
+pub mod pace;
 pub mod readers;
 pub mod store;
 
@@ -78,6 +80,8 @@
     pub changed: tokio::sync::watch::Sender<u64>,
     /// Wakes those who tell the hall's entries that there is news.
     pub news: Notify,
+    /// Wakes calls that may hang since before the store answered again.
+    pub store_regained: Notify,
     trouble: Cell<Option<Time>>,
     /// Callers' requests a second that go to engines.
     pub rate: Cell<f64>,
@@ -102,6 +106,7 @@
             seeds: RefCell::new(seeds),
             changed: tokio::sync::watch::Sender::new(0),
             news: Notify::new(),
+            store_regained: Notify::new(),
             trouble: Cell::new(None),
             rate: Cell::new(0.0),
             losses: RefCell::default(),
--- /dev/null
+++ b/src/knowledge/pace.rs
@@ -0,0 +1,93 @@
+//! How long calls to the platform's store wait, and the pauses between them.
+//!
+//! A call that falls into a silence of the store is never answered, and whoever waits for it hears
+//! of no change meanwhile. So no wait is long, and shorter yet until the store has answered again.
+
+use std::time::Duration;
+
+use crate::source::Topic;
+
+/// How long a watch of what operators write waits: with [`MARGIN`] less than the three seconds that
+/// machines have, by the rules, to be in touch again after trouble of the store.
+const OPERATOR_WAIT: Duration = Duration::from_secs(2);
+
+/// How long a watch of the list waits. Heartbeats of replicas end it long before that: a watch
+/// that waits so long shows that the store is not in reach.
+const REPLICAS_WAIT: Duration = Duration::from_secs(1);
+
+/// How long a watch waits after a failure: it is to show soon whether the store answers again.
+const PROBE_WAIT: Duration = Duration::from_millis(300);
+
+/// How much longer than its wait an answer may take.
+const MARGIN: Duration = Duration::from_millis(700);
+
+/// How long a whole read may take.
+const READ_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Pause between two watches of what operators write: changes within it come in one answer.
+const OPERATOR_GAP: Duration = Duration::from_millis(200);
+
+/// Pause between two watches of the list, which changes with every heartbeat of a replica.
+const REPLICAS_GAP: Duration = Duration::from_millis(500);
+
+/// First pause after a failure, doubled up to [`PAUSE_MAX`].
+const PAUSE: Duration = Duration::from_millis(150);
+
+/// Longest pause after a failure, before jitter.
+const PAUSE_MAX: Duration = Duration::from_millis(600);
+
+/// Doublings after which the pause grows no more.
+const DOUBLINGS_MAX: u32 = 2;
+
+/// The times of one topic's calls.
+#[derive(Debug, Clone, Copy)]
+pub struct Pace {
+    topic: Topic,
+    failures: u32,
+}
+
+impl Pace {
+    /// The times of calls about `topic`, none of which failed yet.
+    pub fn new(topic: Topic) -> Self {
+        Self { topic, failures: 0 }
+    }
+
+    /// Whether the last call was answered.
+    pub fn reached(&self) -> bool {
+        self.failures == 0
+    }
+
+    /// How long the store is asked to wait for a change.
+    pub fn wait(&self) -> Duration {
+        match (self.reached(), self.topic) {
+            (false, _) => PROBE_WAIT,
+            (true, Topic::Operator) => OPERATOR_WAIT,
+            (true, Topic::Replicas) => REPLICAS_WAIT,
+        }
+    }
+
+    /// How long an answer may take; `whole` for a read of everything.
+    pub fn patience(&self, whole: bool) -> Duration {
+        if whole {
+            READ_TIMEOUT
+        } else {
+            self.wait() + MARGIN
+        }
+    }
+
+    /// A call was answered. Returns the pause before the next.
+    pub fn answered(&mut self) -> Duration {
+        self.failures = 0;
+        match self.topic {
+            Topic::Operator => OPERATOR_GAP,
+            Topic::Replicas => REPLICAS_GAP,
+        }
+    }
+
+    /// A call failed. Returns the pause before the next, `jitter` times the usual.
+    pub fn failed(&mut self, jitter: f64) -> Duration {
+        let pause = PAUSE * 2u32.pow(self.failures.min(DOUBLINGS_MAX));
+        self.failures = self.failures.saturating_add(1);
+        pause.min(PAUSE_MAX).mul_f64(jitter)
+    }
+}
--- a/src/knowledge/store.rs
+++ b/src/knowledge/store.rs
@@ -1,61 +1,32 @@
 //! Reads and watches the platform's store. Each call has its price, so calls are few.
 
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
 use actix_rt::time::{sleep, timeout};
+use futures_util::future::{Either, select};
 use rand::RngExt;
 
 use super::Knowledge;
+use super::pace::Pace;
 use crate::source::{Batch, Error, Source, Topic};
 
-/// How long a watch of what operators write waits.
-const OPERATOR_WAIT: Duration = Duration::from_secs(5);
-
-/// How long a watch of the list waits. Heartbeats of replicas end it long before that: a watch
-/// that waits so long shows that the store is not in reach.
-const REPLICAS_WAIT: Duration = Duration::from_secs(1);
-
-/// How much longer than its wait an answer may take.
-const MARGIN: Duration = Duration::from_millis(700);
-
-/// How long a whole read may take.
-const READ_TIMEOUT: Duration = Duration::from_secs(2);
-
-/// Pause between two watches of what operators write: changes within it come in one answer.
-const OPERATOR_GAP: Duration = Duration::from_millis(200);
-
-/// Pause between two watches of the list, which changes with every heartbeat of a replica.
-const REPLICAS_GAP: Duration = Duration::from_millis(500);
-
 /// How often an entry looks whether it has to read for itself.
 const STANDBY: Duration = Duration::from_millis(100);
 
-/// First pause after a failure, doubled up to [`PAUSE_MAX`].
-const PAUSE: Duration = Duration::from_millis(150);
-
-/// Longest pause after a failure.
-const PAUSE_MAX: Duration = Duration::from_millis(1_000);
-
-fn gap(topic: Topic) -> Duration {
-    match topic {
-        Topic::Operator => OPERATOR_GAP,
-        Topic::Replicas => REPLICAS_GAP,
-    }
-}
-
-fn wait(topic: Topic) -> Duration {
-    match topic {
-        Topic::Operator => OPERATOR_WAIT,
-        Topic::Replicas => REPLICAS_WAIT,
-    }
+/// How a call ended.
+enum Ended {
+    /// The store answered, or did not.
+    Call(Result<Batch, Error>),
+    /// The store answers others again, and this call may hang from before.
+    AskAgain,
 }
 
 /// Follows one topic until dropped.
 pub async fn follow(knowledge: Rc<Knowledge>, source: Rc<dyn Source>, topic: Topic) {
     let mut after = None;
-    let mut pause = PAUSE;
-    let mut reached = true;
+    let mut pace = Pace::new(topic);
     let mut reads_whole = false;
     loop {
         if !knowledge.reads(topic) {
@@ -68,49 +39,55 @@
         if !reads_whole {
             after = after.or((known > 0).then_some(known));
         }
-        match ask(&*source, topic, after).await {
-            Ok(batch) => {
-                if !reached {
+        match ask(&knowledge, &*source, pace, topic, after).await {
+            Ended::AskAgain => {}
+            Ended::Call(Ok(batch)) => {
+                if !pace.reached() {
                     log::info!(topic:? = topic; "store is in reach again");
+                    knowledge.store_regained.notify_waiters();
                 }
-                reached = true;
-                pause = PAUSE;
                 let at = batch.at;
                 knowledge.take_batch(topic, after.is_none(), batch);
                 reads_whole = false;
                 after = Some(at);
-                sleep(gap(topic)).await;
+                sleep(pace.answered()).await;
             }
-            Err(Error::Forgotten) => {
+            Ended::Call(Err(Error::Forgotten)) => {
                 log::info!(topic:? = topic, after:? = after; "store has forgotten; reading anew");
                 after = None;
                 reads_whole = true;
             }
-            Err(error) => {
+            Ended::Call(Err(error)) => {
                 knowledge.trouble();
-                if reached {
+                if pace.reached() {
                     log::warn!(topic:? = topic; "store lost: {error}");
                 }
-                reached = false;
                 let jitter = knowledge.rng.borrow_mut().random_range(0.7..1.3);
-                sleep(pause.mul_f64(jitter)).await;
-                pause = (pause * 2).min(PAUSE_MAX);
+                sleep(pace.failed(jitter)).await;
             }
         }
     }
 }
 
-async fn ask(source: &dyn Source, topic: Topic, after: Option<u64>) -> Result<Batch, Error> {
-    let (call, longest) = match after {
-        None => (source.read(topic), READ_TIMEOUT),
-        Some(after) => (
-            source.watch(topic, after, wait(topic)),
-            wait(topic) + MARGIN,
-        ),
+async fn ask(
+    knowledge: &Knowledge,
+    source: &dyn Source,
+    pace: Pace,
+    topic: Topic,
+    after: Option<u64>,
+) -> Ended {
+    let call = match after {
+        None => source.read(topic),
+        Some(after) => source.watch(topic, after, pace.wait()),
     };
-    timeout(longest, call).await.unwrap_or_else(|_| {
-        Err(Error::Unreachable {
-            reason: format!("no answer within {} ms", longest.as_millis()),
-        })
-    })
+    let longest = pace.patience(after.is_none());
+    let call = pin!(timeout(longest, call));
+    let regained = pin!(knowledge.store_regained.notified());
+    match select(call, regained).await {
+        Either::Left((ended, _)) => Ended::Call(ended.unwrap_or_else(|_| {
+            let reason = format!("no answer within {} ms", longest.as_millis());
+            Err(Error::Unreachable { reason })
+        })),
+        Either::Right(_) => Ended::AskAgain,
+    }
 }
--- a/tests/knowledge.rs
+++ b/tests/knowledge.rs
@@ -8,6 +8,7 @@
 use pumicelatch::config::belief::Marks;
 use pumicelatch::config::routing::{Document, Kind};
 use pumicelatch::knowledge::halls::{Ask, Halls, PERIOD};
+use pumicelatch::knowledge::pace::Pace;
 use pumicelatch::knowledge::readers::Readers;
 use pumicelatch::member::peer::{ALIVE, Peers};
 use pumicelatch::member::rank::rank;
@@ -205,3 +206,37 @@
     let engine = document.services[0].engine.as_ref().unwrap();
     assert!(engine.guessed && engine.read_per_s > 0.0);
 }
+
+/// Time after the end of a store's trouble from which a machine is bound by its bounds again.
+const IN_TOUCH_MS: u64 = 3_000;
+
+#[test]
+fn a_silence_of_the_store_is_over_for_every_reader_before_it_counts_as_in_touch() {
+    fn property(topic: bool, begins: u16, length: u16, jitters: Vec<u8>) -> bool {
+        let topic = if topic {
+            Topic::Operator
+        } else {
+            Topic::Replicas
+        };
+        let (silent_from, silent_until) =
+            (u64::from(begins), u64::from(begins) + u64::from(length));
+        let mut jitters = jitters.into_iter().cycle();
+        let mut pace = Pace::new(topic);
+        let mut at = 0;
+        loop {
+            let answer_at = at + pace.wait().as_millis() as u64;
+            if at >= silent_until {
+                // What was written during the silence is told at once.
+                return at - silent_until < IN_TOUCH_MS;
+            }
+            if answer_at < silent_from {
+                at = answer_at + pace.answered().as_millis() as u64;
+            } else {
+                let jitter = 0.7 + 0.6 * f64::from(jitters.next().unwrap_or(255)) / 255.0;
+                let patience = pace.patience(false);
+                at += (patience + pace.failed(jitter)).as_millis() as u64;
+            }
+        }
+    }
+    quickcheck(property as fn(bool, u16, u16, Vec<u8>) -> bool);
+}
