--- a/src/burst.rs
+++ b/src/burst.rs
@@ -223,7 +223,7 @@
             swarm.hold(chunk, now);
         }
         self.swarm.replace(Some(swarm));
-        self.told.send_replace(self.gained.borrow().len());
+        self.told.send_modify(|count| *count += 1);
         self.review(host);
     }
 
@@ -351,6 +351,10 @@
             source,
             url,
         };
+        if source == Source::Origin {
+            // Followers are told what is being drawn, so that they draw something else.
+            self.told.send_modify(|count| *count += 1);
+        }
         let task = actix_rt::spawn(fetch::fetch(host.clone(), Rc::downgrade(self), draw));
         self.fetches.borrow_mut().insert(key, task);
     }
@@ -382,8 +386,10 @@
     fn gain(self: &Rc<Self>, host: &Rc<Host>, chunk: u32) {
         self.gained.borrow_mut().push(chunk);
         let count = self.gained.borrow().len();
-        self.told.send_replace(count);
+        self.told.send_modify(|count| *count += 1);
         if host.store.borrow().complete(self.version) {
+            let chunks = count as u64;
+            log::info!(version:? = self.version, chunks; "weights are complete");
             host.audit(Deed::ReceiveDone {
                 version: self.version.short(),
             });
@@ -391,6 +397,12 @@
         }
     }
 
+    /// Chunks that are being drawn from the origin.
+    fn drawing(&self) -> Vec<u32> {
+        let swarm = self.swarm.borrow();
+        swarm.as_ref().map(Swarm::drawing).unwrap_or_default()
+    }
+
     /// How fetches ended so far.
     pub fn tally(&self) -> Tally {
         let swarm = self.swarm.borrow();
--- a/src/burst/fetch.rs
+++ b/src/burst/fetch.rs
@@ -18,12 +18,18 @@
 /// How long a manifest may take to arrive.
 const MANIFEST_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// How long a peer may take for it: it holds it or does not.
+const PEER_MANIFEST_TIMEOUT: Duration = Duration::from_millis(700);
+
 /// Pause between two rounds of asking for the manifest.
 const MANIFEST_PAUSE: Duration = Duration::from_millis(50);
 
 /// Rounds after which a box that is no sponsor asks the origin for the manifest itself.
 const MANIFEST_ROUNDS: u32 = 40;
 
+/// Rounds of which one asks any peer for the manifest, and the others a relay of the hall.
+const ANY_PEER_ROUNDS: u32 = 4;
+
 /// Longest manifest.
 const MANIFEST_MAX: usize = 8 << 20;
 
@@ -63,7 +69,11 @@
     }
 
     async fn get(&self, host: &Host, origin: &dyn Origin) -> Result<Manifest, String> {
-        let body = http::get(&host.client.0, self.url(), MANIFEST_MAX, MANIFEST_TIMEOUT);
+        let longest = match self {
+            Self::Origin(_) => MANIFEST_TIMEOUT,
+            Self::Peer(_) => PEER_MANIFEST_TIMEOUT,
+        };
+        let body = http::get(&host.client.0, self.url(), MANIFEST_MAX, longest);
         let body = body.await.map_err(|error| error.to_string())?;
         let manifest = match self {
             Self::Origin(_) => origin.decode(&body),
@@ -83,10 +93,17 @@
             let url = self.origin.manifest_url(self.version);
             sources.push(ManifestSource::Origin(url));
         }
-        let others: Vec<&Member> = members
+        let relays = self.relays();
+        let near = |member: &&Member| member.hall == host.hall && relays.contains(&member.name);
+        let mut others: Vec<&Member> = members
             .iter()
             .filter(|member| member.name != host.name)
             .collect();
+        // Relays have it first, and those of the own hall are near; another may be asked in between.
+        let nearest: Vec<&Member> = others.iter().copied().filter(near).collect();
+        if !nearest.is_empty() && !round.is_multiple_of(ANY_PEER_ROUNDS) {
+            others = nearest;
+        }
         if !others.is_empty() {
             let index = rand::rng().random_range(0..others.len());
             let address = self.members.borrow()[&others[index].name].address;
--- a/src/burst/follow.rs
+++ b/src/burst/follow.rs
@@ -53,6 +53,7 @@
                 gained: strong.gained.borrow()[from..].to_vec(),
                 load: strong.uploads.borrow().load() as u32,
                 manifest: strong.swarm.borrow().is_some(),
+                drawing: strong.drawing(),
             };
             let sent = Some(from + have.gained.len());
             let frame = wire::encode(&have).map_err(std::io::Error::other);
@@ -147,6 +148,7 @@
             let notice = Notice {
                 gained: &have.gained,
                 load: have.load,
+                drawing: &have.drawing,
             };
             swarm.notice(known, notice, now);
         }
--- a/src/clock.rs
+++ b/src/clock.rs
@@ -7,7 +7,7 @@
 
 use serde::{Deserialize, Serialize};
 
-/// A monotonic instant, in microseconds since the process (or trace) began.
+/// A monotonic instant, in microseconds since an hour before the process (or since a trace) began.
 #[derive(
     Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default, Hash, Serialize, Deserialize,
 )]
@@ -41,6 +41,10 @@
     }
 }
 
+/// Where a process's clock begins: what others heard of before it began is dated back, and no fact
+/// that matters is older than this.
+const BEGINNING: Duration = Duration::from_secs(3_600);
+
 /// The clock at a process's edge: turns the system's monotonic clock into [`Time`].
 #[derive(Debug, Clone, Copy)]
 pub struct Clock {
@@ -58,7 +62,7 @@
 impl Clock {
     /// The present instant.
     pub fn now(&self) -> Time {
-        Time(self.origin.elapsed().as_micros() as u64)
+        Time::default() + BEGINNING + self.origin.elapsed()
     }
 }
 
--- a/src/config/belief.rs
+++ b/src/config/belief.rs
@@ -116,9 +116,18 @@
     replicas_at: u64,
     replicas_changed: u64,
     removals: BTreeMap<Arc<str>, u64>,
+    trusts_removals: bool,
 }
 
 impl Belief {
+    /// Nothing is believed yet; with `trusts_removals` no removal is ever doubted.
+    pub fn new(trusts_removals: bool) -> Self {
+        Self {
+            trusts_removals,
+            ..Self::default()
+        }
+    }
+
     /// The routing configuration in force.
     pub fn routing(&self) -> Option<&Rc<Routing>> {
         self.routing.as_ref().map(|(_, routing)| routing)
@@ -194,7 +203,7 @@
 
     fn learn_routing(&mut self, revision: u64, document: Arc<Document>) -> Effect {
         let newer = self.routing.as_ref().is_none_or(|(known, routing)| {
-            let untold = document.version == 0 || routing.document.version == 0;
+            let untold = document.gaps.version || routing.document.gaps.version;
             *known < revision && (untold || routing.document.version < document.version)
         });
         if !newer {
@@ -272,8 +281,8 @@
         }
         known.gone = Some(now);
         let service = known.record.service.clone();
-        known.doubted = shaky;
-        if self.vanishing(&service, now) {
+        known.doubted = shaky && !self.trusts_removals;
+        if !self.trusts_removals && self.vanishing(&service, now) {
             self.doubt_all(&service, now);
         }
         self.removals.insert(id.clone(), revision);
--- a/src/config/routing.rs
+++ b/src/config/routing.rs
@@ -55,6 +55,8 @@
     pub timeout_ms: u64,
     /// Time within which an answer (a stream's first event) is in time, in milliseconds.
     pub objective_ms: u64,
+    /// Longest pause between events that still keeps a stream in time, in milliseconds.
+    pub gap_ms: u64,
     /// Rank, 0 being the highest.
     pub priority: u8,
     /// Where its requests go.
@@ -77,6 +79,7 @@
             kind: Kind::NonIdempotent,
             timeout_ms: TIMEOUT_DEFAULT_MS,
             objective_ms: OBJECTIVE_DEFAULT_MS,
+            gap_ms: OBJECTIVE_DEFAULT_MS,
             priority: PRIORITY_DEFAULT,
             shares: Vec::new(),
             attempts_max: 1,
@@ -236,13 +239,15 @@
     pub routes: bool,
     /// A customer at least: an unknown key may be its.
     pub customers: bool,
+    /// Its version: it is ordered by its revision alone.
+    pub version: bool,
 }
 
 /// A routing configuration as plain data.
 #[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
 #[serde(default)]
 pub struct Document {
-    /// Its version, which rises in uneven steps; 0 if it tells none.
+    /// Its version, which rises in uneven steps.
     pub version: u64,
     /// Routes.
     pub routes: Vec<Route>,
@@ -277,6 +282,7 @@
     hosts: HashMap<String, Vec<usize>>,
     keys: HashMap<String, usize>,
     services: BTreeMap<Arc<str>, usize>,
+    tightest_ms: BTreeMap<Arc<str>, u64>,
 }
 
 impl Routing {
@@ -301,14 +307,28 @@
             .enumerate()
             .map(|(index, service)| (service.name.clone(), index))
             .collect();
+        let mut tightest_ms: BTreeMap<Arc<str>, u64> = BTreeMap::new();
+        for route in &document.routes {
+            for share in &route.shares {
+                let known = tightest_ms.entry(share.service.clone());
+                let known = known.or_insert(route.objective_ms);
+                *known = route.objective_ms.min(*known);
+            }
+        }
         Self {
             document,
             hosts,
             keys,
             services,
+            tightest_ms,
         }
     }
 
+    /// The tightest objective of all routes to a service, in milliseconds.
+    pub fn tightest_ms(&self, service: &str) -> Option<u64> {
+        self.tightest_ms.get(service).copied()
+    }
+
     /// The route of `path` at `host`: the one with the longest prefix.
     pub fn route(&self, host: &str, path: &str) -> Option<&Route> {
         let routes = self.hosts.get(host)?;
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -24,15 +24,19 @@
 use crate::burst::joined::{self, Joined, Origins};
 use crate::clock::Time;
 use crate::config::belief::Belief;
+use crate::config::routing::Route;
 use crate::daemon;
 use crate::exchange;
 use crate::http::{self, ClientSetting, Server, Timing};
 use crate::knowledge::halls::Halls;
 use crate::knowledge::{Identity, Knowledge, gossip, store};
+use crate::limit::pressure::Pressure;
+use crate::limit::returning::Deadlines;
 use crate::member::Role;
 use crate::member::replica::Record;
 use crate::metric::{self, Metrics};
 use crate::node::ClientHandle;
+use crate::policy::Policy;
 use crate::request::budget::{self, Budget};
 use crate::route::entries::{self, Entries};
 use crate::route::pool::Pool;
@@ -47,6 +51,7 @@
 pub mod control;
 pub mod dialect;
 pub mod event;
+pub mod greet;
 pub mod halls;
 pub mod relay;
 pub mod status;
@@ -111,6 +116,8 @@
     pub memory_bytes: u64,
     /// Seed of random choices.
     pub seed: u64,
+    /// The mechanisms of the policy.
+    pub policy: Policy,
 }
 
 /// A gateway. It lives on one thread.
@@ -135,6 +142,8 @@
     instruments: status::Instruments,
     joined: Joined,
     halls: RefCell<Halls>,
+    deadlines: RefCell<BTreeMap<Arc<str>, Deadlines>>,
+    pressures: RefCell<BTreeMap<Arc<str>, Pressure>>,
 }
 
 /// What a gateway works with.
@@ -236,12 +245,15 @@
             setting.identity.clone(),
             setting.seeds.clone(),
             setting.seed,
+            setting.policy,
         );
         let host = Rc::new(relay_host(&setting, &knowledge, &metrics));
         let gateway = Rc::new(Self {
             joined: Joined::new(host, origins, setting.first_start),
             client: exchange::Client::default(),
-            pool: RefCell::new(Pool::new(setting.identity.hall.clone())),
+            pool: RefCell::new(Pool::new(setting.identity.hall.clone(), setting.policy)),
+            deadlines: RefCell::default(),
+            pressures: RefCell::default(),
             pool_at: Cell::new(0),
             budgets: RefCell::default(),
             leaving: Cell::new(false),
@@ -267,6 +279,7 @@
             actix_rt::spawn(gateway.clone().tick()),
             actix_rt::spawn(gateway.clone().relay()),
             actix_rt::spawn(halls::run(gateway.clone())),
+            actix_rt::spawn(greet::run(gateway.clone())),
         ];
         let front = gateway.serve_front(listeners.front);
         let mut servers = vec![
@@ -349,6 +362,9 @@
     }
 
     fn join_burst(&self) {
+        if !self.setting.policy.relays {
+            return;
+        }
         let knowledge = &self.knowledge;
         let origin = knowledge.brief().and_then(|brief| brief.origin);
         let (Some(target), Some(origin)) = (joined::newest(knowledge), origin) else {
@@ -472,6 +488,36 @@
         budget.request(self.setting.budget, now);
     }
 
+    /// Notes the deadline of a request on `route`. Returns whether its caller has been away.
+    fn has_been_away(&self, route: &Route, deadline: Option<Duration>) -> bool {
+        let Some(deadline) = deadline else {
+            return false;
+        };
+        let timeout = Duration::from_millis(route.timeout_ms);
+        let mut deadlines = self.deadlines.borrow_mut();
+        let known = deadlines.entry(route.name.clone()).or_default();
+        known.note(deadline, timeout)
+    }
+
+    /// Hundredths of its limit within which a request's first event has to be expected.
+    fn admitted_part(&self, service: &str) -> u32 {
+        let most = self.setting.policy.admit;
+        if !self.setting.policy.adaptive {
+            return most;
+        }
+        let pressures = self.pressures.borrow();
+        pressures
+            .get(service)
+            .map_or(most, |pressure| pressure.part(most))
+    }
+
+    /// A first event of `service` came, in time or late.
+    fn note_pressure(&self, service: &Arc<str>, in_time: bool) {
+        let mut pressures = self.pressures.borrow_mut();
+        let known = pressures.entry(service.clone()).or_default();
+        known.note(in_time, self.setting.policy.admit);
+    }
+
     /// Takes one repeat from the service's budget, if there is one.
     fn spend_repeat(&self, service: &Arc<str>) -> bool {
         let now = self.knowledge.now();
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -17,15 +17,24 @@
 use crate::clock::Time;
 use crate::config::routing::{Access, Kind, Limits, Route, Routing};
 use crate::http::{self, Answer, Error};
-use crate::limit::admission::{self, Case, Verdict};
+use crate::limit::admission::{self, Bounds, Case, Verdict};
 use crate::request::Outcome;
 use crate::request::attempt::{self as next, Ended, Next, Situation};
-use crate::route::estimate::Demand;
+use crate::route::estimate::{self, Demand};
 use crate::route::pool::{self, Choice, Key, ModelNeed, Shortage};
 
 /// When a caller should come back to a process that knows no configuration yet.
 const NOT_READY_RETRY: Duration = Duration::from_millis(300);
 
+/// Objectives that a caller waits for an event of a stream, if that is longest.
+const SILENCE_OBJECTIVES: u64 = 4;
+
+/// Longest pauses in time that a caller waits for an event of a stream, if that is longest.
+const SILENCE_GAPS: u64 = 8;
+
+/// Milliseconds that a caller waits for an event of a stream at least.
+const SILENCE_MS: u64 = 2_000;
+
 /// When a caller should come back if a service has no replica.
 const NO_REPLICA_RETRY: Duration = Duration::from_millis(1_900);
 
@@ -60,6 +69,8 @@
     pub arrived: Time,
     /// When it has to be over.
     pub deadline: Time,
+    /// Whether its caller was refused before, and came back.
+    pub returned: bool,
 }
 
 impl Job {
@@ -73,6 +84,23 @@
         self.deadline.since(now)
     }
 
+    /// How long its caller waits for a first event at most, less the time that it takes to come.
+    pub fn patience(&self) -> Duration {
+        let Route {
+            kind,
+            objective_ms,
+            gap_ms,
+            ..
+        } = self.route;
+        let longest = match kind {
+            Kind::Streaming => (SILENCE_OBJECTIVES * objective_ms)
+                .max(SILENCE_GAPS * gap_ms)
+                .max(SILENCE_MS),
+            Kind::Idempotent | Kind::NonIdempotent => self.route.timeout_ms,
+        };
+        Duration::from_millis(longest).saturating_sub(self.objective())
+    }
+
     /// What it asks of an engine.
     pub fn demand(&self) -> Demand {
         let work = self.ask.work.as_ref();
@@ -90,6 +118,7 @@
     let prepared = prepare(&gateway, &mut request, &mut trace).await;
     let mut answer = match prepared {
         Ok(job) => {
+            trace.returned = job.returned;
             gateway.count_request(&job.service);
             let course = Course::new(gateway.clone(), Rc::new(job), trace);
             course.run().await
@@ -152,6 +181,7 @@
     let longest = ask.deadline.map_or(held, |deadline| deadline.min(held));
     let arrived = trace.arrived;
     let body = read_body(request, limits, longest).await?;
+    let returned = gateway.has_been_away(&route, ask.deadline);
     Ok(Job {
         head: copy_head(request.head()),
         ask,
@@ -163,6 +193,7 @@
         priority,
         arrived,
         deadline: arrived + longest,
+        returned,
     })
 }
 
@@ -302,6 +333,9 @@
     fn follow_up(&mut self, failure: Failure) -> Result<(), Refusal> {
         let (ended, detail) = self.take_failure(failure);
         match next::after(ended, self.situation()) {
+            Next::Elsewhere { .. } if !self.gateway.setting.policy.retries => {
+                Err(self.refusal_after(ended, detail))
+            }
             Next::Elsewhere { charged } => {
                 if !charged || self.gateway.spend_repeat(&self.job.service) {
                     return Ok(());
@@ -380,7 +414,7 @@
             let verdict = if idle {
                 Verdict::Send
             } else {
-                admission::judge(case)
+                admission::judge(case, self.bounds(case))
             };
             match (verdict, choice) {
                 (Verdict::Send, Ok(choice)) => return Ok(choice),
@@ -396,12 +430,80 @@
                 }
                 (_, Err(shortage)) => {
                     let refusal = Refusal::new(Code::NoReplica, shortage.to_string());
-                    return Err(refusal.retry_after(NO_REPLICA_RETRY));
+                    return Err(refusal.retry_after(self.arrival(remaining)));
                 }
             }
         }
     }
 
+    /// The limit that is common to requests of the service, as far as the policy shares it.
+    fn limit(&self) -> Duration {
+        let gateway = &self.gateway;
+        let own = self.job.objective();
+        let tightest = self.job.routing.tightest_ms(&self.job.service);
+        let base = match tightest.filter(|_| gateway.setting.policy.shared_limit) {
+            Some(tightest) => own.min(Duration::from_millis(tightest)),
+            None => own,
+        };
+        let part = gateway.admitted_part(&self.job.service);
+        let part = if self.job.returned {
+            part.min(gateway.setting.policy.return_admit)
+        } else {
+            part
+        };
+        let limit = base * part / 100;
+        if !gateway.setting.policy.size_blind {
+            return limit;
+        }
+        let service = self.job.routing.service(&self.job.service);
+        let Some(engine) = service.and_then(|service| service.engine.as_ref()) else {
+            return limit;
+        };
+        let own_reading = estimate::reading(engine, f64::from(self.job.demand().prompt));
+        let usual_reading = estimate::reading(engine, engine.usual_prompt);
+        (limit + own_reading)
+            .saturating_sub(usual_reading)
+            .min(own * admission::EXPECTED_MAX / 100)
+    }
+
+    /// The bounds by which the request is judged now.
+    fn bounds(&self, case: Case) -> Bounds {
+        let usual = Bounds {
+            limit: self.limit(),
+            ..Bounds::usual(case.objective)
+        };
+        if !self.job.returned {
+            return usual;
+        }
+        let patience = self.job.patience().min(case.elapsed + case.remaining);
+        let wait = match case.expected {
+            Some(_) => patience.min(self.gateway.setting.policy.return_wait),
+            None => patience.min(self.gateway.setting.policy.outage_wait),
+        };
+        Bounds {
+            limit: case.elapsed + usual.limit,
+            wait: usual.wait.max(wait),
+        }
+    }
+
+    /// When the caller should come back to find weights at the replicas.
+    fn arrival(&self, remaining: Duration) -> Duration {
+        let gateway = &self.gateway;
+        if !gateway.setting.policy.named_return {
+            return NO_REPLICA_RETRY;
+        }
+        let now = gateway.knowledge.now();
+        let arrival = gateway.pool.borrow().arrival(&self.job.service, now);
+        let spread = gateway.knowledge.rng.borrow_mut().random_range(0.0..1.0);
+        admission::come_back(arrival, remaining, spread)
+    }
+
+    /// Notes whether the first event, so long after the request came, was in time.
+    pub fn note_pressure(&self, first: Duration) {
+        let in_time = first <= self.job.objective();
+        self.gateway.note_pressure(&self.job.service, in_time);
+    }
+
     /// Chooses a replica; for a begun answer, one of the version `only`. Tells as well whether the
     /// service is mostly idle, so that nothing is to be refused.
     pub fn choose(&self, only: Option<u64>) -> (Result<Choice, Shortage>, bool) {
@@ -425,6 +527,7 @@
             demand: self.job.demand(),
             tried: &self.tried,
             connections_max: (connections / entries.max(1)).max(CONNECTIONS_MIN),
+            limit: self.limit(),
         };
         let pool = gateway.pool.borrow();
         let mut rng = gateway.knowledge.rng.borrow_mut();
@@ -473,6 +576,9 @@
     pub fn may_resume(&mut self, failure: Failure) -> bool {
         let (ended, detail) = self.take_failure(failure);
         self.trace.reason = detail;
+        if !self.gateway.setting.policy.resume {
+            return false;
+        }
         let next = next::after(ended, self.situation());
         match next {
             Next::Elsewhere { charged } => !charged || self.gateway.spend_repeat(&self.job.service),
--- /dev/null
+++ b/src/gateway/greet.rs
@@ -0,0 +1,59 @@
+//! Greets the processes beside the replicas of the own hall when the entry begins.
+//!
+//! They know a few seeds only. After a loss of power, those may be the last to start; every entry
+//! knows from the list where the processes are, and their answers name the entries that greeted
+//! them before.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix_rt::time::sleep;
+
+use super::Gateway;
+use crate::knowledge::gossip;
+use crate::wire::sync::SYNC_PATH;
+
+/// How often it is looked whether the list of replicas is known.
+const LOOK: Duration = Duration::from_millis(20);
+
+/// How often those are greeted that have not reported.
+const EVERY: Duration = Duration::from_millis(200);
+
+/// Rounds in which they are greeted: by then heartbeats have spread.
+const ROUNDS: u32 = 10;
+
+/// Greets until everyone has reported, or for the first rounds.
+pub async fn run(gateway: Rc<Gateway>) {
+    while !gateway.knowledge.belief.borrow().lists_replicas() {
+        sleep(LOOK).await;
+    }
+    for _ in 0..ROUNDS {
+        for process in gateway.silent_sidecars() {
+            let gateway = gateway.clone();
+            actix_rt::spawn(async move {
+                let knowledge = &gateway.knowledge;
+                let sync = knowledge.sync(true);
+                if let Err(error) = gossip::post(knowledge, process, SYNC_PATH, &sync).await {
+                    log::debug!(process:% = process; "greeting: {error}");
+                }
+            });
+        }
+        sleep(EVERY).await;
+    }
+}
+
+impl Gateway {
+    /// The processes beside replicas of the own hall that have not reported lately.
+    fn silent_sidecars(&self) -> Vec<SocketAddr> {
+        self.refresh_pool();
+        let now = self.knowledge.now();
+        let hall = &self.knowledge.identity.hall;
+        let hosts = self.pool.borrow().silent(hall, now);
+        let port = self.setting.sidecar_port;
+        hosts
+            .into_iter()
+            .map(|host| SocketAddr::new(host, port))
+            .collect()
+    }
+}
--- a/src/gateway/halls.rs
+++ b/src/gateway/halls.rs
@@ -59,6 +59,9 @@
 impl Gateway {
     fn due_halls(&self) -> Vec<Ask> {
         let knowledge = &self.knowledge;
+        if !knowledge.policy.digests {
+            return Vec::new();
+        }
         let identity = &knowledge.identity;
         let peers = knowledge.peers.borrow();
         let mut rng = knowledge.rng.borrow_mut();
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -11,6 +11,7 @@
 use super::attempt::{Attempt, Begun};
 use super::call::Course;
 use super::event::Cutter;
+use crate::clock::Time;
 use crate::exchange::Response;
 use crate::http::Answer;
 use crate::route::health::Sign;
@@ -40,6 +41,7 @@
     version: Option<u64>,
     cutter: Cutter,
     head: Option<actix_http::Response<()>>,
+    last_event_at: Option<Time>,
 }
 
 impl Relay {
@@ -58,6 +60,7 @@
             response,
             version,
             head: Some(head),
+            last_event_at: None,
         }
     }
 
@@ -88,7 +91,7 @@
             match self.step().await {
                 Step::Part => {}
                 Step::Events(events) => {
-                    self.note_first();
+                    self.note_events();
                     return Some(Ok(events));
                 }
                 Step::End => {
@@ -112,6 +115,15 @@
         }
     }
 
+    fn note_events(&mut self) {
+        let now = self.course.gateway.knowledge.now();
+        if let Some(last) = self.last_event_at.replace(now) {
+            let trace = &mut self.course.trace;
+            trace.gap = trace.gap.max(now.since(last));
+        }
+        self.note_first();
+    }
+
     fn note_first(&mut self) {
         self.attempt.started();
         if self.course.trace.first.is_some() {
@@ -120,6 +132,7 @@
         let first = self.course.trace.elapsed();
         self.course.trace.first = Some(first);
         self.course.gateway.instruments.first(first);
+        self.course.note_pressure(first);
         self.attempt.note(Sign::Whole(self.attempt.elapsed()));
     }
 
--- a/src/gateway/trace.rs
+++ b/src/gateway/trace.rs
@@ -33,6 +33,10 @@
     pub sent: u32,
     /// Time to the first event of its stream.
     pub first: Option<Duration>,
+    /// Longest pause between two events of its stream.
+    pub gap: Duration,
+    /// Whether its caller was refused before, and came back.
+    pub returned: bool,
     /// Why it ended as it did.
     pub reason: String,
     /// When its head came.
@@ -52,6 +56,8 @@
             expected: None,
             sent: 0,
             first: None,
+            gap: Duration::ZERO,
+            returned: false,
             reason: String::new(),
             arrived,
             outcome: "caller_left",
@@ -94,6 +100,8 @@
             expected_ms = millis(self.expected.map(|expected| expected.first)),
             known_requests = self.expected.map_or(0, |expected| expected.requests),
             first_ms = millis(self.first),
+            gap_ms = self.gap.as_millis() as u64,
+            returned = self.returned,
             config = version,
             reason = self.reason.as_str();
             "request ended"
--- a/src/knowledge.rs
+++ b/src/knowledge.rs
@@ -21,8 +21,9 @@
 use crate::clock::{Clock, Time};
 use crate::config::belief::{Belief, Dated, Effect, Fact, Marks, Wanted};
 use crate::exchange;
-use crate::member::peer::Peers;
+use crate::member::peer::{Peers, Told};
 use crate::member::replica::Record;
+use crate::policy::Policy;
 use crate::source::{Batch, Damaged, Topic};
 use crate::wire::sync::{Brief, DatedDocument, DatedRecord, List, Named, News, Sync};
 
@@ -62,6 +63,8 @@
 pub struct Knowledge {
     /// Who the process is.
     pub identity: Identity,
+    /// The mechanisms of the policy.
+    pub policy: Policy,
     /// Monotonic time.
     pub clock: Clock,
     /// Random choices.
@@ -94,13 +97,14 @@
 
 impl Knowledge {
     /// Nothing known yet.
-    pub fn new(identity: Identity, seeds: Vec<SocketAddr>, seed: u64) -> Rc<Self> {
+    pub fn new(identity: Identity, seeds: Vec<SocketAddr>, seed: u64, policy: Policy) -> Rc<Self> {
         let own = identity.entry.then_some(identity.address);
         Rc::new(Self {
             clock: Clock::default(),
             rng: RefCell::new(SmallRng::seed_from_u64(seed)),
             client: exchange::Client::default(),
-            belief: RefCell::default(),
+            belief: RefCell::new(Belief::new(!policy.doubt)),
+            policy,
             peers: RefCell::new(Peers::new(own)),
             brief: RefCell::default(),
             seeds: RefCell::new(seeds),
@@ -132,6 +136,9 @@
 
     /// Whether this entry reads `topic` from the store, or others of its hall do.
     pub fn reads(&self, topic: Topic) -> bool {
+        if !self.policy.few_readers {
+            return true;
+        }
         let readers = self.readers.borrow();
         readers.reads(topic, self.identity.address, &self.fellows(), self.now())
     }
@@ -148,8 +155,10 @@
         let now = self.now();
         {
             let mut peers = self.peers.borrow_mut();
+            let before = peers.added();
             peers.heard(entry, hall, now);
             peers.rated(entry, rate);
+            self.tell_added(before, &peers);
         }
         if *hall != self.identity.hall {
             return;
@@ -159,6 +168,21 @@
         }
     }
 
+    /// Takes what another process tells of the entries.
+    fn learn_peers(&self, told: &[Told]) {
+        let mut peers = self.peers.borrow_mut();
+        let before = peers.added();
+        peers.learn(told, self.now());
+        self.tell_added(before, &peers);
+    }
+
+    /// Wakes those who work with the other entries, if there is a new one.
+    fn tell_added(&self, before: u64, peers: &Peers) {
+        if peers.added() != before {
+            self.changed.send_modify(|count| *count += 1);
+        }
+    }
+
     /// An entry does not answer.
     pub fn lost(&self, entry: SocketAddr) {
         self.readers.borrow_mut().lost(entry);
@@ -274,7 +298,7 @@
 
     /// Takes what another process answered.
     pub fn take_news(&self, from: SocketAddr, news: News) {
-        self.peers.borrow_mut().learn(&news.peers, self.now());
+        self.learn_peers(&news.peers);
         if news.entry {
             self.hear(from, &news.hall, news.rate, news.store_age_ms);
         }
@@ -348,7 +372,7 @@
     /// whole configuration.
     pub fn news_for(&self, sync: &Sync, brief: bool) -> News {
         let now = self.now();
-        self.peers.borrow_mut().learn(&sync.peers, now);
+        self.learn_peers(&sync.peers);
         if sync.entry {
             self.hear(sync.from, &sync.hall, sync.rate, sync.store_age_ms);
         }
--- a/src/knowledge/gossip.rs
+++ b/src/knowledge/gossip.rs
@@ -19,9 +19,15 @@
 /// How often an entry asks others.
 const EVERY: Duration = Duration::from_millis(500);
 
+/// How often an entry asks others while it knows none: it has just begun, perhaps with all others.
+const EVERY_ALONE: Duration = Duration::from_millis(120);
+
 /// Processes beside replicas that are asked at a time.
 const ASKED: usize = 2;
 
+/// First rounds that follow each other soon while no other entry of the hall is known.
+const ALONE_ROUNDS: u32 = 20;
+
 /// Rounds between two in which the seeds and an entry of any hall are asked as well.
 const SEED_ROUNDS: u32 = 6;
 
@@ -122,7 +128,9 @@
         round += 1;
         knowledge.peers.borrow_mut().sweep(knowledge.now());
         let jitter = knowledge.rng.borrow_mut().random_range(0.8..1.2);
-        sleep(EVERY.mul_f64(jitter)).await;
+        let alone = round <= ALONE_ROUNDS && knowledge.fellows().is_empty();
+        let pause = if alone { EVERY_ALONE } else { EVERY };
+        sleep(pause.mul_f64(jitter)).await;
     }
 }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod node;
 pub mod option;
 pub mod placement;
+pub mod policy;
 pub mod request;
 pub mod route;
 pub mod sidecar;
--- a/src/limit/admission.rs
+++ b/src/limit/admission.rs
@@ -1,12 +1,14 @@
 //! Whether a request that has no replica yet is sent, waits, or is refused.
 //!
 //! A refusal that comes at once leaves its caller time to try again; one that comes late is worth
-//! less than none. So a request waits here for a short part of its objective only.
+//! less than none. So a request waits here for a short part of its objective only. One whose caller
+//! was refused before is another matter: its caller cannot usefully come back once more, so it waits
+//! as long as a place in time for its deadline is likely.
 
 use std::time::Duration;
 
 /// Part of its objective within which the first event has to be expected, in hundredths.
-const EXPECTED_MAX: u32 = 90;
+pub const EXPECTED_MAX: u32 = 90;
 
 /// Part of its objective that a request may wait here, in hundredths.
 const WAIT_MAX: u32 = 15;
@@ -20,6 +22,12 @@
 /// Longest time that a refused caller is asked to stay away.
 const RETRY_MAX: Duration = Duration::from_millis(1_500);
 
+/// Time over which callers are spread who come back when weights are there.
+const SPREAD: Duration = Duration::from_millis(1_000);
+
+/// Part of the time left for which a caller heeds when to come back, in hundredths.
+const HEEDED: u32 = 32;
+
 /// What is known of a request when it is judged.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Case {
@@ -33,6 +41,25 @@
     pub expected: Option<Duration>,
 }
 
+/// The bounds by which a request is judged, counted from when its head came.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Bounds {
+    /// When the first event has to be expected.
+    pub limit: Duration,
+    /// How long it may wait for that.
+    pub wait: Duration,
+}
+
+impl Bounds {
+    /// The usual bounds of a request with this objective.
+    pub fn usual(objective: Duration) -> Self {
+        Self {
+            limit: objective * EXPECTED_MAX / 100,
+            wait: objective * WAIT_MAX / 100,
+        }
+    }
+}
+
 /// What is done with it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Verdict {
@@ -48,21 +75,29 @@
 }
 
 /// Judges a request.
-pub fn judge(case: Case) -> Verdict {
-    let aim = case.objective * EXPECTED_MAX / 100;
+pub fn judge(case: Case, bounds: Bounds) -> Verdict {
     if let Some(expected) = case.expected
-        && case.elapsed + expected <= aim
+        && case.elapsed + expected <= bounds.limit
     {
         return Verdict::Send;
     }
-    if case.elapsed + LOOK <= case.objective * WAIT_MAX / 100 {
+    if case.elapsed + LOOK <= bounds.wait {
         return Verdict::Wait(LOOK);
     }
-    let surplus = case
-        .expected
-        .map_or(RETRY_MAX / 3, |expected| expected.saturating_sub(aim / 2));
+    let surplus = case.expected.map_or(RETRY_MAX / 3, |expected| {
+        expected.saturating_sub(bounds.limit / 2)
+    });
     let longest = RETRY_MAX.min(case.remaining / 4).max(RETRY_MIN);
     Verdict::Refuse {
         retry_after: surplus.clamp(RETRY_MIN, longest),
     }
 }
+
+/// When a caller should come back who was refused for want of weights that are expected after
+/// `arrival`, if that can be told. `spread`, between 0 and 1, keeps those who return apart.
+pub fn come_back(arrival: Option<Duration>, remaining: Duration, spread: f64) -> Duration {
+    let longest = (remaining * HEEDED / 100).max(RETRY_MIN);
+    let apart = SPREAD.mul_f64(spread);
+    let after = arrival.map_or(longest, |arrival| arrival + apart);
+    after.clamp(RETRY_MIN, longest)
+}
--- /dev/null
+++ b/src/limit/returning.rs
@@ -0,0 +1,44 @@
+//! Who comes back after a refusal: a caller of whose usual time a part is gone already.
+
+use std::time::Duration;
+
+/// A deadline under this part of the usual one, in hundredths, is that of a caller who was away.
+const WHOLE: u32 = 97;
+
+/// Requests among which a whole deadline is sure to be, if callers still have that much time.
+const SAMPLE: u32 = 24;
+
+/// How many times shorter than a route's timeout a first deadline may be to be taken for a rest of it.
+const REST_MAX: u32 = 3;
+
+/// The deadline that callers of one route usually have, as observed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Deadlines {
+    usual: Duration,
+    longest: Duration,
+    seen: u32,
+}
+
+impl Deadlines {
+    /// Takes a request's deadline, where its route holds requests for `timeout`. Returns whether its
+    /// caller has been away.
+    pub fn note(&mut self, deadline: Duration, timeout: Duration) -> bool {
+        if self.usual.is_zero() {
+            // The first ones after a fault may all have been away.
+            self.usual = if deadline * REST_MAX > timeout {
+                deadline.max(timeout)
+            } else {
+                deadline
+            };
+        }
+        self.longest = self.longest.max(deadline);
+        self.seen += 1;
+        if self.longest > self.usual || self.seen >= SAMPLE {
+            *self = Self {
+                usual: self.longest,
+                ..Self::default()
+            };
+        }
+        deadline < self.usual * WHOLE / 100
+    }
+}
--- a/src/member/peer.rs
+++ b/src/member/peer.rs
@@ -45,6 +45,7 @@
 pub struct Peers {
     own: Option<SocketAddr>,
     peers: BTreeMap<SocketAddr, Peer>,
+    added: u64,
 }
 
 impl Peers {
@@ -54,18 +55,28 @@
         Self {
             own,
             peers: BTreeMap::new(),
+            added: 0,
         }
     }
 
+    /// Entries that were added to the table until now.
+    pub fn added(&self) -> u64 {
+        self.added
+    }
+
     /// An entry was heard at `at`, directly or through another.
     pub fn heard(&mut self, address: SocketAddr, hall: &Arc<str>, at: Time) {
         if self.own == Some(address) {
             return;
         }
-        let peer = self.peers.entry(address).or_insert_with(|| Peer {
-            hall: hall.clone(),
-            heard: at,
-            rate: 0.0,
+        let added = &mut self.added;
+        let peer = self.peers.entry(address).or_insert_with(|| {
+            *added += 1;
+            Peer {
+                hall: hall.clone(),
+                heard: at,
+                rate: 0.0,
+            }
         });
         peer.heard = peer.heard.max(at);
         if !hall.is_empty() {
@@ -96,7 +107,7 @@
     pub fn learn(&mut self, told: &[Told], now: Time) {
         for entry in told {
             let age = Duration::from_millis(entry.age_ms);
-            if age < FORGET && now.0 > age.as_micros() as u64 {
+            if age < FORGET {
                 let at = now - age;
                 let newer = |peer: &Peer| peer.heard < at;
                 let newer = self.peers.get(&entry.address).is_none_or(newer);
--- /dev/null
+++ b/src/policy.rs
@@ -0,0 +1,178 @@
+//! The mechanisms of the policy that can be set apart, each with the value that was measured best.
+//!
+//! Programs take `--policy NAME=VALUE`, several times, so that what a mechanism is worth can be
+//! measured by switching it off: 0 does that for each of them. docs/POLICY.md has the figures.
+
+use std::time::Duration;
+
+/// Why a policy cannot be set.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum Error {
+    /// There is no mechanism of that name.
+    #[error("`{0}` is no mechanism; those are: {names}", names = NAMES.join(", "))]
+    Unknown(String),
+    /// The value is no number that fits.
+    #[error("`{0}` is not NAME=NUMBER, the number being whole and not negative")]
+    Value(String),
+}
+
+/// Names of the mechanisms, as [`Policy::set`] takes them.
+pub const NAMES: [&str; 24] = [
+    "relays",
+    "dealt-below",
+    "unseen",
+    "link-delay",
+    "crowding-ms",
+    "remote-ms",
+    "queue-spread",
+    "waves",
+    "chunk-order",
+    "claims",
+    "few-readers",
+    "digests",
+    "doubt",
+    "retries",
+    "resume",
+    "admit",
+    "shared-limit",
+    "size-blind",
+    "overflow",
+    "adaptive",
+    "return-admit",
+    "return-wait-ms",
+    "outage-wait-ms",
+    "named-return",
+];
+
+/// The settings of all mechanisms.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Policy {
+    /// Entries take part in bursts as relays, because their links are wide.
+    pub relays: bool,
+    /// Free places that are meant for an entry, over all replicas, below which it keeps to them.
+    pub dealt_below: u32,
+    /// Hundredths of what other entries are likely to have sent unseen that are reckoned with.
+    pub unseen: u32,
+    /// Whether the delay of a replica's link is part of its estimate.
+    pub link_delay: bool,
+    /// Cost of each taken slot: a fuller engine writes more slowly.
+    pub crowding: Duration,
+    /// Handicap of a replica in another hall.
+    pub remote: Duration,
+    /// Hundredths of the mean time in an engine's queue that are expected: whoever waits has to be
+    /// in time mostly, not just on average.
+    pub queue_spread: u32,
+    /// Waves in which replicas change their version.
+    pub waves: u32,
+    /// Whether each sponsor of a burst begins with other chunks.
+    pub chunk_order: bool,
+    /// Whether nobody draws from the origin what a peer is drawing there.
+    pub claims: bool,
+    /// Whether few entries of a hall read the store for the others.
+    pub few_readers: bool,
+    /// Whether halls exchange digests, and agents tell their own hall only.
+    pub digests: bool,
+    /// Whether removals shortly after trouble of the store are doubted.
+    pub doubt: bool,
+    /// Whether a failed attempt is made again elsewhere.
+    pub retries: bool,
+    /// Whether a broken stream is taken up elsewhere.
+    pub resume: bool,
+    /// Hundredths of the limit within which the first event has to be expected.
+    pub admit: u32,
+    /// Whether the limit is the tightest objective of a service for all kinds of request.
+    pub shared_limit: bool,
+    /// Whether the limit allows for the time that a request's own prompt takes beyond the usual, so
+    /// that long prompts are refused as often as short ones.
+    pub size_blind: bool,
+    /// Whether a request for which the cheapest replica is too late goes to any that is in time.
+    pub overflow: bool,
+    /// Whether `admit` is lowered while first events come late.
+    pub adaptive: bool,
+    /// Hundredths of the limit for a request whose caller has been away already: those who come for
+    /// the first time go first.
+    pub return_admit: u32,
+    /// Longest time that a request waits for a place whose caller has been away already.
+    pub return_wait: Duration,
+    /// Longest time that such a request waits while no replica holds weights.
+    pub outage_wait: Duration,
+    /// Whether a refusal for want of weights tells when they are expected.
+    pub named_return: bool,
+}
+
+impl Default for Policy {
+    fn default() -> Self {
+        Self {
+            relays: true,
+            dealt_below: 8,
+            unseen: 100,
+            link_delay: true,
+            crowding: Duration::from_millis(3),
+            remote: Duration::from_millis(60),
+            queue_spread: 200,
+            waves: 4,
+            chunk_order: true,
+            claims: true,
+            few_readers: true,
+            digests: true,
+            doubt: true,
+            retries: true,
+            resume: true,
+            admit: 90,
+            shared_limit: true,
+            size_blind: false,
+            overflow: false,
+            adaptive: false,
+            return_admit: 40,
+            return_wait: Duration::ZERO,
+            outage_wait: Duration::ZERO,
+            named_return: false,
+        }
+    }
+}
+
+impl Policy {
+    /// The default with the given changes, each `NAME=NUMBER`.
+    pub fn with<'a>(changes: impl IntoIterator<Item = &'a str>) -> Result<Self, Error> {
+        let mut policy = Self::default();
+        for change in changes {
+            let wrong = || Error::Value(change.to_owned());
+            let (name, value) = change.split_once('=').ok_or_else(wrong)?;
+            policy.set(name, value.parse().map_err(|_| wrong())?)?;
+        }
+        Ok(policy)
+    }
+
+    fn set(&mut self, name: &str, value: u32) -> Result<(), Error> {
+        let on = value > 0;
+        let time = Duration::from_millis(u64::from(value));
+        match name {
+            "relays" => self.relays = on,
+            "dealt-below" => self.dealt_below = value,
+            "unseen" => self.unseen = value,
+            "link-delay" => self.link_delay = on,
+            "crowding-ms" => self.crowding = time,
+            "remote-ms" => self.remote = time,
+            "queue-spread" => self.queue_spread = value,
+            "waves" => self.waves = value,
+            "chunk-order" => self.chunk_order = on,
+            "claims" => self.claims = on,
+            "few-readers" => self.few_readers = on,
+            "digests" => self.digests = on,
+            "doubt" => self.doubt = on,
+            "retries" => self.retries = on,
+            "resume" => self.resume = on,
+            "admit" => self.admit = value,
+            "shared-limit" => self.shared_limit = on,
+            "size-blind" => self.size_blind = on,
+            "overflow" => self.overflow = on,
+            "adaptive" => self.adaptive = on,
+            "return-admit" => self.return_admit = value,
+            "return-wait-ms" => self.return_wait = time,
+            "outage-wait-ms" => self.outage_wait = time,
+            "named-return" => self.named_return = on,
+            other => return Err(Error::Unknown(other.to_owned())),
+        }
+        Ok(())
+    }
+}
--- a/src/route/estimate.rs
+++ b/src/route/estimate.rs
@@ -30,9 +30,6 @@
 /// Part of a pass that a new request waits on average before it is looked at.
 const PASS_WAITED: f64 = 0.5;
 
-/// Factor on the mean time in a queue: whoever waits has to be in time mostly, not just on average.
-const QUEUE_SPREAD: f64 = 2.0;
-
 fn millis(value: f64) -> Duration {
     Duration::from_secs_f64((value / 1_000.0).clamp(0.0, 3_600.0))
 }
@@ -51,6 +48,11 @@
     tokens / engine.read_per_s * 1_000.0
 }
 
+/// Time to read so many tokens of a prompt.
+pub fn reading(engine: &Engine, tokens: f64) -> Duration {
+    millis(read_ms(engine, tokens))
+}
+
 /// Time between two requests that end at an engine whose slots are all taken.
 pub fn turnover(engine: &Engine, pace: f64) -> Duration {
     let slots = f64::from(engine.slots.max(1));
@@ -60,13 +62,15 @@
 }
 
 /// Time until the first event of a request that is sent now.
-pub fn first_event(engine: &Engine, work: Work, demand: Demand) -> Duration {
+///
+/// `queue_spread` is the factor on the mean time in a queue, in hundredths.
+pub fn first_event(engine: &Engine, work: Work, demand: Demand, queue_spread: u32) -> Duration {
     let slots = engine.slots.max(1);
     let batch = f64::from(work.requests.min(slots - 1) + 1);
     let pass = step_ms(engine, batch) * f64::from(engine.stride.max(1));
     let read = read_ms(engine, work.unread + f64::from(demand.prompt));
     let waiting = work.requests.saturating_sub(slots - 1);
-    let queue = (turnover(engine, 1.0) * waiting).mul_f64(QUEUE_SPREAD);
+    let queue = turnover(engine, 1.0) * waiting * queue_spread / 100;
     (queue + millis(pass * (1.0 + PASS_WAITED) + read)).mul_f64(work.pace.max(1.0))
 }
 
--- a/src/route/pool.rs
+++ b/src/route/pool.rs
@@ -5,7 +5,7 @@
 //! entry has sent since, and the shortest wins, with a handicap for other halls.
 
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -21,6 +21,7 @@
 use crate::config::belief::Listed;
 use crate::config::routing::Engine;
 use crate::member::replica::Record;
+use crate::policy::Policy;
 use crate::wire::sync::Reported;
 
 slotmap::new_key_type! {
@@ -31,9 +32,6 @@
 /// Service time of a plain service before any was measured.
 const USUAL_UNKNOWN: Duration = Duration::from_millis(50);
 
-/// Handicap of a replica in another hall.
-const REMOTE: Duration = Duration::from_millis(60);
-
 /// Candidates whose cost is over the least by no more than this are equal.
 const EQUAL: Duration = Duration::from_millis(4);
 
@@ -53,12 +51,6 @@
 /// A request that outlasts its replica's next change of version costs this part of the excess.
 const OVERRUN: u32 = 2;
 
-/// Cost of each taken slot: a fuller engine writes more slowly.
-const CROWDING: Duration = Duration::from_millis(3);
-
-/// Free places that are meant for this entry, over all replicas, with which it need not keep to them.
-const SHARES_ENOUGH: u32 = 8;
-
 /// The model that a request needs.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ModelNeed<'a> {
@@ -85,6 +77,8 @@
     pub tried: &'a [Key],
     /// Connections that this entry may have to one replica.
     pub connections_max: u32,
+    /// Time within which the first event is to be expected, if possible.
+    pub limit: Duration,
 }
 
 /// A replica that was chosen.
@@ -129,6 +123,7 @@
 #[derive(Debug, Default)]
 pub struct Pool {
     own_hall: Arc<str>,
+    policy: Policy,
     entries: Entries,
     scarce: bool,
     replicas: SlotMap<Key, Replica>,
@@ -140,9 +135,10 @@
 
 impl Pool {
     /// An empty pool of an entry in `own_hall`.
-    pub fn new(own_hall: Arc<str>) -> Self {
+    pub fn new(own_hall: Arc<str>, policy: Policy) -> Self {
         Self {
             own_hall,
+            policy,
             ..Self::default()
         }
     }
@@ -151,7 +147,7 @@
     pub fn set_entries(&mut self, entries: Entries) {
         self.entries = entries;
         let shares = self.replicas.values().map(Replica::share);
-        self.scarce = shares.sum::<u32>() < SHARES_ENOUGH;
+        self.scarce = shares.sum::<u32>() < self.policy.dealt_below;
     }
 
     /// Takes the list as it stands now, and what change of version each replica has before it.
@@ -223,6 +219,18 @@
         told.collect()
     }
 
+    /// The hosts of a hall's model replicas without a fresh report.
+    pub fn silent(&self, hall: &str, now: Time) -> Vec<IpAddr> {
+        let of_hall = self.replicas.values();
+        let of_hall = of_hall.filter(|replica| &*replica.record.hall == hall);
+        let silent = of_hall
+            .filter(|replica| !replica.record.models.is_empty() && replica.reported(now).is_none());
+        let mut hosts: Vec<IpAddr> = silent.map(|replica| replica.record.address.ip()).collect();
+        hosts.sort_unstable();
+        hosts.dedup();
+        hosts
+    }
+
     /// The process beside the replica at `address` reported at `at`. Returns whether anyone is
     /// there.
     pub fn report(&mut self, address: SocketAddr, load: &Load, at: Time) -> bool {
@@ -310,6 +318,14 @@
             .iter()
             .map(|&key| (self.cost(&self.replicas[key], ask, now), key))
             .collect();
+        let in_time = |key: Key| self.expected(&self.replicas[key], ask, now) <= ask.limit;
+        let timely: Vec<(Duration, Key)> = if self.policy.overflow {
+            let costs = costs.iter().copied();
+            costs.filter(|(_, key)| in_time(*key)).collect()
+        } else {
+            Vec::new()
+        };
+        let costs = if timely.is_empty() { costs } else { timely };
         let least = costs.iter().map(|(cost, _)| *cost).min()?;
         let equal: Vec<Key> = costs
             .iter()
@@ -326,11 +342,11 @@
     }
 
     fn cost(&self, replica: &Replica, ask: Ask<'_>, now: Time) -> Duration {
-        let crowding = CROWDING * replica.requests(now);
+        let crowding = self.policy.crowding * replica.requests(now);
         let far = if replica.record.hall == self.own_hall {
             Duration::ZERO
         } else {
-            REMOTE
+            self.policy.remote
         };
         let expected = self.expected(replica, ask, now);
         expected + crowding + far + self.overrun(replica, ask, expected, now) / OVERRUN
@@ -349,7 +365,7 @@
     }
 
     fn work(&self, replica: &Replica, engine: &Engine, now: Time) -> Work {
-        let unseen = replica.unseen(&self.entries, self.scarce, now);
+        let unseen = replica.unseen(&self.entries, self.scarce, now) * self.policy.unseen / 100;
         let unseen_tokens = f64::from(unseen) * engine.usual_prompt;
         Work {
             requests: replica.requests(now) + unseen,
@@ -367,9 +383,14 @@
             return usual + usual * waiting / slots;
         };
         let work = self.work(replica, engine, now);
-        let held_up = replica.link_delay(now).min(LINK_DELAY_COUNTED);
+        let held_up = if self.policy.link_delay {
+            replica.link_delay(now).min(LINK_DELAY_COUNTED)
+        } else {
+            Duration::ZERO
+        };
         let late = replica.late(now).max(held_up);
-        let first = estimate::first_event(engine, work, ask.demand);
+        let spread = self.policy.queue_spread;
+        let first = estimate::first_event(engine, work, ask.demand, spread);
         let expected = self.corrected(ask.service, engine, first) + late;
         if !replica.switching(now) {
             return expected;
@@ -384,6 +405,17 @@
         known.map_or(first, |correction| correction.apply(first))
     }
 
+    /// When weights are expected at the replicas of a service that lack them: at half of those that
+    /// tell how far they are.
+    pub fn arrival(&self, service: &str, now: Time) -> Option<Duration> {
+        let replicas = self.of(service).iter().map(|&key| &self.replicas[key]);
+        let mut arrivals: Vec<Duration> = replicas
+            .filter_map(|replica| replica.arrival(now))
+            .collect();
+        arrivals.sort_unstable();
+        arrivals.get(arrivals.len() / 2).copied()
+    }
+
     /// Taken places of a service's fit replicas, and all of them.
     pub fn occupancy(&self, ask: Ask<'_>, now: Time) -> (u32, u32) {
         let fit = self.of(ask.service).iter().map(|&key| &self.replicas[key]);
--- a/src/route/replica.rs
+++ b/src/route/replica.rs
@@ -46,6 +46,10 @@
     pub number: u64,
     /// Milliseconds that the shortest late exchange of its process with an entry took.
     pub round_trip_ms: u64,
+    /// Chunks of the wanted weights that its process holds, while the replica lacks them.
+    pub chunks_held: u32,
+    /// All chunks of them; 0 if it lacks none, or they are not known yet.
+    pub chunks: u32,
 }
 
 /// A replica.
@@ -62,6 +66,7 @@
     unread: Unread,
     unread_at_report: u32,
     lag: Lag,
+    arriving: Option<Arriving>,
     pub(super) due: Option<Due>,
     pub(super) denied: bool,
 }
@@ -120,6 +125,32 @@
     }
 }
 
+/// Time from a replica's last chunk until it serves: the order, and taking the weights in.
+const TAKING_IN: Duration = Duration::from_millis(600);
+
+/// Weights on their way to a replica.
+#[derive(Debug, Clone, Copy)]
+struct Arriving {
+    first: Time,
+    held_first: u32,
+    last: Time,
+    held: u32,
+    all: u32,
+}
+
+impl Arriving {
+    /// When the replica is expected to serve, at the pace so far.
+    fn rest(&self, now: Time) -> Option<Duration> {
+        let gained = self.held - self.held_first;
+        let missing = self.all.saturating_sub(self.held);
+        if missing > 0 && gained == 0 {
+            return None;
+        }
+        let drawing = self.last.since(self.first) * missing / gained.max(1);
+        Some((drawing + TAKING_IN).saturating_sub(now.since(self.last)))
+    }
+}
+
 /// The versions that were named for a replica's model, and its place in the rollout.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Due {
@@ -153,6 +184,7 @@
             unread: Unread::default(),
             unread_at_report: 0,
             lag: Lag::default(),
+            arriving: None,
             due: None,
             health: Health::default(),
             denied: false,
@@ -251,6 +283,7 @@
         if self.load.as_ref().is_some_and(|(_, known)| *known > at) {
             return;
         }
+        self.note_arriving(load, at);
         self.load = Some((load.clone(), at));
         let taken = load.running + load.queued;
         self.free_at_report = self.record.slots.saturating_sub(taken);
@@ -260,6 +293,31 @@
         self.unread_at_report = unread.filter(|pending| pending.at <= at).count() as u32;
     }
 
+    fn note_arriving(&mut self, load: &Load, at: Time) {
+        if load.chunks == 0 {
+            self.arriving = None;
+            return;
+        }
+        let known = self
+            .arriving
+            .filter(|known| known.held_first <= load.chunks_held);
+        let (first, held_first) = known.map_or((at, load.chunks_held), |known| {
+            (known.first, known.held_first)
+        });
+        self.arriving = Some(Arriving {
+            first,
+            held_first,
+            last: at,
+            held: load.chunks_held,
+            all: load.chunks,
+        });
+    }
+
+    /// When it is expected to serve, if weights are on their way to it.
+    pub(super) fn arrival(&self, now: Time) -> Option<Duration> {
+        self.arriving.as_ref()?.rest(now)
+    }
+
     /// Free places of the last report that are meant for this entry.
     pub(super) fn share(&self) -> u32 {
         self.share
--- a/src/sidecar.rs
+++ b/src/sidecar.rs
@@ -28,6 +28,7 @@
 use crate::knowledge::{Identity, Knowledge};
 use crate::metric::{self, Metrics};
 use crate::node::ClientHandle;
+use crate::policy::Policy;
 use crate::source::Source;
 use crate::spread;
 use crate::version::rollout;
@@ -71,6 +72,8 @@
     pub memory_bytes: u64,
     /// Seed of random choices.
     pub seed: u64,
+    /// The mechanisms of the policy.
+    pub policy: Policy,
 }
 
 /// A sidecar. It lives on one thread.
@@ -186,7 +189,12 @@
     ) -> Result<Running, metric::Error> {
         let metrics = Metrics::new()?;
         let identity = setting.identity.clone();
-        let knowledge = Knowledge::new(identity.clone(), setting.seeds.clone(), setting.seed);
+        let knowledge = Knowledge::new(
+            identity.clone(),
+            setting.seeds.clone(),
+            setting.seed,
+            setting.policy,
+        );
         let state = Rc::new(RefCell::new(None));
         let local = StagedChunks {
             engine: edges.engine.clone(),
--- a/src/sidecar/observe.rs
+++ b/src/sidecar/observe.rs
@@ -33,6 +33,9 @@
 /// Longest time between two reports.
 const TELL_MAX: Duration = Duration::from_millis(1_000);
 
+/// Time before an entry is told again that did not answer: it may just be starting.
+const TELL_AGAIN: Duration = Duration::from_millis(200);
+
 /// How often an entry is asked for the entries that it knows.
 const ASK: Duration = Duration::from_millis(1_500);
 
@@ -87,6 +90,7 @@
         let trip = self.trips.borrow_mut().shortest(self.knowledge.now());
         let round_trip_ms = trip.as_millis() as u64;
         let number = *self.told.borrow();
+        let (chunks_held, chunks) = self.arriving();
         let state = self.state.borrow();
         let Some(state) = state.as_ref() else {
             return Load {
@@ -94,6 +98,8 @@
                 pace: 1.0,
                 number,
                 round_trip_ms,
+                chunks_held,
+                chunks,
                 ..Load::default()
             };
         };
@@ -106,13 +112,29 @@
             alive: true,
             number,
             round_trip_ms,
+            chunks_held,
+            chunks,
         }
     }
 
+    /// Chunks held of the wanted weights, and all of them, while the replica holds none at all.
+    fn arriving(&self) -> (u32, u32) {
+        let Some(target) = self.target() else {
+            return (0, 0);
+        };
+        let state = self.state.borrow();
+        let held = state.as_ref().and_then(|state| state.held(&target.model));
+        if held.is_some() {
+            return (0, 0);
+        }
+        let (held, all) = self.host.store.borrow().progress(target.label());
+        (held as u32, all as u32)
+    }
+
     fn entries(&self) -> Vec<SocketAddr> {
         // The entries of other halls hear of it from those of this one, if there are any.
         let near = self.knowledge.fellows();
-        if !near.is_empty() {
+        if !near.is_empty() && self.knowledge.policy.digests {
             return near;
         }
         let peers = self.knowledge.peers.borrow();
@@ -131,6 +153,7 @@
     at: Time,
     count: u64,
     waiting: bool,
+    failed: bool,
     /// When it was last asked for the entries that it knows.
     asked: Time,
 }
@@ -147,7 +170,8 @@
                 Some(last) if last.waiting => false,
                 Some(last) => {
                     let since = now.since(last.at);
-                    since >= TELL_MAX || (last.count != count && since >= TELL_MIN)
+                    let again = last.failed && since >= TELL_AGAIN;
+                    again || since >= TELL_MAX || (last.count != count && since >= TELL_MIN)
                 }
             };
             if due {
@@ -157,13 +181,15 @@
                     at: now,
                     count,
                     waiting: true,
+                    failed: false,
                     asked: if asks { now } else { asked.unwrap_or(now) },
                 };
                 told.borrow_mut().insert(entry, waiting);
                 let (sidecar, told) = (sidecar.clone(), told.clone());
                 actix_rt::spawn(async move {
-                    tell_one(&sidecar, entry, asks).await;
+                    let heard = tell_one(&sidecar, entry, asks).await;
                     if let Some(last) = told.borrow_mut().get_mut(&entry) {
+                        last.failed = !heard;
                         last.waiting = false;
                     }
                 });
@@ -174,7 +200,8 @@
     }
 }
 
-async fn tell_one(sidecar: &Sidecar, entry: SocketAddr, asks: bool) {
+/// Tells one entry. Returns whether it answered.
+async fn tell_one(sidecar: &Sidecar, entry: SocketAddr, asks: bool) -> bool {
     let report = Report {
         address: sidecar.setting.replica,
         load: sidecar.load(),
@@ -186,8 +213,12 @@
             let now = sidecar.knowledge.now();
             sidecar.trips.borrow_mut().finish(now.since(began), now);
         }
-        Err(error) => log::debug!(entry:% = entry; "report: {error}"),
+        Err(error) => {
+            log::debug!(entry:% = entry; "report: {error}");
+            return false;
+        }
     }
+    true
 }
 
 /// Reads the store while no entry answers.
--- a/src/sidecar/reconcile.rs
+++ b/src/sidecar/reconcile.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use actix_rt::time::sleep;
+use actix_rt::time::{sleep, timeout};
 
 use super::Sidecar;
 use super::engine::Taken;
@@ -36,17 +36,19 @@
 
 /// Runs until dropped.
 pub async fn run(sidecar: Rc<Sidecar>) {
+    let mut changed = sidecar.knowledge.changed.subscribe();
     loop {
-        let _ = actix_rt::time::timeout(LOOK, sidecar.host.wake.notified()).await;
         let Some(target) = sidecar.target() else {
-            sleep(LOOK).await;
+            let _ = timeout(LOOK, changed.changed()).await;
             continue;
         };
         if !sidecar.looked() {
+            sleep(LOOK).await;
             continue;
         }
         sidecar.join(&target);
         sidecar.advance(&target).await;
+        let _ = timeout(LOOK, sidecar.host.wake.notified()).await;
     }
 }
 
--- a/src/spread.rs
+++ b/src/spread.rs
@@ -77,6 +77,10 @@
     /// Whether each chunk enters a hall through one box of it, because bytes between halls are
     /// dear. The others of the hall wait for that box for as long as for a sponsor.
     pub import_once: bool,
+    /// Whether each sponsor begins with other chunks.
+    pub own_order: bool,
+    /// Whether nobody draws from the origin what a peer is drawing there.
+    pub claims: bool,
 }
 
 impl Default for Setting {
@@ -104,6 +108,8 @@
             settle: Duration::ZERO,
             settle_whole: false,
             import_once: false,
+            own_order: true,
+            claims: true,
         }
     }
 }
--- a/src/spread/swarm.rs
+++ b/src/spread/swarm.rs
@@ -112,6 +112,8 @@
     pub gained: &'a [u32],
     /// Uploads waiting or running there.
     pub load: u32,
+    /// Chunks that it is drawing from the origin.
+    pub drawing: &'a [u32],
 }
 
 #[derive(Debug)]
@@ -125,6 +127,14 @@
     heard: Time,
     avoid_until: Time,
     offences: u32,
+    drawing: Vec<Claim>,
+}
+
+/// A chunk that a peer draws from the origin, and since when it is known.
+#[derive(Debug, Clone, Copy)]
+struct Claim {
+    chunk: u32,
+    since: Time,
 }
 
 #[derive(Debug)]
@@ -320,6 +330,7 @@
             heard: now,
             avoid_until: now,
             offences: 0,
+            drawing: Vec::new(),
         })
     }
 
@@ -339,6 +350,12 @@
         };
         peer.heard = now;
         peer.load = notice.load;
+        let claims = notice.drawing.iter().map(|&chunk| {
+            let mut known = peer.drawing.iter();
+            let known = known.find(|claim| claim.chunk == chunk).copied();
+            known.unwrap_or(Claim { chunk, since: now })
+        });
+        peer.drawing = claims.collect();
         for &chunk in notice.gained {
             let chunk = chunk as usize;
             let Some(peer) = self.peers.get_mut(key) else {
@@ -575,13 +592,34 @@
         now.since(self.began) < settle && !heard
     }
 
+    /// Chunks that are being drawn from the origin.
+    pub fn drawing(&self) -> Vec<u32> {
+        let fetches = self.fetches.values();
+        let drawn = fetches.filter(|fetch| fetch.source == Source::Origin);
+        drawn.map(|fetch| fetch.chunk).collect()
+    }
+
+    /// Chunks that a peer in reach is drawing from the origin. One that takes too long is left out.
+    fn claimed(&self, now: Time) -> Vec<u32> {
+        if !self.setting.claims {
+            return Vec::new();
+        }
+        let speaking = self.peers.values();
+        let speaking = speaking.filter(|peer| now.since(peer.heard) < self.setting.silence);
+        let claims = speaking.flat_map(|peer| &peer.drawing);
+        let young = claims.filter(|claim| now.since(claim.since) < self.setting.stall);
+        young.map(|claim| claim.chunk).collect()
+    }
+
     /// The chunk that this box should draw from the origin now.
     fn origin_chunk(&mut self, now: Time) -> Option<u32> {
+        let claimed = self.claimed(now);
         let unseen: Vec<u32> = (0..self.have.len())
             .filter(|&chunk| {
                 !self.have.get(chunk) && self.in_flight[chunk] == 0 && self.rarity[chunk] == 0
             })
             .map(|chunk| chunk as u32)
+            .filter(|chunk| !claimed.contains(chunk))
             .collect();
         if unseen.is_empty() {
             return None;
@@ -616,7 +654,11 @@
             order.iter().position(|name| *name == &*self.own.name)
         };
         let count = self.have.len();
-        let first = ring::first_chunk(self.version, &self.own.name, count);
+        let first = if self.setting.own_order {
+            ring::first_chunk(self.version, &self.own.name, count)
+        } else {
+            0
+        };
         let (before, after) = unseen.split_at(unseen.partition_point(|&chunk| chunk < first));
         let mut order = after.iter().chain(before).copied();
         if let Some(own) = order.find(|&chunk| place(chunk) == Some(0)) {
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -29,6 +29,9 @@
     /// Whether the manifest can be had here.
     #[serde(default, rename = "m")]
     pub manifest: bool,
+    /// Chunks that are being drawn from the origin here.
+    #[serde(default, rename = "d")]
+    pub drawing: Vec<u32>,
 }
 
 /// Why bytes are no frame.
--- a/tests/belief.rs
+++ b/tests/belief.rs
@@ -1,10 +1,11 @@
 //! Routing configurations and beliefs: which route, whose key, and that nothing goes back.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use pumicelatch::clock::Time;
-use pumicelatch::config::belief::{Belief, DOUBT, Dated, Effect, Fact, first_lacking};
+use pumicelatch::clock::{Clock, Time};
+use pumicelatch::config::belief::{Belief, DOUBT, Dated, Effect, Fact, Wanted, first_lacking};
 use pumicelatch::config::routing::{
     Access, Customer, Document, Gaps, Kind, Limits, Route, Routing, Share,
 };
@@ -20,6 +21,7 @@
         kind: Kind::Idempotent,
         timeout_ms: 1_000,
         objective_ms: 300,
+        gap_ms: 300,
         priority: 1,
         shares: vec![Share {
             service: "bench".into(),
@@ -257,3 +259,51 @@
     assert!(peers.alive(now + FORGET).next().is_none());
     assert!(peers.bound() >= 1);
 }
+
+#[test]
+fn a_process_that_just_began_takes_the_age_of_what_others_tell_as_it_is() {
+    let now = Clock::default().now();
+    let own: SocketAddr = "10.0.0.1:80".parse().unwrap();
+    let mut peers = Peers::new(Some(own));
+    let told = Told {
+        address: "10.0.0.2:80".parse().unwrap(),
+        hall: "lis-a".into(),
+        age_ms: 1_500,
+        rate: 0.0,
+    };
+    peers.learn(&[told], now);
+    assert_eq!(peers.alive(now).count(), 1);
+    assert_eq!(peers.added(), 1);
+
+    let mut belief = Belief::default();
+    let wanted = Wanted {
+        version: 2,
+        revision: 5,
+        since: now,
+    };
+    let age = Duration::from_secs(10);
+    belief.learn_aged("m".into(), wanted, age, now);
+    let bound = Duration::from_secs(8);
+    assert_eq!(
+        belief.oldest_allowed("m", bound, now),
+        2,
+        "its bound is over"
+    );
+}
+
+#[test]
+fn a_document_without_a_version_is_ordered_by_its_revision_alone() {
+    let mut belief = Belief::default();
+    let now = Time::from_millis(1_000);
+    let mut learn = |revision, version: u64| {
+        let mut document = document(version);
+        document.gaps.version = version == 0;
+        let fact = Fact::Routing(Arc::new(document));
+        belief.learn(Dated { revision, fact }, now, false)
+    };
+    assert_eq!(learn(5, 7), Effect::Routing);
+    assert_eq!(learn(6, 7), Effect::None);
+    assert_eq!(learn(7, 0), Effect::Routing);
+    assert_eq!(learn(4, 9), Effect::None);
+    assert_eq!(learn(8, 3), Effect::Routing);
+}
--- a/tests/burst_plan.rs
+++ b/tests/burst_plan.rs
@@ -128,6 +128,7 @@
             Notice {
                 gained: &[0, 1],
                 load: 0,
+                drawing: &[],
             },
             now,
         );
@@ -137,6 +138,7 @@
         Notice {
             gained: &[2],
             load: 0,
+            drawing: &[],
         },
         now,
     );
@@ -155,6 +157,7 @@
         Notice {
             gained: &[0],
             load: 0,
+            drawing: &[],
         },
         start,
     );
@@ -166,6 +169,7 @@
         Notice {
             gained: &[0],
             load: 0,
+            drawing: &[],
         },
         later,
     );
@@ -188,6 +192,7 @@
                 Notice {
                     gained: &[0],
                     load: 0,
+                    drawing: &[],
                 },
                 now,
             );
@@ -452,6 +457,7 @@
             let notice = Notice {
                 gained: &[chunk],
                 load: 0,
+                drawing: &[],
             };
             swarm.notice(peer, notice, began);
             let actions = swarm.tick(began + after);
@@ -559,6 +565,7 @@
         let notice = Notice {
             gained: &[3],
             load: 1,
+            drawing: &[],
         };
         swarm.notice(peer, notice, began);
     }
@@ -568,3 +575,39 @@
         "{actions:?}"
     );
 }
+
+#[test]
+fn what_a_peer_is_drawing_from_the_origin_is_left_to_it_until_it_takes_too_long() {
+    let sponsor = |claims: bool| {
+        let setting = Setting {
+            settle: Duration::ZERO,
+            claims,
+            ..Setting::in_few_halls()
+        };
+        let own = Member {
+            name: "own".into(),
+            hall: "hall-0".into(),
+        };
+        let mut swarm = Swarm::new(version(), own.clone(), 1, setting, 1, Time::default());
+        // Each of them takes itself for the only sponsor, as after a loss of power.
+        swarm.set_members(vec![own]);
+        let peer = swarm.join("other".into(), Time::default());
+        (swarm, peer)
+    };
+    let claim = Notice {
+        gained: &[],
+        load: 0,
+        drawing: &[0],
+    };
+    let start = Time::default();
+    let (mut swarm, peer) = sponsor(true);
+    swarm.notice(peer, claim, start);
+    assert_eq!(fetches(&swarm.tick(start)), []);
+    let late = start + Setting::in_few_halls().stall;
+    swarm.notice(peer, claim, late);
+    assert_eq!(fetches(&swarm.tick(late)), [(0, Source::Origin)]);
+    // Without claims both draw it.
+    let (mut swarm, peer) = sponsor(false);
+    swarm.notice(peer, claim, start);
+    assert_eq!(fetches(&swarm.tick(start)), [(0, Source::Origin)]);
+}
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -9,8 +9,9 @@
 use pumicelatch::config::belief::{Listed, Wanted};
 use pumicelatch::config::routing::Engine;
 use pumicelatch::gateway::event::Cutter;
-use pumicelatch::limit::admission::{self, Case, Verdict};
+use pumicelatch::limit::admission::{self, Bounds, Case, Verdict};
 use pumicelatch::member::replica::{Held, Record};
+use pumicelatch::policy::Policy;
 use pumicelatch::request::Outcome;
 use pumicelatch::request::attempt::{self, Ended, Next, Situation};
 use pumicelatch::request::budget::{Budget, Setting};
@@ -75,7 +76,7 @@
 }
 
 fn pool_of(records: Vec<Record>, due: Option<Due>) -> Pool {
-    let mut pool = Pool::new("lis-a".into());
+    let mut pool = Pool::new("lis-a".into(), Policy::default());
     let list: BTreeMap<Arc<str>, Listed> = records
         .into_iter()
         .map(|record| (record.id.clone(), listed(record)))
@@ -118,6 +119,7 @@
             },
             tried: &self.tried,
             connections_max: 20,
+            limit: Duration::from_millis(360),
         }
     }
 
@@ -141,6 +143,7 @@
         alive: true,
         number: 1,
         round_trip_ms: 8,
+        ..Load::default()
     }
 }
 
@@ -303,7 +306,7 @@
         begins: Duration::from_millis(begins),
         bound: Duration::from_millis(7_400),
     };
-    let mut pool = Pool::new("lis-a".into());
+    let mut pool = Pool::new("lis-a".into(), Policy::default());
     let list: BTreeMap<Arc<str>, Listed> = [record(1, 1), record(2, 1)]
         .into_iter()
         .map(|record| (record.id.clone(), listed(record)))
@@ -412,9 +415,10 @@
         unread,
         pace: 1.0,
     };
-    let idle = estimate::first_event(&engine, work(0, 0.0), demand);
-    let reading = estimate::first_event(&engine, work(2, 2_000.0), demand);
-    let full = estimate::first_event(&engine, work(18, 0.0), demand);
+    let spread = Policy::default().queue_spread;
+    let idle = estimate::first_event(&engine, work(0, 0.0), demand, spread);
+    let reading = estimate::first_event(&engine, work(2, 2_000.0), demand, spread);
+    let full = estimate::first_event(&engine, work(18, 0.0), demand, spread);
     assert!(idle > Duration::from_millis(80) && idle < Duration::from_millis(200));
     assert!(reading > idle + Duration::from_millis(80));
     assert!(full > idle + Duration::from_millis(200));
@@ -453,11 +457,13 @@
             expected: Some(Duration::from_millis(u64::from(expected))),
         };
         let quarter = case.objective / 4;
-        TestResult::from_bool(match admission::judge(case) {
-            Verdict::Send => case.elapsed + case.expected.unwrap() <= case.objective,
-            Verdict::Wait(pause) => case.elapsed + pause <= quarter,
-            Verdict::Refuse { retry_after } => !retry_after.is_zero(),
-        })
+        TestResult::from_bool(
+            match admission::judge(case, Bounds::usual(case.objective)) {
+                Verdict::Send => case.elapsed + case.expected.unwrap() <= case.objective,
+                Verdict::Wait(pause) => case.elapsed + pause <= quarter,
+                Verdict::Refuse { retry_after } => !retry_after.is_zero(),
+            },
+        )
     }
     quickcheck(property as fn(u16, u16, u16) -> TestResult);
 }
