Returning callers go last, limits reach the objective; an entry's own path to the store is no trouble of the store

Change: out of reach of the store while it answers others of the hall within 1.5 s is no trouble of the store. Test: tests/knowledge.rs, failed before.

--- a/src/config/routing.rs
+++ b/src/config/routing.rs
@@ -55,8 +55,6 @@
     pub timeout_ms: u64,
     /// Time within which an answer (a stream's first event) is in time, in milliseconds.
     pub objective_ms: u64,
-    /// Longest pause between events that still keeps a stream in time, in milliseconds.
-    pub gap_ms: u64,
     /// Rank, 0 being the highest.
     pub priority: u8,
     /// Where its requests go.
@@ -79,7 +77,6 @@
             kind: Kind::NonIdempotent,
             timeout_ms: TIMEOUT_DEFAULT_MS,
             objective_ms: OBJECTIVE_DEFAULT_MS,
-            gap_ms: OBJECTIVE_DEFAULT_MS,
             priority: PRIORITY_DEFAULT,
             shares: Vec::new(),
             attempts_max: 1,
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -30,7 +30,6 @@
 use crate::http::{self, ClientSetting, Server, Timing};
 use crate::knowledge::halls::Halls;
 use crate::knowledge::{Identity, Knowledge, gossip, store};
-use crate::limit::pressure::Pressure;
 use crate::limit::returning::Deadlines;
 use crate::member::Role;
 use crate::member::replica::Record;
@@ -143,7 +142,6 @@
     joined: Joined,
     halls: RefCell<Halls>,
     deadlines: RefCell<BTreeMap<Arc<str>, Deadlines>>,
-    pressures: RefCell<BTreeMap<Arc<str>, Pressure>>,
 }
 
 /// What a gateway works with.
@@ -253,7 +251,6 @@
             client: exchange::Client::default(),
             pool: RefCell::new(Pool::new(setting.identity.hall.clone(), setting.policy)),
             deadlines: RefCell::default(),
-            pressures: RefCell::default(),
             pool_at: Cell::new(0),
             budgets: RefCell::default(),
             leaving: Cell::new(false),
@@ -499,25 +496,6 @@
         known.note(deadline, timeout)
     }
 
-    /// Hundredths of its limit within which a request's first event has to be expected.
-    fn admitted_part(&self, service: &str) -> u32 {
-        let most = self.setting.policy.admit;
-        if !self.setting.policy.adaptive {
-            return most;
-        }
-        let pressures = self.pressures.borrow();
-        pressures
-            .get(service)
-            .map_or(most, |pressure| pressure.part(most))
-    }
-
-    /// A first event of `service` came, in time or late.
-    fn note_pressure(&self, service: &Arc<str>, in_time: bool) {
-        let mut pressures = self.pressures.borrow_mut();
-        let known = pressures.entry(service.clone()).or_default();
-        known.note(in_time, self.setting.policy.admit);
-    }
-
     /// Takes one repeat from the service's budget, if there is one.
     fn spend_repeat(&self, service: &Arc<str>) -> bool {
         let now = self.knowledge.now();
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -20,21 +20,12 @@
 use crate::limit::admission::{self, Bounds, Case, Verdict};
 use crate::request::Outcome;
 use crate::request::attempt::{self as next, Ended, Next, Situation};
-use crate::route::estimate::{self, Demand};
+use crate::route::estimate::Demand;
 use crate::route::pool::{self, Choice, Key, ModelNeed, Shortage};
 
 /// When a caller should come back to a process that knows no configuration yet.
 const NOT_READY_RETRY: Duration = Duration::from_millis(300);
 
-/// Objectives that a caller waits for an event of a stream, if that is longest.
-const SILENCE_OBJECTIVES: u64 = 4;
-
-/// Longest pauses in time that a caller waits for an event of a stream, if that is longest.
-const SILENCE_GAPS: u64 = 8;
-
-/// Milliseconds that a caller waits for an event of a stream at least.
-const SILENCE_MS: u64 = 2_000;
-
 /// When a caller should come back if a service has no replica.
 const NO_REPLICA_RETRY: Duration = Duration::from_millis(1_900);
 
@@ -84,23 +75,6 @@
         self.deadline.since(now)
     }
 
-    /// How long its caller waits for a first event at most, less the time that it takes to come.
-    pub fn patience(&self) -> Duration {
-        let Route {
-            kind,
-            objective_ms,
-            gap_ms,
-            ..
-        } = self.route;
-        let longest = match kind {
-            Kind::Streaming => (SILENCE_OBJECTIVES * objective_ms)
-                .max(SILENCE_GAPS * gap_ms)
-                .max(SILENCE_MS),
-            Kind::Idempotent | Kind::NonIdempotent => self.route.timeout_ms,
-        };
-        Duration::from_millis(longest).saturating_sub(self.objective())
-    }
-
     /// What it asks of an engine.
     pub fn demand(&self) -> Demand {
         let work = self.ask.work.as_ref();
@@ -391,7 +365,14 @@
         if late {
             return Refusal::new(Code::LateNotRun, detail);
         }
-        Refusal::new(Code::NoReplica, detail).retry_after(REFUSED_RETRY)
+        let now = self.gateway.knowledge.now();
+        let outage = self.gateway.pool.borrow().mostly_denied(&self.job.service);
+        let retry_after = if outage {
+            self.arrival(self.job.remaining(now))
+        } else {
+            REFUSED_RETRY
+        };
+        Refusal::new(Code::NoReplica, detail).retry_after(retry_after)
     }
 
     /// Chooses a replica, waits for one, or refuses.
@@ -414,7 +395,7 @@
             let verdict = if idle {
                 Verdict::Send
             } else {
-                admission::judge(case, self.bounds(case))
+                admission::judge(case, self.bounds())
             };
             match (verdict, choice) {
                 (Verdict::Send, Ok(choice)) => return Ok(choice),
@@ -445,44 +426,20 @@
             Some(tightest) => own.min(Duration::from_millis(tightest)),
             None => own,
         };
-        let part = gateway.admitted_part(&self.job.service);
+        let policy = &gateway.setting.policy;
         let part = if self.job.returned {
-            part.min(gateway.setting.policy.return_admit)
+            policy.admit.min(policy.return_admit)
         } else {
-            part
+            policy.admit
         };
-        let limit = base * part / 100;
-        if !gateway.setting.policy.size_blind {
-            return limit;
-        }
-        let service = self.job.routing.service(&self.job.service);
-        let Some(engine) = service.and_then(|service| service.engine.as_ref()) else {
-            return limit;
-        };
-        let own_reading = estimate::reading(engine, f64::from(self.job.demand().prompt));
-        let usual_reading = estimate::reading(engine, engine.usual_prompt);
-        (limit + own_reading)
-            .saturating_sub(usual_reading)
-            .min(own * admission::EXPECTED_MAX / 100)
+        base * part / 100
     }
 
-    /// The bounds by which the request is judged now.
-    fn bounds(&self, case: Case) -> Bounds {
-        let usual = Bounds {
-            limit: self.limit(),
-            ..Bounds::usual(case.objective)
-        };
-        if !self.job.returned {
-            return usual;
-        }
-        let patience = self.job.patience().min(case.elapsed + case.remaining);
-        let wait = match case.expected {
-            Some(_) => patience.min(self.gateway.setting.policy.return_wait),
-            None => patience.min(self.gateway.setting.policy.outage_wait),
-        };
+    /// The bounds by which the request is judged.
+    fn bounds(&self) -> Bounds {
         Bounds {
-            limit: case.elapsed + usual.limit,
-            wait: usual.wait.max(wait),
+            limit: self.limit(),
+            ..Bounds::usual(self.job.objective())
         }
     }
 
@@ -498,12 +455,6 @@
         admission::come_back(arrival, remaining, spread)
     }
 
-    /// Notes whether the first event, so long after the request came, was in time.
-    pub fn note_pressure(&self, first: Duration) {
-        let in_time = first <= self.job.objective();
-        self.gateway.note_pressure(&self.job.service, in_time);
-    }
-
     /// Chooses a replica; for a begun answer, one of the version `only`. Tells as well whether the
     /// service is mostly idle, so that nothing is to be refused.
     pub fn choose(&self, only: Option<u64>) -> (Result<Choice, Shortage>, bool) {
@@ -527,7 +478,6 @@
             demand: self.job.demand(),
             tried: &self.tried,
             connections_max: (connections / entries.max(1)).max(CONNECTIONS_MIN),
-            limit: self.limit(),
         };
         let pool = gateway.pool.borrow();
         let mut rng = gateway.knowledge.rng.borrow_mut();
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -132,7 +132,6 @@
         let first = self.course.trace.elapsed();
         self.course.trace.first = Some(first);
         self.course.gateway.instruments.first(first);
-        self.course.note_pressure(first);
         self.attempt.note(Sign::Whole(self.attempt.elapsed()));
     }
 
--- a/src/knowledge.rs
+++ b/src/knowledge.rs
@@ -36,6 +36,10 @@
 /// The store counts as shaky for so long after it was out of reach.
 const SHAKY: Duration = Duration::from_millis(4_000);
 
+/// A store that answered another entry of the hall so short ago is not in trouble: readers ask at
+/// least each second, and tell so at least each half.
+const ANSWERS_OTHERS: Duration = Duration::from_millis(1_500);
+
 /// Who a process is.
 #[derive(Debug, Clone)]
 pub struct Identity {
@@ -208,9 +212,14 @@
         }
     }
 
-    /// The store was out of reach.
+    /// The store was out of reach of this process. While it answers others of the hall, that is no
+    /// trouble of the store, and what it tells through them is as sure as ever.
     pub fn trouble(&self) {
-        self.trouble.set(Some(self.now()));
+        let now = self.now();
+        if self.readers.borrow().answered_within(ANSWERS_OTHERS, now) {
+            return;
+        }
+        self.trouble.set(Some(now));
     }
 
     fn shaky(&self) -> bool {
--- a/src/knowledge/readers.rs
+++ b/src/knowledge/readers.rs
@@ -47,6 +47,11 @@
         *known = (*known).max(at);
     }
 
+    /// Whether the store answered one of them within `time`.
+    pub fn answered_within(&self, time: Duration, now: Time) -> bool {
+        self.answered.values().any(|at| now.since(*at) < time)
+    }
+
     /// An entry does not answer.
     pub fn lost(&mut self, entry: SocketAddr) {
         self.answered.remove(&entry);
--- a/src/limit.rs
+++ b/src/limit.rs
@@ -1,7 +1,6 @@
 //! Limits: what a target or a customer may have in progress, judged before any queue.
 
 pub mod admission;
-pub mod pressure;
 pub mod returning;
 
 use std::collections::BTreeMap;
--- a/src/limit/admission.rs
+++ b/src/limit/admission.rs
@@ -1,14 +1,12 @@
 //! Whether a request that has no replica yet is sent, waits, or is refused.
 //!
 //! A refusal that comes at once leaves its caller time to try again; one that comes late is worth
-//! less than none. So a request waits here for a short part of its objective only. One whose caller
-//! was refused before is another matter: its caller cannot usefully come back once more, so it waits
-//! as long as a place in time for its deadline is likely.
+//! less than none. So a request waits here for a short part of its objective only.
 
 use std::time::Duration;
 
 /// Part of its objective within which the first event has to be expected, in hundredths.
-pub const EXPECTED_MAX: u32 = 90;
+const EXPECTED_MAX: u32 = 90;
 
 /// Part of its objective that a request may wait here, in hundredths.
 const WAIT_MAX: u32 = 15;
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -17,7 +17,7 @@
 }
 
 /// Names of the mechanisms, as [`Policy::set`] takes them.
-pub const NAMES: [&str; 24] = [
+pub const NAMES: [&str; 19] = [
     "relays",
     "dealt-below",
     "unseen",
@@ -35,12 +35,7 @@
     "resume",
     "admit",
     "shared-limit",
-    "size-blind",
-    "overflow",
-    "adaptive",
     "return-admit",
-    "return-wait-ms",
-    "outage-wait-ms",
     "named-return",
 ];
 
@@ -82,20 +77,9 @@
     pub admit: u32,
     /// Whether the limit is the tightest objective of a service for all kinds of request.
     pub shared_limit: bool,
-    /// Whether the limit allows for the time that a request's own prompt takes beyond the usual, so
-    /// that long prompts are refused as often as short ones.
-    pub size_blind: bool,
-    /// Whether a request for which the cheapest replica is too late goes to any that is in time.
-    pub overflow: bool,
-    /// Whether `admit` is lowered while first events come late.
-    pub adaptive: bool,
     /// Hundredths of the limit for a request whose caller has been away already: those who come for
     /// the first time go first.
     pub return_admit: u32,
-    /// Longest time that a request waits for a place whose caller has been away already.
-    pub return_wait: Duration,
-    /// Longest time that such a request waits while no replica holds weights.
-    pub outage_wait: Duration,
     /// Whether a refusal for want of weights tells when they are expected.
     pub named_return: bool,
 }
@@ -118,15 +102,10 @@
             doubt: true,
             retries: true,
             resume: true,
-            admit: 90,
+            admit: 100,
             shared_limit: true,
-            size_blind: false,
-            overflow: false,
-            adaptive: false,
-            return_admit: 40,
-            return_wait: Duration::ZERO,
-            outage_wait: Duration::ZERO,
-            named_return: false,
+            return_admit: 25,
+            named_return: true,
         }
     }
 }
@@ -164,12 +143,7 @@
             "resume" => self.resume = on,
             "admit" => self.admit = value,
             "shared-limit" => self.shared_limit = on,
-            "size-blind" => self.size_blind = on,
-            "overflow" => self.overflow = on,
-            "adaptive" => self.adaptive = on,
             "return-admit" => self.return_admit = value,
-            "return-wait-ms" => self.return_wait = time,
-            "outage-wait-ms" => self.outage_wait = time,
             "named-return" => self.named_return = on,
             other => return Err(Error::Unknown(other.to_owned())),
         }
--- a/src/route/estimate.rs
+++ b/src/route/estimate.rs
@@ -48,11 +48,6 @@
     tokens / engine.read_per_s * 1_000.0
 }
 
-/// Time to read so many tokens of a prompt.
-pub fn reading(engine: &Engine, tokens: f64) -> Duration {
-    millis(read_ms(engine, tokens))
-}
-
 /// Time between two requests that end at an engine whose slots are all taken.
 pub fn turnover(engine: &Engine, pace: f64) -> Duration {
     let slots = f64::from(engine.slots.max(1));
--- a/src/route/pool.rs
+++ b/src/route/pool.rs
@@ -51,6 +51,9 @@
 /// A request that outlasts its replica's next change of version costs this part of the excess.
 const OVERRUN: u32 = 2;
 
+/// One denied replica in this many shows that the list is behind.
+const DENIED_PART: u32 = 3;
+
 /// The model that a request needs.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ModelNeed<'a> {
@@ -77,8 +80,6 @@
     pub tried: &'a [Key],
     /// Connections that this entry may have to one replica.
     pub connections_max: u32,
-    /// Time within which the first event is to be expected, if possible.
-    pub limit: Duration,
 }
 
 /// A replica that was chosen.
@@ -318,14 +319,6 @@
             .iter()
             .map(|&key| (self.cost(&self.replicas[key], ask, now), key))
             .collect();
-        let in_time = |key: Key| self.expected(&self.replicas[key], ask, now) <= ask.limit;
-        let timely: Vec<(Duration, Key)> = if self.policy.overflow {
-            let costs = costs.iter().copied();
-            costs.filter(|(_, key)| in_time(*key)).collect()
-        } else {
-            Vec::new()
-        };
-        let costs = if timely.is_empty() { costs } else { timely };
         let least = costs.iter().map(|(cost, _)| *cost).min()?;
         let equal: Vec<Key> = costs
             .iter()
@@ -405,6 +398,15 @@
         known.map_or(first, |correction| correction.apply(first))
     }
 
+    /// Whether a third of a service's replicas or more turned out not to be what the list says: they
+    /// have lost their weights, and the list does not know it yet.
+    pub fn mostly_denied(&self, service: &str) -> bool {
+        let listed = self.of(service);
+        let denied = listed.iter().filter(|&&key| self.replicas[key].denied);
+        let denied = denied.count() as u32;
+        denied > 0 && denied * DENIED_PART >= listed.len() as u32
+    }
+
     /// When weights are expected at the replicas of a service that lack them: at half of those that
     /// tell how far they are.
     pub fn arrival(&self, service: &str, now: Time) -> Option<Duration> {
--- a/tests/belief.rs
+++ b/tests/belief.rs
@@ -21,7 +21,6 @@
         kind: Kind::Idempotent,
         timeout_ms: 1_000,
         objective_ms: 300,
-        gap_ms: 300,
         priority: 1,
         shares: vec![Share {
             service: "bench".into(),
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -119,7 +119,6 @@
             },
             tried: &self.tried,
             connections_max: 20,
-            limit: Duration::from_millis(360),
         }
     }
 
@@ -665,3 +664,39 @@
     assert_eq!(out, all);
     assert_eq!(cutter.last(), Some(9));
 }
+
+#[test]
+fn a_list_that_names_weights_which_are_lost_is_noticed() {
+    let mut pool = pool_of((1..=4).map(|host| record(host, 1)).collect(), None);
+    assert!(!pool.mostly_denied("tutor"));
+    let keys = pool.of("tutor").to_vec();
+    pool.deny(keys[0]);
+    assert!(
+        !pool.mostly_denied("tutor"),
+        "one may just have been replaced"
+    );
+    pool.deny(keys[1]);
+    assert!(pool.mostly_denied("tutor"));
+}
+
+#[test]
+fn the_arrival_of_weights_is_told_by_the_pace_so_far() {
+    let mut pool = pool_of(vec![record(1, 1)], None);
+    let progress = |held| Load {
+        chunks_held: held,
+        chunks: 64,
+        models: Vec::new(),
+        ..report(0, 0, 1)
+    };
+    pool.report(address(1), &progress(0), NOW);
+    assert_eq!(pool.arrival("tutor", NOW), None, "nothing has come yet");
+    let later = NOW + Duration::from_millis(500);
+    pool.report(address(1), &progress(16), later);
+    let arrival = pool.arrival("tutor", later).unwrap();
+    // 48 more chunks at 32 a second, and the time to take them in.
+    assert!(arrival > Duration::from_millis(1_500) && arrival < Duration::from_millis(2_500));
+    let nearer = pool.arrival("tutor", later + Duration::from_millis(300));
+    assert_eq!(nearer, Some(arrival - Duration::from_millis(300)));
+    pool.report(address(1), &report(0, 0, 1), later);
+    assert_eq!(pool.arrival("tutor", later), None, "it holds them");
+}
--- a/tests/knowledge.rs
+++ b/tests/knowledge.rs
@@ -5,14 +5,17 @@
 use std::time::Duration;
 
 use pumicelatch::clock::Time;
-use pumicelatch::config::belief::Marks;
+use pumicelatch::config::belief::{Dated, Fact, Marks};
 use pumicelatch::config::routing::{Document, Kind};
 use pumicelatch::knowledge::halls::{Ask, Halls, PERIOD};
 use pumicelatch::knowledge::pace::Pace;
 use pumicelatch::knowledge::readers::Readers;
+use pumicelatch::knowledge::{Identity, Knowledge};
 use pumicelatch::member::peer::{ALIVE, Peers};
 use pumicelatch::member::rank::rank;
-use pumicelatch::source::Topic;
+use pumicelatch::member::replica::Record;
+use pumicelatch::policy::Policy;
+use pumicelatch::source::{Batch, Topic};
 use pumicelatch::wire::sync::{News, Sync};
 use quickcheck::quickcheck;
 use rand::SeedableRng;
@@ -240,3 +243,44 @@
     }
     quickcheck(property as fn(bool, u16, u16, Vec<u8>) -> bool);
 }
+
+#[test]
+fn a_removal_is_doubted_after_trouble_of_the_store_but_not_of_the_own_path_to_it() {
+    let removal_is_doubted = |answers_another: bool| {
+        let identity = Identity {
+            name: "entry".into(),
+            hall: hall(1),
+            address: entry(1, 1),
+            entry: true,
+        };
+        let knowledge = Knowledge::new(identity, Vec::new(), 7, Policy::default());
+        let record = Record {
+            id: "i-1".into(),
+            service: "tutor".into(),
+            address: "10.1.0.9:80".parse().unwrap(),
+            hall: hall(1),
+            slots: 16,
+            leaving: false,
+            models: Vec::new(),
+        };
+        let batch = |at, fact| Batch {
+            facts: vec![Dated { revision: at, fact }],
+            at,
+            damaged: Vec::new(),
+        };
+        knowledge.take_batch(Topic::Replicas, false, batch(5, Fact::Replica(record)));
+        if answers_another {
+            let mut sync = knowledge.sync(false);
+            sync.from = entry(1, 2);
+            sync.store_age_ms = Some(300);
+            knowledge.news_for(&sync, false);
+        }
+        knowledge.trouble();
+        let gone = batch(6, Fact::ReplicaGone("i-1".into()));
+        knowledge.take_batch(Topic::Replicas, false, gone);
+        let belief = knowledge.belief.borrow();
+        belief.replicas()["i-1"].doubted
+    };
+    assert!(removal_is_doubted(false));
+    assert!(!removal_is_doubted(true));
+}
