--- a/src/burst/joined.rs
+++ b/src/burst/joined.rs
@@ -55,7 +55,7 @@
     let brief = knowledge.brief()?;
     let figures = brief.engine.as_ref();
     let told = figures.and_then(|engine| engine.models.first().cloned());
-    let model = told.or_else(|| held_model(knowledge))?;
+    let model = told.or_else(|| knowledge.belief.borrow().held_model(None))?;
     let wanted = knowledge.belief.borrow().wanted(&model);
     Some(Target {
         version: wanted.map_or(FIRST_VERSION, |wanted| wanted.version),
@@ -64,13 +64,6 @@
     })
 }
 
-/// A model that replicas hold by the list, for when the configuration names none.
-fn held_model(knowledge: &Knowledge) -> Option<Arc<str>> {
-    let belief = knowledge.belief.borrow();
-    let mut records = belief.replicas().values().map(|listed| &listed.record);
-    records.find_map(|record| Some(record.models.first()?.model.clone()))
-}
-
 /// The members of the burst around the replicas of `service`: the processes beside them, which
 /// listen at `port`, and the entries as relays.
 pub fn members(knowledge: &Knowledge, service: Option<&str>, port: u16) -> Vec<Listed> {
--- a/src/config/belief.rs
+++ b/src/config/belief.rs
@@ -167,6 +167,14 @@
         &self.replicas
     }
 
+    /// A model that replicas hold, those of `service` if one is given.
+    pub fn held_model(&self, service: Option<&str>) -> Option<Arc<str>> {
+        let records = self.replicas.values().map(|listed| &listed.record);
+        let mut fellows =
+            records.filter(|record| service.is_none_or(|service| &*record.service == service));
+        fellows.find_map(|record| Some(record.models.first()?.model.clone()))
+    }
+
     /// The revision up to which the list of replicas is known.
     pub fn listed_at(&self) -> u64 {
         self.replicas_at
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -427,7 +427,10 @@
             None => own,
         };
         let policy = &gateway.setting.policy;
-        let part = if self.job.returned {
+        let service = self.job.routing.service(&self.job.service);
+        let engines = service.is_some_and(|service| service.engine.is_some());
+        // A plain service is seldom full; nobody need go last there.
+        let part = if self.job.returned && engines {
             policy.admit.min(policy.return_admit)
         } else {
             policy.admit
--- a/src/knowledge.rs
+++ b/src/knowledge.rs
@@ -440,11 +440,7 @@
             let engine = routing.service(service)?.engine.as_ref()?;
             engine.models.first().cloned()
         });
-        configured.or_else(|| {
-            let records = belief.replicas().values().map(|listed| &listed.record);
-            let mut fellows = records.filter(|record| &*record.service == service);
-            fellows.find_map(|record| Some(record.models.first()?.model.clone()))
-        })
+        configured.or_else(|| belief.held_model(Some(service)))
     }
 
     /// The configuration in brief, from the whole if that is known.
