--- a/src/sidecar/observe.rs
+++ b/src/sidecar/observe.rs
@@ -119,14 +119,15 @@
 
     /// Chunks held of the wanted weights, and all of them, while the replica holds none at all.
     fn arriving(&self) -> (u32, u32) {
-        let Some(target) = self.target() else {
-            return (0, 0);
-        };
         let state = self.state.borrow();
-        let held = state.as_ref().and_then(|state| state.held(&target.model));
-        if held.is_some() {
+        // Mostly it holds some; every report asks.
+        let holds_any = state.as_ref().is_some_and(|state| !state.models.is_empty());
+        if holds_any {
             return (0, 0);
         }
+        let Some(target) = self.target() else {
+            return (0, 0);
+        };
         let (held, all) = self.host.store.borrow().progress(target.label());
         (held as u32, all as u32)
     }
