Deadlines of routes that are gone are forgotten

Change: a pure table (limit::returning::Table) that is cleared once it remembers more routes than there are; the others are learnt again with their next requests, by the route's timeout. Test: 1,000 routes, 8 at a time, at most 9 remembered; without the bound it remembers 1,000.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -24,13 +24,13 @@
 use crate::burst::joined::{self, Joined, Origins};
 use crate::clock::Time;
 use crate::config::belief::Belief;
-use crate::config::routing::Route;
+use crate::config::routing::{Route, Routing};
 use crate::daemon;
 use crate::exchange;
 use crate::http::{self, ClientSetting, Server, Timing};
 use crate::knowledge::halls::Halls;
 use crate::knowledge::{Identity, Knowledge, gossip, store};
-use crate::limit::returning::Deadlines;
+use crate::limit::returning;
 use crate::member::Role;
 use crate::member::replica::Record;
 use crate::metric::{self, Metrics};
@@ -141,7 +141,7 @@
     instruments: status::Instruments,
     joined: Joined,
     halls: RefCell<Halls>,
-    deadlines: RefCell<BTreeMap<Arc<str>, Deadlines>>,
+    deadlines: RefCell<returning::Table>,
 }
 
 /// What a gateway works with.
@@ -479,14 +479,14 @@
     }
 
     /// Notes the deadline of a request on `route`. Returns whether its caller has been away.
-    fn has_been_away(&self, route: &Route, deadline: Option<Duration>) -> bool {
+    fn has_been_away(&self, routing: &Routing, route: &Route, deadline: Option<Duration>) -> bool {
         let Some(deadline) = deadline else {
             return false;
         };
         let timeout = Duration::from_millis(route.timeout_ms);
+        let routes = routing.document.routes.len();
         let mut deadlines = self.deadlines.borrow_mut();
-        let known = deadlines.entry(route.name.clone()).or_default();
-        known.note(deadline, timeout)
+        deadlines.note(&route.name, routes, deadline, timeout)
     }
 
     /// Takes one repeat from the service's budget, if there is one.
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -155,7 +155,7 @@
     let longest = ask.deadline.map_or(held, |deadline| deadline.min(held));
     let arrived = trace.arrived;
     let body = read_body(request, limits, longest).await?;
-    let returned = gateway.has_been_away(&route, ask.deadline);
+    let returned = gateway.has_been_away(&routing, &route, ask.deadline);
     Ok(Job {
         head: copy_head(request.head()),
         ask,
--- a/src/limit/returning.rs
+++ b/src/limit/returning.rs
@@ -1,5 +1,7 @@
 //! Who comes back after a refusal: a caller of whose usual time a part is gone already.
 
+use std::collections::BTreeMap;
+use std::sync::Arc;
 use std::time::Duration;
 
 /// A deadline under this part of the usual one, in hundredths, is that of a caller who was away:
@@ -44,3 +46,33 @@
         deadline < self.usual * WHOLE / 100
     }
 }
+
+/// The deadlines of all routes.
+#[derive(Debug, Clone, Default)]
+pub struct Table {
+    routes: BTreeMap<Arc<str>, Deadlines>,
+}
+
+impl Table {
+    /// Takes the deadline of a request on `route`, one of so many `routes`. Returns whether its
+    /// caller has been away.
+    pub fn note(
+        &mut self,
+        route: &Arc<str>,
+        routes: usize,
+        deadline: Duration,
+        timeout: Duration,
+    ) -> bool {
+        if self.routes.len() > routes {
+            // Some are of routes that are gone; the others are soon learnt again.
+            self.routes.clear();
+        }
+        let known = self.routes.entry(route.clone()).or_default();
+        known.note(deadline, timeout)
+    }
+
+    /// Routes that it remembers.
+    pub fn remembered(&self) -> usize {
+        self.routes.len()
+    }
+}
--- a/tests/limit.rs
+++ b/tests/limit.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use pumicelatch::limit::admission::{self, Bounds, Case, Verdict};
-use pumicelatch::limit::returning::Deadlines;
+use pumicelatch::limit::returning::{Deadlines, Table};
 use pumicelatch::policy::{self, Policy};
 use pumicelatch::route::correction::Correction;
 use quickcheck::quickcheck;
@@ -93,3 +93,15 @@
     assert!(Policy::with(["relays"]).is_err());
     assert!(Policy::with(["relays=-1"]).is_err());
 }
+
+#[test]
+fn deadlines_of_routes_that_are_gone_are_forgotten() {
+    let mut table = Table::default();
+    for round in 0..1_000 {
+        let route = format!("route-{round}").into();
+        table.note(&route, 8, millis(6_000), TIMEOUT);
+        assert!(table.remembered() <= 9);
+    }
+    let last = "route-999".into();
+    assert!(table.note(&last, 8, millis(4_400), TIMEOUT));
+}
