Sight: failures of the origin, long answers of the store and lost heartbeats are written down

A process that drew nothing from the origin for 18 s wrote no line about it, a transfer of a configuration that was cut off left none either, and neither bytes nor time of the store's answers were on record. Volume stays bounded: failures are written the first time and when their number has doubled.

--- a/src/burst/fetch.rs
+++ b/src/burst/fetch.rs
@@ -47,6 +47,7 @@
                     Ok(()) => return Some(manifest),
                     Err(error) => log::warn!(source = source.url(); "{error}"),
                 },
+                Err(reason) if source.is_origin() => host.instruments.origin_failed(&reason),
                 Err(reason) => log::debug!(source = source.url(); "manifest: {reason}"),
             }
         }
@@ -62,6 +63,10 @@
 }
 
 impl ManifestSource {
+    fn is_origin(&self) -> bool {
+        matches!(self, Self::Origin(_))
+    }
+
     fn url(&self) -> &str {
         match self {
             Self::Origin(url) | Self::Peer(url) => url,
@@ -141,20 +146,31 @@
         let Some(version) = burst.upgrade().map(|burst| burst.version) else {
             return Outcome::Failed;
         };
-        let Ok(mut response) = host.client.0.get(&self.url).send().await else {
-            return Outcome::Failed;
+        let mut response = match host.client.0.get(&self.url).send().await {
+            Ok(response) => response,
+            Err(error) => {
+                self.note_failure(host, &error.to_string());
+                return Outcome::Failed;
+            }
         };
         match response.status() {
             StatusCode::OK => {}
             StatusCode::SERVICE_UNAVAILABLE => return Outcome::Busy,
-            _ => return Outcome::Failed,
+            status => {
+                self.note_failure(host, &format!("answered {status}"));
+                return Outcome::Failed;
+            }
         }
         let Ok(mut receipt) = host.store.borrow().receive(version, self.chunk) else {
             return Outcome::Failed;
         };
         while let Some(part) = response.next().await {
-            let Ok(part) = part else {
-                return Outcome::Failed;
+            let part = match part {
+                Ok(part) => part,
+                Err(error) => {
+                    self.note_failure(host, &error.to_string());
+                    return Outcome::Failed;
+                }
             };
             if receipt.push(&part).is_err() {
                 return Outcome::Corrupt;
@@ -181,4 +197,10 @@
             _ => Outcome::Failed,
         }
     }
+
+    fn note_failure(&self, host: &Host, reason: &str) {
+        if self.source == Source::Origin {
+            host.instruments.origin_failed(reason);
+        }
+    }
 }
--- a/src/burst/host.rs
+++ b/src/burst/host.rs
@@ -87,6 +87,8 @@
 pub struct Instruments {
     chunks: Counter<u64>,
     origin: Counter<u64>,
+    origin_failures: Counter<u64>,
+    failures: Cell<u64>,
 }
 
 impl Instruments {
@@ -102,6 +104,11 @@
                 .with_unit("By")
                 .with_description("Bytes of chunks drawn from the origin")
                 .build(),
+            origin_failures: meter
+                .u64_counter("pumicelatch.agent.origin_failures")
+                .with_description("Exchanges with the origin that brought nothing")
+                .build(),
+            failures: Cell::new(0),
         }
     }
 
@@ -124,6 +131,21 @@
     /// Bytes came from the origin.
     pub fn drew(&self, bytes: u64) {
         self.origin.add(bytes, &[]);
+        let failures = self.failures.replace(0);
+        if failures > 0 {
+            log::info!(failures; "the origin answers again");
+        }
+    }
+
+    /// An exchange with the origin brought nothing. The first and each time that the number has
+    /// doubled is written down, so that an origin that stays away costs few lines.
+    pub fn origin_failed(&self, reason: &str) {
+        self.origin_failures.add(1, &[]);
+        self.failures.set(self.failures.get() + 1);
+        let failures = self.failures.get();
+        if failures.is_power_of_two() {
+            log::warn!(failures; "the origin brought nothing: {reason}");
+        }
     }
 }
 
--- a/src/knowledge.rs
+++ b/src/knowledge.rs
@@ -95,6 +95,7 @@
     /// What could not be read of the platform's documents.
     pub losses: RefCell<Losses>,
     fetching: Cell<bool>,
+    lost_heartbeats: Cell<u64>,
     readers: RefCell<Readers>,
     answered: Cell<Option<Time>>,
 }
@@ -119,6 +120,7 @@
             rate: Cell::new(0.0),
             losses: RefCell::default(),
             fetching: Cell::new(false),
+            lost_heartbeats: Cell::new(0),
             readers: RefCell::default(),
             answered: Cell::new(None),
             identity,
@@ -184,6 +186,12 @@
         self.readers.borrow_mut().lost(entry);
     }
 
+    /// A heartbeat was not answered. Returns how many that were since the process began.
+    fn count_lost_heartbeat(&self) -> u64 {
+        self.lost_heartbeats.set(self.lost_heartbeats.get() + 1);
+        self.lost_heartbeats.get()
+    }
+
     /// Whether another process with these marks knows something newer.
     pub fn lacks(&self, marks: Marks) -> bool {
         let own = self.belief.borrow().marks();
--- a/src/knowledge/gossip.rs
+++ b/src/knowledge/gossip.rs
@@ -121,7 +121,10 @@
                 let sync = knowledge.sync(true);
                 if let Err(error) = post(&knowledge, peer, SYNC_PATH, &sync).await {
                     knowledge.lost(peer);
-                    log::debug!(peer:% = peer; "heartbeat: {error}");
+                    let lost = knowledge.count_lost_heartbeat();
+                    if lost.is_power_of_two() {
+                        log::warn!(peer:% = peer, lost; "heartbeat lost: {error}");
+                    }
                 }
             });
         }
@@ -170,7 +173,7 @@
     }
     let sync = knowledge.sync(false);
     if let Err(error) = post(&knowledge, peer, SYNC_PATH, &sync).await {
-        log::debug!(peer:% = peer; "news: {error}");
+        log::warn!(peer:% = peer; "news lost: {error}");
     }
     knowledge.fetching.set(false);
 }
--- a/src/knowledge/pace.rs
+++ b/src/knowledge/pace.rs
@@ -57,6 +57,11 @@
         self.failures == 0
     }
 
+    /// Calls that failed since the last answer.
+    pub fn failures(&self) -> u32 {
+        self.failures
+    }
+
     /// How long the store is asked to wait for a change.
     pub fn wait(&self) -> Duration {
         match (self.reached(), self.topic) {
--- a/src/knowledge/store.rs
+++ b/src/knowledge/store.rs
@@ -15,6 +15,9 @@
 /// How often an entry looks whether it has to read for itself.
 const STANDBY: Duration = Duration::from_millis(100);
 
+/// An answer of so many bytes is written down: it takes a good part of a link between regions.
+const LONG: usize = 64 << 10;
+
 /// How a call ended.
 enum Ended {
     /// The store answered, or did not.
@@ -39,6 +42,7 @@
         if !reads_whole {
             after = after.or((known > 0).then_some(known));
         }
+        let began = knowledge.now();
         match ask(&knowledge, &*source, pace, topic, after).await {
             Ended::AskAgain => {}
             Ended::Call(Ok(batch)) => {
@@ -47,6 +51,10 @@
                     knowledge.store_regained.notify_waiters();
                 }
                 let at = batch.at;
+                if batch.bytes >= LONG {
+                    let ms = knowledge.now().since(began).as_millis() as u64;
+                    log::info!(topic:? = topic, after:? = after, bytes = batch.bytes, ms; "long answer of the store");
+                }
                 knowledge.take_batch(topic, after.is_none(), batch);
                 reads_whole = false;
                 after = Some(at);
@@ -61,6 +69,8 @@
                 knowledge.trouble();
                 if pace.reached() {
                     log::warn!(topic:? = topic; "store lost: {error}");
+                } else {
+                    log::info!(topic:? = topic, after:? = after, calls = pace.failures(); "store still lost: {error}");
                 }
                 let jitter = knowledge.rng.borrow_mut().random_range(0.7..1.3);
                 sleep(pace.failed(jitter)).await;
--- a/src/source.rs
+++ b/src/source.rs
@@ -65,6 +65,8 @@
     pub facts: Vec<Dated>,
     /// The store's revision.
     pub at: u64,
+    /// Bytes of the answers that brought the facts.
+    pub bytes: usize,
     /// Entries that could not be understood, or not whole.
     pub damaged: Vec<Damaged>,
 }
--- a/tests/knowledge.rs
+++ b/tests/knowledge.rs
@@ -266,7 +266,7 @@
         let batch = |at, fact| Batch {
             facts: vec![Dated { revision: at, fact }],
             at,
-            damaged: Vec::new(),
+            ..Batch::default()
         };
         knowledge.take_batch(Topic::Replicas, false, batch(5, Fact::Replica(record)));
         if answers_another {
