Transfers are waited for while they move; a configuration is drawn packed, once, from the own hall

Cause: time limits on whole transfers (1 s between entries, 1.0 to 2.7 s for an answer of the store), whatever their length. Above some length every transfer was cut off and begun anew; a reader that was still receiving counted as not answered, so that its whole hall read for itself: 14 copies of 1.2 MB over 24 Mbit/s, and calls of a few hundred bytes failed too. Ruled out: one stuck reader (whole halls began at once, and only with long documents).

Change: the limit is on silence (patience); bytes of an answer count as an answer, and are told to the hall; an entry that need not read after all lets go; those that step in do so one after the other; heartbeats carry no configuration, it is drawn from one process at a time, from a second if that is slow, from another hall after the own had its time; it is packed once (1.2 MB of the store's text are 67 KB). Processes beside replicas that are alone read with growing pauses.

--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -28,6 +28,8 @@
 use tokio::io::{AsyncRead, ReadBuf};
 use tokio::net::{TcpSocket, TcpStream};
 
+use crate::patience::Progress;
+
 /// How long a connection may take to open.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -414,9 +416,16 @@
 
     /// Reads the whole body of at most `limit` bytes.
     pub async fn read(&mut self, limit: usize) -> Result<Bytes, Error> {
+        self.read_noting(limit, &Progress::default()).await
+    }
+
+    /// Reads the whole body of at most `limit` bytes, and notes when bytes come.
+    pub async fn read_noting(&mut self, limit: usize, progress: &Progress) -> Result<Bytes, Error> {
         let mut all = BytesMut::new();
+        progress.came();
         while let Some(part) = self.next().await {
             let part = part?;
+            progress.came();
             if all.len() + part.len() > limit {
                 return Err(Error::TooLong { limit });
             }
--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -79,7 +79,13 @@
 fn take_sync(gateway: &Gateway, sync: &Sync) -> Answer {
     let knowledge = &gateway.knowledge;
     if sync.entry && sync.hall == knowledge.identity.hall && knowledge.lacks(sync.marks) {
-        actix_rt::spawn(gossip::fetch_news(knowledge.clone(), sync.from));
+        let (hall, marks) = (sync.hall.clone(), sync.marks);
+        actix_rt::spawn(gossip::fetch_news(
+            knowledge.clone(),
+            sync.from,
+            hall,
+            marks,
+        ));
     }
     http::pack(StatusCode::OK, &knowledge.news_for(sync, !sync.entry))
 }
--- a/src/gateway/halls.rs
+++ b/src/gateway/halls.rs
@@ -35,7 +35,7 @@
             return;
         }
     };
-    knowledge.take_news(ask.entry, news);
+    gossip::take(knowledge, ask.entry, news);
     gateway.take_digest(&digest);
     if ask.pass_on {
         pass_on(&gateway, digest);
--- a/src/knowledge.rs
+++ b/src/knowledge.rs
@@ -3,6 +3,7 @@
 //! * [`store`] reads and watches the platform's store.
 //! * [`pace`] says how long calls to it wait, and how long they pause.
 //! * [`readers`] decides who reads it for a whole hall.
+//! * [`draws`] decides from whom a configuration is drawn that others know.
 //! * [`halls`] decides who asks another hall how its replicas do.
 //! * [`gossip`] exchanges what is newer with other processes of the system, so that one that the
 //!   store turns away, or that just began, knows what the others know.
@@ -13,6 +14,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
+use draws::{Draws, Place};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use readers::Readers;
@@ -22,11 +25,14 @@
 use crate::config::belief::{Belief, Dated, Effect, Fact, Marks, Wanted};
 use crate::exchange;
 use crate::member::peer::Peers;
+use crate::member::rank::rank;
 use crate::member::replica::Record;
 use crate::policy::Policy;
 use crate::source::{Batch, Damaged, Topic};
+use crate::wire::pack;
 use crate::wire::sync::{Brief, DatedDocument, DatedRecord, List, Named, News, Sync};
 
+pub mod draws;
 pub mod gossip;
 pub mod halls;
 pub mod pace;
@@ -96,6 +102,9 @@
     pub losses: RefCell<Losses>,
     fetching: Cell<bool>,
     lost_heartbeats: Cell<u64>,
+    draws: RefCell<Draws>,
+    /// The configuration as others draw it, and its revision: it is packed once for all of them.
+    packed: RefCell<Option<(u64, Bytes)>>,
     readers: RefCell<Readers>,
     answered: Cell<Option<Time>>,
 }
@@ -121,7 +130,9 @@
             losses: RefCell::default(),
             fetching: Cell::new(false),
             lost_heartbeats: Cell::new(0),
-            readers: RefCell::default(),
+            draws: RefCell::default(),
+            packed: RefCell::default(),
+            readers: RefCell::new(Readers::new(Clock::default().now())),
             answered: Cell::new(None),
             identity,
         })
@@ -149,6 +160,11 @@
         readers.reads(topic, self.identity.address, &self.fellows(), self.now())
     }
 
+    /// Bytes of an answer of the store came.
+    fn store_is_answering(&self) {
+        self.answered.set(Some(self.now()));
+    }
+
     /// Milliseconds since the store answered this process.
     fn store_age_ms(&self, now: Time) -> Option<u64> {
         let at = self.answered.get()?;
@@ -200,6 +216,32 @@
             || marks.replicas > own.replicas
     }
 
+    /// Whether this entry draws the configuration of `revision` from `peer` in `hall` now. If so,
+    /// [`Knowledge::drew`] has to follow.
+    fn begins_draw(&self, peer: SocketAddr, hall: &str, revision: u64) -> bool {
+        if !self.identity.entry || self.knows_routing(revision) {
+            return false;
+        }
+        let place = if *hall == *self.identity.hall {
+            Place::Near
+        } else if rank(self.identity.address, self.fellows().into_iter(), hall) == 0 {
+            Place::FarForAll
+        } else {
+            Place::Far
+        };
+        self.draws.borrow_mut().begin(peer, place, self.now())
+    }
+
+    /// A draw from `peer` ended.
+    fn drew(&self, peer: SocketAddr) {
+        self.draws.borrow_mut().ended(peer);
+    }
+
+    /// Whether the configuration is known up to `revision`.
+    fn knows_routing(&self, revision: u64) -> bool {
+        self.belief.borrow().marks().routing >= revision
+    }
+
     /// The revision up to which a topic is known.
     pub fn revision(&self, topic: Topic) -> u64 {
         let belief = self.belief.borrow();
@@ -243,13 +285,16 @@
         if effect != Effect::None {
             log::info!(revision, origin, shaky; "learned: {text}");
         }
+        if effect == Effect::Routing {
+            self.draws.borrow_mut().learned();
+        }
         self.tell(effect);
         effect
     }
 
     /// Takes what the store answered; `whole` if that is everything of its topic.
     pub fn take_batch(&self, topic: Topic, whole: bool, batch: Batch) {
-        self.answered.set(Some(self.now()));
+        self.store_is_answering();
         if self.learn_batch(topic, whole, batch) {
             self.news.notify_one();
         }
@@ -312,9 +357,7 @@
             self.hear(from, &news.hall, news.rate, news.store_age_ms);
         }
         if let Some(dated) = news.routing {
-            let fact = Fact::Routing(dated.document);
-            let revision = dated.revision;
-            self.learn(Dated { revision, fact }, &from.to_string());
+            self.take_document(from, dated);
         }
         for named in news.versions {
             self.take_named(named);
@@ -338,6 +381,17 @@
         }
     }
 
+    fn take_document(&self, from: SocketAddr, dated: DatedDocument) {
+        let revision = dated.revision;
+        match pack::unpack(&dated.packed) {
+            Ok(document) => {
+                let fact = Fact::Routing(Arc::new(document));
+                self.learn(Dated { revision, fact }, &from.to_string());
+            }
+            Err(error) => log::warn!(from:% = from, revision; "configuration: {error}"),
+        }
+    }
+
     fn take_named(&self, named: Named) {
         let now = self.now();
         let age = Duration::from_millis(named.age_ms);
@@ -374,6 +428,7 @@
                 Vec::new()
             },
             wants_peers: names_entries,
+            wants_routing: false,
         }
     }
 
@@ -400,7 +455,9 @@
             store_age_ms: self.store_age_ms(now),
             rate: self.rate.get(),
             peers: told,
-            routing: (newer_routing && !brief).then(|| self.document()).flatten(),
+            routing: (newer_routing && sync.wants_routing)
+                .then(|| self.document())
+                .flatten(),
             versions: if marks.versions > sync.marks.versions {
                 self.named(now)
             } else {
@@ -411,12 +468,25 @@
         }
     }
 
+    /// The configuration as others draw it.
     fn document(&self) -> Option<DatedDocument> {
         let belief = self.belief.borrow();
         let routing = belief.routing()?;
+        let revision = belief.marks().routing;
+        let mut packed = self.packed.borrow_mut();
+        if packed.as_ref().is_none_or(|(known, _)| *known != revision) {
+            match pack::pack(&*routing.document) {
+                Ok(bytes) => *packed = Some((revision, bytes)),
+                Err(error) => {
+                    log::error!(revision; "configuration: {error}");
+                    return None;
+                }
+            }
+        }
+        let (_, bytes) = packed.as_ref()?;
         Some(DatedDocument {
-            revision: belief.marks().routing,
-            document: routing.document.clone(),
+            revision,
+            packed: bytes.to_vec(),
         })
     }
 
--- a/src/knowledge/gossip.rs
+++ b/src/knowledge/gossip.rs
@@ -2,10 +2,11 @@
 
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use actix_http::Method;
-use actix_rt::time::{sleep, timeout};
+use actix_rt::time::sleep;
 use bytes::Bytes;
 use rand::RngExt;
 use serde::Serialize;
@@ -13,8 +14,11 @@
 
 use super::Knowledge;
 use super::readers::Readers;
+use crate::config::belief::Marks;
 use crate::exchange::{Options, Request};
-use crate::wire::sync::{News, SYNC_PATH};
+use crate::patience::{self, Progress};
+use crate::source::Topic;
+use crate::wire::sync::{News, SYNC_PATH, Sync};
 
 /// How often an entry asks others.
 const EVERY: Duration = Duration::from_millis(500);
@@ -34,9 +38,6 @@
 /// Shortest time between two rounds of telling that there is news.
 const NEWS_GAP: Duration = Duration::from_millis(150);
 
-/// How long a process may take to answer.
-const TIMEOUT: Duration = Duration::from_millis(1_000);
-
 /// How long a connection may take to open.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
@@ -49,9 +50,9 @@
     /// The exchange failed.
     #[error(transparent)]
     Exchange(#[from] crate::exchange::Error),
-    /// It took too long.
-    #[error("no answer within {} ms", TIMEOUT.as_millis())]
-    Timeout,
+    /// It was not waited for any longer.
+    #[error(transparent)]
+    Patience(#[from] patience::Error),
     /// It answered with a failure.
     #[error("answered {status}")]
     Status {
@@ -68,26 +69,47 @@
 
 /// Sends `message` to another process of the system and takes the news that it answers.
 pub async fn post<T: Serialize>(
-    knowledge: &Knowledge,
+    knowledge: &Rc<Knowledge>,
     peer: SocketAddr,
     path: &str,
     message: &T,
 ) -> Result<(), Error> {
     let news: News = ask(knowledge, peer, path, message).await?;
-    knowledge.take_news(peer, news);
+    take(knowledge, peer, news);
     Ok(())
 }
 
+/// Takes what `peer` answered, and draws the configuration from it if that is newer there.
+pub fn take(knowledge: &Rc<Knowledge>, peer: SocketAddr, news: News) {
+    let (hall, marks, entry) = (news.hall.clone(), news.marks, news.entry);
+    knowledge.take_news(peer, news);
+    if entry {
+        draw(knowledge, peer, &hall, marks);
+    }
+}
+
 /// Sends `message` to another process of the system and reads its answer.
 pub async fn ask<T: Serialize, A: DeserializeOwned>(
     knowledge: &Knowledge,
     peer: SocketAddr,
     path: &str,
     message: &T,
+) -> Result<A, Error> {
+    ask_while(knowledge, peer, path, message, || true).await
+}
+
+/// Sends `message` to another process of the system and reads its answer while that is `needed`.
+async fn ask_while<T: Serialize, A: DeserializeOwned>(
+    knowledge: &Knowledge,
+    peer: SocketAddr,
+    path: &str,
+    message: &T,
+    needed: impl Fn() -> bool,
 ) -> Result<A, Error> {
     let body = rmp_serde::to_vec_named(message).map_err(|error| Error::Codec {
         reason: error.to_string(),
     })?;
+    let progress = Progress::default();
     let exchange = async {
         let head = Request::new(Method::POST, path).head(peer)?;
         let options = Options {
@@ -96,7 +118,7 @@
         };
         let body = Some(Bytes::from(body));
         let mut answer = knowledge.client.exchange(peer, head, body, options).await?;
-        let body = answer.read(NEWS_MAX).await?;
+        let body = answer.read_noting(NEWS_MAX, &progress).await?;
         if !answer.status.is_success() {
             let status = answer.status.as_u16();
             return Err(Error::Status { status });
@@ -105,9 +127,42 @@
             reason: error.to_string(),
         })
     };
-    timeout(TIMEOUT, exchange)
-        .await
-        .map_err(|_| Error::Timeout)?
+    let waits = patience::Setting::default();
+    patience::wait(exchange, &progress, waits, || {}, needed).await?
+}
+
+/// Draws the configuration from `peer` in `hall`, whose marks tell that it knows a newer one, if it
+/// is its turn.
+fn draw(knowledge: &Rc<Knowledge>, peer: SocketAddr, hall: &str, marks: Marks) {
+    if !knowledge.begins_draw(peer, hall, marks.routing) {
+        return;
+    }
+    let far = *hall != *knowledge.identity.hall;
+    let knowledge = knowledge.clone();
+    actix_rt::spawn(async move {
+        let sync = Sync {
+            wants_routing: true,
+            ..knowledge.sync(false)
+        };
+        let began = knowledge.now();
+        let needed = || !knowledge.knows_routing(marks.routing);
+        let drawn = ask_while::<_, News>(&knowledge, peer, SYNC_PATH, &sync, needed).await;
+        knowledge.drew(peer);
+        let ms = knowledge.now().since(began).as_millis() as u64;
+        match drawn {
+            Ok(news) => {
+                let bytes = news.routing.as_ref().map_or(0, |dated| dated.packed.len());
+                log::info!(peer:% = peer, bytes, ms; "configuration drawn");
+                knowledge.take_news(peer, news);
+                if far {
+                    // The hall's readers of the store may be cut off from it.
+                    tell(&knowledge, knowledge.fellows(), false);
+                }
+            }
+            Err(Error::Patience(patience::Error::NotNeeded)) => {}
+            Err(error) => log::warn!(peer:% = peer, ms; "configuration not drawn: {error}"),
+        }
+    });
 }
 
 /// Exchanges heartbeats with other entries until dropped. `others` names processes beside replicas,
@@ -138,12 +193,13 @@
 }
 
 /// Tells the other entries of the hall at once that there is news, if this one reads the store for
-/// them. Runs until dropped.
+/// them, for good or in place of one that hears nothing. Runs until dropped.
 pub async fn tell_news(knowledge: Rc<Knowledge>) {
     loop {
         knowledge.news.notified().await;
         let fellows = knowledge.fellows();
-        if !Readers::is_reader(knowledge.identity.address, &fellows) {
+        let reader = Readers::is_reader(knowledge.identity.address, &fellows);
+        if !reader && !knowledge.reads(Topic::Operator) {
             continue;
         }
         tell(&knowledge, fellows, false);
@@ -165,9 +221,10 @@
     }
 }
 
-/// Asks `peer`, which knows something newer, for its news.
-pub async fn fetch_news(knowledge: Rc<Knowledge>, peer: SocketAddr) {
-    // Several tell of the same news; a configuration is too long to be drawn twice.
+/// Asks `peer` in `hall`, whose marks tell that it knows something newer, for its news.
+pub async fn fetch_news(knowledge: Rc<Knowledge>, peer: SocketAddr, hall: Arc<str>, marks: Marks) {
+    draw(&knowledge, peer, &hall, marks);
+    // Several tell of the same news.
     if knowledge.fetching.replace(true) {
         return;
     }
--- a/src/knowledge/pace.rs
+++ b/src/knowledge/pace.rs
@@ -5,6 +5,7 @@
 
 use std::time::Duration;
 
+use crate::patience;
 use crate::source::Topic;
 
 /// How long a watch of what operators write waits: with [`MARGIN`] less than the three seconds that
@@ -18,10 +19,10 @@
 /// How long a watch waits after a failure: it is to show soon whether the store answers again.
 const PROBE_WAIT: Duration = Duration::from_millis(300);
 
-/// How much longer than its wait an answer may take.
+/// How much longer than its wait the beginning of an answer may take.
 const MARGIN: Duration = Duration::from_millis(700);
 
-/// How long a whole read may take.
+/// How long the beginning of the answer to a whole read may take.
 const READ_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Pause between two watches of what operators write: changes within it come in one answer.
@@ -71,12 +72,17 @@
         }
     }
 
-    /// How long an answer may take; `whole` for a read of everything.
-    pub fn patience(&self, whole: bool) -> Duration {
-        if whole {
+    /// How long an answer is waited for; `whole` for a read of everything. A long one may take
+    /// its time once it has begun.
+    pub fn patience(&self, whole: bool) -> patience::Setting {
+        let first = if whole {
             READ_TIMEOUT
         } else {
             self.wait() + MARGIN
+        };
+        patience::Setting {
+            first,
+            ..patience::Setting::default()
         }
     }
 
--- a/src/knowledge/readers.rs
+++ b/src/knowledge/readers.rs
@@ -28,8 +28,9 @@
 /// How much longer each further entry in rank waits.
 const STEP: Duration = Duration::from_millis(100);
 
-/// Most that an entry waits longer for its rank.
-const STEPS_MAX: u32 = 4;
+/// Most steps that an entry waits longer for its rank: as many as halls have entries today. All at
+/// once they would share the hall's link to the store, and each document would come as many times.
+const STEPS_MAX: u32 = 12;
 
 /// Entries of a hall that are asked for news: its readers.
 pub const ASKED: usize = 2;
@@ -38,9 +39,19 @@
 #[derive(Debug, Default)]
 pub struct Readers {
     answered: BTreeMap<SocketAddr, Time>,
+    began: Time,
 }
 
 impl Readers {
+    /// Nothing was told yet to a process that begins at `began`: those before it in rank get as
+    /// long to be answered as at any other time.
+    pub fn new(began: Time) -> Self {
+        Self {
+            began,
+            ..Self::default()
+        }
+    }
+
     /// The store answered `entry` last at `at`.
     pub fn told(&mut self, entry: SocketAddr, at: Time) {
         let known = self.answered.entry(entry).or_default();
@@ -65,7 +76,17 @@
         }
         let answered = fellows.iter().filter_map(|entry| self.answered.get(entry));
         let patience = MISSING + STEP * rank.min(STEPS_MAX);
-        answered.max().is_none_or(|at| now.since(*at) >= patience)
+        let last = answered.max().copied().or(self.begins_with(topic));
+        last.is_none_or(|at| now.since(at) >= patience)
+    }
+
+    /// From when on a process that was told nothing waits for others. It does not for the list of
+    /// replicas, which is short and without which it serves nobody.
+    fn begins_with(&self, topic: Topic) -> Option<Time> {
+        match topic {
+            Topic::Operator => Some(self.began),
+            Topic::Replicas => None,
+        }
     }
 
     /// Whether the entry at `own` is one of those whom the others ask.
--- a/src/knowledge/store.rs
+++ b/src/knowledge/store.rs
@@ -4,12 +4,13 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use actix_rt::time::{sleep, timeout};
+use actix_rt::time::sleep;
 use futures_util::future::{Either, select};
 use rand::RngExt;
 
 use super::Knowledge;
 use super::pace::Pace;
+use crate::patience::{self, Progress};
 use crate::source::{Batch, Error, Source, Topic};
 
 /// How often an entry looks whether it has to read for itself.
@@ -86,18 +87,31 @@
     topic: Topic,
     after: Option<u64>,
 ) -> Ended {
+    let progress = Progress::default();
     let call = match after {
-        None => source.read(topic),
-        Some(after) => source.watch(topic, after, pace.wait()),
+        None => source.read(topic, progress.clone()),
+        Some(after) => source.watch(topic, after, pace.wait(), progress.clone()),
     };
-    let longest = pace.patience(after.is_none());
-    let call = pin!(timeout(longest, call));
+    // A store that is still answering is in reach, however long that takes: the others of the hall
+    // are told so, and do not draw the same over the same link. One that needs not read after all,
+    // because an entry before it does, lets go.
+    let moved = || knowledge.store_is_answering();
+    let needed = || knowledge.reads(topic);
+    let waits = pace.patience(after.is_none());
+    let call = pin!(patience::wait(call, &progress, waits, moved, needed));
     let regained = pin!(knowledge.store_regained.notified());
     match select(call, regained).await {
-        Either::Left((ended, _)) => Ended::Call(ended.unwrap_or_else(|_| {
-            let reason = format!("no answer within {} ms", longest.as_millis());
-            Err(Error::Unreachable { reason })
-        })),
+        Either::Left((Ok(ended), _)) => Ended::Call(ended),
+        Either::Left((Err(patience::Error::NotNeeded), _)) => Ended::AskAgain,
+        Either::Left((Err(error), _)) => {
+            let reason = error.to_string();
+            Ended::Call(Err(Error::Unreachable { reason }))
+        }
+        // A call whose answer is coming in does not hang.
+        Either::Right((_, call)) if progress.last().is_some() => match call.await {
+            Ok(ended) => Ended::Call(ended),
+            Err(_) => Ended::AskAgain,
+        },
         Either::Right(_) => Ended::AskAgain,
     }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod metric;
 pub mod node;
 pub mod option;
+pub mod patience;
 pub mod placement;
 pub mod policy;
 pub mod request;
--- a/src/sidecar/observe.rs
+++ b/src/sidecar/observe.rs
@@ -6,11 +6,13 @@
 use std::time::Duration;
 
 use actix_rt::time::{sleep, timeout};
+use rand::RngExt;
 
 use super::Sidecar;
 use super::engine::State;
 use crate::clock::Time;
 use crate::knowledge::gossip::post;
+use crate::patience::{self, Progress};
 use crate::route::replica::Load;
 use crate::source::Topic;
 use crate::wire::sync::{REPORT_PATH, Report};
@@ -42,9 +44,13 @@
 /// How long no entry answers before the store is read.
 const ALONE: Duration = Duration::from_millis(2_500);
 
-/// How often the store is read then.
+/// How long the beginning of the store's answer is waited for then.
 const ALONE_READ: Duration = Duration::from_millis(2_000);
 
+/// Longest pause between two reads while no entry answers: each brings the whole configuration over
+/// the narrow link of a box, and the links between regions to all boxes at once.
+const ALONE_MAX: Duration = Duration::from_secs(20);
+
 /// Asks the replica until dropped.
 pub async fn observe(sidecar: Rc<Sidecar>) {
     loop {
@@ -224,19 +230,33 @@
 
 /// Reads the store while no entry answers.
 pub async fn read_store_when_alone(sidecar: Rc<Sidecar>) {
+    let mut pause = ALONE;
     loop {
-        sleep(ALONE).await;
+        sleep(pause).await;
         let now = sidecar.knowledge.now();
         if sidecar.knowledge.peers.borrow().alive(now).next().is_some() {
+            pause = ALONE;
             continue;
         }
         log::info!("no entry answers; reading the store");
         for topic in [Topic::Operator, Topic::Replicas] {
-            match timeout(ALONE_READ, sidecar.source.read(topic)).await {
-                Ok(Ok(batch)) => sidecar.knowledge.take_batch(topic, true, batch),
-                Ok(Err(error)) => log::debug!("store: {error}"),
-                Err(_) => log::debug!("store: no answer"),
-            }
+            read_store(&sidecar, topic).await;
         }
+        let jitter = sidecar.knowledge.rng.borrow_mut().random_range(0.7..1.3);
+        pause = (pause * 2).min(ALONE_MAX).mul_f64(jitter);
+    }
+}
+
+async fn read_store(sidecar: &Sidecar, topic: Topic) {
+    let progress = Progress::default();
+    let call = sidecar.source.read(topic, progress.clone());
+    let waits = patience::Setting {
+        first: ALONE_READ,
+        ..patience::Setting::default()
+    };
+    match patience::wait(call, &progress, waits, || {}, || true).await {
+        Ok(Ok(batch)) => sidecar.knowledge.take_batch(topic, true, batch),
+        Ok(Err(error)) => log::info!(topic:? = topic; "{error}"),
+        Err(error) => log::info!(topic:? = topic; "store: {error}"),
     }
 }
--- a/src/source.rs
+++ b/src/source.rs
@@ -5,6 +5,7 @@
 use futures_util::future::LocalBoxFuture;
 
 use crate::config::belief::Dated;
+use crate::patience::Progress;
 
 /// What is read or watched as one.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -97,10 +98,11 @@
     },
 }
 
-/// A store that can be read and watched.
+/// A store that can be read and watched. Its answers may be long: how they come in is noted in the
+/// `progress` of each call.
 pub trait Source {
     /// Everything that is there now.
-    fn read(&self, topic: Topic) -> LocalBoxFuture<'_, Result<Batch, Error>>;
+    fn read(&self, topic: Topic, progress: Progress) -> LocalBoxFuture<'_, Result<Batch, Error>>;
 
     /// What changed after a revision, as soon as anything did, or nothing after `wait`.
     fn watch(
@@ -108,5 +110,6 @@
         topic: Topic,
         after: u64,
         wait: Duration,
+        progress: Progress,
     ) -> LocalBoxFuture<'_, Result<Batch, Error>>;
 }
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -3,6 +3,7 @@
 //! Fields may be added with a default and are ignored by older readers; a message whose meaning
 //! changes gets a new [`VERSION`] and a new path.
 
+pub mod pack;
 pub mod sync;
 
 use bytes::{Buf, Bytes, BytesMut};
--- /dev/null
+++ b/src/wire/pack.rs
@@ -0,0 +1,47 @@
+//! Documents in little space: many routes differ in few letters.
+
+use std::io::{Read, Write};
+
+use bytes::Bytes;
+use flate2::Compression;
+use flate2::read::DeflateDecoder;
+use flate2::write::DeflateEncoder;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+/// Longest document once it is unpacked: 16 times what the platform's service holds.
+const UNPACKED_MAX: u64 = 16 << 20;
+
+/// Why a document could not be packed or unpacked.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// The codec rejects it.
+    #[error("codec: {reason}")]
+    Codec {
+        /// What the codec reported.
+        reason: String,
+    },
+    /// Its bytes are no packed document, or one that is too long.
+    #[error("not unpacked: {0}")]
+    Unpack(#[from] std::io::Error),
+}
+
+/// Packs `document`.
+pub fn pack<T: Serialize>(document: &T) -> Result<Bytes, Error> {
+    let plain = rmp_serde::to_vec_named(document).map_err(|error| Error::Codec {
+        reason: error.to_string(),
+    })?;
+    let mut encoder = DeflateEncoder::new(Vec::new(), Compression::fast());
+    encoder.write_all(&plain)?;
+    Ok(encoder.finish()?.into())
+}
+
+/// Unpacks a document.
+pub fn unpack<T: DeserializeOwned>(packed: &[u8]) -> Result<T, Error> {
+    let mut plain = Vec::new();
+    let mut decoder = DeflateDecoder::new(packed).take(UNPACKED_MAX);
+    decoder.read_to_end(&mut plain)?;
+    rmp_serde::from_slice(&plain).map_err(|error| Error::Codec {
+        reason: error.to_string(),
+    })
+}
--- a/src/wire/sync.rs
+++ b/src/wire/sync.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::config::belief::Marks;
-use crate::config::routing::{Document, Engine};
+use crate::config::routing::Engine;
 use crate::member::peer::Told;
 use crate::member::replica::Record;
 use crate::route::replica::Load;
@@ -43,6 +43,9 @@
     /// Whether it wants to be told of entries.
     #[serde(default)]
     pub wants_peers: bool,
+    /// Whether it draws the configuration with this message, if it lacks it.
+    #[serde(default)]
+    pub wants_routing: bool,
 }
 
 /// The report of a process beside a replica.
@@ -111,12 +114,13 @@
 }
 
 /// A routing configuration and its revision.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct DatedDocument {
     /// The revision.
     pub revision: u64,
-    /// The configuration.
-    pub document: Arc<Document>,
+    /// The configuration, a [`crate::config::routing::Document`], packed.
+    #[serde(with = "serde_bytes")]
+    pub packed: Vec<u8>,
 }
 
 /// A replica's entry and its revision.
@@ -174,7 +178,7 @@
     /// The entries that it knows, if that was asked for.
     #[serde(default)]
     pub peers: Vec<Told>,
-    /// Newer routing.
+    /// Newer routing, if that was asked for.
     #[serde(default)]
     pub routing: Option<DatedDocument>,
     /// Newer wanted versions.
--- a/tests/knowledge.rs
+++ b/tests/knowledge.rs
@@ -7,6 +7,7 @@
 use pumicelatch::clock::Time;
 use pumicelatch::config::belief::{Dated, Fact, Marks};
 use pumicelatch::config::routing::{Document, Kind};
+use pumicelatch::knowledge::draws::{Draws, Place};
 use pumicelatch::knowledge::halls::{Ask, Halls, PERIOD};
 use pumicelatch::knowledge::pace::Pace;
 use pumicelatch::knowledge::readers::Readers;
@@ -160,6 +161,52 @@
     assert!(readers.reads(Topic::Operator, own, &others, NOW));
 }
 
+#[test]
+fn an_entry_that_begins_leaves_a_long_document_to_the_readers_of_its_hall() {
+    let mut reading = 0;
+    for index in 1..=6 {
+        let readers = Readers::new(NOW);
+        let (own, fellows) = (entry(1, index), fellows(index, 6));
+        reading += u32::from(readers.reads(Topic::Operator, own, &fellows, NOW));
+        let later = NOW + Duration::from_millis(2_100);
+        assert!(readers.reads(Topic::Operator, own, &fellows, later));
+        assert!(readers.reads(Topic::Replicas, own, &fellows, NOW));
+    }
+    assert_eq!(reading, 2);
+}
+
+#[test]
+fn a_configuration_is_drawn_from_one_process_and_from_a_second_if_that_is_slow() {
+    let mut draws = Draws::default();
+    assert!(draws.begin(entry(1, 1), Place::Near, NOW));
+    assert!(!draws.begin(entry(1, 1), Place::Near, NOW));
+    let soon = NOW + Duration::from_millis(300);
+    assert!(!draws.begin(entry(1, 2), Place::Near, soon));
+    let slow = NOW + Duration::from_millis(900);
+    assert!(!draws.begin(entry(1, 1), Place::Near, slow));
+    assert!(draws.begin(entry(1, 2), Place::Near, slow));
+    assert!(!draws.begin(entry(1, 3), Place::Near, slow + Duration::from_secs(9)));
+    draws.ended(entry(1, 1));
+    assert!(draws.begin(entry(1, 3), Place::Near, slow + Duration::from_secs(9)));
+}
+
+#[test]
+fn another_hall_is_drawn_from_after_the_own_had_its_time_and_by_one_entry_first() {
+    let begins = |place, after_ms| {
+        let mut draws = Draws::default();
+        // Heard of at NOW, from a process that is not drawn from.
+        draws.begin(entry(2, 1), Place::Far, NOW);
+        draws.begin(entry(2, 1), place, NOW + Duration::from_millis(after_ms))
+    };
+    assert!(!begins(Place::FarForAll, 200) && begins(Place::FarForAll, 400));
+    assert!(!begins(Place::Far, 1_400) && begins(Place::Far, 1_600));
+    let mut draws = Draws::default();
+    draws.begin(entry(2, 1), Place::Far, NOW);
+    draws.learned();
+    let next = NOW + Duration::from_secs(60);
+    assert!(!draws.begin(entry(2, 1), Place::Far, next));
+}
+
 #[test]
 fn readers_are_asked_for_news_by_all_others() {
     let everyone: Vec<SocketAddr> = (1..=5).map(|index| entry(1, index)).collect();
@@ -236,7 +283,9 @@
                 at = answer_at + pace.answered().as_millis() as u64;
             } else {
                 let jitter = 0.7 + 0.6 * f64::from(jitters.next().unwrap_or(255)) / 255.0;
-                let patience = pace.patience(false);
+                let waits = pace.patience(false);
+                // A call may fall silent before its answer or within it.
+                let patience = waits.first.max(waits.pause);
                 at += (patience + pace.failed(jitter)).as_millis() as u64;
             }
         }
--- /dev/null
+++ b/tests/transfer.rs
@@ -0,0 +1,118 @@
+//! Transfers that take long: how they are waited for, and how documents are packed.
+
+use std::cell::Cell;
+use std::time::Duration;
+
+use actix_rt::time::sleep;
+use pumicelatch::config::routing::{Document, Route};
+use pumicelatch::patience::{self, Error, Progress, Setting};
+use pumicelatch::wire::pack;
+use quickcheck::quickcheck;
+
+/// Shorter than the transfers of these tests.
+const SHORT: Setting = Setting {
+    first: Duration::from_millis(400),
+    pause: Duration::from_millis(400),
+    whole: Duration::from_secs(60),
+};
+
+fn run<F: Future>(body: F) -> F::Output {
+    actix_rt::System::new().block_on(body)
+}
+
+#[test]
+fn a_transfer_that_moves_is_waited_for_beyond_the_time_of_a_silent_one() {
+    let moves = Cell::new(0);
+    let ended = run(async {
+        let progress = Progress::default();
+        let transfer = async {
+            progress.came();
+            for _ in 0..50 {
+                sleep(Duration::from_millis(50)).await;
+                progress.came();
+            }
+            "whole"
+        };
+        let moved = || moves.set(moves.get() + 1);
+        let waits = Setting {
+            pause: Duration::from_millis(2_000),
+            ..SHORT
+        };
+        patience::wait(transfer, &progress, waits, moved, || true).await
+    });
+    assert_eq!(ended, Ok("whole"));
+    assert!(moves.get() > 1, "whoever waits is told that it moves");
+}
+
+#[test]
+fn a_transfer_that_never_begins_or_stops_or_is_not_needed_is_given_up() {
+    let forever = std::future::pending::<()>;
+    let (silent, stopped, needless, endless) = run(async {
+        let none = Progress::default();
+        let silent = patience::wait(forever(), &none, SHORT, || {}, || true).await;
+        let progress = Progress::default();
+        progress.came();
+        let stopped = patience::wait(forever(), &progress, SHORT, || {}, || true).await;
+        let needless = patience::wait(forever(), &none, SHORT, || {}, || false).await;
+        let brief = Setting {
+            whole: Duration::from_millis(300),
+            ..SHORT
+        };
+        let endless = patience::wait(forever(), &none, brief, || {}, || true).await;
+        (silent, stopped, needless, endless)
+    });
+    assert!(matches!(silent, Err(Error::NoAnswer { .. })));
+    assert!(matches!(stopped, Err(Error::Stopped { .. })));
+    assert_eq!(needless, Err(Error::NotNeeded));
+    assert!(matches!(endless, Err(Error::TooLong { .. })));
+}
+
+fn document(names: &[String]) -> Document {
+    let route = |name: &String| Route {
+        host: name.clone(),
+        prefix: format!("/{name}/"),
+        ..Route::default()
+    };
+    Document {
+        version: names.len() as u64,
+        routes: names.iter().map(route).collect(),
+        ..Document::default()
+    }
+}
+
+#[test]
+fn documents_come_out_of_their_packing_as_they_went_in() {
+    fn property(names: Vec<String>) -> bool {
+        let document = document(&names);
+        let packed = pack::pack(&document).unwrap();
+        pack::unpack::<Document>(&packed).unwrap() == document
+    }
+    quickcheck(property as fn(Vec<String>) -> bool);
+}
+
+#[test]
+fn bytes_that_are_no_packed_document_are_an_error() {
+    fn property(mut bytes: Vec<u8>, cut: usize) -> bool {
+        let packed = pack::pack(&document(&["a".to_owned(), "b".to_owned()])).unwrap();
+        let part = packed.slice(..cut % packed.len());
+        bytes.truncate(64);
+        pack::unpack::<Document>(&part).is_err() && pack::unpack::<Document>(&bytes).is_err()
+    }
+    quickcheck(property as fn(Vec<u8>, usize) -> bool);
+}
+
+#[test]
+fn many_routes_take_a_tenth_of_their_length() {
+    let names: Vec<String> = (0..1_500)
+        .map(|index| format!("route-{index}.example"))
+        .collect();
+    let document = document(&names);
+    let plain = rmp_serde::to_vec_named(&document).unwrap();
+    let packed = pack::pack(&document).unwrap();
+    assert!(
+        packed.len() * 10 <= plain.len(),
+        "{} of {}",
+        packed.len(),
+        plain.len()
+    );
+}
