The same time limit elsewhere: answers over the product's own client may take their time too

An answer has to begin in that time and may then go on as long as it moves. The new test failed before with 'no answer within 1000 ms'.

--- a/src/burst/fetch.rs
+++ b/src/burst/fetch.rs
@@ -15,7 +15,7 @@
 use crate::spread::swarm::{FetchKey, Outcome, Source};
 use crate::weight::Manifest;
 
-/// How long a manifest may take to arrive.
+/// How long a manifest may take to begin to arrive.
 const MANIFEST_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// How long a peer may take for it: it holds it or does not.
--- a/src/http.rs
+++ b/src/http.rs
@@ -24,6 +24,8 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
+use crate::patience::{self, Progress};
+
 /// How long a caller may take to send a request's head.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -449,11 +451,21 @@
 
 /// Reads a response's body of at most `limit` bytes.
 pub async fn read_response<S>(payload: &mut S, limit: usize) -> Result<Bytes, Error>
+where
+    S: Stream<Item = Result<Bytes, awc::error::PayloadError>> + Unpin,
+{
+    read_noting(payload, limit, &Progress::default()).await
+}
+
+/// Reads a response's body of at most `limit` bytes, and notes when bytes come.
+async fn read_noting<S>(payload: &mut S, limit: usize, progress: &Progress) -> Result<Bytes, Error>
 where
     S: Stream<Item = Result<Bytes, awc::error::PayloadError>> + Unpin,
 {
     let mut all = BytesMut::new();
+    progress.came();
     while let Some(part) = payload.next().await {
+        progress.came();
         let part = part.map_err(|error| Error::Exchange {
             reason: error.to_string(),
         })?;
@@ -465,48 +477,49 @@
     Ok(all.freeze())
 }
 
-/// Gets `url` and decodes its JSON within `timeout`.
+/// Gets `url`, whose answer begins within `first`, and decodes its JSON.
 pub async fn get_json<T: DeserializeOwned>(
     client: &awc::Client,
     url: &str,
     limit: usize,
-    timeout: Duration,
+    first: Duration,
 ) -> Result<T, Error> {
-    let bytes = get(client, url, limit, timeout).await?;
+    let bytes = get(client, url, limit, first).await?;
     serde_json::from_slice(&bytes).map_err(|error| Error::Decode {
         reason: error.to_string(),
     })
 }
 
-/// Gets `url` and decodes its MessagePack within `timeout`.
+/// Gets `url`, whose answer begins within `first`, and decodes its MessagePack.
 pub async fn get_pack<T: DeserializeOwned>(
     client: &awc::Client,
     url: &str,
     limit: usize,
-    timeout: Duration,
+    first: Duration,
 ) -> Result<T, Error> {
-    let bytes = get(client, url, limit, timeout).await?;
+    let bytes = get(client, url, limit, first).await?;
     rmp_serde::from_slice(&bytes).map_err(|error| Error::Decode {
         reason: error.to_string(),
     })
 }
 
-/// Gets `url` whole within `timeout`.
+/// Gets `url`, whose answer begins within `first`.
 pub async fn get(
     client: &awc::Client,
     url: &str,
     limit: usize,
-    timeout: Duration,
+    first: Duration,
 ) -> Result<Bytes, Error> {
-    receive(client.get(url), limit, timeout).await
+    receive(client.get(url), limit, first).await
 }
 
-/// Sends `request` and reads its answer whole within `timeout`.
+/// Sends `request` and reads its answer, which begins within `first`. A long one may take its time.
 pub async fn receive(
     request: awc::ClientRequest,
     limit: usize,
-    timeout: Duration,
+    first: Duration,
 ) -> Result<Bytes, Error> {
+    let progress = Progress::default();
     let exchange = async {
         let mut response = request.send().await?;
         let status = response.status();
@@ -515,24 +528,26 @@
                 status: status.as_u16(),
             });
         }
-        read_response(&mut response, limit).await
+        read_noting(&mut response, limit, &progress).await
     };
-    within(timeout, exchange).await
+    while_moving(first, &progress, exchange).await
 }
 
-/// Posts JSON and decodes a JSON answer within `timeout`. Statuses other than success are errors.
+/// Posts JSON and decodes a JSON answer, which begins within `first`. Statuses other than success
+/// are errors.
 pub async fn post_json<B: Serialize, T: DeserializeOwned>(
     client: &awc::Client,
     url: &str,
     value: &B,
-    timeout: Duration,
+    first: Duration,
 ) -> Result<T, Error> {
     /// Longest answer to a post.
     const LIMIT: usize = 1 << 20;
+    let progress = Progress::default();
     let exchange = async {
         let mut response = client.post(url).send_json(value).await?;
         let status = response.status();
-        let bytes = read_response(&mut response, LIMIT).await?;
+        let bytes = read_noting(&mut response, LIMIT, &progress).await?;
         if !status.is_success() {
             return Err(Error::Status {
                 status: status.as_u16(),
@@ -542,18 +557,22 @@
             reason: error.to_string(),
         })
     };
-    within(timeout, exchange).await
+    while_moving(first, &progress, exchange).await
 }
 
-async fn within<T>(
-    timeout: Duration,
+async fn while_moving<T>(
+    first: Duration,
+    progress: &Progress,
     exchange: impl Future<Output = Result<T, Error>>,
 ) -> Result<T, Error> {
-    actix_rt::time::timeout(timeout, exchange)
-        .await
-        .unwrap_or_else(|_| {
-            Err(Error::Exchange {
-                reason: format!("no answer within {} ms", timeout.as_millis()),
-            })
+    let waits = patience::Setting {
+        first,
+        ..patience::Setting::default()
+    };
+    let ended = patience::wait(exchange, progress, waits, || {}, || true).await;
+    ended.unwrap_or_else(|error| {
+        Err(Error::Exchange {
+            reason: error.to_string(),
         })
+    })
 }
--- a/tests/transfer.rs
+++ b/tests/transfer.rs
@@ -3,8 +3,12 @@
 use std::cell::Cell;
 use std::time::Duration;
 
+use actix_http::StatusCode;
 use actix_rt::time::sleep;
+use bytes::Bytes;
+use futures_util::stream;
 use pumicelatch::config::routing::{Document, Route};
+use pumicelatch::http::{self, ClientSetting, Server};
 use pumicelatch::patience::{self, Error, Progress, Setting};
 use pumicelatch::wire::pack;
 use quickcheck::quickcheck;
@@ -67,6 +71,27 @@
     assert!(matches!(endless, Err(Error::TooLong { .. })));
 }
 
+#[test]
+fn a_long_answer_is_read_to_its_end_however_soon_it_has_to_begin() {
+    /// Parts of the answer, which come one after the other.
+    const PARTS: usize = 30;
+    run(async {
+        let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let url = format!("http://{}/", listener.local_addr().unwrap());
+        let _server = Server::start(listener, http::plain(), |_, _| async {
+            let parts = stream::unfold(0, |sent| async move {
+                sleep(Duration::from_millis(100)).await;
+                let part = Bytes::from_static(&[7; 100]);
+                (sent < PARTS).then_some((Ok::<_, std::io::Error>(part), sent + 1))
+            });
+            http::stream(StatusCode::OK, "application/octet-stream", Box::pin(parts))
+        });
+        let client = http::client(ClientSetting::default());
+        let answer = http::get(&client, &url, 1 << 20, Duration::from_millis(1_000)).await;
+        assert_eq!(answer.unwrap().len(), 100 * PARTS);
+    });
+}
+
 fn document(names: &[String]) -> Document {
     let route = |name: &String| Route {
         host: name.clone(),
