Re-read: one backoff, one way to thin repeated lines, no second request beside a draw

What the change had written again or made more complicated than need be: - Doubling pauses stood in the plan of a burst and the pace of calls to the store, and the change wrote them twice more (manifests, agents that are alone). backoff::Backoff serves all four, with the same pauses. Agents carried the jitter of a pause on into the next ones, beyond their bound; it is now applied once, as everywhere. - The first line and each doubling of a count: log::Repeats serves the origin and heartbeats. - A call to the store that went on after the store was found to be back had its failure dropped without a line or a pause; both ways out now end in one match. - An entry that was told of a new configuration sent a short request beside its draw though nothing else was new. - The packed document was kept as a pair and copied twice for each entry that draws it. - patience::wait and Setting::beginning_within in place of four spellings; the pause is exchange::LOST instead of its copy. - Two constants named a reason that was not theirs (draws::FAR, readers::STEPS_MAX); comments only.

--- a/src/burst/fetch.rs
+++ b/src/burst/fetch.rs
@@ -10,6 +10,7 @@
 
 use super::Burst;
 use super::host::{Host, Origin, decode_manifest, swarm_url};
+use crate::backoff::Backoff;
 use crate::http;
 use crate::spread::ring::{self, Member};
 use crate::spread::swarm::{FetchKey, Outcome, Source};
@@ -44,7 +45,7 @@
 /// Asks the origin or peers until a manifest holds.
 pub(super) async fn manifest(host: &Rc<Host>, burst: &Weak<Burst>) -> Option<Manifest> {
     let mut round = 0;
-    let mut pause = ORIGIN_PAUSE;
+    let mut backoff = Backoff::new(ORIGIN_PAUSE, ORIGIN_PAUSE_MAX);
     let mut origin_due = host.clock.now();
     loop {
         let strong = burst.upgrade()?;
@@ -52,13 +53,13 @@
         let sources = strong.manifest_sources(host, round);
         drop(strong);
         for source in sources {
+            let now = host.clock.now();
+            if source.is_origin() && now < origin_due {
+                continue;
+            }
             if source.is_origin() {
-                if host.clock.now() < origin_due {
-                    continue;
-                }
                 let jitter = rand::rng().random_range(0.7..1.3);
-                origin_due = host.clock.now() + pause.mul_f64(jitter);
-                pause = (pause * 2).min(ORIGIN_PAUSE_MAX);
+                origin_due = now + backoff.failed().mul_f64(jitter);
             }
             match source.get(host, &*origin).await {
                 Ok(manifest) => match origin.check(version, &manifest) {
@@ -92,12 +93,12 @@
     }
 
     async fn get(&self, host: &Host, origin: &dyn Origin) -> Result<Manifest, String> {
-        let longest = match self {
+        let first = match self {
             Self::Origin(_) => MANIFEST_TIMEOUT,
             Self::Peer(_) => PEER_MANIFEST_TIMEOUT,
         };
         let request = prepare(host, self.url(), self.is_origin());
-        let body = http::receive(request, MANIFEST_MAX, longest);
+        let body = http::receive(request, MANIFEST_MAX, first);
         let body = body.await.map_err(|error| error.to_string())?;
         let manifest = match self {
             Self::Origin(_) => origin.decode(&body),
--- a/src/burst/host.rs
+++ b/src/burst/host.rs
@@ -14,6 +14,7 @@
 
 use crate::audit::Deed;
 use crate::clock::Clock;
+use crate::log::Repeats;
 use crate::node::ClientHandle;
 use crate::spread;
 use crate::spread::swarm::Outcome;
@@ -88,7 +89,7 @@
     chunks: Counter<u64>,
     origin: Counter<u64>,
     origin_failures: Counter<u64>,
-    failures: Cell<u64>,
+    failures: Repeats,
 }
 
 impl Instruments {
@@ -108,7 +109,7 @@
                 .u64_counter("pumicelatch.agent.origin_failures")
                 .with_description("Exchanges with the origin that brought nothing")
                 .build(),
-            failures: Cell::new(0),
+            failures: Repeats::default(),
         }
     }
 
@@ -131,19 +132,15 @@
     /// Bytes came from the origin.
     pub fn drew(&self, bytes: u64) {
         self.origin.add(bytes, &[]);
-        let failures = self.failures.replace(0);
-        if failures > 0 {
+        if let Some(failures) = self.failures.end() {
             log::info!(failures; "the origin answers again");
         }
     }
 
-    /// An exchange with the origin brought nothing. The first and each time that the number has
-    /// doubled is written down, so that an origin that stays away costs few lines.
+    /// An exchange with the origin brought nothing. An origin that stays away costs few lines.
     pub fn origin_failed(&self, reason: &str) {
         self.origin_failures.add(1, &[]);
-        self.failures.set(self.failures.get() + 1);
-        let failures = self.failures.get();
-        if failures.is_power_of_two() {
+        if let Some(failures) = self.failures.count() {
             log::warn!(failures; "the origin brought nothing: {reason}");
         }
     }
--- a/src/ctl/fleet.rs
+++ b/src/ctl/fleet.rs
@@ -7,7 +7,7 @@
 use crate::member::{Listed, Listing};
 use crate::option::{Spec, Values};
 
-/// How long a process may take to answer.
+/// How long a process may take to begin its answer.
 pub const TIMEOUT: Duration = Duration::from_secs(5);
 
 /// Longest answer.
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -44,7 +44,7 @@
 
 /// Longest silence of a peer's machine, with bytes or probes unanswered, before its connection
 /// counts as lost.
-const LOST: Duration = Duration::from_millis(1_500);
+pub const LOST: Duration = Duration::from_millis(1_500);
 
 /// How an exchange failed.
 #[derive(Debug, thiserror::Error)]
--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -79,13 +79,8 @@
 fn take_sync(gateway: &Gateway, sync: &Sync) -> Answer {
     let knowledge = &gateway.knowledge;
     if sync.entry && sync.hall == knowledge.identity.hall && knowledge.lacks(sync.marks) {
-        let (hall, marks) = (sync.hall.clone(), sync.marks);
-        actix_rt::spawn(gossip::fetch_news(
-            knowledge.clone(),
-            sync.from,
-            hall,
-            marks,
-        ));
+        let fetch = gossip::fetch_news(knowledge.clone(), sync.from, sync.marks);
+        actix_rt::spawn(fetch);
     }
     http::pack(StatusCode::OK, &knowledge.news_for(sync, !sync.entry))
 }
--- a/src/http.rs
+++ b/src/http.rs
@@ -565,11 +565,8 @@
     progress: &Progress,
     exchange: impl Future<Output = Result<T, Error>>,
 ) -> Result<T, Error> {
-    let waits = patience::Setting {
-        first,
-        ..patience::Setting::default()
-    };
-    let ended = patience::wait(exchange, progress, waits, || {}, || true).await;
+    let waits = patience::Setting::beginning_within(first);
+    let ended = patience::wait(exchange, progress, waits).await;
     ended.unwrap_or_else(|error| {
         Err(Error::Exchange {
             reason: error.to_string(),
--- a/src/knowledge.rs
+++ b/src/knowledge.rs
@@ -14,7 +14,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use draws::{Draws, Place};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -24,6 +23,7 @@
 use crate::clock::{Clock, Time};
 use crate::config::belief::{Belief, Dated, Effect, Fact, Marks, Wanted};
 use crate::exchange;
+use crate::log::Repeats;
 use crate::member::peer::Peers;
 use crate::member::rank::rank;
 use crate::member::replica::Record;
@@ -101,10 +101,10 @@
     /// What could not be read of the platform's documents.
     pub losses: RefCell<Losses>,
     fetching: Cell<bool>,
-    lost_heartbeats: Cell<u64>,
+    lost_heartbeats: Repeats,
     draws: RefCell<Draws>,
-    /// The configuration as others draw it, and its revision: it is packed once for all of them.
-    packed: RefCell<Option<(u64, Bytes)>>,
+    /// The configuration as others draw it: it is packed once for all of them.
+    packed: RefCell<Option<DatedDocument>>,
     readers: RefCell<Readers>,
     answered: Cell<Option<Time>>,
 }
@@ -129,7 +129,7 @@
             rate: Cell::new(0.0),
             losses: RefCell::default(),
             fetching: Cell::new(false),
-            lost_heartbeats: Cell::new(0),
+            lost_heartbeats: Repeats::default(),
             draws: RefCell::default(),
             packed: RefCell::default(),
             readers: RefCell::new(Readers::new(Clock::default().now())),
@@ -202,12 +202,6 @@
         self.readers.borrow_mut().lost(entry);
     }
 
-    /// A heartbeat was not answered. Returns how many that were since the process began.
-    fn count_lost_heartbeat(&self) -> u64 {
-        self.lost_heartbeats.set(self.lost_heartbeats.get() + 1);
-        self.lost_heartbeats.get()
-    }
-
     /// Whether another process with these marks knows something newer.
     pub fn lacks(&self, marks: Marks) -> bool {
         let own = self.belief.borrow().marks();
@@ -473,21 +467,17 @@
         let belief = self.belief.borrow();
         let routing = belief.routing()?;
         let revision = belief.marks().routing;
-        let mut packed = self.packed.borrow_mut();
-        if packed.as_ref().is_none_or(|(known, _)| *known != revision) {
+        let mut kept = self.packed.borrow_mut();
+        if kept.as_ref().is_none_or(|known| known.revision != revision) {
             match pack::pack(&*routing.document) {
-                Ok(bytes) => *packed = Some((revision, bytes)),
+                Ok(packed) => *kept = Some(DatedDocument { revision, packed }),
                 Err(error) => {
                     log::error!(revision; "configuration: {error}");
                     return None;
                 }
             }
         }
-        let (_, bytes) = packed.as_ref()?;
-        Some(DatedDocument {
-            revision,
-            packed: bytes.to_vec(),
-        })
+        kept.clone()
     }
 
     fn named(&self, now: Time) -> Vec<Named> {
--- a/src/knowledge/draws.rs
+++ b/src/knowledge/draws.rs
@@ -17,9 +17,9 @@
 /// Processes that are drawn from at once.
 const AT_ONCE: usize = 2;
 
-/// How long the entry that asks another hall for its own leaves a configuration to the store: its
-/// readers have it in 0.6 s with 2,800 routes more, and it crosses the link between two regions once
-/// more otherwise.
+/// How long the entry that asks another hall for its own leaves a configuration to the store. The
+/// hall's readers have 450 KB of it by then; a longer one crosses the link between two regions once
+/// more, packed to a fifteenth.
 const FAR: Duration = Duration::from_millis(300);
 
 /// How long any other entry leaves it to those.
--- a/src/knowledge/gossip.rs
+++ b/src/knowledge/gossip.rs
@@ -2,7 +2,6 @@
 
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
 
 use actix_http::Method;
@@ -128,7 +127,7 @@
         })
     };
     let waits = patience::Setting::default();
-    patience::wait(exchange, &progress, waits, || {}, needed).await?
+    patience::wait_while(exchange, &progress, waits, || {}, needed).await?
 }
 
 /// Draws the configuration from `peer` in `hall`, whose marks tell that it knows a newer one, if it
@@ -176,8 +175,7 @@
                 let sync = knowledge.sync(true);
                 if let Err(error) = post(&knowledge, peer, SYNC_PATH, &sync).await {
                     knowledge.lost(peer);
-                    let lost = knowledge.count_lost_heartbeat();
-                    if lost.is_power_of_two() {
+                    if let Some(lost) = knowledge.lost_heartbeats.count() {
                         log::warn!(peer:% = peer, lost; "heartbeat lost: {error}");
                     }
                 }
@@ -221,9 +219,17 @@
     }
 }
 
-/// Asks `peer` in `hall`, whose marks tell that it knows something newer, for its news.
-pub async fn fetch_news(knowledge: Rc<Knowledge>, peer: SocketAddr, hall: Arc<str>, marks: Marks) {
-    draw(&knowledge, peer, &hall, marks);
+/// Asks `peer` of the own hall, whose marks tell that it knows something newer, for its news.
+pub async fn fetch_news(knowledge: Rc<Knowledge>, peer: SocketAddr, marks: Marks) {
+    draw(&knowledge, peer, &knowledge.identity.hall, marks);
+    // A draw brings all the rest too, but later.
+    let rest = Marks {
+        routing: 0,
+        ..marks
+    };
+    if !knowledge.lacks(rest) {
+        return;
+    }
     // Several tell of the same news.
     if knowledge.fetching.replace(true) {
         return;
--- a/src/knowledge/pace.rs
+++ b/src/knowledge/pace.rs
@@ -5,6 +5,7 @@
 
 use std::time::Duration;
 
+use crate::backoff::Backoff;
 use crate::patience;
 use crate::source::Topic;
 
@@ -37,30 +38,30 @@
 /// Longest pause after a failure, before jitter.
 const PAUSE_MAX: Duration = Duration::from_millis(600);
 
-/// Doublings after which the pause grows no more.
-const DOUBLINGS_MAX: u32 = 2;
-
 /// The times of one topic's calls.
 #[derive(Debug, Clone, Copy)]
 pub struct Pace {
     topic: Topic,
-    failures: u32,
+    backoff: Backoff,
 }
 
 impl Pace {
     /// The times of calls about `topic`, none of which failed yet.
     pub fn new(topic: Topic) -> Self {
-        Self { topic, failures: 0 }
+        Self {
+            topic,
+            backoff: Backoff::new(PAUSE, PAUSE_MAX),
+        }
     }
 
     /// Whether the last call was answered.
     pub fn reached(&self) -> bool {
-        self.failures == 0
+        self.failures() == 0
     }
 
     /// Calls that failed since the last answer.
     pub fn failures(&self) -> u32 {
-        self.failures
+        self.backoff.failures()
     }
 
     /// How long the store is asked to wait for a change.
@@ -75,20 +76,16 @@
     /// How long an answer is waited for; `whole` for a read of everything. A long one may take
     /// its time once it has begun.
     pub fn patience(&self, whole: bool) -> patience::Setting {
-        let first = if whole {
+        patience::Setting::beginning_within(if whole {
             READ_TIMEOUT
         } else {
             self.wait() + MARGIN
-        };
-        patience::Setting {
-            first,
-            ..patience::Setting::default()
-        }
+        })
     }
 
     /// A call was answered. Returns the pause before the next.
     pub fn answered(&mut self) -> Duration {
-        self.failures = 0;
+        self.backoff.succeeded();
         match self.topic {
             Topic::Operator => OPERATOR_GAP,
             Topic::Replicas => REPLICAS_GAP,
@@ -97,8 +94,6 @@
 
     /// A call failed. Returns the pause before the next, `jitter` times the usual.
     pub fn failed(&mut self, jitter: f64) -> Duration {
-        let pause = PAUSE * 2u32.pow(self.failures.min(DOUBLINGS_MAX));
-        self.failures = self.failures.saturating_add(1);
-        pause.min(PAUSE_MAX).mul_f64(jitter)
+        self.backoff.failed().mul_f64(jitter)
     }
 }
--- a/src/knowledge/readers.rs
+++ b/src/knowledge/readers.rs
@@ -28,8 +28,9 @@
 /// How much longer each further entry in rank waits.
 const STEP: Duration = Duration::from_millis(100);
 
-/// Most steps that an entry waits longer for its rank: as many as halls have entries today. All at
-/// once they would share the hall's link to the store, and each document would come as many times.
+/// Most steps that an entry waits longer for its rank. All at once they would share the hall's link
+/// to the store, and each document would come as many times; after 2.8 s the last one reads, before
+/// the three seconds are over that machines have to be in touch again.
 const STEPS_MAX: u32 = 12;
 
 /// Entries of a hall that are asked for news: its readers.
--- a/src/knowledge/store.rs
+++ b/src/knowledge/store.rs
@@ -98,20 +98,20 @@
     let moved = || knowledge.store_is_answering();
     let needed = || knowledge.reads(topic);
     let waits = pace.patience(after.is_none());
-    let call = pin!(patience::wait(call, &progress, waits, moved, needed));
+    let call = pin!(patience::wait_while(call, &progress, waits, moved, needed));
     let regained = pin!(knowledge.store_regained.notified());
-    match select(call, regained).await {
-        Either::Left((Ok(ended), _)) => Ended::Call(ended),
-        Either::Left((Err(patience::Error::NotNeeded), _)) => Ended::AskAgain,
-        Either::Left((Err(error), _)) => {
+    let ended = match select(call, regained).await {
+        Either::Left((ended, _)) => ended,
+        // A call whose answer is coming in does not hang.
+        Either::Right((_, call)) if progress.last().is_some() => call.await,
+        Either::Right(_) => return Ended::AskAgain,
+    };
+    match ended {
+        Ok(answer) => Ended::Call(answer),
+        Err(patience::Error::NotNeeded) => Ended::AskAgain,
+        Err(error) => {
             let reason = error.to_string();
             Ended::Call(Err(Error::Unreachable { reason }))
         }
-        // A call whose answer is coming in does not hang.
-        Either::Right((_, call)) if progress.last().is_some() => match call.await {
-            Ok(ended) => Ended::Call(ended),
-            Err(_) => Ended::AskAgain,
-        },
-        Either::Right(_) => Ended::AskAgain,
     }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod agent;
 pub mod audit;
 pub mod auth;
+pub mod backoff;
 pub mod bench;
 pub mod burst;
 pub mod clock;
--- a/src/log.rs
+++ b/src/log.rs
@@ -1,6 +1,7 @@
 //! Logs as JSON lines. A reader that stands still never holds the process up: lines wait in a
 //! bounded queue, and those that find it full are counted and dropped.
 
+use std::cell::Cell;
 use std::collections::BTreeMap;
 use std::io::{self, Write};
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -36,6 +37,26 @@
     Error,
 }
 
+/// Counts how often something happens that may go on for long, and says which times are worth a
+/// line: the first, and each at which the number has doubled.
+#[derive(Debug, Default)]
+pub struct Repeats(Cell<u64>);
+
+impl Repeats {
+    /// It happened once more. Returns how often until now if that is to be written.
+    pub fn count(&self) -> Option<u64> {
+        let count = self.0.get() + 1;
+        self.0.set(count);
+        count.is_power_of_two().then_some(count)
+    }
+
+    /// It is over. Returns how often it happened, if it did.
+    pub fn end(&self) -> Option<u64> {
+        let count = self.0.replace(0);
+        (count > 0).then_some(count)
+    }
+}
+
 /// Hands lines to the thread that writes them.
 struct Queue(SyncSender<Vec<u8>>);
 
--- a/src/node.rs
+++ b/src/node.rs
@@ -22,13 +22,13 @@
 /// How long one watch waits at the platform.
 const WATCH_WAIT: Duration = Duration::from_secs(20);
 
-/// How much longer than its wait an answer may take.
+/// How much longer than its wait an answer may take to begin.
 const WATCH_MARGIN: Duration = Duration::from_secs(2);
 
 /// Pause after a failed call, with a jitter of up to as much again.
 const RETRY_PAUSE: Duration = Duration::from_millis(500);
 
-/// How long a peer may take to answer.
+/// How long a peer may take to begin its answer.
 const PEER_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Longest answer of the platform: many values of a megabyte each.
--- a/src/patience.rs
+++ b/src/patience.rs
@@ -12,6 +12,8 @@
 use actix_rt::time::sleep;
 use futures_util::future::{Either, select};
 
+use crate::exchange;
+
 /// How often it is looked whether bytes came: silence is noticed so much later at most.
 const LOOK: Duration = Duration::from_millis(100);
 
@@ -44,13 +46,23 @@
     pub whole: Duration,
 }
 
+impl Setting {
+    /// The default for a transfer whose first byte is due within `first`.
+    pub fn beginning_within(first: Duration) -> Self {
+        Self {
+            first,
+            ..Self::default()
+        }
+    }
+}
+
 impl Default for Setting {
-    /// The pause is that after which the kernel gives a silent peer up ([`crate::exchange`]). In the
-    /// longest time a document of a megabyte crosses a link of half a megabit per second.
+    /// The pause is that after which the kernel gives a silent peer up. In the longest time a
+    /// document of a megabyte crosses a link of half a megabit per second.
     fn default() -> Self {
         Self {
             first: Duration::from_millis(1_000),
-            pause: Duration::from_millis(1_500),
+            pause: exchange::LOST,
             whole: Duration::from_secs(20),
         }
     }
@@ -82,9 +94,18 @@
     NotNeeded,
 }
 
+/// Waits for `transfer`, which notes its `progress`.
+pub async fn wait<F: Future>(
+    transfer: F,
+    progress: &Progress,
+    setting: Setting,
+) -> Result<F::Output, Error> {
+    wait_while(transfer, progress, setting, || {}, || true).await
+}
+
 /// Waits for `transfer`, which notes its `progress`. `moved` is called when it has moved since the
 /// last look, and `needed` says at each look whether to go on.
-pub async fn wait<F: Future>(
+pub async fn wait_while<F: Future>(
     transfer: F,
     progress: &Progress,
     setting: Setting,
--- a/src/sidecar/observe.rs
+++ b/src/sidecar/observe.rs
@@ -10,6 +10,7 @@
 
 use super::Sidecar;
 use super::engine::State;
+use crate::backoff::Backoff;
 use crate::clock::Time;
 use crate::knowledge::gossip::post;
 use crate::patience::{self, Progress};
@@ -47,7 +48,7 @@
 /// How long the beginning of the store's answer is waited for then.
 const ALONE_READ: Duration = Duration::from_millis(2_000);
 
-/// Longest pause between two reads while no entry answers: each brings the whole configuration over
+/// Longest pause between two reads while no entry answers, before jitter: each brings the whole configuration over
 /// the narrow link of a box, and the links between regions to all boxes at once.
 const ALONE_MAX: Duration = Duration::from_secs(20);
 
@@ -230,12 +231,14 @@
 
 /// Reads the store while no entry answers.
 pub async fn read_store_when_alone(sidecar: Rc<Sidecar>) {
-    let mut pause = ALONE;
+    let mut backoff = Backoff::new(ALONE, ALONE_MAX);
+    let mut pause = backoff.failed();
     loop {
         sleep(pause).await;
         let now = sidecar.knowledge.now();
         if sidecar.knowledge.peers.borrow().alive(now).next().is_some() {
-            pause = ALONE;
+            backoff.succeeded();
+            pause = backoff.failed();
             continue;
         }
         log::info!("no entry answers; reading the store");
@@ -243,18 +246,15 @@
             read_store(&sidecar, topic).await;
         }
         let jitter = sidecar.knowledge.rng.borrow_mut().random_range(0.7..1.3);
-        pause = (pause * 2).min(ALONE_MAX).mul_f64(jitter);
+        pause = backoff.failed().mul_f64(jitter);
     }
 }
 
 async fn read_store(sidecar: &Sidecar, topic: Topic) {
     let progress = Progress::default();
     let call = sidecar.source.read(topic, progress.clone());
-    let waits = patience::Setting {
-        first: ALONE_READ,
-        ..patience::Setting::default()
-    };
-    match patience::wait(call, &progress, waits, || {}, || true).await {
+    let waits = patience::Setting::beginning_within(ALONE_READ);
+    match patience::wait(call, &progress, waits).await {
         Ok(Ok(batch)) => sidecar.knowledge.take_batch(topic, true, batch),
         Ok(Err(error)) => log::info!(topic:? = topic; "{error}"),
         Err(error) => log::info!(topic:? = topic; "store: {error}"),
--- a/src/spread/swarm.rs
+++ b/src/spread/swarm.rs
@@ -11,6 +11,7 @@
 use super::Setting;
 use super::bitmap::Bitmap;
 use super::ring::{self, Member};
+use crate::backoff::Backoff;
 use crate::clock::Time;
 use crate::weight::Digest;
 
@@ -36,7 +37,7 @@
 /// First pause after the origin failed, doubled up to the setting's longest.
 const ORIGIN_PAUSE: Duration = Duration::from_millis(200);
 
-/// Doublings of a penalty or pause after which it grows no more.
+/// Doublings of a penalty after which it grows no more.
 const DOUBLINGS_MAX: u32 = 6;
 
 /// Where a chunk comes from.
@@ -167,7 +168,7 @@
     import_ranks: Vec<usize>,
     seen_at: Vec<Time>,
     drawn_since: Option<Time>,
-    origin_failures: u32,
+    origin_backoff: Backoff,
     origin_pause_until: Time,
     tally: Tally,
 }
@@ -202,7 +203,7 @@
             import_ranks: Vec::new(),
             seen_at: vec![now; chunks],
             drawn_since: None,
-            origin_failures: 0,
+            origin_backoff: Backoff::new(ORIGIN_PAUSE, setting.origin_pause_max),
             origin_pause_until: now,
             tally: Tally::default(),
         }
@@ -409,7 +410,7 @@
             }
         }
         if fetch.source == Source::Origin && outcome == Outcome::Stored {
-            self.origin_failures = 0;
+            self.origin_backoff.succeeded();
         }
     }
 
@@ -770,10 +771,8 @@
     }
 
     fn pause_origin(&mut self, now: Time) {
-        let doublings = self.origin_failures.min(DOUBLINGS_MAX);
-        let pause = (ORIGIN_PAUSE * 2u32.pow(doublings)).min(self.setting.origin_pause_max);
+        let pause = self.origin_backoff.failed();
         let jitter = self.rng.random_range(0.5..1.0);
         self.origin_pause_until = now + pause.mul_f64(jitter);
-        self.origin_failures += 1;
     }
 }
--- a/src/wire/pack.rs
+++ b/src/wire/pack.rs
@@ -2,7 +2,6 @@
 
 use std::io::{Read, Write};
 
-use bytes::Bytes;
 use flate2::Compression;
 use flate2::read::DeflateDecoder;
 use flate2::write::DeflateEncoder;
@@ -27,13 +26,13 @@
 }
 
 /// Packs `document`.
-pub fn pack<T: Serialize>(document: &T) -> Result<Bytes, Error> {
+pub fn pack<T: Serialize>(document: &T) -> Result<Vec<u8>, Error> {
     let plain = rmp_serde::to_vec_named(document).map_err(|error| Error::Codec {
         reason: error.to_string(),
     })?;
     let mut encoder = DeflateEncoder::new(Vec::new(), Compression::fast());
     encoder.write_all(&plain)?;
-    Ok(encoder.finish()?.into())
+    Ok(encoder.finish()?)
 }
 
 /// Unpacks a document.
--- a/tests/transfer.rs
+++ b/tests/transfer.rs
@@ -1,4 +1,5 @@
-//! Transfers that take long: how they are waited for, and how documents are packed.
+//! Transfers that take long or fail: how they are waited for and tried again, what is written of it, and
+//! how documents are packed.
 
 use std::cell::Cell;
 use std::time::Duration;
@@ -7,8 +8,10 @@
 use actix_rt::time::sleep;
 use bytes::Bytes;
 use futures_util::stream;
+use pumicelatch::backoff::Backoff;
 use pumicelatch::config::routing::{Document, Route};
 use pumicelatch::http::{self, ClientSetting, Server};
+use pumicelatch::log::Repeats;
 use pumicelatch::patience::{self, Error, Progress, Setting};
 use pumicelatch::wire::pack;
 use quickcheck::quickcheck;
@@ -42,7 +45,7 @@
             pause: Duration::from_millis(2_000),
             ..SHORT
         };
-        patience::wait(transfer, &progress, waits, moved, || true).await
+        patience::wait_while(transfer, &progress, waits, moved, || true).await
     });
     assert_eq!(ended, Ok("whole"));
     assert!(moves.get() > 1, "whoever waits is told that it moves");
@@ -53,16 +56,16 @@
     let forever = std::future::pending::<()>;
     let (silent, stopped, needless, endless) = run(async {
         let none = Progress::default();
-        let silent = patience::wait(forever(), &none, SHORT, || {}, || true).await;
+        let silent = patience::wait_while(forever(), &none, SHORT, || {}, || true).await;
         let progress = Progress::default();
         progress.came();
-        let stopped = patience::wait(forever(), &progress, SHORT, || {}, || true).await;
-        let needless = patience::wait(forever(), &none, SHORT, || {}, || false).await;
+        let stopped = patience::wait_while(forever(), &progress, SHORT, || {}, || true).await;
+        let needless = patience::wait_while(forever(), &none, SHORT, || {}, || false).await;
         let brief = Setting {
             whole: Duration::from_millis(300),
             ..SHORT
         };
-        let endless = patience::wait(forever(), &none, brief, || {}, || true).await;
+        let endless = patience::wait_while(forever(), &none, brief, || {}, || true).await;
         (silent, stopped, needless, endless)
     });
     assert!(matches!(silent, Err(Error::NoAnswer { .. })));
@@ -119,9 +122,9 @@
 fn bytes_that_are_no_packed_document_are_an_error() {
     fn property(mut bytes: Vec<u8>, cut: usize) -> bool {
         let packed = pack::pack(&document(&["a".to_owned(), "b".to_owned()])).unwrap();
-        let part = packed.slice(..cut % packed.len());
+        let part = &packed[..cut % packed.len()];
         bytes.truncate(64);
-        pack::unpack::<Document>(&part).is_err() && pack::unpack::<Document>(&bytes).is_err()
+        pack::unpack::<Document>(part).is_err() && pack::unpack::<Document>(&bytes).is_err()
     }
     quickcheck(property as fn(Vec<u8>, usize) -> bool);
 }
@@ -141,3 +144,34 @@
         plain.len()
     );
 }
+
+#[test]
+fn pauses_double_up_to_their_bound_and_begin_anew_after_a_success() {
+    fn property(first: u8, longest: u16, failures: u8) -> bool {
+        let first = Duration::from_millis(u64::from(first));
+        let longest = first + Duration::from_millis(u64::from(longest));
+        let mut backoff = Backoff::new(first, longest);
+        let mut before = backoff.failed();
+        let begins = before == first;
+        let doubles = (0..failures).all(|_| {
+            let pause = backoff.failed();
+            let right = pause == (before * 2).min(longest);
+            before = pause;
+            right
+        });
+        let counts = backoff.failures() == u32::from(failures) + 1;
+        backoff.succeeded();
+        begins && doubles && counts && backoff.failures() == 0 && backoff.failed() == first
+    }
+    quickcheck(property as fn(u8, u16, u8) -> bool);
+}
+
+#[test]
+fn repeats_are_written_at_first_and_when_their_number_has_doubled() {
+    let repeats = Repeats::default();
+    assert_eq!(repeats.end(), None);
+    let written: Vec<u64> = (0..20).filter_map(|_| repeats.count()).collect();
+    assert_eq!(written, [1, 2, 4, 8, 16]);
+    assert_eq!(repeats.end(), Some(20));
+    assert_eq!(repeats.count(), Some(1));
+}
