--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -29,7 +29,7 @@
 use crate::exchange;
 use crate::http::{self, ClientSetting, Server, Timing};
 use crate::knowledge::halls::Halls;
-use crate::knowledge::{Identity, Knowledge, gossip, store};
+use crate::knowledge::{Identity, Knowledge, gossip, store, traffic};
 use crate::limit::returning;
 use crate::member::Role;
 use crate::member::replica::Record;
@@ -245,6 +245,7 @@
             setting.seed,
             setting.policy,
         );
+        knowledge.traffic.register(&metrics.meter());
         let host = Rc::new(relay_host(&setting, &knowledge, &metrics));
         let gateway = Rc::new(Self {
             joined: Joined::new(host, origins, setting.first_start),
@@ -272,6 +273,7 @@
             )),
             actix_rt::spawn(store::follow(knowledge.clone(), source, Topic::Replicas)),
             actix_rt::spawn(gossip::tell_news(knowledge.clone())),
+            actix_rt::spawn(traffic::log(knowledge.clone())),
             actix_rt::spawn(gossip::run(knowledge, move || others.sidecars())),
             actix_rt::spawn(gateway.clone().tick()),
             actix_rt::spawn(gateway.clone().relay()),
--- a/src/knowledge.rs
+++ b/src/knowledge.rs
@@ -5,6 +5,7 @@
 //! * [`readers`] decides who reads it for a whole hall.
 //! * [`draws`] decides from whom a configuration is drawn that others know.
 //! * [`halls`] decides who asks another hall how its replicas do.
+//! * [`traffic`] counts what is sent to other processes.
 //! * [`gossip`] exchanges what is newer with other processes of the system, so that one that the
 //!   store turns away, or that just began, knows what the others know.
 
@@ -19,6 +20,7 @@
 use rand::rngs::SmallRng;
 use readers::Readers;
 use tokio::sync::Notify;
+use traffic::Traffic;
 
 use crate::clock::{Clock, Time};
 use crate::config::belief::{Belief, Dated, Effect, Fact, Marks, Wanted};
@@ -38,6 +40,7 @@
 pub mod pace;
 pub mod readers;
 pub mod store;
+pub mod traffic;
 
 /// The store counts as shaky for so long after it was out of reach.
 const SHAKY: Duration = Duration::from_millis(4_000);
@@ -81,6 +84,8 @@
     pub rng: RefCell<SmallRng>,
     /// Calls to other processes.
     pub client: exchange::Client,
+    /// What they are, by purpose.
+    pub traffic: Traffic,
     /// Beliefs about the platform.
     pub belief: RefCell<Belief>,
     /// Entries.
@@ -117,6 +122,7 @@
             clock: Clock::default(),
             rng: RefCell::new(SmallRng::seed_from_u64(seed)),
             client: exchange::Client::default(),
+            traffic: Traffic::default(),
             belief: RefCell::new(Belief::new(!policy.doubt)),
             policy,
             peers: RefCell::new(Peers::new(own)),
--- a/src/knowledge/gossip.rs
+++ b/src/knowledge/gossip.rs
@@ -13,11 +13,12 @@
 
 use super::Knowledge;
 use super::readers::Readers;
+use super::traffic::Purpose;
 use crate::config::belief::Marks;
 use crate::exchange::{Options, Request};
 use crate::patience::{self, Progress};
 use crate::source::Topic;
-use crate::wire::sync::{News, SYNC_PATH, Sync};
+use crate::wire::sync::{HALL_PATH, News, PASS_ON_PATH, REPORT_PATH, SYNC_PATH, Sync};
 
 /// How often an entry asks others.
 const EVERY: Duration = Duration::from_millis(500);
@@ -109,6 +110,7 @@
         reason: error.to_string(),
     })?;
     let progress = Progress::default();
+    let sent = body.len();
     let exchange = async {
         let head = Request::new(Method::POST, path).head(peer)?;
         let options = Options {
@@ -118,6 +120,7 @@
         let body = Some(Bytes::from(body));
         let mut answer = knowledge.client.exchange(peer, head, body, options).await?;
         let body = answer.read_noting(NEWS_MAX, &progress).await?;
+        knowledge.traffic.count(purpose(path), sent + body.len());
         if !answer.status.is_success() {
             let status = answer.status.as_u16();
             return Err(Error::Status { status });
@@ -130,6 +133,15 @@
     patience::wait_while(exchange, &progress, waits, || {}, needed).await?
 }
 
+fn purpose(path: &str) -> Purpose {
+    match path {
+        REPORT_PATH => Purpose::Report,
+        HALL_PATH => Purpose::Hall,
+        PASS_ON_PATH => Purpose::PassOn,
+        _ => Purpose::Heartbeat,
+    }
+}
+
 /// Draws the configuration from `peer` in `hall`, whose marks tell that it knows a newer one, if it
 /// is its turn.
 fn draw(knowledge: &Rc<Knowledge>, peer: SocketAddr, hall: &str, marks: Marks) {
--- a/src/knowledge/store.rs
+++ b/src/knowledge/store.rs
@@ -10,6 +10,7 @@
 
 use super::Knowledge;
 use super::pace::Pace;
+use super::traffic::Purpose;
 use crate::patience::{self, Progress};
 use crate::source::{Batch, Error, Source, Topic};
 
@@ -87,6 +88,7 @@
     topic: Topic,
     after: Option<u64>,
 ) -> Ended {
+    knowledge.traffic.count(Purpose::Store, 0);
     let progress = Progress::default();
     let call = match after {
         None => source.read(topic, progress.clone()),
--- a/src/sidecar.rs
+++ b/src/sidecar.rs
@@ -25,7 +25,7 @@
 use crate::daemon;
 use crate::gateway::control::message;
 use crate::http::{self, Answer, ClientSetting, Server};
-use crate::knowledge::{Identity, Knowledge};
+use crate::knowledge::{Identity, Knowledge, traffic};
 use crate::metric::{self, Metrics};
 use crate::node::ClientHandle;
 use crate::policy::Policy;
@@ -195,6 +195,7 @@
             setting.seed,
             setting.policy,
         );
+        knowledge.traffic.register(&metrics.meter());
         let state = Rc::new(RefCell::new(None));
         let local = StagedChunks {
             engine: edges.engine.clone(),
@@ -237,6 +238,7 @@
             actix_rt::spawn(observe::tell(sidecar.clone())),
             actix_rt::spawn(observe::read_store_when_alone(sidecar.clone())),
             actix_rt::spawn(reconcile::run(sidecar.clone())),
+            actix_rt::spawn(traffic::log(sidecar.knowledge.clone())),
         ];
         let servers = sidecar.serve(listeners);
         Ok(Running {
--- a/src/sidecar/observe.rs
+++ b/src/sidecar/observe.rs
@@ -13,6 +13,7 @@
 use crate::backoff::Backoff;
 use crate::clock::Time;
 use crate::knowledge::gossip::post;
+use crate::knowledge::traffic::Purpose;
 use crate::patience::{self, Progress};
 use crate::route::replica::Load;
 use crate::source::Topic;
@@ -55,6 +56,7 @@
 /// Asks the replica until dropped.
 pub async fn observe(sidecar: Rc<Sidecar>) {
     loop {
+        sidecar.knowledge.traffic.count(Purpose::Look, 0);
         let state = timeout(LOOK_TIMEOUT, sidecar.engine.state()).await;
         match state {
             Ok(Ok(state)) => {
--- a/tests/knowledge.rs
+++ b/tests/knowledge.rs
@@ -11,10 +11,12 @@
 use pumicelatch::knowledge::halls::{Ask, Halls, PERIOD};
 use pumicelatch::knowledge::pace::Pace;
 use pumicelatch::knowledge::readers::Readers;
+use pumicelatch::knowledge::traffic::{Purpose, Traffic};
 use pumicelatch::knowledge::{Identity, Knowledge};
 use pumicelatch::member::peer::{ALIVE, Peers};
 use pumicelatch::member::rank::rank;
 use pumicelatch::member::replica::Record;
+use pumicelatch::metric::Metrics;
 use pumicelatch::policy::Policy;
 use pumicelatch::source::{Batch, Topic};
 use pumicelatch::wire::sync::{News, Sync};
@@ -333,3 +335,19 @@
     assert!(removal_is_doubted(false));
     assert!(!removal_is_doubted(true));
 }
+
+#[test]
+fn messages_are_counted_by_purpose_and_served_as_metrics() {
+    let metrics = Metrics::new().unwrap();
+    let traffic = Traffic::default();
+    traffic.register(&metrics.meter());
+    traffic.count(Purpose::Report, 500);
+    traffic.count(Purpose::Report, 20);
+    assert_eq!(traffic.of(Purpose::Report), (2, 520));
+    assert_eq!(traffic.of(Purpose::Hall), (0, 0));
+    let text = String::from_utf8(metrics.text().unwrap()).unwrap();
+    let line = text
+        .lines()
+        .find(|line| line.contains("control_bytes") && line.contains("report"));
+    assert!(line.is_some_and(|line| line.ends_with(" 520")), "{text}");
+}
