--- a/src/burst.rs
+++ b/src/burst.rs
@@ -166,6 +166,12 @@
         self.uploads.borrow().load() > 0
     }
 
+    /// Whether everything is held and nobody is being served.
+    fn rests(&self) -> bool {
+        let swarm = self.swarm.borrow();
+        swarm.as_ref().is_some_and(Swarm::complete) && !self.uploading()
+    }
+
     /// Whether nothing needs the version here any more but, perhaps, the engine.
     pub fn releasable(&self, now: crate::clock::Time) -> bool {
         !self.wanted.get()
@@ -456,7 +462,8 @@
             reviewed = now;
             strong.review(&host);
         }
+        let pause = if strong.rests() { REVIEW } else { TICK };
         drop(strong);
-        sleep(TICK).await;
+        sleep(pause).await;
     }
 }
--- a/src/config/belief.rs
+++ b/src/config/belief.rs
@@ -107,6 +107,19 @@
     pub replicas: u64,
 }
 
+/// What changed in the list of replicas between two revisions.
+#[derive(Debug, Clone, PartialEq, Default)]
+pub struct Changes {
+    /// The revision after which the changes came.
+    pub since: u64,
+    /// The revision of the newest of them.
+    pub at: u64,
+    /// Entries that were written, and their revisions.
+    pub records: Vec<(u64, Record)>,
+    /// Entries that went, and their revisions.
+    pub gone: Vec<(u64, Arc<str>)>,
+}
+
 /// Beliefs.
 #[derive(Debug, Default)]
 pub struct Belief {
@@ -116,6 +129,8 @@
     replicas_at: u64,
     replicas_changed: u64,
     removals: BTreeMap<Arc<str>, u64>,
+    /// The revision from which on all removals are remembered.
+    removals_from: u64,
     trusts_removals: bool,
 }
 
@@ -329,6 +344,9 @@
         if revision < self.replicas_at {
             return Effect::None;
         }
+        if !self.lists_replicas() {
+            self.removals_from = revision;
+        }
         let mut effect = Effect::None;
         let missing: Vec<Arc<str>> = self
             .replicas
@@ -350,6 +368,47 @@
         effect
     }
 
+    /// What changed in the list after `since`, unless removals of that time are forgotten.
+    pub fn changes_since(&self, since: u64) -> Option<Changes> {
+        if !self.lists_replicas() || since < self.removals_from {
+            return None;
+        }
+        let present = self.replicas.values();
+        let present = present.filter(|listed| listed.gone.is_none() && listed.revision > since);
+        let removals = self.removals.iter();
+        let removals = removals.filter(|(_, revision)| **revision > since);
+        Some(Changes {
+            since,
+            at: self.replicas_changed,
+            records: present
+                .map(|listed| (listed.revision, listed.record.clone()))
+                .collect(),
+            gone: removals
+                .map(|(id, revision)| (*revision, id.clone()))
+                .collect(),
+        })
+    }
+
+    /// Takes what changed in the list, if all before that is known.
+    pub fn learn_changes(&mut self, changes: Changes, now: Time, shaky: bool) -> Effect {
+        if !self.lists_replicas() || self.replicas_changed.max(self.replicas_at) < changes.since {
+            return Effect::None;
+        }
+        let mut effect = Effect::None;
+        for (revision, record) in changes.records {
+            if self.learn_replica(revision, record) != Effect::None {
+                effect = Effect::Replicas;
+            }
+        }
+        for (revision, id) in changes.gone {
+            if self.forget_replica(revision, &id, now, shaky) != Effect::None {
+                effect = Effect::Replicas;
+            }
+        }
+        self.reached(changes.at);
+        effect
+    }
+
     /// The list of replicas is known up to `revision`.
     pub fn reached(&mut self, revision: u64) {
         self.replicas_at = self.replicas_at.max(revision);
@@ -381,10 +440,11 @@
         });
         while self.removals.len() > REMOVALS_MAX {
             let oldest = self.removals.iter().min_by_key(|(_, revision)| **revision);
-            let Some(id) = oldest.map(|(id, _)| id.clone()) else {
+            let Some((id, revision)) = oldest.map(|(id, revision)| (id.clone(), *revision)) else {
                 break;
             };
             self.removals.remove(&id);
+            self.removals_from = self.removals_from.max(revision);
         }
         before != self.replicas.len()
     }
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -4,6 +4,7 @@
 //! * [`dialect`] is how callers and replicas speak.
 //! * [`call`] takes one request through admission and attempts; [`attempt`] is one exchange with a
 //!   replica, [`relay`] passes a stream on.
+//! * [`place`] finds a place for it.
 //! * [`trace`] is what is counted and written down of a request.
 //! * [`control`] answers other processes of the system, [`halls`] asks other halls.
 
@@ -22,13 +23,13 @@
 use crate::audit::{Deed, Trail};
 use crate::burst::host::{Host, Instruments};
 use crate::burst::joined::{self, Joined, Origins};
-use crate::clock::Time;
 use crate::config::belief::Belief;
 use crate::config::routing::{Route, Routing};
 use crate::daemon;
 use crate::exchange;
 use crate::http::{self, ClientSetting, Server, Timing};
 use crate::knowledge::halls::Halls;
+use crate::knowledge::hub::Hub;
 use crate::knowledge::{Identity, Knowledge, gossip, store, traffic};
 use crate::limit::returning;
 use crate::member::Role;
@@ -37,7 +38,6 @@
 use crate::node::ClientHandle;
 use crate::policy::Policy;
 use crate::request::budget::{self, Budget};
-use crate::route::entries::{self, Entries};
 use crate::route::pool::Pool;
 use crate::route::replica::Due;
 use crate::source::{Source, Topic};
@@ -52,6 +52,7 @@
 pub mod event;
 pub mod greet;
 pub mod halls;
+pub mod place;
 pub mod relay;
 pub mod status;
 pub mod trace;
@@ -61,9 +62,6 @@
 /// How often beliefs are looked over.
 const TICK: Duration = Duration::from_millis(200);
 
-/// Weight of the newest rate of requests: one in this many.
-const RATE_SMOOTHING: f64 = 8.0;
-
 /// Longest rest of a connection to a replica that is used again.
 pub const IDLE_MAX: Duration = Duration::from_millis(2_000);
 
@@ -94,6 +92,9 @@
     machine_bytes / MEMORY_PART
 }
 
+/// The waves of hosts, by service and hall.
+type Waves = BTreeMap<(Arc<str>, Arc<str>), BTreeMap<String, u32>>;
+
 /// A gateway's settings.
 #[derive(Debug, Clone)]
 pub struct Setting {
@@ -137,10 +138,10 @@
     budgets: RefCell<BTreeMap<Arc<str>, Budget>>,
     leaving: Cell<bool>,
     in_flight: Cell<u64>,
-    arrived: Cell<u32>,
     instruments: status::Instruments,
     joined: Joined,
     halls: RefCell<Halls>,
+    hub: RefCell<Hub>,
     deadlines: RefCell<returning::Table>,
 }
 
@@ -256,8 +257,8 @@
             budgets: RefCell::default(),
             leaving: Cell::new(false),
             in_flight: Cell::new(0),
-            arrived: Cell::new(0),
             halls: RefCell::default(),
+            hub: RefCell::new(Hub::new(knowledge.now())),
             instruments: status::Instruments::new(&metrics.meter()),
             metrics,
             knowledge: knowledge.clone(),
@@ -392,34 +393,17 @@
         loop {
             sleep(TICK).await;
             let now = self.knowledge.now();
-            self.look_at_entries(now);
             let swept = self.knowledge.belief.borrow_mut().sweep(now);
             if swept {
                 self.knowledge.changed.send_modify(|count| *count += 1);
             }
             self.client.reap(IDLE_MAX);
+            self.knowledge.client.reap(gossip::IDLE_MAX);
             let losses = self.knowledge.losses.borrow().count;
             self.instruments.losses(losses);
         }
     }
 
-    /// Measures this entry's rate of requests, and takes the others'.
-    fn look_at_entries(&self, now: Time) {
-        let knowledge = &self.knowledge;
-        let arrived = f64::from(self.arrived.replace(0)) / TICK.as_secs_f64();
-        let rate = knowledge.rate.get();
-        knowledge.rate.set(rate + (arrived - rate) / RATE_SMOOTHING);
-        let own = entries::Entry {
-            address: knowledge.identity.address,
-            rate: knowledge.rate.get(),
-        };
-        let peers = knowledge.peers.borrow();
-        let others = peers.rates(now);
-        let others = others.map(|(address, rate)| entries::Entry { address, rate });
-        let entries = Entries::new(own, others.collect());
-        self.pool.borrow_mut().set_entries(entries);
-    }
-
     /// The pool, with the list as it is believed now.
     fn refresh_pool(&self) {
         let changes = *self.knowledge.changed.borrow();
@@ -428,28 +412,40 @@
         }
         let belief = self.knowledge.belief.borrow();
         let list = belief.replicas();
-        let due = |record: &Record| self.due(&belief, record);
+        let waves = self.waves(&belief);
+        let due = |record: &Record| self.due(&belief, &waves, record);
         self.pool.borrow_mut().update(list, due);
     }
 
+    /// The waves in which replicas change to the wanted version, worked out once for each service in
+    /// each hall.
+    fn waves(&self, belief: &Belief) -> Waves {
+        let mut hosts: BTreeMap<(Arc<str>, Arc<str>), Vec<String>> = BTreeMap::new();
+        for listed in belief.replicas().values() {
+            let record = &listed.record;
+            let group = (record.service.clone(), record.hall.clone());
+            let host = record.address.ip().to_string();
+            hosts.entry(group).or_default().push(host);
+        }
+        let waves = self.setting.rollout.waves;
+        let placed = hosts.into_iter().filter_map(|(group, hosts)| {
+            let model = self.knowledge.model_of(&group.0)?;
+            let label = joined::label(&model, belief.wanted(&model)?.version);
+            let hosts = hosts.iter().map(String::as_str);
+            Some((group, rollout::waves_of(label, hosts, waves)))
+        });
+        placed.collect()
+    }
+
     /// The change of version that a replica has before it, as its own process will carry it out.
-    fn due(&self, belief: &Belief, record: &Record) -> Option<Due> {
-        let model = &self.knowledge.model_of(&record.service)?;
-        let wanted = belief.wanted(model)?;
-        let fellows: Vec<String> = belief
-            .replicas()
-            .values()
-            .map(|listed| &listed.record)
-            .filter(|other| other.service == record.service && other.hall == record.hall)
-            .map(|other| other.address.ip().to_string())
-            .collect();
-        let fellows: Vec<&str> = fellows.iter().map(String::as_str).collect();
+    fn due(&self, belief: &Belief, waves: &Waves, record: &Record) -> Option<Due> {
+        let group = (record.service.clone(), record.hall.clone());
+        let host = record.address.ip().to_string();
+        let wave = *waves.get(&group)?.get(&host)?;
+        let model = self.knowledge.model_of(&record.service)?;
         let rollout = self.setting.rollout;
-        let own = record.address.ip().to_string();
-        let label = joined::label(model, wanted.version);
-        let wave = rollout::wave(label, &own, &fellows, rollout.waves);
         Some(Due {
-            named: belief.named(model).to_vec(),
+            named: belief.named(&model).to_vec(),
             begins: rollout::begins(rollout, wave).saturating_sub(rollout.notice),
             bound: rollout.bound.saturating_sub(START_MARGIN),
         })
@@ -473,7 +469,6 @@
     }
 
     fn count_request(&self, service: &Arc<str>) {
-        self.arrived.set(self.arrived.get() + 1);
         let now = self.knowledge.now();
         let mut budgets = self.budgets.borrow_mut();
         let budget = budgets.entry(service.clone()).or_default();
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -35,6 +35,9 @@
 /// Connections to a replica that an entry may always have.
 const CONNECTIONS_MIN: u32 = 3;
 
+/// Processes that are asked for a place at each later look while a request waits.
+const ASKS_AGAIN: u32 = 1;
+
 /// Service time that is left out of the budget of a request that is tried again.
 const RETRY_TIME_MIN: Duration = Duration::from_millis(30);
 
@@ -375,17 +378,29 @@
         Refusal::new(Code::NoReplica, detail).retry_after(retry_after)
     }
 
-    /// Chooses a replica, waits for one, or refuses.
+    /// Finds a place, waits for one, or refuses.
     async fn admit(&self) -> Result<Choice, Refusal> {
+        let mut asks = self.gateway.setting.policy.asks;
         loop {
-            let (choice, idle) = self.choose(None);
-            let now = self.gateway.knowledge.now();
-            let remaining = self.job.remaining(now);
-            if self.trace.sent + self.unreached > 0 {
+            let chosen_before = self.trace.sent + self.unreached > 0;
+            let limit = if chosen_before {
                 // A request that was chosen a replica for already is worth the rest of its time.
+                self.job.deadline.since(self.job.arrived)
+            } else {
+                self.limit()
+            };
+            let found = self.find(asks, limit).await;
+            let (choice, idle) = (found.choice, found.idle);
+            if chosen_before {
                 return choice
                     .map_err(|shortage| self.refusal_after(Ended::Refused, shortage.to_string()));
             }
+            if found.given {
+                return choice.map_err(|shortage| self.shortage(shortage));
+            }
+            asks = asks.min(ASKS_AGAIN);
+            let now = self.gateway.knowledge.now();
+            let remaining = self.job.remaining(now);
             let case = Case {
                 elapsed: now.since(self.job.arrived),
                 remaining,
@@ -394,7 +409,7 @@
             let verdict = if idle {
                 Verdict::Send
             } else {
-                admission::judge(case, Bounds::new(self.job.objective(), self.limit()))
+                admission::judge(case, Bounds::new(self.job.objective(), limit))
             };
             match (verdict, choice) {
                 (Verdict::Send, Ok(choice)) => return Ok(choice),
@@ -408,14 +423,17 @@
                     let refusal = Refusal::new(Code::Overload, detail);
                     return Err(refusal.retry_after(retry_after));
                 }
-                (_, Err(shortage)) => {
-                    let refusal = Refusal::new(Code::NoReplica, shortage.to_string());
-                    return Err(refusal.retry_after(self.arrival(remaining)));
-                }
+                (_, Err(shortage)) => return Err(self.shortage(shortage)),
             }
         }
     }
 
+    fn shortage(&self, shortage: Shortage) -> Refusal {
+        let remaining = self.job.remaining(self.gateway.knowledge.now());
+        let refusal = Refusal::new(Code::NoReplica, shortage.to_string());
+        refusal.retry_after(self.arrival(remaining))
+    }
+
     /// The limit that is common to requests of the service, as far as the policy shares it.
     fn limit(&self) -> Duration {
         let gateway = &self.gateway;
@@ -449,12 +467,30 @@
         admission::come_back(arrival, remaining, spread)
     }
 
-    /// Chooses a replica; for a begun answer, one of the version `only`. Tells as well whether the
-    /// service is mostly idle, so that nothing is to be refused.
-    pub fn choose(&self, only: Option<u64>) -> (Result<Choice, Shortage>, bool) {
+    /// Chooses a replica, if possible none of `full`; for a begun answer, one of the version `only`.
+    /// Tells as well whether the service is mostly idle, so that nothing is to be refused.
+    pub fn choose(&self, only: Option<u64>, full: &[Key]) -> (Result<Choice, Shortage>, bool) {
         let gateway = &self.gateway;
         gateway.refresh_pool();
         let now = gateway.knowledge.now();
+        self.with_ask(only, full, |ask| {
+            let pool = gateway.pool.borrow();
+            let mut rng = gateway.knowledge.rng.borrow_mut();
+            let choice = pool.choose(ask, now, &mut *rng);
+            let (taken, places) = pool.occupancy(ask, now);
+            (choice, taken * 2 < places)
+        })
+    }
+
+    /// Calls `then` with what this request asks the pool for.
+    pub(super) fn with_ask<T>(
+        &self,
+        only: Option<u64>,
+        full: &[Key],
+        then: impl FnOnce(pool::Ask<'_>) -> T,
+    ) -> T {
+        let gateway = &self.gateway;
+        let now = gateway.knowledge.now();
         let service = self.job.routing.service(&self.job.service);
         let model = self.job.ask.work.as_ref().map(|work| &*work.model);
         let engine = service.and_then(|service| service.engine.as_ref());
@@ -466,7 +502,7 @@
         let model = model.filter(|_| engines());
         let entries = gateway.knowledge.peers.borrow().bound() as u32;
         let connections = service.map_or(u32::MAX, |service| service.connections_max);
-        let ask = pool::Ask {
+        then(pool::Ask {
             service: &self.job.service,
             model: model.map(|model| ModelNeed {
                 model,
@@ -476,13 +512,9 @@
             engine,
             demand: self.job.demand(),
             tried: &self.tried,
+            full,
             connections_max: (connections / entries.max(1)).max(CONNECTIONS_MIN),
-        };
-        let pool = gateway.pool.borrow();
-        let mut rng = gateway.knowledge.rng.borrow_mut();
-        let choice = pool.choose(ask, now, &mut *rng);
-        let (taken, places) = pool.occupancy(ask, now);
-        (choice, taken * 2 < places)
+        })
     }
 
     fn oldest_version(&self, model: &str, now: Time) -> u64 {
--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -1,8 +1,10 @@
 //! Answers other processes: the balancer, entries, processes beside replicas, readers of metrics.
 
+use std::fmt::Display;
 use std::rc::Rc;
 
 use actix_http::{Request, StatusCode};
+use bytes::Bytes;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
@@ -10,7 +12,8 @@
 use crate::burst::serve;
 use crate::http::{self, Answer};
 use crate::knowledge::gossip;
-use crate::wire::sync::{Digest, HALL_PATH, PASS_ON_PATH, REPORT_PATH, Report, SYNC_PATH, Sync};
+use crate::wire::pack;
+use crate::wire::sync::{FRAME_PATH, Frame, HALL_PATH, REPORT_PATH, Report, SYNC_PATH, Sync};
 
 /// Longest message of another process.
 const MESSAGE_MAX: usize = 1 << 20;
@@ -58,10 +61,10 @@
             Ok(sync) => http::pack(StatusCode::OK, &gateway.hall_news(&sync)),
             Err(answer) => answer,
         },
-        PASS_ON_PATH => match message::<Digest>(&mut request).await {
-            Ok(digest) => {
-                gateway.take_digest(&digest);
-                http::pack(StatusCode::OK, &())
+        FRAME_PATH => match packed::<Frame>(&mut request).await {
+            Ok(frame) => {
+                gateway.take_frame(&frame);
+                take_sync(&gateway, &frame.sync)
             }
             Err(answer) => answer,
         },
@@ -100,11 +103,22 @@
 
 /// Reads a message, or says what is wrong with it.
 pub async fn message<T: DeserializeOwned>(request: &mut Request) -> Result<T, Answer> {
-    let body = http::read_request(request, MESSAGE_MAX)
-        .await
-        .map_err(|_| http::status(StatusCode::BAD_REQUEST))?;
-    rmp_serde::from_slice(&body).map_err(|error| {
-        log::warn!("message of another process not understood: {error}");
-        http::status(StatusCode::BAD_REQUEST)
-    })
+    let body = body(request).await?;
+    rmp_serde::from_slice(&body).map_err(not_understood)
+}
+
+/// Reads a packed message, or says what is wrong with it.
+async fn packed<T: DeserializeOwned>(request: &mut Request) -> Result<T, Answer> {
+    let body = body(request).await?;
+    pack::unpack(&body).map_err(not_understood)
+}
+
+async fn body(request: &mut Request) -> Result<Bytes, Answer> {
+    let body = http::read_request(request, MESSAGE_MAX).await;
+    body.map_err(|_| http::status(StatusCode::BAD_REQUEST))
+}
+
+fn not_understood(error: impl Display) -> Answer {
+    log::warn!("message of another process not understood: {error}");
+    http::status(StatusCode::BAD_REQUEST)
 }
--- a/src/gateway/greet.rs
+++ b/src/gateway/greet.rs
@@ -4,7 +4,7 @@
 //! knows from the list where the processes are, and their answers name the entries that greeted
 //! them before.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -12,6 +12,7 @@
 
 use super::Gateway;
 use crate::knowledge::gossip;
+use crate::member::rank::rank;
 
 /// How often it is looked whether the list of replicas is known.
 const LOOK: Duration = Duration::from_millis(20);
@@ -19,6 +20,9 @@
 /// How often those are greeted that have not reported.
 const EVERY: Duration = Duration::from_millis(200);
 
+/// Entries that greet one process: some of them may not be up yet.
+const GREETED_BY: u32 = 3;
+
 /// Rounds in which they are greeted: by then heartbeats have spread.
 const ROUNDS: u32 = 10;
 
@@ -34,16 +38,20 @@
 }
 
 impl Gateway {
-    /// The processes beside replicas of the own hall that have not reported lately.
+    /// The processes beside replicas of the own hall that have not reported lately, as far as they are
+    /// this entry's to greet: each is greeted by the first few entries for it.
     fn silent_sidecars(&self) -> Vec<SocketAddr> {
         self.refresh_pool();
         let now = self.knowledge.now();
         let hall = &self.knowledge.identity.hall;
         let hosts = self.pool.borrow().silent(hall, now);
         let port = self.setting.sidecar_port;
-        hosts
-            .into_iter()
-            .map(|host| SocketAddr::new(host, port))
-            .collect()
+        let (own, fellows) = (self.knowledge.identity.address, self.knowledge.fellows());
+        let greets = |host: &IpAddr| {
+            let subject = host.to_string();
+            rank(own, fellows.iter().copied(), &subject) < GREETED_BY
+        };
+        let greeted = hosts.into_iter().filter(greets);
+        greeted.map(|host| SocketAddr::new(host, port)).collect()
     }
 }
--- a/src/gateway/halls.rs
+++ b/src/gateway/halls.rs
@@ -1,4 +1,4 @@
-//! Exchanges with the entries of other data halls how replicas do.
+//! Tells the entries of the own hall how replicas do, and asks other halls.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -6,18 +6,26 @@
 use actix_rt::time::sleep;
 
 use super::Gateway;
+use crate::clock::Time;
 use crate::knowledge::gossip;
 use crate::knowledge::halls::Ask;
-use crate::wire::sync::{Digest, HALL_PATH, HallNews, PASS_ON_PATH, Sync};
+use crate::knowledge::hub::Extent;
+use crate::knowledge::readers::Readers;
+use crate::wire::pack;
+use crate::wire::sync::{Digest, FRAME_PATH, Frame, HALL_PATH, HallNews, Reported, Sync};
 
-/// How often it is looked whether a hall is to be asked.
-const LOOK: Duration = Duration::from_millis(50);
+/// How often it is looked whether anyone is to be told or asked.
+const LOOK: Duration = Duration::from_millis(100);
 
-/// Asks other halls until dropped.
+/// Replicas of another hall that a hall is told of: those with the most free places. Work goes to
+/// another hall only for want of places in the own, and a hall has no more entries than that.
+const FAR_MAX: usize = 64;
+
+/// Tells and asks until dropped.
 pub async fn run(gateway: Rc<Gateway>) {
     loop {
-        for ask in gateway.due_halls() {
-            actix_rt::spawn(ask_hall(gateway.clone(), ask));
+        if gateway.knowledge.policy.digests {
+            gateway.look_at_halls();
         }
         sleep(LOOK).await;
     }
@@ -28,51 +36,85 @@
     let sync = knowledge.sync(ask.wants_peers);
     let answer = gossip::ask::<_, HallNews>(knowledge, ask.entry, HALL_PATH, &sync).await;
     gateway.halls.borrow_mut().answered(&ask.hall);
-    let HallNews { digest, news } = match answer {
-        Ok(answer) => answer,
+    match answer {
+        Ok(HallNews { digest, news }) => {
+            gossip::take(knowledge, ask.entry, news);
+            gateway.take_digest(&digest);
+        }
         Err(error) => {
             log::debug!(entry:% = ask.entry, hall = &*ask.hall; "hall: {error}");
-            return;
         }
-    };
-    gossip::take(knowledge, ask.entry, news);
-    gateway.take_digest(&digest);
-    if ask.pass_on {
-        pass_on(&gateway, digest);
-    }
-}
-
-fn pass_on(gateway: &Rc<Gateway>, digest: Digest) {
-    let digest = Rc::new(digest);
-    for fellow in gateway.knowledge.fellows() {
-        let (gateway, digest) = (gateway.clone(), digest.clone());
-        actix_rt::spawn(async move {
-            let knowledge = &gateway.knowledge;
-            let told = gossip::ask::<_, ()>(knowledge, fellow, PASS_ON_PATH, &*digest).await;
-            if let Err(error) = told {
-                log::debug!(entry:% = fellow; "hall passed on: {error}");
-            }
-        });
     }
 }
 
 impl Gateway {
-    fn due_halls(&self) -> Vec<Ask> {
+    fn look_at_halls(self: &Rc<Self>) {
         let knowledge = &self.knowledge;
-        if !knowledge.policy.digests {
-            return Vec::new();
+        let now = knowledge.now();
+        let own = knowledge.identity.address;
+        let fellows = knowledge.fellows();
+        let place = Readers::place(own, &fellows);
+        if !self.hub.borrow().tells(place, now) {
+            return;
+        }
+        for ask in self.due_halls(now) {
+            actix_rt::spawn(ask_hall(self.clone(), ask));
         }
-        let identity = &knowledge.identity;
+        let changed = self.pool.borrow().changed(&knowledge.identity.hall);
+        let extent = self.hub.borrow_mut().due(place, changed, now);
+        if let Some(extent) = extent {
+            self.tell_hall(extent, now);
+        }
+    }
+
+    fn due_halls(&self, now: Time) -> Vec<Ask> {
+        let knowledge = &self.knowledge;
         let peers = knowledge.peers.borrow();
         let mut rng = knowledge.rng.borrow_mut();
         let mut halls = self.halls.borrow_mut();
-        halls.due(
-            identity.address,
-            &identity.hall,
-            &peers,
-            knowledge.now(),
-            &mut *rng,
-        )
+        halls.due(&knowledge.identity.hall, &peers, now, &mut *rng)
+    }
+
+    /// Sends one frame, written once, to each other entry of the hall.
+    fn tell_hall(&self, extent: Extent, now: Time) {
+        let knowledge = &self.knowledge;
+        let frame = Frame {
+            sync: knowledge.sync(extent == Extent::Whole { entries: true }),
+            digests: self.digests(extent, now),
+        };
+        match pack::pack(&frame) {
+            Ok(packed) => gossip::tell_packed(knowledge, FRAME_PATH, packed.into()),
+            Err(error) => log::error!("frame of the hall: {error}"),
+        }
+    }
+
+    fn digests(&self, extent: Extent, now: Time) -> Vec<Digest> {
+        let pool = self.pool.borrow();
+        let own = &self.knowledge.identity.hall;
+        match extent {
+            Extent::Since(since) => vec![Digest {
+                hall: own.clone(),
+                replicas: pool.reports_since(own, since, now),
+            }],
+            Extent::Whole { .. } => {
+                let halls = pool.halls().into_iter();
+                let digests = halls.map(|hall| Digest {
+                    replicas: self.reports(&hall, now),
+                    hall,
+                });
+                digests.collect()
+            }
+        }
+    }
+
+    /// How the replicas of a hall do: all of the own hall's, the best of another's.
+    fn reports(&self, hall: &str, now: Time) -> Vec<Reported> {
+        let mut reports = self.pool.borrow().reports(hall, now);
+        if *hall != *self.knowledge.identity.hall && reports.len() > FAR_MAX {
+            reports.sort_by_key(|reported| reported.load.present());
+            reports.truncate(FAR_MAX);
+        }
+        reports
     }
 
     /// Answers how this hall's replicas do.
@@ -88,8 +130,16 @@
         }
     }
 
-    /// Takes how another hall's replicas do.
-    pub(super) fn take_digest(&self, digest: &Digest) {
+    /// Takes the frame of another entry of the hall.
+    pub(super) fn take_frame(&self, frame: &Frame) {
+        self.hub.borrow_mut().heard(self.knowledge.now());
+        for digest in &frame.digests {
+            self.take_digest(digest);
+        }
+    }
+
+    /// Takes how the replicas of a hall do.
+    fn take_digest(&self, digest: &Digest) {
         self.refresh_pool();
         let now = self.knowledge.now();
         let mut pool = self.pool.borrow_mut();
@@ -97,6 +147,5 @@
             let age = Duration::from_millis(told.age_ms);
             pool.report(told.address, &told.load, now - age);
         }
-        self.halls.borrow_mut().heard(&digest.hall, now);
     }
 }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -166,7 +166,7 @@
             if !self.course.may_resume(failure) {
                 return false;
             }
-            let (choice, _) = self.course.choose(self.version);
+            let (choice, _) = self.course.choose(self.version, &[]);
             let choice = match choice {
                 Ok(choice) => choice,
                 Err(shortage) => {
--- a/src/knowledge.rs
+++ b/src/knowledge.rs
@@ -4,7 +4,7 @@
 //! * [`pace`] says how long calls to it wait, and how long they pause.
 //! * [`readers`] decides who reads it for a whole hall.
 //! * [`draws`] decides from whom a configuration is drawn that others know.
-//! * [`halls`] decides who asks another hall how its replicas do.
+//! * [`hub`] decides who tells a whole hall how replicas do, [`halls`] when another is asked.
 //! * [`traffic`] counts what is sent to other processes.
 //! * [`gossip`] exchanges what is newer with other processes of the system, so that one that the
 //!   store turns away, or that just began, knows what the others know.
@@ -23,7 +23,7 @@
 use traffic::Traffic;
 
 use crate::clock::{Clock, Time};
-use crate::config::belief::{Belief, Dated, Effect, Fact, Marks, Wanted};
+use crate::config::belief::{self, Belief, Dated, Effect, Fact, Marks, Wanted};
 use crate::exchange;
 use crate::log::Repeats;
 use crate::member::peer::Peers;
@@ -32,11 +32,14 @@
 use crate::policy::Policy;
 use crate::source::{Batch, Damaged, Topic};
 use crate::wire::pack;
-use crate::wire::sync::{Brief, DatedDocument, DatedRecord, List, Named, News, Sync};
+use crate::wire::sync::{
+    Brief, Changes, DatedDocument, DatedRecord, List, Named, News, Removal, Sync,
+};
 
 pub mod draws;
 pub mod gossip;
 pub mod halls;
+pub mod hub;
 pub mod pace;
 pub mod readers;
 pub mod store;
@@ -101,8 +104,6 @@
     /// Wakes calls that may hang since before the store answered again.
     pub store_regained: Notify,
     trouble: Cell<Option<Time>>,
-    /// Callers' requests a second that go to engines.
-    pub rate: Cell<f64>,
     /// What could not be read of the platform's documents.
     pub losses: RefCell<Losses>,
     fetching: Cell<bool>,
@@ -132,7 +133,6 @@
             news: Notify::new(),
             store_regained: Notify::new(),
             trouble: Cell::new(None),
-            rate: Cell::new(0.0),
             losses: RefCell::default(),
             fetching: Cell::new(false),
             lost_heartbeats: Repeats::default(),
@@ -177,14 +177,11 @@
         Some(now.since(at).as_millis() as u64)
     }
 
-    /// Takes what an entry tells of itself with every message: that it is there, the rate of its
-    /// requests, and, if it stands in this hall, how long ago the store answered it.
-    fn hear(&self, entry: SocketAddr, hall: &Arc<str>, rate: f64, store_age_ms: Option<u64>) {
+    /// Takes what an entry tells of itself with every message: that it is there, and, if it stands
+    /// in this hall, how long ago the store answered it.
+    fn hear(&self, entry: SocketAddr, hall: &Arc<str>, store_age_ms: Option<u64>) {
         let now = self.now();
-        self.update_peers(|peers| {
-            peers.heard(entry, hall, now);
-            peers.rated(entry, rate);
-        });
+        self.update_peers(|peers| peers.heard(entry, hall, now));
         if *hall != self.identity.hall {
             return;
         }
@@ -354,7 +351,7 @@
     pub fn take_news(&self, from: SocketAddr, news: News) {
         self.update_peers(|peers| peers.learn(&news.peers, self.now()));
         if news.entry {
-            self.hear(from, &news.hall, news.rate, news.store_age_ms);
+            self.hear(from, &news.hall, news.store_age_ms);
         }
         if let Some(dated) = news.routing {
             self.take_document(from, dated);
@@ -368,6 +365,9 @@
             let shaky = list.shaky || self.shaky();
             self.take_list(records.collect(), list.at, shaky, &from.to_string());
         }
+        if let Some(changes) = news.changes {
+            self.take_changes(changes, &from.to_string());
+        }
         if let Some(brief) = news.brief {
             let newer = self
                 .brief
@@ -381,6 +381,28 @@
         }
     }
 
+    fn take_changes(&self, changes: Changes, origin: &str) {
+        let revision = changes.at;
+        let (written, removed) = (changes.records.len(), changes.gone.len());
+        let shaky = changes.shaky || self.shaky();
+        let records = changes.records.into_iter();
+        let gone = changes.gone.into_iter();
+        let changes = belief::Changes {
+            since: changes.since,
+            at: changes.at,
+            records: records
+                .map(|dated| (dated.revision, dated.record))
+                .collect(),
+            gone: gone.map(|removal| (removal.revision, removal.id)).collect(),
+        };
+        let now = self.now();
+        let effect = self.belief.borrow_mut().learn_changes(changes, now, shaky);
+        if effect != Effect::None {
+            log::info!(revision, origin, written, removed, shaky; "learned: changes of replicas");
+        }
+        self.tell(effect);
+    }
+
     fn take_document(&self, from: SocketAddr, dated: DatedDocument) {
         let revision = dated.revision;
         match pack::unpack(&dated.packed) {
@@ -421,7 +443,6 @@
             entry: self.identity.entry,
             marks: self.belief.borrow().marks(),
             store_age_ms: self.store_age_ms(now),
-            rate: self.rate.get(),
             peers: if self.identity.entry && names_entries {
                 self.peers.borrow().tell(now)
             } else {
@@ -429,6 +450,7 @@
             },
             wants_peers: names_entries,
             wants_routing: false,
+            takes_changes: true,
         }
     }
 
@@ -438,7 +460,7 @@
         let now = self.now();
         self.update_peers(|peers| peers.learn(&sync.peers, now));
         if sync.entry {
-            self.hear(sync.from, &sync.hall, sync.rate, sync.store_age_ms);
+            self.hear(sync.from, &sync.hall, sync.store_age_ms);
         }
         let belief = self.belief.borrow();
         let marks = belief.marks();
@@ -448,12 +470,15 @@
             Vec::new()
         };
         let newer_routing = marks.routing > sync.marks.routing;
+        let newer_list = marks.replicas > sync.marks.replicas;
+        let changes = (newer_list && sync.takes_changes)
+            .then(|| changes(&belief, sync.marks.replicas, self.shaky()))
+            .flatten();
         News {
             hall: self.identity.hall.clone(),
             entry: self.identity.entry,
             marks,
             store_age_ms: self.store_age_ms(now),
-            rate: self.rate.get(),
             peers: told,
             routing: (newer_routing && sync.wants_routing)
                 .then(|| self.document())
@@ -463,7 +488,8 @@
             } else {
                 Vec::new()
             },
-            replicas: (marks.replicas > sync.marks.replicas).then(|| list(&belief, self.shaky())),
+            replicas: (newer_list && changes.is_none()).then(|| list(&belief, self.shaky())),
+            changes,
             brief: (newer_routing && brief).then(|| self.brief()).flatten(),
         }
     }
@@ -539,6 +565,23 @@
     }
 }
 
+fn changes(belief: &Belief, since: u64, shaky: bool) -> Option<Changes> {
+    let changes = belief.changes_since(since)?;
+    let records = changes.records.into_iter();
+    let gone = changes.gone.into_iter();
+    Some(Changes {
+        since: changes.since,
+        at: changes.at,
+        shaky,
+        records: records
+            .map(|(revision, record)| DatedRecord { revision, record })
+            .collect(),
+        gone: gone
+            .map(|(revision, id)| Removal { revision, id })
+            .collect(),
+    })
+}
+
 fn describe(fact: &Fact) -> String {
     match fact {
         Fact::Routing(document) => format!("routing version {}", document.version),
--- a/src/knowledge/gossip.rs
+++ b/src/knowledge/gossip.rs
@@ -17,11 +17,12 @@
 use crate::config::belief::Marks;
 use crate::exchange::{Options, Request};
 use crate::patience::{self, Progress};
+use crate::place;
 use crate::source::Topic;
-use crate::wire::sync::{HALL_PATH, News, PASS_ON_PATH, REPORT_PATH, SYNC_PATH, Sync};
+use crate::wire::sync::{FRAME_PATH, HALL_PATH, News, REPORT_PATH, SYNC_PATH, Sync};
 
-/// How often an entry asks others.
-const EVERY: Duration = Duration::from_millis(500);
+/// How often an entry asks the readers of its hall, which tell it twice as often by themselves.
+const EVERY: Duration = Duration::from_millis(1_000);
 
 /// How often an entry asks others while it knows none: it has just begun, perhaps with all others.
 const EVERY_ALONE: Duration = Duration::from_millis(120);
@@ -33,7 +34,7 @@
 const ALONE_ROUNDS: u32 = 20;
 
 /// Rounds between two in which the seeds and an entry of any hall are asked as well.
-const SEED_ROUNDS: u32 = 6;
+const SEED_ROUNDS: u32 = 3;
 
 /// Shortest time between two rounds of telling that there is news.
 const NEWS_GAP: Duration = Duration::from_millis(150);
@@ -41,6 +42,10 @@
 /// How long a connection may take to open.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// Longest rest of a connection to another process that is used again: while it rests, the kernel
+/// probes its other end every 1.5 s, and most exchanges come at least once a second or rarely.
+pub const IDLE_MAX: Duration = Duration::from_secs(3);
+
 /// Longest answer: a configuration of many routes.
 const NEWS_MAX: usize = 16 << 20;
 
@@ -98,6 +103,19 @@
     ask_while(knowledge, peer, path, message, || true).await
 }
 
+/// Sends `message` to another process of the system and reads its answer, which is due `within`.
+pub async fn ask_within<T: Serialize, A: DeserializeOwned>(
+    knowledge: &Knowledge,
+    peer: SocketAddr,
+    path: &str,
+    message: &T,
+    within: Duration,
+) -> Result<A, Error> {
+    let exchange = ask(knowledge, peer, path, message);
+    let answer = actix_rt::time::timeout(within, exchange).await;
+    answer.unwrap_or(Err(patience::Error::NoAnswer { after: within }.into()))
+}
+
 /// Sends `message` to another process of the system and reads its answer while that is `needed`.
 async fn ask_while<T: Serialize, A: DeserializeOwned>(
     knowledge: &Knowledge,
@@ -109,15 +127,29 @@
     let body = rmp_serde::to_vec_named(message).map_err(|error| Error::Codec {
         reason: error.to_string(),
     })?;
+    let waits = patience::Setting::default();
+    exchange(knowledge, peer, path, Bytes::from(body), waits, needed).await
+}
+
+/// Sends the message `body` to another process of the system and reads its answer.
+async fn exchange<A: DeserializeOwned>(
+    knowledge: &Knowledge,
+    peer: SocketAddr,
+    path: &str,
+    body: Bytes,
+    waits: patience::Setting,
+    needed: impl Fn() -> bool,
+) -> Result<A, Error> {
     let progress = Progress::default();
     let sent = body.len();
     let exchange = async {
         let head = Request::new(Method::POST, path).head(peer)?;
         let options = Options {
             connect_timeout: CONNECT_TIMEOUT,
+            idle_max: IDLE_MAX,
             ..Options::default()
         };
-        let body = Some(Bytes::from(body));
+        let body = Some(body);
         let mut answer = knowledge.client.exchange(peer, head, body, options).await?;
         let body = answer.read_noting(NEWS_MAX, &progress).await?;
         knowledge.traffic.count(purpose(path), sent + body.len());
@@ -129,7 +161,6 @@
             reason: error.to_string(),
         })
     };
-    let waits = patience::Setting::default();
     patience::wait_while(exchange, &progress, waits, || {}, needed).await?
 }
 
@@ -137,7 +168,8 @@
     match path {
         REPORT_PATH => Purpose::Report,
         HALL_PATH => Purpose::Hall,
-        PASS_ON_PATH => Purpose::PassOn,
+        FRAME_PATH => Purpose::PassOn,
+        place::PATH => Purpose::Place,
         _ => Purpose::Heartbeat,
     }
 }
@@ -181,10 +213,13 @@
 pub async fn run(knowledge: Rc<Knowledge>, others: impl Fn() -> Vec<SocketAddr>) {
     let mut round = 0;
     loop {
-        for peer in targets(&knowledge, round, &others) {
+        let wide = asks_widely(&knowledge, round);
+        // The hall's entries are named in its frames.
+        let names_entries = wide || round <= ALONE_ROUNDS;
+        for peer in targets(&knowledge, wide, round, &others) {
             let knowledge = knowledge.clone();
             actix_rt::spawn(async move {
-                let sync = knowledge.sync(true);
+                let sync = knowledge.sync(names_entries);
                 if let Err(error) = post(&knowledge, peer, SYNC_PATH, &sync).await {
                     knowledge.lost(peer);
                     if let Some(lost) = knowledge.lost_heartbeats.count() {
@@ -231,6 +266,21 @@
     }
 }
 
+/// Sends one packed message to each other entry of the hall. They answer with what this one lacks.
+pub fn tell_packed(knowledge: &Rc<Knowledge>, path: &'static str, packed: Bytes) {
+    for fellow in knowledge.fellows() {
+        let (knowledge, packed) = (knowledge.clone(), packed.clone());
+        actix_rt::spawn(async move {
+            let waits = patience::Setting::default();
+            let told = exchange::<News>(&knowledge, fellow, path, packed, waits, || true).await;
+            match told {
+                Ok(news) => take(&knowledge, fellow, news),
+                Err(error) => log::debug!(entry:% = fellow; "hall not told: {error}"),
+            }
+        });
+    }
+}
+
 /// Asks `peer` of the own hall, whose marks tell that it knows something newer, for its news.
 pub async fn fetch_news(knowledge: Rc<Knowledge>, peer: SocketAddr, marks: Marks) {
     draw(&knowledge, peer, &knowledge.identity.hall, marks);
@@ -253,8 +303,16 @@
     knowledge.fetching.set(false);
 }
 
+/// Whether an entry asks beyond its hall now: those do that tell the others, and one that knows none.
+fn asks_widely(knowledge: &Knowledge, round: u32) -> bool {
+    let fellows = knowledge.fellows();
+    let asks = fellows.is_empty() || Readers::is_reader(knowledge.identity.address, &fellows);
+    asks && round.is_multiple_of(SEED_ROUNDS)
+}
+
 fn targets(
     knowledge: &Knowledge,
+    wide: bool,
     round: u32,
     others: impl Fn() -> Vec<SocketAddr>,
 ) -> Vec<SocketAddr> {
@@ -263,7 +321,6 @@
     let mut chosen = Readers::asked(&knowledge.fellows());
     let peers = knowledge.peers.borrow();
     // Bytes between halls are dear.
-    let wide = round.is_multiple_of(SEED_ROUNDS);
     if wide || chosen.is_empty() {
         chosen.extend(peers.sample(1, now, &mut *rng));
     }
--- a/src/knowledge/readers.rs
+++ b/src/knowledge/readers.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 use crate::clock::Time;
-use crate::member::rank::rank;
+use crate::member::rank::{rank, weight};
 use crate::source::Topic;
 
 /// Entries of a hall that read what operators write: one that is cut off must not hold it up.
@@ -71,7 +71,7 @@
 
     /// Whether the entry at `own` reads `topic` itself, beside the other entries of its hall.
     pub fn reads(&self, topic: Topic, own: SocketAddr, fellows: &[SocketAddr], now: Time) -> bool {
-        let rank = rank(own, fellows.iter().copied(), SUBJECT);
+        let rank = Self::place(own, fellows);
         if rank < readers(topic) {
             return true;
         }
@@ -90,16 +90,27 @@
         }
     }
 
+    /// The place of the entry at `own` among those of its hall: 0 for the one that reads everything
+    /// from the store and tells the others.
+    pub fn place(own: SocketAddr, fellows: &[SocketAddr]) -> u32 {
+        rank(own, fellows.iter().copied(), SUBJECT)
+    }
+
+    /// The `entries` of a hall, those first that read the store.
+    pub fn ranked(entries: &[SocketAddr]) -> Vec<SocketAddr> {
+        let mut ranked = entries.to_vec();
+        ranked.sort_by_cached_key(|entry| std::cmp::Reverse(weight(*entry, SUBJECT)));
+        ranked
+    }
+
     /// Whether the entry at `own` is one of those whom the others ask.
     pub fn is_reader(own: SocketAddr, fellows: &[SocketAddr]) -> bool {
-        rank(own, fellows.iter().copied(), SUBJECT) < ASKED as u32
+        Self::place(own, fellows) < ASKED as u32
     }
 
     /// The entries of the hall to ask for news.
     pub fn asked(fellows: &[SocketAddr]) -> Vec<SocketAddr> {
-        let place = |entry: &SocketAddr| rank(*entry, fellows.iter().copied(), SUBJECT);
-        let mut ranked: Vec<SocketAddr> = fellows.to_vec();
-        ranked.sort_by_cached_key(place);
+        let mut ranked = Self::ranked(fellows);
         ranked.truncate(ASKED);
         ranked
     }
--- a/src/knowledge/traffic.rs
+++ b/src/knowledge/traffic.rs
@@ -28,6 +28,8 @@
     Hall,
     /// How replicas do is passed on within a hall.
     PassOn,
+    /// The process beside a replica is asked for a place there.
+    Place,
     /// The replica is asked by the process beside it.
     Look,
     /// The platform's store is asked.
@@ -35,11 +37,12 @@
 }
 
 /// All purposes.
-const PURPOSES: [Purpose; 6] = [
+const PURPOSES: [Purpose; 7] = [
     Purpose::Heartbeat,
     Purpose::Report,
     Purpose::Hall,
     Purpose::PassOn,
+    Purpose::Place,
     Purpose::Look,
     Purpose::Store,
 ];
@@ -52,6 +55,7 @@
             Self::Report => "report",
             Self::Hall => "hall",
             Self::PassOn => "pass_on",
+            Self::Place => "place",
             Self::Look => "look",
             Self::Store => "store",
         }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod node;
 pub mod option;
 pub mod patience;
+pub mod place;
 pub mod placement;
 pub mod policy;
 pub mod request;
--- a/src/member/peer.rs
+++ b/src/member/peer.rs
@@ -28,16 +28,12 @@
     pub hall: Arc<str>,
     /// Milliseconds since it was heard of.
     pub age_ms: u64,
-    /// Its requests a second.
-    #[serde(default)]
-    pub rate: f64,
 }
 
 #[derive(Debug, Clone)]
 struct Peer {
     hall: Arc<str>,
     heard: Time,
-    rate: f64,
 }
 
 /// The entries that a process knows.
@@ -75,7 +71,6 @@
             Peer {
                 hall: hall.clone(),
                 heard: at,
-                rate: 0.0,
             }
         });
         peer.heard = peer.heard.max(at);
@@ -84,37 +79,13 @@
         }
     }
 
-    /// An entry told the rate of its requests.
-    pub fn rated(&mut self, address: SocketAddr, rate: f64) {
-        if let Some(peer) = self.peers.get_mut(&address) {
-            peer.rate = rate;
-        }
-    }
-
-    /// Entries heard of lately, with the rates of their requests.
-    pub fn rates(&self, now: Time) -> impl Iterator<Item = (SocketAddr, f64)> {
-        let at_work = self.at_work(now);
-        at_work.map(|(address, peer)| (address, peer.rate))
-    }
-
-    fn at_work(&self, now: Time) -> impl Iterator<Item = (SocketAddr, &Peer)> {
-        let heard = self.peers.iter();
-        let heard = heard.filter(move |(_, peer)| now.since(peer.heard) < ALIVE);
-        heard.map(|(address, peer)| (*address, peer))
-    }
-
     /// Takes what another process tells of the entries.
     pub fn learn(&mut self, told: &[Told], now: Time) {
         for entry in told {
             let age = Duration::from_millis(entry.age_ms);
             if age < FORGET {
                 let at = now - age;
-                let newer = |peer: &Peer| peer.heard < at;
-                let newer = self.peers.get(&entry.address).is_none_or(newer);
                 self.heard(entry.address, &entry.hall, at);
-                if newer {
-                    self.rated(entry.address, entry.rate);
-                }
             }
         }
     }
@@ -127,7 +98,6 @@
                 address: *address,
                 hall: peer.hall.clone(),
                 age_ms: now.since(peer.heard).as_millis() as u64,
-                rate: peer.rate,
             })
             .collect()
     }
@@ -139,8 +109,9 @@
 
     /// Entries heard of lately.
     pub fn alive(&self, now: Time) -> impl Iterator<Item = (SocketAddr, &Arc<str>)> {
-        let at_work = self.at_work(now);
-        at_work.map(|(address, peer)| (address, &peer.hall))
+        let heard = self.peers.iter();
+        let heard = heard.filter(move |(_, peer)| now.since(peer.heard) < ALIVE);
+        heard.map(|(address, peer)| (*address, &peer.hall))
     }
 
     /// Upper bound of the entries that may be at work, this one included: all that are not
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -21,10 +21,11 @@
 pub struct Policy {
     /// Entries take part in bursts as relays, because their links are wide.
     pub relays: bool,
-    /// Free places that are meant for an entry, over all replicas, below which it keeps to them.
-    pub dealt_below: u32,
-    /// Hundredths of what other entries are likely to have sent unseen that are reckoned with.
-    pub unseen: u32,
+    /// Processes beside replicas that are asked for a place before a request is judged.
+    pub asks: u32,
+    /// Replicas whose cost is over the least by no more than this are as good: what is known of
+    /// them is up to a second old, in which a replica takes some six requests.
+    pub window: Duration,
     /// Whether the delay of a replica's link is part of its estimate.
     pub link_delay: bool,
     /// Cost of each taken slot: a fuller engine writes more slowly.
@@ -65,8 +66,8 @@
     fn default() -> Self {
         Self {
             relays: true,
-            dealt_below: 8,
-            unseen: 100,
+            asks: 3,
+            window: Duration::from_millis(30),
             link_delay: true,
             crowding: Duration::from_millis(3),
             remote: Duration::from_millis(60),
@@ -115,8 +116,8 @@
 /// The mechanisms by the names that `--policy` takes.
 const MECHANISMS: [(&str, Set); 19] = [
     ("relays", |set, to| set.relays = to > 0),
-    ("dealt-below", |set, to| set.dealt_below = to),
-    ("unseen", |set, to| set.unseen = to),
+    ("asks", |set, to| set.asks = to),
+    ("window-ms", |set, to| set.window = millis(to)),
     ("link-delay", |set, to| set.link_delay = to > 0),
     ("crowding-ms", |set, to| set.crowding = millis(to)),
     ("remote-ms", |set, to| set.remote = millis(to)),
--- a/src/route.rs
+++ b/src/route.rs
@@ -4,11 +4,11 @@
 //! by up to a second, so the entry corrects them by what it sent and got back itself since.
 
 pub mod correction;
-pub mod entries;
 pub mod estimate;
 pub mod health;
 pub mod pool;
 pub mod replica;
+pub mod search;
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
--- a/src/route/correction.rs
+++ b/src/route/correction.rs
@@ -33,6 +33,11 @@
         self.factor = (self.factor * off).clamp(1.0 / FACTOR_MAX, FACTOR_MAX);
     }
 
+    /// The estimate that is corrected to `corrected`.
+    pub fn undo(self, corrected: Duration) -> Duration {
+        corrected.div_f64(self.factor)
+    }
+
     /// An estimate, corrected.
     pub fn apply(self, estimate: Duration) -> Duration {
         estimate.mul_f64(self.factor)
--- a/src/route/pool.rs
+++ b/src/route/pool.rs
@@ -4,7 +4,7 @@
 //! Among those, the time to the first event is estimated from the last report and from what this
 //! entry has sent since, and the shortest wins, with a handicap for other halls.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 use std::time::Duration;
@@ -13,7 +13,6 @@
 use slotmap::SlotMap;
 
 use super::correction::Correction;
-use super::entries::Entries;
 use super::estimate::{self, Demand, Work};
 use super::health::Sign;
 use super::replica::{Due, Load, Replica};
@@ -32,9 +31,6 @@
 /// Service time of a plain service before any was measured.
 const USUAL_UNKNOWN: Duration = Duration::from_millis(50);
 
-/// Candidates whose cost is over the least by no more than this are equal.
-const EQUAL: Duration = Duration::from_millis(4);
-
 /// A replica whose first events come later than estimated by more than this may stand behind a
 /// link that holds everything up, the end of a request included.
 const LATE_MAX: Duration = Duration::from_millis(100);
@@ -54,6 +50,9 @@
 /// One denied replica in this many shows that the list is behind; single ones are replaced.
 const DENIED_PART: u32 = 3;
 
+/// Prompts of usual length that an engine with a place free may have to read yet.
+const LIGHT_PROMPTS: f64 = 1.0;
+
 /// The model that a request needs.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ModelNeed<'a> {
@@ -78,6 +77,8 @@
     pub demand: Demand,
     /// Replicas that were tried already.
     pub tried: &'a [Key],
+    /// Replicas that have no place, by their own word.
+    pub full: &'a [Key],
     /// Connections that this entry may have to one replica.
     pub connections_max: u32,
 }
@@ -93,6 +94,15 @@
     pub requests: u32,
 }
 
+/// Limits of the estimates that replicas' processes make.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Limits {
+    /// That of a place at once.
+    pub tight: Duration,
+    /// That of a place in a queue.
+    pub whole: Duration,
+}
+
 /// Why no replica can be chosen.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
 pub enum Shortage {
@@ -125,11 +135,10 @@
 pub struct Pool {
     own_hall: Arc<str>,
     policy: Policy,
-    entries: Entries,
-    scarce: bool,
     replicas: SlotMap<Key, Replica>,
     ids: BTreeMap<Arc<str>, Key>,
     services: BTreeMap<Arc<str>, Vec<Key>>,
+    addresses: BTreeMap<SocketAddr, Vec<Key>>,
     corrections: BTreeMap<Arc<str>, Correction>,
     begun: u64,
 }
@@ -144,13 +153,6 @@
         }
     }
 
-    /// The entries that choose among the same replicas are these.
-    pub fn set_entries(&mut self, entries: Entries) {
-        self.entries = entries;
-        let shares = self.replicas.values().map(Replica::share);
-        self.scarce = shares.sum::<u32>() < self.policy.dealt_below;
-    }
-
     /// Takes the list as it stands now, and what change of version each replica has before it.
     pub fn update(
         &mut self,
@@ -182,7 +184,10 @@
             self.replicas[key].due = due(&listed.record);
         }
         self.services.clear();
+        self.addresses.clear();
         for (key, replica) in &self.replicas {
+            let address = replica.record.address;
+            self.addresses.entry(address).or_default().push(key);
             let service = replica.record.service.clone();
             self.services.entry(service).or_default().push(key);
         }
@@ -207,9 +212,15 @@
 
     /// How the replicas of `hall` do, by reports that are fresh.
     pub fn reports(&self, hall: &str, now: Time) -> Vec<Reported> {
-        let of_hall = self.replicas.values();
-        let of_hall = of_hall.filter(|replica| &*replica.record.hall == hall);
-        let told = of_hall.filter_map(|replica| {
+        self.reports_since(hall, Time::default(), now)
+    }
+
+    /// How those replicas of `hall` do that began or ended to take requests after `since`, by reports
+    /// that are fresh.
+    pub fn reports_since(&self, hall: &str, since: Time, now: Time) -> Vec<Reported> {
+        let turned = self.of_hall(hall);
+        let turned = turned.filter(|replica| replica.turned_at() > since);
+        let told = turned.filter_map(|replica| {
             let (load, at) = replica.reported(now)?;
             Some(Reported {
                 address: replica.record.address,
@@ -220,11 +231,28 @@
         told.collect()
     }
 
+    /// When the last replica of `hall` began or ended to take requests, by its reports.
+    pub fn changed(&self, hall: &str) -> Option<Time> {
+        self.of_hall(hall).map(Replica::turned_at).max()
+    }
+
+    /// The halls that replicas stand in.
+    pub fn halls(&self) -> BTreeSet<Arc<str>> {
+        let replicas = self.replicas.values();
+        replicas
+            .map(|replica| replica.record.hall.clone())
+            .collect()
+    }
+
+    fn of_hall(&self, hall: &str) -> impl Iterator<Item = &Replica> {
+        let replicas = self.replicas.values();
+        replicas.filter(move |replica| *replica.record.hall == *hall)
+    }
+
     /// The hosts of a hall's model replicas without a fresh report.
     pub fn silent(&self, hall: &str, now: Time) -> Vec<IpAddr> {
-        let of_hall = self.replicas.values();
-        let of_hall = of_hall.filter(|replica| &*replica.record.hall == hall);
-        let silent = of_hall
+        let silent = self
+            .of_hall(hall)
             .filter(|replica| !replica.record.models.is_empty() && replica.reported(now).is_none());
         let mut hosts: Vec<IpAddr> = silent.map(|replica| replica.record.address.ip()).collect();
         hosts.sort_unstable();
@@ -235,14 +263,25 @@
     /// The process beside the replica at `address` reported at `at`. Returns whether anyone is
     /// there.
     pub fn report(&mut self, address: SocketAddr, load: &Load, at: Time) -> bool {
-        let mut found = false;
-        for (_, replica) in &mut self.replicas {
-            if replica.record.address == address {
-                replica.report(load, &self.entries, at);
-                found = true;
-            }
+        let here = self.addresses.get(&address);
+        for key in here.into_iter().flatten() {
+            self.replicas[*key].report(load, at);
         }
-        found
+        here.is_some()
+    }
+
+    /// The process beside a replica did not answer; with `silent`, its link may be held up.
+    pub fn unheard(&mut self, key: Key, silent: bool, now: Time) {
+        if let Some(replica) = self.replicas.get_mut(key) {
+            replica.unheard(silent, now);
+        }
+    }
+
+    /// Whether the process beside a replica is to be asked for a place.
+    pub fn gives_places(&self, key: Key, now: Time) -> bool {
+        self.replicas
+            .get(key)
+            .is_some_and(|replica| replica.gives_places(now))
     }
 
     /// A replica is not the one that is listed any more: nothing more goes there.
@@ -287,6 +326,13 @@
             .collect();
         // When all are paused, one of them is better than none.
         let candidates = if well.is_empty() { connected } else { well };
+        let open: Vec<Key> = candidates
+            .iter()
+            .copied()
+            .filter(|key| !ask.full.contains(key))
+            .collect();
+        // The least full one is better than none.
+        let candidates = if open.is_empty() { candidates } else { open };
         self.cheapest(&candidates, ask, now, rng)
             .ok_or(Shortage::NoneFit)
     }
@@ -320,12 +366,14 @@
             .map(|&key| (self.cost(&self.replicas[key], ask, now), key))
             .collect();
         let least = costs.iter().map(|(cost, _)| *cost).min()?;
-        let equal: Vec<Key> = costs
+        let near: Vec<&(Duration, Key)> = costs
             .iter()
-            .filter(|(cost, _)| *cost <= least + EQUAL)
-            .map(|(_, key)| *key)
+            .filter(|(cost, _)| *cost <= least + self.policy.window)
             .collect();
-        let key = equal[rng.random_range(0..equal.len())];
+        // The better of two at random: all entries see the same reports, and would all choose the
+        // best.
+        let drawn = [(); 2].map(|()| near[rng.random_range(0..near.len())]);
+        let (_, key) = **drawn.iter().min_by_key(|(cost, _)| *cost)?;
         let replica = &self.replicas[key];
         Some(Choice {
             key,
@@ -334,6 +382,52 @@
         })
     }
 
+    /// When the first event is expected of a request that is sent to the replica `key` now, if it may
+    /// be sent there.
+    pub fn expects(&self, key: Key, ask: Ask<'_>, now: Time) -> Option<Choice> {
+        let replica = self.replicas.get(key)?;
+        self.fit(replica, ask, now).then(|| Choice {
+            key,
+            expected: self.expected(replica, ask, now),
+            requests: replica.requests(now),
+        })
+    }
+
+    /// The limits within which a replica's process, which knows its engine's load only, is to expect
+    /// a first event so that it comes within `limit`: what is known of its link and of the engine's
+    /// figures is left out. The tight one is that of an engine with a place free and little to read.
+    pub fn limits(&self, key: Key, ask: Ask<'_>, limit: Duration, now: Time) -> Option<Limits> {
+        let (replica, engine) = (self.replicas.get(key)?, ask.engine?);
+        let late = self.late(replica, now);
+        let whole = self.uncorrected(ask.service, engine, limit.saturating_sub(late));
+        let light = Work {
+            requests: engine.slots.saturating_sub(1),
+            unread: engine.usual_prompt * LIGHT_PROMPTS,
+            pace: 1.0,
+        };
+        let spread = self.policy.queue_spread;
+        let tight = estimate::first_event(engine, light, ask.demand, spread);
+        Some(Limits {
+            tight: tight.min(whole),
+            whole,
+        })
+    }
+
+    /// The limit on an estimate by the engine's figures, where `limit` is that on the corrected one.
+    fn uncorrected(&self, service: &str, engine: &Engine, limit: Duration) -> Duration {
+        let known = self.corrections.get(service).filter(|_| engine.guessed);
+        known.map_or(limit, |correction| correction.undo(limit))
+    }
+
+    fn late(&self, replica: &Replica, now: Time) -> Duration {
+        let held_up = if self.policy.link_delay {
+            replica.link_delay(now).min(LINK_DELAY_COUNTED)
+        } else {
+            Duration::ZERO
+        };
+        replica.late(now).max(held_up)
+    }
+
     fn cost(&self, replica: &Replica, ask: Ask<'_>, now: Time) -> Duration {
         let crowding = self.policy.crowding * replica.requests(now);
         let far = if replica.record.hall == self.own_hall {
@@ -358,11 +452,9 @@
     }
 
     fn work(&self, replica: &Replica, engine: &Engine, now: Time) -> Work {
-        let unseen = replica.unseen(&self.entries, self.scarce, now) * self.policy.unseen / 100;
-        let unseen_tokens = f64::from(unseen) * engine.usual_prompt;
         Work {
-            requests: replica.requests(now) + unseen,
-            unread: replica.unread(engine.usual_prompt, now) + unseen_tokens,
+            requests: replica.requests(now),
+            unread: replica.unread(engine.usual_prompt, now),
             pace: replica.pace(now),
         }
     }
@@ -376,15 +468,9 @@
             return usual + usual * waiting / slots;
         };
         let work = self.work(replica, engine, now);
-        let held_up = if self.policy.link_delay {
-            replica.link_delay(now).min(LINK_DELAY_COUNTED)
-        } else {
-            Duration::ZERO
-        };
-        let late = replica.late(now).max(held_up);
         let spread = self.policy.queue_spread;
         let first = estimate::first_event(engine, work, ask.demand, spread);
-        let expected = self.corrected(ask.service, engine, first) + late;
+        let expected = self.corrected(ask.service, engine, first) + self.late(replica, now);
         if !replica.switching(now) {
             return expected;
         }
--- a/src/route/replica.rs
+++ b/src/route/replica.rs
@@ -4,7 +4,6 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::entries::Entries;
 use super::estimate::Demand;
 use super::health::Health;
 use crate::clock::Time;
@@ -12,14 +11,21 @@
 use crate::member::replica::{self, Held, Record};
 
 /// A report older than this says nothing of the load any more.
-const STALE: Duration = Duration::from_millis(2_000);
+const STALE: Duration = Duration::from_millis(3_000);
 
-/// Longest time between two reports of a process in reach.
-const REPORT_GAP_MAX: Duration = Duration::from_millis(1_200);
+/// Greatest age of a report of a process in reach: it reports each second, another hall is asked
+/// and a hall is told each half.
+const REPORT_AGE_MAX: Duration = Duration::from_millis(2_100);
 
 /// Longest round trip over a link that weights are drawn through, but that is not held up.
 const ROUND_TRIP_USUAL: Duration = Duration::from_millis(80);
 
+/// How long a process that did not answer is not asked again: as long as it may take to report.
+const UNHEARD: Duration = Duration::from_millis(1_000);
+
+/// Delay of a link over which a process did not answer a question in time.
+const UNHEARD_DELAY: Duration = Duration::from_millis(250);
+
 /// Time in which what is known of a replica's lag loses half of its weight.
 const LAG_HALF: Duration = Duration::from_millis(1_500);
 
@@ -42,8 +48,6 @@
     pub switching: bool,
     /// Whether it answers.
     pub alive: bool,
-    /// Number of the report, by which all entries draw alike whose its free places are.
-    pub number: u64,
     /// Milliseconds that the shortest late exchange of its process with an entry took.
     pub round_trip_ms: u64,
     /// Chunks of the wanted weights that its process holds, while the replica lacks them.
@@ -52,6 +56,19 @@
     pub chunks: u32,
 }
 
+impl Load {
+    /// Requests in progress.
+    pub fn present(&self) -> u32 {
+        self.running + self.queued
+    }
+
+    /// Whether it takes requests of the same versions as by `other`.
+    pub fn takes_like(&self, other: &Self) -> bool {
+        let kind = |load: &Self| (load.switching, load.alive, load.models.clone());
+        kind(self) == kind(other)
+    }
+}
+
 /// A replica.
 #[derive(Debug, Clone)]
 pub struct Replica {
@@ -61,8 +78,8 @@
     load: Option<(Load, Time)>,
     own: Vec<Sent>,
     own_at_report: u32,
-    free_at_report: u32,
-    share: u32,
+    turned_at: Time,
+    unheard: Option<Unheard>,
     unread: Unread,
     unread_at_report: u32,
     lag: Lag,
@@ -105,6 +122,13 @@
     due: Time,
 }
 
+/// The process beside a replica did not answer.
+#[derive(Debug, Clone, Copy)]
+struct Unheard {
+    at: Time,
+    silent: bool,
+}
+
 /// How much later than expected a replica's first events come.
 #[derive(Debug, Clone, Copy, Default)]
 struct Lag {
@@ -180,8 +204,8 @@
             load: None,
             own: Vec::new(),
             own_at_report: 0,
-            free_at_report: 0,
-            share: 0,
+            turned_at: Time::default(),
+            unheard: None,
             unread: Unread::default(),
             unread_at_report: 0,
             lag: Lag::default(),
@@ -204,25 +228,10 @@
 
     /// Requests in progress there, as far as this entry can tell.
     pub fn requests(&self, now: Time) -> u32 {
-        let reported = self.fresh(now).map_or(0, |load| load.running + load.queued);
+        let reported = self.fresh(now).map_or(0, Load::present);
         reported.saturating_sub(self.own_at_report) + self.own()
     }
 
-    /// Requests that other entries are likely to have sent since the last report: in proportion to
-    /// this one's, for they see the same reports and judge alike. Once this entry has used the free
-    /// places that are meant for it, the others have used theirs, where places are `scarce`.
-    pub(super) fn unseen(&self, entries: &Entries, scarce: bool, now: Time) -> u32 {
-        let reported = self.reported(now).map(|(_, at)| at);
-        let unknown = |sent: &&Sent| reported.is_none_or(|at| sent.at > at);
-        let own = self.own.iter().filter(unknown).count() as u32;
-        let others = (f64::from(own) * entries.factor()) as u32;
-        if scarce && reported.is_some() && own >= self.share {
-            others.max(self.free_at_report - self.share)
-        } else {
-            others
-        }
-    }
-
     /// The version of `model` that it holds, by the newer of report and list.
     pub fn version(&self, model: &str, now: Time) -> Option<u64> {
         let reported = self
@@ -260,8 +269,25 @@
             return Duration::ZERO;
         };
         let trip = Duration::from_millis(load.round_trip_ms).saturating_sub(ROUND_TRIP_USUAL);
-        let silent = now.since(*at).saturating_sub(REPORT_GAP_MAX);
-        trip.max(silent)
+        let silent = now.since(*at).saturating_sub(REPORT_AGE_MAX);
+        let unheard = self.unheard_lately(now).filter(|unheard| unheard.silent);
+        let unheard = unheard.map_or(Duration::ZERO, |_| UNHEARD_DELAY);
+        trip.max(silent).max(unheard)
+    }
+
+    fn unheard_lately(&self, now: Time) -> Option<Unheard> {
+        self.unheard
+            .filter(|unheard| now.since(unheard.at) < UNHEARD)
+    }
+
+    /// The process beside it did not answer; with `silent`, its link may be held up.
+    pub(super) fn unheard(&mut self, silent: bool, now: Time) {
+        self.unheard = Some(Unheard { at: now, silent });
+    }
+
+    /// Whether the process beside it is to be asked for a place.
+    pub(super) fn gives_places(&self, now: Time) -> bool {
+        self.unheard_lately(now).is_none() && self.fresh(now).is_some_and(|load| load.alive)
     }
 
     /// Factor on its times.
@@ -280,15 +306,16 @@
     }
 
     /// The process beside it reported.
-    pub(super) fn report(&mut self, load: &Load, entries: &Entries, at: Time) {
+    pub(super) fn report(&mut self, load: &Load, at: Time) {
         if self.load.as_ref().is_some_and(|(_, known)| *known > at) {
             return;
         }
         self.note_arriving(load, at);
+        let known = self.load.as_ref();
+        if known.is_none_or(|(known, _)| !known.takes_like(load)) {
+            self.turned_at = at;
+        }
         self.load = Some((load.clone(), at));
-        let taken = load.running + load.queued;
-        self.free_at_report = self.record.slots.saturating_sub(taken);
-        self.share = entries.share(self.record.address, load.number, self.free_at_report);
         self.own_at_report = self.own.iter().filter(|sent| sent.at <= at).count() as u32;
         let unread = self.unread.requests.iter();
         self.unread_at_report = unread.filter(|pending| pending.at <= at).count() as u32;
@@ -319,9 +346,9 @@
         self.arriving.as_ref()?.rest(now)
     }
 
-    /// Free places of the last report that are meant for this entry.
-    pub(super) fn share(&self) -> u32 {
-        self.share
+    /// When it last began or ended to take requests, by its reports.
+    pub(super) fn turned_at(&self) -> Time {
+        self.turned_at
     }
 
     /// This entry's requests in progress there.
--- a/src/sidecar.rs
+++ b/src/sidecar.rs
@@ -26,8 +26,10 @@
 use crate::gateway::control::message;
 use crate::http::{self, Answer, ClientSetting, Server};
 use crate::knowledge::{Identity, Knowledge, traffic};
+use crate::member::Listed;
 use crate::metric::{self, Metrics};
 use crate::node::ClientHandle;
+use crate::place::{self, Ledger};
 use crate::policy::Policy;
 use crate::source::Source;
 use crate::spread;
@@ -93,8 +95,12 @@
     misses: Cell<u32>,
     noticed: Cell<Option<Time>>,
     staged: RefCell<reconcile::Staged>,
+    crew: RefCell<Option<reconcile::Crew>>,
+    joined_with: RefCell<Option<(Digest, Rc<[Listed]>)>>,
     trips: RefCell<trip::Trips>,
-    told: tokio::sync::watch::Sender<u64>,
+    ledger: RefCell<Ledger>,
+    told: Cell<u64>,
+    turned: Cell<u64>,
 }
 
 /// A running sidecar. Dropping it stops its loops.
@@ -229,8 +235,12 @@
             misses: Cell::new(0),
             noticed: Cell::new(None),
             staged: RefCell::default(),
+            crew: RefCell::default(),
+            joined_with: RefCell::default(),
             trips: RefCell::new(trip::Trips::new(now)),
-            told: tokio::sync::watch::Sender::new(0),
+            ledger: RefCell::default(),
+            told: Cell::new(0),
+            turned: Cell::new(0),
             setting,
         });
         let tasks = vec![
@@ -292,5 +302,11 @@
             Err(answer) => answer,
         };
     }
+    if path == place::PATH {
+        return match message::<place::Ask>(&mut request).await {
+            Ok(ask) => http::pack(StatusCode::OK, &sidecar.place(ask)),
+            Err(answer) => answer,
+        };
+    }
     burst::serve::answer_path(&sidecar.joined, &path).await
 }
--- a/src/sidecar/observe.rs
+++ b/src/sidecar/observe.rs
@@ -1,5 +1,6 @@
 //! Asks the replica how it does, and tells the entries.
 
+use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -13,8 +14,11 @@
 use crate::backoff::Backoff;
 use crate::clock::Time;
 use crate::knowledge::gossip::post;
+use crate::knowledge::hub;
+use crate::knowledge::readers::Readers;
 use crate::knowledge::traffic::Purpose;
 use crate::patience::{self, Progress};
+use crate::place;
 use crate::route::replica::Load;
 use crate::source::Topic;
 use crate::wire::sync::{REPORT_PATH, Report};
@@ -31,8 +35,9 @@
 /// How often it is looked whether an entry is to be told.
 const TELL_LOOK: Duration = Duration::from_millis(50);
 
-/// Shortest time between two reports to an entry.
-const TELL_MIN: Duration = Duration::from_millis(150);
+/// Shortest time between two reports to an entry, unless the replica begins or ends to take
+/// requests: who sends requests here asks before that, and reports only say where to ask.
+const TELL_MIN: Duration = Duration::from_millis(500);
 
 /// Longest time between two reports.
 const TELL_MAX: Duration = Duration::from_millis(1_000);
@@ -79,33 +84,49 @@
     fn take_state(&self, state: Option<State>) {
         let before = self.state.replace(state);
         let now = self.state.borrow();
-        let models = |state: &Option<State>| state.as_ref().map(|state| state.models.clone());
-        if models(&before) != models(&now) {
-            log::info!(models:? = models(&now); "replica holds");
+        let mut ledger = self.ledger.borrow_mut();
+        match &*now {
+            Some(state) => ledger.shown(state.running + state.queued, self.knowledge.now()),
+            None => ledger.lost(),
+        }
+        let takes = |state: &Option<State>| {
+            let state = state.as_ref();
+            state.map(|state| (state.busy, state.models.clone()))
+        };
+        if takes(&before) != takes(&now) {
+            log::info!(takes:? = takes(&now); "replica holds");
+            self.turned.set(self.turned.get() + 1);
         }
         if before != *now {
-            self.told.send_modify(|count| *count += 1);
+            self.told.set(self.told.get() + 1);
         }
     }
 
     /// Tells that the replica will change, or that it has.
     pub(super) fn set_noticed(&self, noticed: Option<Time>) {
         if self.noticed.replace(noticed) != noticed {
-            self.told.send_modify(|count| *count += 1);
+            self.turned.set(self.turned.get() + 1);
         }
     }
 
+    /// Answers an entry that asks for a place.
+    pub(super) fn place(&self, ask: place::Ask) -> place::Answer {
+        let engine = self.knowledge.brief().and_then(|brief| brief.engine);
+        let now = self.knowledge.now();
+        let load = self.load();
+        let mut ledger = self.ledger.borrow_mut();
+        ledger.answer(ask, load, engine.as_ref(), now)
+    }
+
     fn load(&self) -> Load {
         let trip = self.trips.borrow_mut().shortest(self.knowledge.now());
         let round_trip_ms = trip.as_millis() as u64;
-        let number = *self.told.borrow();
         let (chunks_held, chunks) = self.arriving();
         let state = self.state.borrow();
         let Some(state) = state.as_ref() else {
             return Load {
                 alive: self.misses.get() < MISSES_MAX,
                 pace: 1.0,
-                number,
                 round_trip_ms,
                 chunks_held,
                 chunks,
@@ -119,7 +140,6 @@
             models: state.models.clone(),
             switching: state.busy || self.noticed.get().is_some(),
             alive: true,
-            number,
             round_trip_ms,
             chunks_held,
             chunks,
@@ -141,11 +161,13 @@
         (held as u32, all as u32)
     }
 
-    fn entries(&self) -> Vec<SocketAddr> {
-        // The entries of other halls hear of it from those of this one, if there are any.
+    /// The entries to tell, the first of them first.
+    fn entries(&self, told: &BTreeMap<SocketAddr, Told>) -> Vec<SocketAddr> {
+        let silent = |entry| told.get(&entry).is_some_and(|last| last.failed);
+        // The other entries of the hall, and those of other halls, hear of it from those.
         let near = self.knowledge.fellows();
         if !near.is_empty() && self.knowledge.policy.digests {
-            return near;
+            return hub::told(&Readers::ranked(&near), silent);
         }
         let peers = self.knowledge.peers.borrow();
         let alive = peers.alive(self.knowledge.now());
@@ -153,6 +175,9 @@
         if far.is_empty() {
             return self.knowledge.seeds.borrow().clone();
         }
+        if self.knowledge.policy.digests {
+            return hub::told(&Readers::ranked(&far), silent);
+        }
         far
     }
 }
@@ -162,54 +187,77 @@
 struct Told {
     at: Time,
     count: u64,
+    turned: u64,
     waiting: bool,
     failed: bool,
     /// When it was last asked for the entries that it knows.
-    asked: Time,
+    asked: Option<Time>,
+}
+
+impl Told {
+    /// Whether it is told again when this is the `count` of changes, and that of those of whether
+    /// the replica takes requests.
+    fn due(&self, count: u64, turned: u64, now: Time) -> bool {
+        if self.waiting {
+            return false;
+        }
+        let since = now.since(self.at);
+        let again = self.failed && since >= TELL_AGAIN;
+        let changed = self.count != count && since >= TELL_MIN;
+        again || changed || self.turned != turned || since >= TELL_MAX
+    }
 }
 
 /// Tells the entries until dropped.
 pub async fn tell(sidecar: Rc<Sidecar>) {
-    let told: Rc<std::cell::RefCell<BTreeMap<SocketAddr, Told>>> = Rc::default();
+    let told: Rc<RefCell<BTreeMap<SocketAddr, Told>>> = Rc::default();
     loop {
-        let now = sidecar.knowledge.now();
-        let count = *sidecar.told.borrow();
-        for entry in sidecar.entries() {
-            let due = match told.borrow().get(&entry) {
-                None => true,
-                Some(last) if last.waiting => false,
-                Some(last) => {
-                    let since = now.since(last.at);
-                    let again = last.failed && since >= TELL_AGAIN;
-                    again || since >= TELL_MAX || (last.count != count && since >= TELL_MIN)
-                }
-            };
-            if due {
-                let asked = told.borrow().get(&entry).map(|last| last.asked);
-                let asks = asked.is_none_or(|asked| now.since(asked) >= ASK);
-                let waiting = Told {
-                    at: now,
-                    count,
-                    waiting: true,
-                    failed: false,
-                    asked: if asks { now } else { asked.unwrap_or(now) },
-                };
-                told.borrow_mut().insert(entry, waiting);
-                let (sidecar, told) = (sidecar.clone(), told.clone());
-                actix_rt::spawn(async move {
-                    let heard = tell_one(&sidecar, entry, asks).await;
-                    if let Some(last) = told.borrow_mut().get_mut(&entry) {
-                        last.failed = !heard;
-                        last.waiting = false;
-                    }
-                });
-            }
+        let entries = sidecar.entries(&told.borrow());
+        told.borrow_mut().retain(|entry, _| entries.contains(entry));
+        for (place, entry) in entries.into_iter().enumerate() {
+            tell_if_due(&sidecar, &told, entry, place == 0);
         }
+        let now = sidecar.knowledge.now();
         sidecar.knowledge.peers.borrow_mut().sweep(now);
         sleep(TELL_LOOK).await;
     }
 }
 
+fn tell_if_due(
+    sidecar: &Rc<Sidecar>,
+    told: &Rc<RefCell<BTreeMap<SocketAddr, Told>>>,
+    entry: SocketAddr,
+    first: bool,
+) {
+    let now = sidecar.knowledge.now();
+    let (count, turned) = (sidecar.told.get(), sidecar.turned.get());
+    let last = told.borrow().get(&entry).copied();
+    if last.is_some_and(|last| !last.due(count, turned, now)) {
+        return;
+    }
+    let asked = last.and_then(|last| last.asked);
+    // One that did not answer leaves the question to the next.
+    let asks = (first || last.is_none_or(|last| last.failed))
+        && asked.is_none_or(|asked| now.since(asked) >= ASK);
+    let waiting = Told {
+        at: now,
+        count,
+        turned,
+        waiting: true,
+        failed: last.is_some_and(|last| last.failed),
+        asked: if asks { Some(now) } else { asked },
+    };
+    told.borrow_mut().insert(entry, waiting);
+    let (sidecar, told) = (sidecar.clone(), told.clone());
+    actix_rt::spawn(async move {
+        let heard = tell_one(&sidecar, entry, asks).await;
+        if let Some(last) = told.borrow_mut().get_mut(&entry) {
+            last.failed = !heard;
+            last.waiting = false;
+        }
+    });
+}
+
 /// Tells one entry. Returns whether it answered.
 async fn tell_one(sidecar: &Sidecar, entry: SocketAddr, asks: bool) -> bool {
     let report = Report {
--- a/src/sidecar/reconcile.rs
+++ b/src/sidecar/reconcile.rs
@@ -26,6 +26,17 @@
 /// Chunks that are staged before anything else is looked at.
 const STAGED_AT_ONCE: usize = 16;
 
+/// How long a list of the burst's members is used: an entry counts as gone by its silence alone.
+const CREW_MAX: Duration = Duration::from_millis(500);
+
+/// The members of the burst as they were listed.
+#[derive(Debug)]
+pub struct Crew {
+    changes: u64,
+    at: Time,
+    members: Rc<[Listed]>,
+}
+
 /// What lies staged at the replica, as far as this process put it there.
 #[derive(Debug, Default)]
 pub struct Staged {
@@ -63,6 +74,18 @@
 
     /// Takes part in the burst of the wanted version, and in no other.
     fn join(&self, target: &Target) {
+        let crew = self.crew();
+        let label = target.label();
+        let joined = self
+            .joined_with
+            .borrow()
+            .as_ref()
+            .is_some_and(|(known, with)| {
+                *known == label && Rc::ptr_eq(with, &crew) && self.joined.get(label).is_some()
+            });
+        if joined {
+            return;
+        }
         let Some(origin) = self.knowledge.brief().and_then(|brief| brief.origin) else {
             return;
         };
@@ -73,7 +96,27 @@
             identity.address,
             Role::Model,
         );
-        self.joined.join(target, origin, self.members(), own);
+        self.joined.join(target, origin, crew.to_vec(), own);
+        self.joined_with.replace(Some((label, crew)));
+    }
+
+    /// The members of the burst, listed anew when what is known of them changed, and now and then.
+    fn crew(&self) -> Rc<[Listed]> {
+        let changes = *self.knowledge.changed.borrow();
+        let now = self.knowledge.now();
+        if let Some(known) = self.crew.borrow().as_ref()
+            && known.changes == changes
+            && now.since(known.at) < CREW_MAX
+        {
+            return known.members.clone();
+        }
+        let members: Rc<[Listed]> = self.members().into();
+        self.crew.replace(Some(Crew {
+            changes,
+            at: now,
+            members: members.clone(),
+        }));
+        members
     }
 
     /// The processes beside the replicas of the own service, and the entries.
@@ -89,7 +132,7 @@
     }
 
     fn wave(&self, label: Digest) -> u32 {
-        let members = self.members();
+        let members = self.crew();
         let hall = &self.host.hall;
         let fellows: Vec<&str> = members
             .iter()
--- a/src/version/rollout.rs
+++ b/src/version/rollout.rs
@@ -4,9 +4,11 @@
 //! computes its own wave from the same list, and no wave waits for another: a process that died
 //! delays nobody.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use crate::clock::Time;
+use crate::spread::ring;
 use crate::weight::Digest;
 
 /// Settings of a rollout.
@@ -39,15 +41,33 @@
 /// A replica's place among its fellows: by a hash of version and name, so that each version begins
 /// elsewhere and each hall has replicas in every wave.
 pub fn wave(version: Digest, own: &str, fellows: &[&str], waves: u32) -> u32 {
-    let score = |name: &str| crate::spread::ring::weight(version, &[b"wave", name.as_bytes()]);
-    let own_score = (score(own), own);
+    let own_score = (score(version, own), own);
     let before = fellows
         .iter()
-        .filter(|name| **name != own && (score(name), **name) < own_score)
+        .filter(|name| **name != own && (score(version, name), **name) < own_score)
         .count();
     (before as u32) % waves.max(1)
 }
 
+/// The waves of all `fellows` at once.
+pub fn waves_of<'a>(
+    version: Digest,
+    fellows: impl Iterator<Item = &'a str>,
+    waves: u32,
+) -> BTreeMap<String, u32> {
+    let mut ranked: Vec<(u64, &str)> = fellows.map(|name| (score(version, name), name)).collect();
+    ranked.sort_unstable();
+    ranked.dedup();
+    let placed = ranked.into_iter().enumerate();
+    placed
+        .map(|(place, (_, name))| (name.to_owned(), place as u32 % waves.max(1)))
+        .collect()
+}
+
+fn score(version: Digest, name: &str) -> u64 {
+    ring::weight(version, &[b"wave", name.as_bytes()])
+}
+
 /// When a wave may begin, counted from when the version was named.
 pub fn begins(setting: Setting, wave: u32) -> Duration {
     let last = setting.bound.saturating_sub(setting.margin);
--- a/src/wire/sync.rs
+++ b/src/wire/sync.rs
@@ -34,9 +34,6 @@
     /// Milliseconds since the platform's store answered it, if it ever did.
     #[serde(default)]
     pub store_age_ms: Option<u64>,
-    /// Its requests a second.
-    #[serde(default)]
-    pub rate: f64,
     /// The entries that it knows.
     #[serde(default)]
     pub peers: Vec<Told>,
@@ -46,6 +43,9 @@
     /// Whether it draws the configuration with this message, if it lacks it.
     #[serde(default)]
     pub wants_routing: bool,
+    /// Whether it understands [`News::changes`].
+    #[serde(default)]
+    pub takes_changes: bool,
 }
 
 /// The report of a process beside a replica.
@@ -63,8 +63,8 @@
 /// Path at which an entry is asked how its hall's replicas do; the message is a [`Sync`].
 pub const HALL_PATH: &str = "/v1/hall";
 
-/// Path at which an entry is told what another hall answered.
-pub const PASS_ON_PATH: &str = "/v1/hall/told";
+/// Path at which the entries of a hall are told how replicas do; the message is a packed [`Frame`].
+pub const FRAME_PATH: &str = "/v1/hall/frame";
 
 /// How one replica does, as an entry was told.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -90,6 +90,16 @@
     pub replicas: Vec<Reported>,
 }
 
+/// What the first entry of a hall tells the others.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Frame {
+    /// The heartbeat that goes with it.
+    pub sync: Sync,
+    /// How replicas do, by hall.
+    #[serde(default)]
+    pub digests: Vec<Digest>,
+}
+
 /// An entry's answer about its hall.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct HallNews {
@@ -144,6 +154,33 @@
     pub records: Vec<DatedRecord>,
 }
 
+/// An entry of the list that went.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Removal {
+    /// The revision that removed it.
+    pub revision: u64,
+    /// Whose it was.
+    pub id: Arc<str>,
+}
+
+/// What changed in the list of replicas.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Changes {
+    /// The revision after which the changes came.
+    pub since: u64,
+    /// The revision of the newest of them.
+    pub at: u64,
+    /// Whether the store was out of reach shortly before.
+    #[serde(default)]
+    pub shaky: bool,
+    /// Entries that were written.
+    #[serde(default)]
+    pub records: Vec<DatedRecord>,
+    /// Entries that went.
+    #[serde(default)]
+    pub gone: Vec<Removal>,
+}
+
 /// What a process beside a replica needs of the configuration.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Brief {
@@ -172,9 +209,6 @@
     /// Milliseconds since the platform's store answered it, if it ever did.
     #[serde(default)]
     pub store_age_ms: Option<u64>,
-    /// Its requests a second.
-    #[serde(default)]
-    pub rate: f64,
     /// The entries that it knows, if that was asked for.
     #[serde(default)]
     pub peers: Vec<Told>,
@@ -184,9 +218,12 @@
     /// Newer wanted versions.
     #[serde(default)]
     pub versions: Vec<Named>,
-    /// A newer list.
+    /// A newer list, where its changes alone can't be told.
     #[serde(default)]
     pub replicas: Option<List>,
+    /// What changed in the list.
+    #[serde(default)]
+    pub changes: Option<Changes>,
     /// The newer configuration in brief.
     #[serde(default)]
     pub brief: Option<Brief>,
--- /dev/null
+++ b/tests/place.rs
@@ -0,0 +1,273 @@
+//! Many entries send a burst of requests to few replicas, each with an old picture of them: places
+//! are given by who knows them, so that no replica is rushed while another has room.
+
+use std::time::Duration;
+
+use pumicelatch::clock::Time;
+use pumicelatch::config::routing::Engine;
+use pumicelatch::member::replica::Held;
+use pumicelatch::place::{Answer, Ask, Ledger};
+use pumicelatch::route::estimate::{self, Demand, Work};
+use pumicelatch::route::pool::Key;
+use pumicelatch::route::replica::Load;
+use pumicelatch::route::search::{Said, Search, Step};
+use quickcheck::quickcheck;
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+use slotmap::SlotMap;
+
+const NOW: Time = Time::from_millis(50_000);
+
+/// An engine of the size of which hundreds stand in a fleet: 8 places, 65 ms to read a prompt.
+fn engine() -> Engine {
+    Engine {
+        slots: 8,
+        memory_tokens: 317_000,
+        step_ms: 13.9,
+        sequence_ms: 0.0348,
+        context_ms_per_thousand: 0.0483,
+        read_per_s: 13_800.0,
+        stride: 5,
+        usual_prompt: 900.0,
+        usual_answer: 70.0,
+        models: vec!["model".into()],
+        chunks: 96,
+        chunk_bytes: 24_576,
+        guessed: false,
+    }
+}
+
+fn load(running: u32, queued: u32) -> Load {
+    Load {
+        running,
+        queued,
+        pace: 1.0,
+        alive: true,
+        models: vec![Held {
+            model: "model".into(),
+            version: 1,
+        }],
+        ..Load::default()
+    }
+}
+
+fn ask(limit_ms: u64) -> Ask {
+    Ask {
+        prompt: 900,
+        output: 70,
+        limit_ms,
+        queue_spread: 200,
+    }
+}
+
+fn given(ledger: &mut Ledger, ask: Ask, load: Load, now: Time) -> bool {
+    ledger.answer(ask, load, Some(&engine()), now).given
+}
+
+/// The limit of a place at once: one prompt to be read before, and all other slots taken.
+fn tight_ms() -> u64 {
+    let work = Work {
+        requests: 7,
+        unread: 900.0,
+        pace: 1.0,
+    };
+    let demand = Demand {
+        prompt: 900,
+        output: 70,
+    };
+    estimate::first_event(&engine(), work, demand, 200).as_millis() as u64
+}
+
+#[test]
+fn entries_that_ask_at_the_same_moment_are_not_all_given_the_same_free_place() {
+    let mut ledger = Ledger::default();
+    ledger.shown(7, NOW);
+    // Thirty entries have read that one place of eight is free.
+    let places = (0..30).filter(|_| given(&mut ledger, ask(tight_ms()), load(7, 0), NOW));
+    assert_eq!(places.count(), 1);
+}
+
+#[test]
+fn each_place_on_its_way_counts_as_a_prompt_to_read() {
+    let mut ledger = Ledger::default();
+    ledger.shown(0, NOW);
+    let places = (0..30).filter(|_| given(&mut ledger, ask(tight_ms()), load(0, 0), NOW));
+    // One that is read, and one behind it: a third would be late by a whole prompt.
+    assert_eq!(places.count(), 2);
+    let answer = ledger.answer(ask(tight_ms()), load(0, 0), Some(&engine()), NOW);
+    assert_eq!(answer.load.present(), 2);
+}
+
+#[test]
+fn a_longer_limit_opens_the_queue() {
+    let mut ledger = Ledger::default();
+    ledger.shown(8, NOW);
+    assert!(!given(&mut ledger, ask(tight_ms()), load(8, 0), NOW));
+    assert!(!given(&mut ledger, ask(500), load(8, 0), NOW));
+    assert!(given(&mut ledger, ask(700), load(8, 0), NOW));
+}
+
+#[test]
+fn a_lease_ends_when_its_request_is_shown_and_when_it_does_not_come() {
+    let at = |ms| NOW + Duration::from_millis(ms);
+    let mut ledger = Ledger::default();
+    ledger.shown(3, NOW);
+    for _ in 0..2 {
+        assert!(given(&mut ledger, ask(2_000), load(3, 0), NOW));
+    }
+    ledger.shown(4, at(10));
+    assert_eq!(ledger.leased(), 1, "one has come");
+    ledger.shown(4, at(30));
+    assert_eq!(ledger.leased(), 1, "the other is on its way");
+    ledger.shown(4, at(100));
+    assert_eq!(ledger.leased(), 0, "its entry is gone");
+}
+
+#[test]
+fn a_replica_that_changes_its_weights_is_dead_or_has_none_gives_no_place() {
+    let refuses = |load: Load| !given(&mut Ledger::default(), ask(60_000), load, NOW);
+    let free = load(0, 0);
+    assert!(!refuses(free.clone()));
+    assert!(refuses(Load {
+        switching: true,
+        ..free.clone()
+    }));
+    assert!(refuses(Load {
+        alive: false,
+        ..free.clone()
+    }));
+    assert!(refuses(Load {
+        models: Vec::new(),
+        ..free
+    }));
+}
+
+#[test]
+fn leases_never_outnumber_places_given_and_never_outlive_their_time() {
+    fn property(steps: Vec<(u8, u8)>) -> bool {
+        let mut ledger = Ledger::default();
+        let (mut now, mut grants) = (NOW, Vec::new());
+        for (step, number) in steps {
+            now = now + Duration::from_millis(u64::from(step % 40));
+            if number % 3 == 0 {
+                ledger.shown(u32::from(number % 20), now);
+                grants.retain(|at: &Time| now.since(*at) < Duration::from_millis(60));
+            } else if given(&mut ledger, ask(u64::from(number) * 10), load(2, 0), now) {
+                grants.push(now);
+            }
+            if ledger.leased() as usize > grants.len() {
+                return false;
+            }
+        }
+        true
+    }
+    quickcheck(property as fn(Vec<(u8, u8)>) -> bool);
+}
+
+fn keys(count: usize) -> Vec<Key> {
+    let mut table: SlotMap<Key, ()> = SlotMap::with_key();
+    (0..count).map(|_| table.insert(())).collect()
+}
+
+#[test]
+fn the_least_behind_is_asked_again_when_nobody_has_a_place_at_once() {
+    let keys = keys(3);
+    let mut search = Search::new(3, Duration::from_millis(500));
+    for (key, expected) in keys.iter().zip([420, 310, 450]) {
+        assert_eq!(search.step(), Step::Another);
+        search.heard(*key, Said::Later(Duration::from_millis(expected)));
+    }
+    assert_eq!(search.step(), Step::Again(keys[1]));
+    search.heard(keys[1], Said::Later(Duration::from_millis(600)));
+    assert_eq!(search.step(), Step::Judge);
+    assert_eq!(search.asked().len(), 3);
+}
+
+#[test]
+fn nobody_is_asked_again_who_would_be_late_or_takes_nothing() {
+    let keys = keys(2);
+    let mut search = Search::new(2, Duration::from_millis(500));
+    search.heard(keys[0], Said::Later(Duration::from_millis(700)));
+    search.heard(keys[1], Said::Nothing);
+    assert_eq!(search.step(), Step::Judge);
+    assert_eq!(search.least(), Some(keys[0]));
+}
+
+#[test]
+fn one_silent_process_ends_the_search() {
+    let keys = keys(2);
+    let mut search = Search::new(3, Duration::from_millis(500));
+    search.silent(keys[0]);
+    assert_eq!(search.step(), Step::Judge);
+}
+
+/// A replica in the load below: its ledger and when its requests end.
+#[derive(Default)]
+struct Box {
+    ledger: Ledger,
+    ends: Vec<Time>,
+    shown: u32,
+}
+
+impl Box {
+    fn answer(&mut self, limit_ms: u64, now: Time) -> Answer {
+        let load = load(self.shown, 0);
+        self.ledger
+            .answer(ask(limit_ms), load, Some(&engine()), now)
+    }
+
+    fn look(&mut self, now: Time) {
+        self.shown = self.ends.len() as u32;
+        self.ledger.shown(self.shown, now);
+    }
+}
+
+/// A hall of 24 replicas of 8 places and a storm that asks for 8 tenths of them, through entries that
+/// choose at random, as those do whose reports all look alike. Returns how many of 700 requests
+/// find all places of their replica taken.
+fn storm(asks: u32) -> usize {
+    let mut rng = SmallRng::seed_from_u64(11);
+    let mut boxes: Vec<Box> = (0..24).map(|_| Box::default()).collect();
+    let keys = keys(boxes.len());
+    let mut waiting = 0;
+    // 24 * 8 * 0.8 places, each taken for 1.3 s.
+    for step in 0..6_000 {
+        let now = NOW + Duration::from_millis(step);
+        for place in &mut boxes {
+            place.ends.retain(|end| *end > now);
+            if step % 100 == 0 {
+                place.look(now);
+            }
+        }
+        if !rng.random_bool(0.118) {
+            continue;
+        }
+        let mut search = Search::new(asks, Duration::from_secs(2));
+        let chosen = loop {
+            let at = match search.step() {
+                Step::Another => rng.random_range(0..boxes.len()),
+                Step::Again(key) => break keys.iter().position(|known| *known == key).unwrap(),
+                Step::Judge => break rng.random_range(0..boxes.len()),
+            };
+            if search.asked().contains(&keys[at]) {
+                continue;
+            }
+            let answer = boxes[at].answer(tight_ms(), now);
+            if answer.given {
+                break at;
+            }
+            let expected = Duration::from_millis(u64::from(answer.load.present()));
+            search.heard(keys[at], Said::Later(expected));
+        };
+        let place = &mut boxes[chosen];
+        waiting += usize::from(place.ends.len() >= 8);
+        place.ends.push(now + Duration::from_millis(1_300));
+    }
+    waiting
+}
+
+#[test]
+fn a_hall_at_eight_tenths_is_filled_evenly() {
+    let (at_random, by_places) = (storm(0), storm(3));
+    assert!(by_places * 3 <= at_random, "{by_places} of {at_random}");
+}
