A queue explains a replica's silence; request lines tell who was asked for a place

Change: while the process beside the replica reports a queue, or a change of weights, the silence goes on counting from there. A pure test of the rule (it fails without the change for want of the rule itself).

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -2,6 +2,7 @@
 
 use std::cell::Cell;
 use std::future::Future;
+use std::pin::pin;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -31,6 +32,10 @@
 /// Shortest such silence.
 const SILENCE_MIN: Duration = Duration::from_millis(1_200);
 
+/// How often it is looked whether a replica that is silent for longer still has a queue: half of the
+/// time after which its process reports again.
+const QUEUE_LOOK: Duration = Duration::from_millis(500);
+
 /// Longest whole answer that is gathered.
 const GATHERED_MAX: usize = 16 << 20;
 
@@ -195,18 +200,34 @@
         }
     }
 
-    /// Awaits `step` for as long as this replica may be silent.
+    /// Awaits `step` for as long as this replica may be silent. While it has a queue, by the word of
+    /// the process beside it, its silence says nothing: what was given up there would be carried
+    /// all the same, and once more elsewhere.
     pub async fn within<T>(&self, job: &Job, step: impl Future<Output = T>) -> Option<T> {
-        let now = self.gateway.knowledge.now();
-        let remaining = job.remaining(now);
-        let silence = if job.route.repeatable() {
+        let mut step = pin!(step);
+        let mut silence = if job.route.repeatable() {
             (job.objective() * SILENCE_FACTOR).max(SILENCE_MIN)
         } else {
-            remaining
+            Duration::MAX
         };
-        // It may not start on its replica's version any more once the next one is due.
-        let start = self.start_bound.map_or(remaining, |bound| bound.since(now));
-        timeout(silence.min(remaining).min(start), step).await.ok()
+        loop {
+            let now = self.gateway.knowledge.now();
+            let remaining = job.remaining(now);
+            // It may not start on its replica's version any more once the next one is due.
+            let start = self.start_bound.map_or(remaining, |bound| bound.since(now));
+            let longest = remaining.min(start);
+            if let Ok(done) = timeout(silence.min(longest), &mut step).await {
+                return Some(done);
+            }
+            if silence >= longest || !self.gateway.pool.borrow().queues(self.key, self.now()) {
+                return None;
+            }
+            silence = QUEUE_LOOK;
+        }
+    }
+
+    fn now(&self) -> Time {
+        self.gateway.knowledge.now()
     }
 
     /// The replica was silent for as long as it may be.
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -379,7 +379,7 @@
     }
 
     /// Finds a place, waits for one, or refuses.
-    async fn admit(&self) -> Result<Choice, Refusal> {
+    async fn admit(&mut self) -> Result<Choice, Refusal> {
         let mut asks = self.gateway.setting.policy.asks;
         loop {
             let chosen_before = self.trace.sent + self.unreached > 0;
@@ -390,6 +390,8 @@
                 self.limit()
             };
             let found = self.find(asks, limit).await;
+            self.trace.asked += found.asked;
+            self.trace.place = found.given;
             let (choice, idle) = (found.choice, found.idle);
             if chosen_before {
                 return choice
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -22,6 +22,8 @@
     pub given: bool,
     /// Whether the service is mostly idle, as far as is known.
     pub idle: bool,
+    /// Processes that were asked.
+    pub asked: u32,
 }
 
 impl Course {
@@ -46,6 +48,7 @@
                                 choice,
                                 given: false,
                                 idle,
+                                asked: search.asked().len() as u32,
                             };
                         }
                     }
@@ -61,6 +64,7 @@
                     choice: Ok(choice),
                     given: true,
                     idle: false,
+                    asked: search.asked().len() as u32 + 1,
                 };
             }
         }
@@ -75,6 +79,7 @@
             choice: least.map_or(known, Ok),
             given: false,
             idle,
+            asked: search.asked().len() as u32,
         }
     }
 
--- a/src/gateway/trace.rs
+++ b/src/gateway/trace.rs
@@ -31,6 +31,10 @@
     pub expected: Option<Expected>,
     /// Replicas that received it.
     pub sent: u32,
+    /// Processes beside replicas that were asked for a place.
+    pub asked: u32,
+    /// Whether the last one of them gave one.
+    pub place: bool,
     /// Time to the first event of its stream.
     pub first: Option<Duration>,
     /// Longest pause between two events of its stream.
@@ -55,6 +59,8 @@
             replica: None,
             expected: None,
             sent: 0,
+            asked: 0,
+            place: false,
             first: None,
             gap: Duration::ZERO,
             returned: false,
@@ -95,6 +101,8 @@
             outcome = self.outcome,
             replica = self.replica.as_deref().unwrap_or_default(),
             sent = self.sent,
+            asked = self.asked,
+            place = self.place,
             ms = took.as_millis() as u64,
             chosen_ms = millis(self.expected.map(|expected| expected.chosen)),
             expected_ms = millis(self.expected.map(|expected| expected.first)),
--- a/src/route/pool.rs
+++ b/src/route/pool.rs
@@ -277,6 +277,13 @@
         }
     }
 
+    /// Whether a replica has a queue, which explains that it is silent.
+    pub fn queues(&self, key: Key, now: Time) -> bool {
+        self.replicas
+            .get(key)
+            .is_some_and(|replica| replica.queues(now))
+    }
+
     /// Whether the process beside a replica is to be asked for a place.
     pub fn gives_places(&self, key: Key, now: Time) -> bool {
         self.replicas
--- a/src/route/replica.rs
+++ b/src/route/replica.rs
@@ -285,6 +285,14 @@
         self.unheard = Some(Unheard { at: now, silent });
     }
 
+    /// Whether it has a queue, or takes nothing new while it changes its weights.
+    pub(super) fn queues(&self, now: Time) -> bool {
+        self.fresh(now).is_some_and(|load| {
+            let full = load.present() >= self.record.slots;
+            load.alive && (load.switching || full)
+        })
+    }
+
     /// Whether the process beside it is to be asked for a place.
     pub(super) fn gives_places(&self, now: Time) -> bool {
         self.unheard_lately(now).is_none() && self.fresh(now).is_some_and(|load| load.alive)
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -230,6 +230,27 @@
     assert!(pool.gives_places(key, later));
 }
 
+#[test]
+fn a_queue_explains_a_silence_while_someone_says_that_it_is_there() {
+    let mut pool = pool_of(vec![record(1, 1)], None);
+    let key = pool.of("tutor")[0];
+    assert!(!pool.queues(key, NOW), "nobody says so");
+    pool.report(address(1), &report(15, 0, 1), NOW);
+    assert!(!pool.queues(key, NOW), "a place is free");
+    pool.report(address(1), &report(16, 4, 1), NOW);
+    assert!(pool.queues(key, NOW));
+    assert!(
+        !pool.queues(key, NOW + Duration::from_secs(3)),
+        "it was long ago"
+    );
+    let dead = Load {
+        alive: false,
+        ..report(16, 4, 1)
+    };
+    pool.report(address(1), &dead, NOW);
+    assert!(!pool.queues(key, NOW), "nobody is there");
+}
+
 #[test]
 fn a_replica_that_turns_is_told_at_once_and_a_load_is_not() {
     let mut pool = pool_of(vec![record(1, 1), record(2, 1)], None);
