--- a/src/gateway/halls.rs
+++ b/src/gateway/halls.rs
@@ -89,16 +89,15 @@
     }
 
     fn digests(&self, extent: Extent, now: Time) -> Vec<Digest> {
-        let pool = self.pool.borrow();
         let own = &self.knowledge.identity.hall;
         match extent {
             Extent::Since(since) => vec![Digest {
                 hall: own.clone(),
-                replicas: pool.reports_since(own, since, now),
+                replicas: self.pool.borrow().reports_since(own, since, now),
             }],
             Extent::Whole { .. } => {
-                let halls = pool.halls().into_iter();
-                let digests = halls.map(|hall| Digest {
+                let halls = self.pool.borrow().halls();
+                let digests = halls.into_iter().map(|hall| Digest {
                     replicas: self.reports(&hall, now),
                     hall,
                 });
@@ -110,7 +109,7 @@
     /// How the replicas of a hall do: all of the own hall's, the best of another's.
     fn reports(&self, hall: &str, now: Time) -> Vec<Reported> {
         let mut reports = self.pool.borrow().reports(hall, now);
-        if *hall != *self.knowledge.identity.hall && reports.len() > FAR_MAX {
+        if *hall != *self.knowledge.identity.hall {
             reports.sort_by_key(|reported| reported.load.present());
             reports.truncate(FAR_MAX);
         }
--- a/src/place.rs
+++ b/src/place.rs
@@ -85,12 +85,14 @@
     /// Answers `ask` at a replica that does as `load` says, without those on their way. `engine` has
     /// its figures, if they are known.
     pub fn answer(&mut self, ask: Ask, load: Load, engine: Option<&Engine>, now: Time) -> Answer {
+        let limit = Duration::from_millis(ask.limit_ms);
+        let in_time = engine.is_none_or(|engine| self.expected(ask, &load, engine) <= limit);
         let load = Load {
             queued: load.queued + self.leased(),
             ..load
         };
         let takes = load.alive && !load.switching && !load.models.is_empty();
-        let given = takes && engine.is_none_or(|engine| self.in_time(ask, &load, engine));
+        let given = takes && in_time;
         if given {
             let prompt = ask.prompt;
             self.leases.push_back(Lease { at: now, prompt });
@@ -98,23 +100,18 @@
         Answer { given, load }
     }
 
-    fn in_time(&self, ask: Ask, load: &Load, engine: &Engine) -> bool {
-        let waiting = load.queued - self.leased();
-        let coming: f64 = self
-            .leases
-            .iter()
-            .map(|lease| f64::from(lease.prompt))
-            .sum();
+    /// When the first event of a request that comes now is expected.
+    fn expected(&self, ask: Ask, load: &Load, engine: &Engine) -> Duration {
+        let coming = self.leases.iter().map(|lease| f64::from(lease.prompt));
         let work = Work {
-            requests: load.present(),
-            unread: f64::from(waiting) * engine.usual_prompt + coming,
+            requests: load.present() + self.leased(),
+            unread: f64::from(load.queued) * engine.usual_prompt + coming.sum::<f64>(),
             pace: load.pace,
         };
         let demand = Demand {
             prompt: ask.prompt,
             output: ask.output,
         };
-        let expected = estimate::first_event(engine, work, demand, ask.queue_spread);
-        expected <= Duration::from_millis(ask.limit_ms)
+        estimate::first_event(engine, work, demand, ask.queue_spread)
     }
 }
--- a/src/sidecar/observe.rs
+++ b/src/sidecar/observe.rs
@@ -164,21 +164,23 @@
     /// The entries to tell, the first of them first.
     fn entries(&self, told: &BTreeMap<SocketAddr, Told>) -> Vec<SocketAddr> {
         let silent = |entry| told.get(&entry).is_some_and(|last| last.failed);
-        // The other entries of the hall, and those of other halls, hear of it from those.
         let near = self.knowledge.fellows();
-        if !near.is_empty() && self.knowledge.policy.digests {
-            return hub::told(&Readers::ranked(&near), silent);
-        }
-        let peers = self.knowledge.peers.borrow();
-        let alive = peers.alive(self.knowledge.now());
-        let far: Vec<SocketAddr> = alive.map(|(address, _)| address).collect();
-        if far.is_empty() {
+        let digests = self.knowledge.policy.digests;
+        let known = if digests && !near.is_empty() {
+            near
+        } else {
+            let peers = self.knowledge.peers.borrow();
+            let alive = peers.alive(self.knowledge.now());
+            alive.map(|(address, _)| address).collect()
+        };
+        if known.is_empty() {
             return self.knowledge.seeds.borrow().clone();
         }
-        if self.knowledge.policy.digests {
-            return hub::told(&Readers::ranked(&far), silent);
+        if !digests {
+            return known;
         }
-        far
+        // The others of the hall, and those of other halls, hear of it from the first ones.
+        hub::told(&Readers::ranked(&known), silent)
     }
 }
 
