A packed document ends where its bytes end

Found by tests/transfer.rs on random bytes ([59, 130, 1, 3, 0], 1 run in some hundred): a stream that refers to bytes before its beginning is read as zeros, its codec stops after an empty document, and the rest was dropped without a word, so a configuration without anything in it would have been put in force. Now a document whose bytes go on behind its end is refused.

--- a/src/wire/pack.rs
+++ b/src/wire/pack.rs
@@ -1,6 +1,6 @@
 //! Documents in little space: many routes differ in few letters.
 
-use std::io::{Read, Write};
+use std::io::{Cursor, Read, Write};
 
 use flate2::Compression;
 use flate2::read::DeflateDecoder;
@@ -20,6 +20,9 @@
         /// What the codec reported.
         reason: String,
     },
+    /// Bytes follow its end: it is another document than the one that was packed.
+    #[error("bytes follow the end of the document")]
+    Trailing,
     /// Its bytes are no packed document, or one that is too long.
     #[error("not unpacked: {0}")]
     Unpack(#[from] std::io::Error),
@@ -40,7 +43,14 @@
     let mut plain = Vec::new();
     let mut decoder = DeflateDecoder::new(packed).take(UNPACKED_MAX);
     decoder.read_to_end(&mut plain)?;
-    rmp_serde::from_slice(&plain).map_err(|error| Error::Codec {
+    let read = decoder.into_inner().total_in();
+    let mut codec = rmp_serde::Deserializer::new(Cursor::new(&plain));
+    let document = T::deserialize(&mut codec).map_err(|error| Error::Codec {
         reason: error.to_string(),
-    })
+    })?;
+    let decoded = codec.position();
+    if read != packed.len() as u64 || decoded != plain.len() as u64 {
+        return Err(Error::Trailing);
+    }
+    Ok(document)
 }
--- a/tests/transfer.rs
+++ b/tests/transfer.rs
@@ -129,6 +129,16 @@
     quickcheck(property as fn(Vec<u8>, usize) -> bool);
 }
 
+#[test]
+fn a_packed_document_ends_where_its_bytes_end() {
+    // A stream that refers to bytes before its beginning: they are read as zeros, and what they
+    // say ends before they do.
+    assert!(pack::unpack::<Document>(&[59, 130, 1, 3, 0]).is_err());
+    let mut packed = pack::pack(&document(&["a".to_owned()])).unwrap();
+    packed.push(0);
+    assert!(pack::unpack::<Document>(&packed).is_err());
+}
+
 #[test]
 fn many_routes_take_a_tenth_of_their_length() {
     let names: Vec<String> = (0..1_500)
