--- a/tests/place.rs
+++ b/tests/place.rs
@@ -98,6 +98,19 @@
     assert_eq!(answer.load.present(), 2);
 }
 
+#[test]
+fn a_place_on_its_way_takes_a_slot_however_short_its_prompt() {
+    let short = |limit_ms| Ask {
+        prompt: 1,
+        ..ask(limit_ms)
+    };
+    let mut ledger = Ledger::default();
+    ledger.shown(6, NOW);
+    // Both free slots, with time to spare, and none of those that are not there.
+    let places = (0..30).filter(|_| given(&mut ledger, short(150), load(6, 0), NOW));
+    assert_eq!(places.count(), 2);
+}
+
 #[test]
 fn a_longer_limit_opens_the_queue() {
     let mut ledger = Ledger::default();
