Re-read: a search without a place goes one way, one margin of a version's bound, fewer copies

The choice among replicas was made twice for each request that asks no process (plain services, and where none answers): the one that was made is used now, and three exits of the search are one. The margin in which nothing is sent to an older version stood twice with the same value (the gateway's and the rollout's); an overdue change relies on both being the same. Reports are compared without copying their models; an argument that was always the default is gone.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -71,9 +71,6 @@
 /// Time for the last answers to leave the process.
 const LAST_BYTES: Duration = Duration::from_millis(200);
 
-/// Part of a version's bound, before its end, in which nothing is sent to a replica of an older one.
-pub const SEND_MARGIN: Duration = Duration::from_millis(1_000);
-
 /// Part of a version's bound, before its end, in which what has not started on an older one is
 /// ended.
 const START_MARGIN: Duration = Duration::from_millis(600);
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -9,11 +9,11 @@
 use bytes::Bytes;
 use rand::RngExt;
 
+use super::Gateway;
 use super::attempt::{Attempt, Begun, Failure};
 use super::dialect::{Ask, Code, Refusal};
 use super::relay::Relay;
 use super::trace::{Expected, Trace};
-use super::{Gateway, SEND_MARGIN};
 use crate::clock::Time;
 use crate::config::routing::{Access, Kind, Limits, Route, Routing};
 use crate::http::{self, Answer, Error};
@@ -520,9 +520,10 @@
     }
 
     fn oldest_version(&self, model: &str, now: Time) -> u64 {
-        let bound = self.gateway.setting.rollout.bound;
+        let rollout = self.gateway.setting.rollout;
         let belief = self.gateway.knowledge.belief.borrow();
-        belief.oldest_allowed(model, bound.saturating_sub(SEND_MARGIN), now)
+        let bound = rollout.bound.saturating_sub(rollout.margin);
+        belief.oldest_allowed(model, bound, now)
     }
 
     /// Sends the request to the chosen replica.
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use super::call::Course;
+use crate::clock::Time;
 use crate::knowledge::gossip;
 use crate::patience;
 use crate::place::{self, Answer};
@@ -31,31 +32,27 @@
     pub(super) async fn find(&self, asks: u32, limit: Duration) -> Found {
         let mut search = Search::new(asks, limit);
         loop {
-            let key = match search.step() {
-                Step::Judge => return self.best_known(&search),
-                Step::Again(key) => key,
+            let (key, known) = match search.step() {
+                Step::Judge => {
+                    let known = self.choose(None, search.asked());
+                    return self.best_known(&search, known);
+                }
+                Step::Again(key) => (key, None),
                 Step::Another => {
-                    let (choice, idle) = self.choose(None, search.asked());
-                    let known = choice.ok().map(|choice| choice.key);
-                    match known {
-                        Some(key) if !search.asked().contains(&key) => key,
-                        Some(_) => {
+                    let known = self.choose(None, search.asked());
+                    match known.0 {
+                        Ok(choice) if search.asked().contains(&choice.key) => {
                             search.exhausted();
                             continue;
                         }
-                        None => {
-                            return Found {
-                                choice,
-                                given: false,
-                                idle,
-                                asked: search.asked().len() as u32,
-                            };
-                        }
+                        Ok(choice) => (choice.key, Some(known)),
+                        Err(_) => return self.best_known(&search, known),
                     }
                 }
             };
             let Some((process, limits)) = self.process_beside(key, limit) else {
-                return self.best_known(&search);
+                let known = known.unwrap_or_else(|| self.choose(None, search.asked()));
+                return self.best_known(&search, known);
             };
             let again = search.asked().contains(&key);
             let limit = if again { limits.whole } else { limits.tight };
@@ -71,9 +68,9 @@
     }
 
     /// The best replica without a place: one of those that answered, if any did; but if most places
-    /// of the service are free, one that was not asked.
-    fn best_known(&self, search: &Search) -> Found {
-        let (known, idle) = self.choose(None, search.asked());
+    /// of the service are free, the one that is `known` beside those.
+    fn best_known(&self, search: &Search, known: (Result<Choice, Shortage>, bool)) -> Found {
+        let (known, idle) = known;
         let now = self.gateway.knowledge.now();
         let least = search.least().filter(|_| !idle);
         let least = least.and_then(|key| self.expects(key, now));
@@ -135,7 +132,7 @@
         None
     }
 
-    fn expects(&self, key: Key, now: crate::clock::Time) -> Option<Choice> {
+    fn expects(&self, key: Key, now: Time) -> Option<Choice> {
         self.with_ask(None, &[], |ask| {
             self.gateway.pool.borrow().expects(key, ask, now)
         })
--- a/src/knowledge/gossip.rs
+++ b/src/knowledge/gossip.rs
@@ -127,8 +127,7 @@
     let body = rmp_serde::to_vec_named(message).map_err(|error| Error::Codec {
         reason: error.to_string(),
     })?;
-    let waits = patience::Setting::default();
-    exchange(knowledge, peer, path, Bytes::from(body), waits, needed).await
+    exchange(knowledge, peer, path, Bytes::from(body), needed).await
 }
 
 /// Sends the message `body` to another process of the system and reads its answer.
@@ -137,7 +136,6 @@
     peer: SocketAddr,
     path: &str,
     body: Bytes,
-    waits: patience::Setting,
     needed: impl Fn() -> bool,
 ) -> Result<A, Error> {
     let progress = Progress::default();
@@ -161,6 +159,7 @@
             reason: error.to_string(),
         })
     };
+    let waits = patience::Setting::default();
     patience::wait_while(exchange, &progress, waits, || {}, needed).await?
 }
 
@@ -271,8 +270,7 @@
     for fellow in knowledge.fellows() {
         let (knowledge, packed) = (knowledge.clone(), packed.clone());
         actix_rt::spawn(async move {
-            let waits = patience::Setting::default();
-            let told = exchange::<News>(&knowledge, fellow, path, packed, waits, || true).await;
+            let told = exchange::<News>(&knowledge, fellow, path, packed, || true).await;
             match told {
                 Ok(news) => take(&knowledge, fellow, news),
                 Err(error) => log::debug!(entry:% = fellow; "hall not told: {error}"),
--- a/src/route/replica.rs
+++ b/src/route/replica.rs
@@ -64,8 +64,8 @@
 
     /// Whether it takes requests of the same versions as by `other`.
     pub fn takes_like(&self, other: &Self) -> bool {
-        let kind = |load: &Self| (load.switching, load.alive, load.models.clone());
-        kind(self) == kind(other)
+        let same_state = self.switching == other.switching && self.alive == other.alive;
+        same_state && self.models == other.models
     }
 }
 
--- a/src/version/rollout.rs
+++ b/src/version/rollout.rs
@@ -26,7 +26,8 @@
     pub waves: u32,
     /// Time after which no request may start on an older version.
     pub bound: Duration,
-    /// Time before the bound at which the last wave begins.
+    /// Time before the bound at which the last wave begins, and from which on nothing is sent to a
+    /// replica of an older version.
     pub margin: Duration,
     /// Time between the end of a transfer, as expected, and the last wave.
     pub spread: Duration,
