Sight: how an attempt or a question for a place ended says over which connection it went

A replica that is silent and a connection that is silent looked alike in the logs: whether the exchange took a connection that was used before, and how long that had rested, tells the hypotheses apart. No decision changes.

--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -6,8 +6,9 @@
 //! `actix-http` directly: an error before the first byte is [`Error::NotSent`], everything after
 //! it is [`Error::Broken`], and a body ends only where its length or its last chunk says so.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
+use std::fmt;
 use std::future::poll_fn;
 use std::io;
 use std::net::{IpAddr, SocketAddr};
@@ -99,6 +100,47 @@
     EndsWithConnection,
 }
 
+/// The connection that an exchange took.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Way {
+    /// One that was opened for it.
+    New,
+    /// One that was used before.
+    Used {
+        /// How long it had rested.
+        rested: Duration,
+    },
+}
+
+impl fmt::Display for Way {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::New => formatter.write_str("new"),
+            Self::Used { rested } => write!(formatter, "used, rested {} ms", rested.as_millis()),
+        }
+    }
+}
+
+/// Keeps which connection an exchange took, for whoever has to explain how it ended. Clones tell of
+/// the same exchange.
+#[derive(Debug, Clone, Default)]
+pub struct Note(Rc<Cell<Option<Way>>>);
+
+impl Note {
+    fn set(&self, way: Way) {
+        self.0.set(Some(way));
+    }
+}
+
+impl fmt::Display for Note {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.0.get() {
+            Some(way) => way.fmt(formatter),
+            None => formatter.write_str("none"),
+        }
+    }
+}
+
 /// How an exchange is to be made.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Options {
@@ -199,8 +241,8 @@
     idle: Idle,
 }
 
-impl std::fmt::Debug for Client {
-    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+impl fmt::Debug for Client {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(formatter, "Client({:?})", self.local)
     }
 }
@@ -233,7 +275,20 @@
         body: Option<Bytes>,
         options: Options,
     ) -> Result<Response, Error> {
-        let mut connection = self.connection(peer, options).await?;
+        let note = Note::default();
+        self.exchange_noting(peer, head, body, options, &note).await
+    }
+
+    /// Does the same, and notes in `note` which connection it takes.
+    pub async fn exchange_noting(
+        &self,
+        peer: SocketAddr,
+        head: RequestHead,
+        body: Option<Bytes>,
+        options: Options,
+        note: &Note,
+    ) -> Result<Response, Error> {
+        let mut connection = self.connection(peer, options, note).await?;
         let length = match &body {
             None => BodySize::None,
             Some(body) => BodySize::Sized(body.len() as u64),
@@ -255,14 +310,22 @@
         Ok(Response::new(hop, head, connection))
     }
 
-    async fn connection(&self, peer: SocketAddr, options: Options) -> Result<Connection, Error> {
+    async fn connection(
+        &self,
+        peer: SocketAddr,
+        options: Options,
+        note: &Note,
+    ) -> Result<Connection, Error> {
         if options.reuse == Reuse::Allowed {
             while let Some(kept) = self.kept(peer) {
                 if kept.usable(options.idle_max) {
+                    let rested = kept.since.elapsed();
+                    note.set(Way::Used { rested });
                     return Ok(kept.connection);
                 }
             }
         }
+        note.set(Way::New);
         let open = actix_rt::time::timeout(options.connect_timeout, self.connect(peer));
         let stream = open
             .await
@@ -372,8 +435,8 @@
     unframed: Unframed,
 }
 
-impl std::fmt::Debug for Response {
-    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+impl fmt::Debug for Response {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(formatter, "Response({})", self.status)
     }
 }
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -16,7 +16,7 @@
 use super::dialect::{Forward, Reading};
 use super::{Gateway, IDLE_MAX};
 use crate::clock::Time;
-use crate::exchange::{self, Options, Response, Reuse, Unframed};
+use crate::exchange::{self, Note, Options, Response, Reuse, Unframed};
 use crate::http::Answer;
 use crate::request::attempt::Ended;
 use crate::route::estimate::Demand;
@@ -87,6 +87,7 @@
     number: u64,
     start_bound: Option<Time>,
     started: Cell<bool>,
+    note: Note,
 }
 
 impl Drop for Attempt {
@@ -118,6 +119,7 @@
             number,
             start_bound,
             started: Cell::new(false),
+            note: Note::default(),
         })
     }
 
@@ -159,6 +161,7 @@
             ended = name(ended),
             known_requests = self.choice.requests,
             expected_ms = self.choice.expected.as_millis() as u64,
+            connection:% = self.note,
             ms = self.elapsed().as_millis() as u64;
             "attempt ended: {detail}"
         );
@@ -188,7 +191,8 @@
         };
         let head = self.gateway.dialect.forward(&job.head, forward);
         let client = &self.gateway.client;
-        let exchange = client.exchange(self.address, head, job.body.clone(), options(job));
+        let body = job.body.clone();
+        let exchange = client.exchange_noting(self.address, head, body, options(job), &self.note);
         match self.within(job, exchange).await {
             None => Err(self.silent(job)),
             Some(Err(exchange::Error::NotSent { reason })) => {
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -5,6 +5,7 @@
 
 use super::call::Course;
 use crate::clock::Time;
+use crate::exchange::Note;
 use crate::knowledge::gossip;
 use crate::patience;
 use crate::place::{self, Answer};
@@ -98,9 +99,10 @@
             limit_ms: limit.as_millis() as u64,
             queue_spread: knowledge.policy.queue_spread,
         };
-        let within = ANSWERS_WITHIN;
+        let (within, note) = (ANSWERS_WITHIN, Note::default());
         let answer =
-            gossip::ask_within::<_, Answer>(knowledge, process, place::PATH, &ask, within).await;
+            gossip::ask_within::<_, Answer>(knowledge, process, place::PATH, &ask, within, &note);
+        let answer = answer.await;
         let now = knowledge.now();
         match answer {
             Ok(answer) => {
@@ -116,7 +118,10 @@
                 search.heard(key, said);
             }
             Err(error) => {
-                log::info!(request = self.job.ask.id.as_str(), process:% = process; "no place: {error}");
+                log::info!(
+                    request = self.job.ask.id.as_str(), process:% = process, connection:% = note;
+                    "no place: {error}"
+                );
                 let silent = matches!(
                     error,
                     gossip::Error::Patience(patience::Error::NoAnswer { .. })
--- a/src/knowledge/gossip.rs
+++ b/src/knowledge/gossip.rs
@@ -15,7 +15,7 @@
 use super::readers::Readers;
 use super::traffic::Purpose;
 use crate::config::belief::Marks;
-use crate::exchange::{Options, Request};
+use crate::exchange::{Note, Options, Request};
 use crate::patience::{self, Progress};
 use crate::place;
 use crate::source::Topic;
@@ -104,14 +104,17 @@
 }
 
 /// Sends `message` to another process of the system and reads its answer, which is due `within`.
+/// Notes which connection it takes.
 pub async fn ask_within<T: Serialize, A: DeserializeOwned>(
     knowledge: &Knowledge,
     peer: SocketAddr,
     path: &str,
     message: &T,
     within: Duration,
+    note: &Note,
 ) -> Result<A, Error> {
-    let exchange = ask(knowledge, peer, path, message);
+    let body = packed(message)?;
+    let exchange = exchange(knowledge, peer, path, body, note, || true);
     let answer = actix_rt::time::timeout(within, exchange).await;
     answer.unwrap_or(Err(patience::Error::NoAnswer { after: within }.into()))
 }
@@ -124,10 +127,15 @@
     message: &T,
     needed: impl Fn() -> bool,
 ) -> Result<A, Error> {
-    let body = rmp_serde::to_vec_named(message).map_err(|error| Error::Codec {
+    let body = packed(message)?;
+    exchange(knowledge, peer, path, body, &Note::default(), needed).await
+}
+
+fn packed<T: Serialize>(message: &T) -> Result<Bytes, Error> {
+    let body = rmp_serde::to_vec_named(message);
+    body.map(Bytes::from).map_err(|error| Error::Codec {
         reason: error.to_string(),
-    })?;
-    exchange(knowledge, peer, path, Bytes::from(body), needed).await
+    })
 }
 
 /// Sends the message `body` to another process of the system and reads its answer.
@@ -136,6 +144,7 @@
     peer: SocketAddr,
     path: &str,
     body: Bytes,
+    note: &Note,
     needed: impl Fn() -> bool,
 ) -> Result<A, Error> {
     let progress = Progress::default();
@@ -148,7 +157,9 @@
             ..Options::default()
         };
         let body = Some(body);
-        let mut answer = knowledge.client.exchange(peer, head, body, options).await?;
+        let client = &knowledge.client;
+        let answer = client.exchange_noting(peer, head, body, options, note);
+        let mut answer = answer.await?;
         let body = answer.read_noting(NEWS_MAX, &progress).await?;
         knowledge.traffic.count(purpose(path), sent + body.len());
         if !answer.status.is_success() {
@@ -270,7 +281,8 @@
     for fellow in knowledge.fellows() {
         let (knowledge, packed) = (knowledge.clone(), packed.clone());
         actix_rt::spawn(async move {
-            let told = exchange::<News>(&knowledge, fellow, path, packed, || true).await;
+            let told =
+                exchange::<News>(&knowledge, fellow, path, packed, &Note::default(), || true).await;
             match told {
                 Ok(news) => take(&knowledge, fellow, news),
                 Err(error) => log::debug!(entry:% = fellow; "hall not told: {error}"),
