Connections share their path's fate: what one exchange finds silent, the others don't learn again

Cause: a lost state in a path silences all connections that are open on it. Each question, heartbeat, stream and watch waited out its own limit (60 ms to 2.7 s) on its own connection, one after the other. Ruled out: overload by work done again as the first cause (requests fail from the silence on, 1.5 s before streams are taken up; all 97 questions that failed went over used connections). Change: what a used connection leaves unanswered is asked again on a new one; an answer there shows that the path went silent and not the peer (silence::Findings, pure). Its peer's connections, after a second peer all of the process's, that have brought nothing since are given up: those at rest at once, exchanges that may be repeated after 80 ms, or 350 ms while others go on. Watches of the store are begun again at once, and that is no trouble of the store. Bursts take new connections. A replica's health doesn't suffer from it. What may run once is waited for as before.

--- a/src/agent.rs
+++ b/src/agent.rs
@@ -32,7 +32,7 @@
 pub mod serve;
 pub mod status;
 
-use crate::burst::host::{ContentOrigin, Host, Instruments, Origin};
+use crate::burst::host::{Calls, ContentOrigin, Host, Instruments, Origin};
 use crate::burst::{Burst, Holders, Purpose};
 
 /// Keys for requests that run at most once, kept at a time.
@@ -114,7 +114,7 @@
         name: setting.node.name.clone(),
         hall: setting.node.hall.clone(),
         clock: node.clock,
-        client: node.client.clone(),
+        client: Calls::new(node.setting.client()),
         spread: setting.spread,
         store: RefCell::new(Store::new(setting.memory_bytes)),
         instruments: Instruments::new(&node.metrics.meter()),
--- a/src/burst/follow.rs
+++ b/src/burst/follow.rs
@@ -1,11 +1,13 @@
 //! Tells peers what this box gains, and listens to what they tell.
 
 use std::cell::Cell;
+use std::pin::pin;
 use std::rc::{Rc, Weak};
 use std::time::Duration;
 
 use actix_rt::time::sleep;
 use bytes::Bytes;
+use futures_util::future::{Either, select};
 use futures_util::{Stream, StreamExt, stream};
 use rand::RngExt;
 
@@ -71,7 +73,13 @@
 ) {
     let mut pause = FOLLOW_PAUSE;
     loop {
-        let heard = follow_once(&host, &burst, &peer, &key).await;
+        let heard = {
+            let followed = pin!(follow_once(&host, &burst, &peer, &key));
+            match select(followed, pin!(host.client.given_up())).await {
+                Either::Left((heard, _)) => heard,
+                Either::Right(_) => true,
+            }
+        };
         let Some(strong) = burst.upgrade() else {
             return;
         };
@@ -100,7 +108,7 @@
         return false;
     };
     let url = format!("{}/have", swarm_url(peer.address, version));
-    let request = host.client.0.get(url).send();
+    let request = host.client.get(&url).send();
     let Ok(Ok(mut response)) = actix_rt::time::timeout(FOLLOW_TIMEOUT, request).await else {
         return false;
     };
--- a/src/burst/host.rs
+++ b/src/burst/host.rs
@@ -10,12 +10,12 @@
 use futures_util::future::LocalBoxFuture;
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Meter};
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 
 use crate::audit::Deed;
 use crate::clock::Clock;
+use crate::http::{self, ClientSetting};
 use crate::log::Repeats;
-use crate::node::ClientHandle;
 use crate::spread;
 use crate::spread::swarm::Outcome;
 use crate::weight::{Digest, Error, Hash, Manifest, Store};
@@ -146,6 +146,48 @@
     }
 }
 
+/// Calls to the origin and to peers, over connections that can be given up all at once.
+pub struct Calls {
+    setting: ClientSetting,
+    client: RefCell<awc::Client>,
+    renewed: watch::Sender<u64>,
+}
+
+impl Calls {
+    /// Calls over connections as `setting` says.
+    pub fn new(setting: ClientSetting) -> Self {
+        Self {
+            setting,
+            client: RefCell::new(http::client(setting)),
+            renewed: watch::Sender::new(0),
+        }
+    }
+
+    /// A request that asks for `url`.
+    pub fn get(&self, url: &str) -> awc::ClientRequest {
+        self.client.borrow().get(url)
+    }
+
+    /// Takes new connections from now on: nothing comes over the open ones any more.
+    pub fn renew(&self) {
+        self.client.replace(http::client(self.setting));
+        self.renewed.send_modify(|count| *count += 1);
+    }
+
+    /// Ends when the connections that are open now are given up.
+    pub async fn given_up(&self) {
+        // The sender lives as long as `self` does.
+        drop(self.renewed.subscribe().changed().await);
+    }
+}
+
+/// Has `host` give its connections up whenever all open ones of its process are found silent.
+pub async fn renew_when_silent(host: Rc<Host>, mut all_silent: watch::Receiver<u64>) {
+    while all_silent.changed().await.is_ok() {
+        host.client.renew();
+    }
+}
+
 /// The process's side of all its bursts.
 pub struct Host {
     /// The box's name.
@@ -155,7 +197,7 @@
     /// Monotonic time.
     pub clock: Clock,
     /// Calls to the origin and to peers.
-    pub client: ClientHandle,
+    pub client: Calls,
     /// Settings of the burst.
     pub spread: spread::Setting,
     /// Verified chunks.
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -9,10 +9,10 @@
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::fmt;
-use std::future::poll_fn;
+use std::future::{Future, poll_fn};
 use std::io;
 use std::net::{IpAddr, SocketAddr};
-use std::pin::Pin;
+use std::pin::{Pin, pin};
 use std::rc::Rc;
 use std::task::{Context, Poll};
 use std::time::{Duration, Instant};
@@ -25,12 +25,18 @@
 };
 use actix_http::{ConnectionType, Method, RequestHead, RequestHeadType, ResponseHead, StatusCode};
 use bytes::{Bytes, BytesMut};
+use futures_util::future::{Either, select};
 use futures_util::{Stream, StreamExt};
 use tokio::io::{AsyncRead, ReadBuf};
 use tokio::net::{TcpSocket, TcpStream};
 
+use crate::clock::Time;
 use crate::patience::Progress;
 
+pub mod path;
+
+use path::{Guard, Paths};
+
 /// How long a connection may take to open.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -62,6 +68,9 @@
         /// What happened.
         reason: String,
     },
+    /// The connection went silent, as exchanges with others show. Bytes left.
+    #[error("the connection went silent with others")]
+    Silent,
     /// The answer is longer than its reader allows.
     #[error("answer is longer than {limit} bytes")]
     TooLong {
@@ -152,6 +161,12 @@
     pub connect_timeout: Duration,
     /// What ends an answer without a length.
     pub unframed: Unframed,
+    /// Whether the exchange ends with [`Error::Silent`] when its connection turns out to be silent.
+    /// What may not run twice is waited for all the same.
+    pub guarded: bool,
+    /// For what may be sent twice: how long a used connection may leave it unanswered before it is
+    /// sent again on a new one.
+    pub renews_after: Option<Duration>,
 }
 
 impl Default for Options {
@@ -161,6 +176,8 @@
             idle_max: Duration::from_secs(3_600),
             connect_timeout: CONNECT_TIMEOUT,
             unframed: Unframed::Broken,
+            guarded: true,
+            renews_after: None,
         }
     }
 }
@@ -218,9 +235,19 @@
 
 type Connection = Framed<TcpStream, ClientCodec>;
 
+/// A connection that an exchange takes.
+struct Taken {
+    connection: Connection,
+    opened: Time,
+    /// When it brought something last, or was opened.
+    heard: Time,
+}
+
 /// A connection at rest.
 struct Kept {
     connection: Connection,
+    opened: Time,
+    heard: Time,
     since: Instant,
     good_for: Option<Duration>,
 }
@@ -234,11 +261,38 @@
 
 type Idle = Rc<RefCell<BTreeMap<SocketAddr, Vec<Kept>>>>;
 
+/// A request on its way.
+struct Sending {
+    peer: SocketAddr,
+    head: Rc<RequestHead>,
+    body: Option<Bytes>,
+    options: Options,
+}
+
+impl Sending {
+    fn write(&self, connection: &mut Connection) -> Result<(), Error> {
+        let length = match &self.body {
+            None => BodySize::None,
+            Some(body) => BodySize::Sized(body.len() as u64),
+        };
+        let head = RequestHeadType::Rc(self.head.clone(), None);
+        let mut connection = Pin::new(connection);
+        let item = Message::Item((head, length));
+        connection.as_mut().write(item).map_err(not_sent)?;
+        if let Some(body) = self.body.clone().filter(|body| !body.is_empty()) {
+            let chunk = Message::Chunk(Some(body));
+            connection.write(chunk).map_err(not_sent)?;
+        }
+        Ok(())
+    }
+}
+
 /// Makes exchanges, and keeps idle connections.
 #[derive(Clone, Default)]
 pub struct Client {
     local: Option<IpAddr>,
     idle: Idle,
+    paths: Rc<Paths>,
 }
 
 impl fmt::Debug for Client {
@@ -252,10 +306,23 @@
     pub fn new(local: Option<IpAddr>) -> Self {
         Self {
             local,
-            idle: Idle::default(),
+            ..Self::default()
+        }
+    }
+
+    /// A client that shares what is known of the process's connections.
+    pub fn sharing(paths: Rc<Paths>) -> Self {
+        Self {
+            paths,
+            ..Self::default()
         }
     }
 
+    /// What is known of the process's connections.
+    pub fn paths(&self) -> Rc<Paths> {
+        self.paths.clone()
+    }
+
     /// Sends `request` to `peer` and returns the head of its answer.
     pub async fn send(&self, peer: SocketAddr, request: &Request) -> Result<Response, Error> {
         let options = Options {
@@ -288,52 +355,100 @@
         options: Options,
         note: &Note,
     ) -> Result<Response, Error> {
-        let mut connection = self.connection(peer, options, note).await?;
-        let length = match &body {
-            None => BodySize::None,
-            Some(body) => BodySize::Sized(body.len() as u64),
+        let sending = Sending {
+            peer,
+            head: Rc::new(head),
+            body,
+            options,
         };
-        let item = Message::Item((RequestHeadType::Owned(head), length));
-        Pin::new(&mut connection).write(item).map_err(not_sent)?;
-        if let Some(body) = body.filter(|body| !body.is_empty()) {
-            let chunk = Message::Chunk(Some(body));
-            Pin::new(&mut connection).write(chunk).map_err(not_sent)?;
+        if options.reuse == Reuse::Allowed
+            && let Some(taken) = self.used(peer, options, note)
+        {
+            let since = self.paths.now();
+            let answer = self.converse(&sending, taken);
+            let Some(renews_after) = options.renews_after else {
+                return answer.await;
+            };
+            if let Ok(answer) = actix_rt::time::timeout(renews_after, answer).await {
+                return answer;
+            }
+            let answer = self.converse(&sending, self.open(&sending, note).await?);
+            let answer = answer.await?;
+            self.paths.silent(peer, since);
+            return Ok(answer);
         }
-        let (head, sent) = converse(&mut connection).await?;
+        let taken = self.open(&sending, note).await?;
+        self.converse(&sending, taken).await
+    }
+
+    /// Sends a request over a connection and reads the head of its answer.
+    async fn converse(&self, sending: &Sending, taken: Taken) -> Result<Response, Error> {
+        let Taken {
+            mut connection,
+            opened,
+            heard,
+        } = taken;
+        sending.write(&mut connection)?;
+        let mut guard = self.paths.guard(sending.peer, opened, heard);
+        let ended = {
+            let converse = pin!(converse(&mut connection));
+            if sending.options.guarded {
+                match select(converse, &mut guard).await {
+                    Either::Left((ended, _)) => ended,
+                    Either::Right(_) => Err(Error::Silent),
+                }
+            } else {
+                converse.await
+            }
+        };
+        let (head, sent) = ended?;
+        guard.heard();
         let hop = Hop {
             idle: self.idle.clone(),
-            peer,
+            peer: sending.peer,
+            opened,
             // A peer that answered before it read the request may read the rest as another one.
             reusable: sent,
-            unframed: options.unframed,
+            unframed: sending.options.unframed,
+            guard,
+            guarded: sending.options.guarded,
         };
         Ok(Response::new(hop, head, connection))
     }
 
-    async fn connection(
-        &self,
-        peer: SocketAddr,
-        options: Options,
-        note: &Note,
-    ) -> Result<Connection, Error> {
-        if options.reuse == Reuse::Allowed {
-            while let Some(kept) = self.kept(peer) {
-                if kept.usable(options.idle_max) {
-                    let rested = kept.since.elapsed();
-                    note.set(Way::Used { rested });
-                    return Ok(kept.connection);
-                }
+    /// A connection to `peer` that was used before, and is good as far as is known.
+    fn used(&self, peer: SocketAddr, options: Options, note: &Note) -> Option<Taken> {
+        while let Some(kept) = self.kept(peer) {
+            if kept.usable(options.idle_max) && !self.paths.doubts(peer, kept.heard) {
+                let rested = kept.since.elapsed();
+                note.set(Way::Used { rested });
+                return Some(Taken {
+                    connection: kept.connection,
+                    opened: kept.opened,
+                    heard: kept.heard,
+                });
             }
         }
+        None
+    }
+
+    /// Opens a connection.
+    async fn open(&self, sending: &Sending, note: &Note) -> Result<Taken, Error> {
         note.set(Way::New);
-        let open = actix_rt::time::timeout(options.connect_timeout, self.connect(peer));
+        let open = self.connect(sending.peer);
+        let open = actix_rt::time::timeout(sending.options.connect_timeout, open);
         let stream = open
             .await
             .map_err(|_| not_sent("no connection in time"))?
             .map_err(not_sent)?;
         let _ = stream.set_nodelay(true);
         watch_for_loss(&stream);
-        Ok(Framed::new(stream, ClientCodec::default()))
+        let opened = self.paths.now();
+        Ok(Taken {
+            connection: Framed::new(stream, ClientCodec::default()),
+            opened,
+            heard: opened,
+        })
     }
 
     /// Closes connections that rested for longer than `idle_max`, or than their peers said.
@@ -431,8 +546,11 @@
 struct Hop {
     idle: Idle,
     peer: SocketAddr,
+    opened: Time,
     reusable: bool,
     unframed: Unframed,
+    guard: Guard,
+    guarded: bool,
 }
 
 impl fmt::Debug for Response {
@@ -508,6 +626,8 @@
         if kept.len() < IDLE_MAX {
             kept.push(Kept {
                 connection,
+                opened: self.hop.opened,
+                heard: self.hop.guard.last(),
                 since: Instant::now(),
                 good_for: self.good_for(),
             });
@@ -574,10 +694,8 @@
     Poll::Ready(Ok(Bytes::copy_from_slice(part.filled())))
 }
 
-impl Stream for Response {
-    type Item = Result<Bytes, Error>;
-
-    fn poll_next(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<Self::Item>> {
+impl Response {
+    fn poll_part(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, Error>>> {
         let payload = match &mut self.rest {
             Rest::Whole => return Poll::Ready(None),
             Rest::Cut => return Poll::Ready(Some(Err(broken("the answer was cut off")))),
@@ -609,3 +727,20 @@
         }
     }
 }
+
+impl Stream for Response {
+    type Item = Result<Bytes, Error>;
+
+    fn poll_next(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<Self::Item>> {
+        let part = self.poll_part(cx);
+        if part.is_ready() {
+            self.hop.guard.heard();
+            return part;
+        }
+        if self.hop.guarded && Pin::new(&mut self.hop.guard).poll(cx).is_ready() {
+            self.rest = Rest::Cut;
+            return Poll::Ready(Some(Err(Error::Silent)));
+        }
+        Poll::Pending
+    }
+}
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -21,12 +21,12 @@
 use tokio::sync::Notify;
 
 use crate::audit::{Deed, Trail};
-use crate::burst::host::{Host, Instruments};
+use crate::burst::host::{Calls, Host, Instruments, renew_when_silent};
 use crate::burst::joined::{self, Joined, Origins};
 use crate::config::belief::Belief;
 use crate::config::routing::{Route, Routing};
 use crate::daemon;
-use crate::exchange;
+use crate::exchange::{self, path::Paths};
 use crate::http::{self, ClientSetting, Server, Timing};
 use crate::knowledge::halls::Halls;
 use crate::knowledge::hub::Hub;
@@ -35,7 +35,6 @@
 use crate::member::Role;
 use crate::member::replica::Record;
 use crate::metric::{self, Metrics};
-use crate::node::ClientHandle;
 use crate::policy::Policy;
 use crate::request::budget::{self, Budget};
 use crate::route::pool::Pool;
@@ -150,6 +149,8 @@
     pub source: Rc<dyn Source>,
     /// Names the origin of weights.
     pub origins: Rc<dyn Origins>,
+    /// What is known of the process's connections; the source shares it.
+    pub paths: Rc<Paths>,
 }
 
 /// The sockets that a gateway listens on.
@@ -213,7 +214,7 @@
         name: setting.identity.address.to_string().into(),
         hall: setting.identity.hall.clone(),
         clock: knowledge.clock,
-        client: ClientHandle(http::client(ClientSetting::default())),
+        client: Calls::new(ClientSetting::default()),
         spread: setting.spread.of_relay(),
         store: RefCell::new(Store::new(setting.memory_bytes)),
         instruments: Instruments::new(&metrics.meter()),
@@ -235,6 +236,7 @@
             dialect,
             source,
             origins,
+            paths,
         } = edges;
         let metrics = Metrics::new()?;
         let knowledge = Knowledge::new(
@@ -242,12 +244,14 @@
             setting.seeds.clone(),
             setting.seed,
             setting.policy,
+            paths.clone(),
         );
         knowledge.traffic.register(&metrics.meter());
         let host = Rc::new(relay_host(&setting, &knowledge, &metrics));
+        let all_silent = paths.all_silent();
         let gateway = Rc::new(Self {
-            joined: Joined::new(host, origins, setting.first_start),
-            client: exchange::Client::default(),
+            joined: Joined::new(host.clone(), origins, setting.first_start),
+            client: exchange::Client::sharing(paths),
             pool: RefCell::new(Pool::new(setting.identity.hall.clone(), setting.policy)),
             deadlines: RefCell::default(),
             pool_at: Cell::new(0),
@@ -277,6 +281,7 @@
             actix_rt::spawn(gateway.clone().relay()),
             actix_rt::spawn(halls::run(gateway.clone())),
             actix_rt::spawn(greet::run(gateway.clone())),
+            actix_rt::spawn(renew_when_silent(host, all_silent)),
         ];
         let front = gateway.serve_front(listeners.front);
         let mut servers = vec![
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -169,8 +169,12 @@
     }
 
     /// A failure after bytes left, because the answer is none or broke.
-    pub fn broken(&self, job: &Job, detail: String) -> Failure {
-        self.fail(job, Ended::Broken, Sign::Broken, detail)
+    pub fn broken(&self, job: &Job, detail: String, sign: Sign) -> Failure {
+        self.fail(job, Ended::Broken, sign, detail)
+    }
+
+    fn failed(&self, job: &Job, error: &exchange::Error) -> Failure {
+        self.broken(job, error.to_string(), sign(error))
     }
 
     /// Sends the request and reads the head of its answer.
@@ -199,7 +203,7 @@
                 let detail = format!("not sent: {reason}");
                 Err(self.fail(job, Ended::NotSent, Sign::Unreachable, detail))
             }
-            Some(Err(error)) => Err(self.broken(job, error.to_string())),
+            Some(Err(error)) => Err(self.failed(job, &error)),
             Some(Ok(response)) => self.read(job, version.is_some(), response).await,
         }
     }
@@ -247,7 +251,7 @@
         } else {
             "the replica is silent"
         };
-        self.broken(job, detail.to_owned())
+        self.broken(job, detail.to_owned(), Sign::Broken)
     }
 
     async fn read(self, job: &Job, versioned: bool, response: Response) -> Result<Begun, Failure> {
@@ -272,7 +276,7 @@
             }
             Reading::Foreign => {
                 let detail = format!("answer {status} is none to this request");
-                Err(self.broken(job, detail))
+                Err(self.broken(job, detail, Sign::Broken))
             }
             Reading::Failure => self.own_failure(job, response).await,
         }
@@ -293,6 +297,14 @@
     }
 }
 
+/// What a failed exchange says about its replica: nothing, if its connection went silent with others.
+pub fn sign(error: &exchange::Error) -> Sign {
+    match error {
+        exchange::Error::Silent => Sign::None,
+        _ => Sign::Broken,
+    }
+}
+
 fn options(job: &Job) -> Options {
     Options {
         // A connection that its replica closes just now would leave unknown whether the request
@@ -305,6 +317,8 @@
         idle_max: IDLE_MAX,
         connect_timeout: CONNECT_TIMEOUT,
         unframed: Unframed::EndsWithConnection,
+        guarded: job.route.repeatable(),
+        ..Options::default()
     }
 }
 
@@ -342,7 +356,7 @@
         let read = self.response.read(GATHERED_MAX);
         let body: Bytes = match self.attempt.within(job, read).await {
             None => return Err(self.attempt.silent(job)),
-            Some(Err(error)) => return Err(self.attempt.broken(job, error.to_string())),
+            Some(Err(error)) => return Err(self.attempt.failed(job, &error)),
             Some(Ok(body)) => body,
         };
         let answer = self.head().set_body(BoxBody::new(body));
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -254,6 +254,8 @@
     unreached: u32,
     tainted: bool,
     failure: Option<Answer>,
+    /// The only version that will do, once an answer of it has begun.
+    pub(super) only: Option<u64>,
 }
 
 impl Course {
@@ -266,6 +268,7 @@
             unreached: 0,
             tainted: false,
             failure: None,
+            only: None,
         }
     }
 
@@ -275,7 +278,7 @@
                 Ok(choice) => choice,
                 Err(refusal) => return self.give_up(&refusal),
             };
-            let failure = match self.attempt(choice, self.job.ask.last_event, None).await {
+            let failure = match self.attempt(choice, self.job.ask.last_event).await {
                 Ok(begun) if self.job.route.kind == Kind::Streaming => {
                     return Relay::new(self, begun).answer();
                 }
@@ -469,13 +472,13 @@
         admission::come_back(arrival, remaining, spread)
     }
 
-    /// Chooses a replica, if possible none of `full`; for a begun answer, one of the version `only`.
-    /// Tells as well whether the service is mostly idle, so that nothing is to be refused.
-    pub fn choose(&self, only: Option<u64>, full: &[Key]) -> (Result<Choice, Shortage>, bool) {
+    /// Chooses a replica, if possible none of `full`; for a begun answer, one of its version. Tells as
+    /// well whether the service is mostly idle, so that nothing is to be refused.
+    pub fn choose(&self, full: &[Key]) -> (Result<Choice, Shortage>, bool) {
         let gateway = &self.gateway;
         gateway.refresh_pool();
         let now = gateway.knowledge.now();
-        self.with_ask(only, full, |ask| {
+        self.with_ask(full, |ask| {
             let pool = gateway.pool.borrow();
             let mut rng = gateway.knowledge.rng.borrow_mut();
             let choice = pool.choose(ask, now, &mut *rng);
@@ -485,12 +488,7 @@
     }
 
     /// Calls `then` with what this request asks the pool for.
-    pub(super) fn with_ask<T>(
-        &self,
-        only: Option<u64>,
-        full: &[Key],
-        then: impl FnOnce(pool::Ask<'_>) -> T,
-    ) -> T {
+    pub(super) fn with_ask<T>(&self, full: &[Key], then: impl FnOnce(pool::Ask<'_>) -> T) -> T {
         let gateway = &self.gateway;
         let now = gateway.knowledge.now();
         let service = self.job.routing.service(&self.job.service);
@@ -509,7 +507,7 @@
             model: model.map(|model| ModelNeed {
                 model,
                 oldest: self.oldest_version(model, now),
-                only,
+                only: self.only,
             }),
             engine,
             demand: self.job.demand(),
@@ -531,7 +529,6 @@
         &mut self,
         choice: Choice,
         last_event: Option<u64>,
-        only: Option<u64>,
     ) -> Result<Begun, Failure> {
         let Some(attempt) = Attempt::begin(&self.gateway, &self.job, choice) else {
             return Err(Failure::new(Ended::NotSent, "the replica has gone"));
@@ -543,7 +540,7 @@
             first: choice.expected,
             requests: choice.requests,
         });
-        let result = attempt.send(&self.job, last_event, only).await;
+        let result = attempt.send(&self.job, last_event, self.only).await;
         let sent = !matches!(
             &result,
             Err(Failure {
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -16,6 +16,10 @@
 /// two chunks of weights on its link: what takes longer would hold up the request as well.
 const ANSWERS_WITHIN: Duration = Duration::from_millis(60);
 
+/// How long it may take on a new connection, after a used one has brought nothing: three times the
+/// longest way between two halls and back.
+const ANSWERS_AGAIN: Duration = Duration::from_millis(30);
+
 /// What was found for a request.
 pub struct Found {
     /// The replica to send it to, or the best that is known.
@@ -35,12 +39,12 @@
         loop {
             let (key, known) = match search.step() {
                 Step::Judge => {
-                    let known = self.choose(None, search.asked());
+                    let known = self.choose(search.asked());
                     return self.best_known(&search, known);
                 }
                 Step::Again(key) => (key, None),
                 Step::Another => {
-                    let known = self.choose(None, search.asked());
+                    let known = self.choose(search.asked());
                     match known.0 {
                         Ok(choice) if search.asked().contains(&choice.key) => {
                             search.exhausted();
@@ -52,7 +56,7 @@
                 }
             };
             let Some((process, limits)) = self.process_beside(key, limit) else {
-                let known = known.unwrap_or_else(|| self.choose(None, search.asked()));
+                let known = known.unwrap_or_else(|| self.choose(search.asked()));
                 return self.best_known(&search, known);
             };
             let again = search.asked().contains(&key);
@@ -99,7 +103,7 @@
             limit_ms: limit.as_millis() as u64,
             queue_spread: knowledge.policy.queue_spread,
         };
-        let (within, note) = (ANSWERS_WITHIN, Note::default());
+        let (within, note) = ((ANSWERS_WITHIN, ANSWERS_AGAIN), Note::default());
         let answer =
             gossip::ask_within::<_, Answer>(knowledge, process, place::PATH, &ask, within, &note);
         let answer = answer.await;
@@ -138,9 +142,7 @@
     }
 
     fn expects(&self, key: Key, now: Time) -> Option<Choice> {
-        self.with_ask(None, &[], |ask| {
-            self.gateway.pool.borrow().expects(key, ask, now)
-        })
+        self.with_ask(&[], |ask| self.gateway.pool.borrow().expects(key, ask, now))
     }
 
     /// Where the process beside a replica is asked, and the limits that it is told; `None` if
@@ -153,7 +155,7 @@
         }
         let host = pool.get(key)?.record.address.ip();
         let left = limit.saturating_sub(now.since(self.job.arrived));
-        let limits = self.with_ask(None, &[], |ask| pool.limits(key, ask, left, now))?;
+        let limits = self.with_ask(&[], |ask| pool.limits(key, ask, left, now))?;
         let process = SocketAddr::new(host, self.gateway.setting.sidecar_port);
         Some((process, limits))
     }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use futures_util::{Stream, StreamExt, stream};
 
-use super::attempt::{Attempt, Begun};
+use super::attempt::{self, Attempt, Begun};
 use super::call::Course;
 use super::event::Cutter;
 use crate::clock::Time;
@@ -27,18 +27,21 @@
     Part,
     /// The end.
     End,
-    /// A break.
-    Broken(String),
+    /// A break, and what it says about the replica.
+    Broken(String, Sign),
     /// The request's time is over.
     Late,
 }
 
+fn broken(detail: &str) -> Step {
+    Step::Broken(detail.to_owned(), Sign::Broken)
+}
+
 /// A stream on its way to the caller. Dropping it closes the connection to the replica.
 pub struct Relay {
     course: Course,
     attempt: Attempt,
     response: Response,
-    version: Option<u64>,
     cutter: Cutter,
     head: Option<actix_http::Response<()>>,
     last_event_at: Option<Time>,
@@ -46,19 +49,19 @@
 
 impl Relay {
     /// Passes on what began.
-    pub fn new(course: Course, begun: Begun) -> Self {
+    pub fn new(mut course: Course, begun: Begun) -> Self {
         let head = begun.head();
         let Begun {
             attempt,
             response,
             version,
         } = begun;
+        course.only = version;
         Self {
             cutter: Cutter::after(course.job.ask.last_event),
             course,
             attempt,
             response,
-            version,
             head: Some(head),
             last_event_at: None,
         }
@@ -105,8 +108,8 @@
                     self.course.trace.reason = detail;
                     return Some(Err(io::ErrorKind::TimedOut.into()));
                 }
-                Step::Broken(detail) => {
-                    if !self.resume(detail).await {
+                Step::Broken(detail, sign) => {
+                    if !self.resume(detail, sign).await {
                         self.course.trace.ended("broken_midway");
                         return Some(Err(io::ErrorKind::ConnectionAborted.into()));
                     }
@@ -147,27 +150,26 @@
             Ok(Some(Ok(bytes))) => match self.cutter.push(bytes) {
                 Ok(events) if events.is_empty() => Step::Part,
                 Ok(events) => Step::Events(events),
-                Err(error) => Step::Broken(error.to_string()),
+                Err(error) => Step::Broken(error.to_string(), Sign::Broken),
             },
-            Ok(Some(Err(error))) => Step::Broken(error.to_string()),
-            Ok(None) if self.cutter.midway() => Step::Broken("it ended inside an event".to_owned()),
+            Ok(Some(Err(error))) => Step::Broken(error.to_string(), attempt::sign(&error)),
+            Ok(None) if self.cutter.midway() => broken("it ended inside an event"),
             Ok(None) => Step::End,
             Err(_) if patience == remaining => Step::Late,
-            Err(_) => Step::Broken("the replica is silent".to_owned()),
+            Err(_) => broken("the replica is silent"),
         }
     }
 
     /// Takes the stream up at another replica, after the last whole event.
-    async fn resume(&mut self, detail: String) -> bool {
+    async fn resume(&mut self, detail: String, sign: Sign) -> bool {
         let passed = self.cutter.passed();
         let detail = format!("{detail} after {passed} events");
-        let mut failure = self.attempt.broken(&self.course.job, detail);
+        let mut failure = self.attempt.broken(&self.course.job, detail, sign);
         loop {
             if !self.course.may_resume(failure) {
                 return false;
             }
-            let (choice, _) = self.course.choose(self.version, &[]);
-            let choice = match choice {
+            let choice = match self.course.choose(&[]).0 {
                 Ok(choice) => choice,
                 Err(shortage) => {
                     self.course.trace.reason =
@@ -176,12 +178,12 @@
                 }
             };
             let last = self.cutter.last();
-            match self.course.attempt(choice, last, self.version).await {
+            match self.course.attempt(choice, last).await {
                 Ok(begun) => {
                     self.cutter.restart();
                     self.attempt = begun.attempt;
                     self.response = begun.response;
-                    self.version = self.version.or(begun.version);
+                    self.course.only = self.course.only.or(begun.version);
                     log::info!(
                         request = self.course.job.ask.id.as_str(),
                         replica = &*self.attempt.replica,
--- a/src/knowledge.rs
+++ b/src/knowledge.rs
@@ -24,7 +24,7 @@
 
 use crate::clock::{Clock, Time};
 use crate::config::belief::{self, Belief, Dated, Effect, Fact, Marks, Wanted};
-use crate::exchange;
+use crate::exchange::{self, path::Paths};
 use crate::log::Repeats;
 use crate::member::peer::Peers;
 use crate::member::rank::rank;
@@ -116,13 +116,19 @@
 }
 
 impl Knowledge {
-    /// Nothing known yet.
-    pub fn new(identity: Identity, seeds: Vec<SocketAddr>, seed: u64, policy: Policy) -> Rc<Self> {
+    /// Nothing known yet. `paths` has what is known of the process's connections.
+    pub fn new(
+        identity: Identity,
+        seeds: Vec<SocketAddr>,
+        seed: u64,
+        policy: Policy,
+        paths: Rc<Paths>,
+    ) -> Rc<Self> {
         let own = identity.entry.then_some(identity.address);
         Rc::new(Self {
             clock: Clock::default(),
             rng: RefCell::new(SmallRng::seed_from_u64(seed)),
-            client: exchange::Client::default(),
+            client: exchange::Client::sharing(paths),
             traffic: Traffic::default(),
             belief: RefCell::new(Belief::new(!policy.doubt)),
             policy,
--- a/src/knowledge/gossip.rs
+++ b/src/knowledge/gossip.rs
@@ -42,6 +42,10 @@
 /// How long a connection may take to open.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// How long a used connection may leave a message unanswered before it is sent again on a new one: a few
+/// chunks of weights on a narrow link hold it up for less, and a packet that was lost is sent again by then.
+const RENEWS_AFTER: Duration = Duration::from_millis(250);
+
 /// Longest rest of a connection to another process that is used again: while it rests, the kernel
 /// probes its other end every 1.5 s, and most exchanges come at least once a second or rarely.
 pub const IDLE_MAX: Duration = Duration::from_secs(3);
@@ -100,35 +104,28 @@
     path: &str,
     message: &T,
 ) -> Result<A, Error> {
-    ask_while(knowledge, peer, path, message, || true).await
+    let call = Call::new(peer, path, packed(message)?);
+    call.exchange(knowledge, &Note::default(), || true).await
 }
 
-/// Sends `message` to another process of the system and reads its answer, which is due `within`.
+/// Sends `message` to another process of the system and reads its answer, which is due `within`. If
+/// a used connection brings none, it is sent again on a new one, over which it is due within `again`.
 /// Notes which connection it takes.
 pub async fn ask_within<T: Serialize, A: DeserializeOwned>(
     knowledge: &Knowledge,
     peer: SocketAddr,
     path: &str,
     message: &T,
-    within: Duration,
+    (within, again): (Duration, Duration),
     note: &Note,
 ) -> Result<A, Error> {
-    let body = packed(message)?;
-    let exchange = exchange(knowledge, peer, path, body, note, || true);
-    let answer = actix_rt::time::timeout(within, exchange).await;
-    answer.unwrap_or(Err(patience::Error::NoAnswer { after: within }.into()))
-}
-
-/// Sends `message` to another process of the system and reads its answer while that is `needed`.
-async fn ask_while<T: Serialize, A: DeserializeOwned>(
-    knowledge: &Knowledge,
-    peer: SocketAddr,
-    path: &str,
-    message: &T,
-    needed: impl Fn() -> bool,
-) -> Result<A, Error> {
-    let body = packed(message)?;
-    exchange(knowledge, peer, path, body, &Note::default(), needed).await
+    let call = Call {
+        renews_after: Some(within),
+        ..Call::new(peer, path, packed(message)?)
+    };
+    let after = within + again;
+    let answer = actix_rt::time::timeout(after, call.exchange(knowledge, note, || true)).await;
+    answer.unwrap_or(Err(patience::Error::NoAnswer { after }.into()))
 }
 
 fn packed<T: Serialize>(message: &T) -> Result<Bytes, Error> {
@@ -138,40 +135,58 @@
     })
 }
 
-/// Sends the message `body` to another process of the system and reads its answer.
-async fn exchange<A: DeserializeOwned>(
-    knowledge: &Knowledge,
+/// A message to another process of the system.
+struct Call<'a> {
     peer: SocketAddr,
-    path: &str,
+    path: &'a str,
     body: Bytes,
-    note: &Note,
-    needed: impl Fn() -> bool,
-) -> Result<A, Error> {
-    let progress = Progress::default();
-    let sent = body.len();
-    let exchange = async {
-        let head = Request::new(Method::POST, path).head(peer)?;
-        let options = Options {
-            connect_timeout: CONNECT_TIMEOUT,
-            idle_max: IDLE_MAX,
-            ..Options::default()
-        };
-        let body = Some(body);
-        let client = &knowledge.client;
-        let answer = client.exchange_noting(peer, head, body, options, note);
-        let mut answer = answer.await?;
-        let body = answer.read_noting(NEWS_MAX, &progress).await?;
-        knowledge.traffic.count(purpose(path), sent + body.len());
-        if !answer.status.is_success() {
-            let status = answer.status.as_u16();
-            return Err(Error::Status { status });
+    /// How long a used connection may leave it unanswered before it is sent again on a new one.
+    renews_after: Option<Duration>,
+}
+
+impl<'a> Call<'a> {
+    fn new(peer: SocketAddr, path: &'a str, body: Bytes) -> Self {
+        Self {
+            peer,
+            path,
+            body,
+            renews_after: Some(RENEWS_AFTER),
         }
-        rmp_serde::from_slice(&body).map_err(|error| Error::Codec {
-            reason: error.to_string(),
-        })
-    };
-    let waits = patience::Setting::default();
-    patience::wait_while(exchange, &progress, waits, || {}, needed).await?
+    }
+
+    /// Sends it and reads the answer while that is `needed`.
+    async fn exchange<A: DeserializeOwned>(
+        &self,
+        knowledge: &Knowledge,
+        note: &Note,
+        needed: impl Fn() -> bool,
+    ) -> Result<A, Error> {
+        let progress = Progress::default();
+        let exchange = async {
+            let head = Request::new(Method::POST, self.path).head(self.peer)?;
+            let options = Options {
+                connect_timeout: CONNECT_TIMEOUT,
+                idle_max: IDLE_MAX,
+                renews_after: self.renews_after,
+                ..Options::default()
+            };
+            let (client, body) = (&knowledge.client, Some(self.body.clone()));
+            let answer = client.exchange_noting(self.peer, head, body, options, note);
+            let mut answer = answer.await?;
+            let body = answer.read_noting(NEWS_MAX, &progress).await?;
+            let bytes = self.body.len() + body.len();
+            knowledge.traffic.count(purpose(self.path), bytes);
+            if !answer.status.is_success() {
+                let status = answer.status.as_u16();
+                return Err(Error::Status { status });
+            }
+            rmp_serde::from_slice(&body).map_err(|error| Error::Codec {
+                reason: error.to_string(),
+            })
+        };
+        let waits = patience::Setting::default();
+        patience::wait_while(exchange, &progress, waits, || {}, needed).await?
+    }
 }
 
 fn purpose(path: &str) -> Purpose {
@@ -199,7 +214,7 @@
         };
         let began = knowledge.now();
         let needed = || !knowledge.knows_routing(marks.routing);
-        let drawn = ask_while::<_, News>(&knowledge, peer, SYNC_PATH, &sync, needed).await;
+        let drawn = draw_while(&knowledge, peer, &sync, needed).await;
         knowledge.drew(peer);
         let ms = knowledge.now().since(began).as_millis() as u64;
         match drawn {
@@ -218,6 +233,21 @@
     });
 }
 
+/// Asks for what `sync` tells to be lacking while that is `needed`. It is not sent twice: the answer may
+/// be long, and its sender may take its time to write it.
+async fn draw_while(
+    knowledge: &Knowledge,
+    peer: SocketAddr,
+    sync: &Sync,
+    needed: impl Fn() -> bool,
+) -> Result<News, Error> {
+    let call = Call {
+        renews_after: None,
+        ..Call::new(peer, SYNC_PATH, packed(sync)?)
+    };
+    call.exchange(knowledge, &Note::default(), needed).await
+}
+
 /// Exchanges heartbeats with other entries until dropped. `others` names processes beside replicas,
 /// which know entries too: they are asked when no entry answers.
 pub async fn run(knowledge: Rc<Knowledge>, others: impl Fn() -> Vec<SocketAddr>) {
@@ -281,9 +311,8 @@
     for fellow in knowledge.fellows() {
         let (knowledge, packed) = (knowledge.clone(), packed.clone());
         actix_rt::spawn(async move {
-            let told =
-                exchange::<News>(&knowledge, fellow, path, packed, &Note::default(), || true).await;
-            match told {
+            let call = Call::new(fellow, path, packed);
+            match call.exchange(&knowledge, &Note::default(), || true).await {
                 Ok(news) => take(&knowledge, fellow, news),
                 Err(error) => log::debug!(entry:% = fellow; "hall not told: {error}"),
             }
--- a/src/knowledge/store.rs
+++ b/src/knowledge/store.rs
@@ -24,7 +24,7 @@
 enum Ended {
     /// The store answered, or did not.
     Call(Result<Batch, Error>),
-    /// The store answers others again, and this call may hang from before.
+    /// The store answers others again, and this call may hang from before; or its connection went silent.
     AskAgain,
 }
 
@@ -109,6 +109,7 @@
         Either::Right(_) => return Ended::AskAgain,
     };
     match ended {
+        Ok(Err(Error::Silent)) => Ended::AskAgain,
         Ok(answer) => Ended::Call(answer),
         Err(patience::Error::NotNeeded) => Ended::AskAgain,
         Err(error) => {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod request;
 pub mod route;
 pub mod sidecar;
+pub mod silence;
 pub mod source;
 pub mod spread;
 pub mod standin;
--- a/src/node.rs
+++ b/src/node.rs
@@ -57,6 +57,17 @@
     pub list_url: String,
 }
 
+impl Setting {
+    /// How the process's clients connect: from the address that it listens at, so that it is known by it.
+    pub fn client(&self) -> ClientSetting {
+        let own = self.listen.ip();
+        ClientSetting {
+            local_address: Some(own).filter(|address| !address.is_unspecified()),
+            ..ClientSetting::default()
+        }
+    }
+}
+
 /// The shared part of a daemon. It lives on one thread.
 #[derive(Debug)]
 pub struct Node {
@@ -95,10 +106,7 @@
 impl Node {
     /// A node without any knowledge yet.
     pub fn new(setting: Setting) -> Result<Rc<Self>, metric::Error> {
-        let client_setting = ClientSetting {
-            local_address: Some(setting.listen.ip()).filter(|address| !address.is_unspecified()),
-            ..ClientSetting::default()
-        };
+        let client_setting = setting.client();
         Ok(Rc::new(Self {
             setting,
             clock: Clock::default(),
--- a/src/sidecar.rs
+++ b/src/sidecar.rs
@@ -17,18 +17,18 @@
 use tokio::net::TcpListener;
 
 use crate::audit::{Deed, Trail};
-use crate::burst::host::{Host, Instruments, Local};
+use crate::burst::host::{Calls, Host, Instruments, Local, renew_when_silent};
 use crate::burst::joined::{self, Joined, Origins, Target, label};
 use crate::burst::{self};
 use crate::clock::Time;
 use crate::config::belief::first_lacking;
 use crate::daemon;
+use crate::exchange::path::Paths;
 use crate::gateway::control::message;
 use crate::http::{self, Answer, ClientSetting, Server};
 use crate::knowledge::{Identity, Knowledge, traffic};
 use crate::member::Listed;
 use crate::metric::{self, Metrics};
-use crate::node::ClientHandle;
 use crate::place::{self, Ledger};
 use crate::policy::Policy;
 use crate::source::Source;
@@ -154,6 +154,8 @@
     pub origins: Rc<dyn Origins>,
     /// The platform's store, for when no entry answers.
     pub source: Rc<dyn Source>,
+    /// What is known of the process's connections; replica and source share it.
+    pub paths: Rc<Paths>,
 }
 
 /// The chunks that lie staged at the replica.
@@ -200,6 +202,7 @@
             setting.seeds.clone(),
             setting.seed,
             setting.policy,
+            edges.paths.clone(),
         );
         knowledge.traffic.register(&metrics.meter());
         let state = Rc::new(RefCell::new(None));
@@ -213,7 +216,7 @@
             name: identity.address.ip().to_string().into(),
             hall: identity.hall,
             clock: knowledge.clock,
-            client: ClientHandle(http::client(ClientSetting::default())),
+            client: Calls::new(ClientSetting::default()),
             spread: setting.spread,
             store: RefCell::new(Store::new(setting.memory_bytes)),
             instruments: Instruments::new(&metrics.meter()),
@@ -249,6 +252,10 @@
             actix_rt::spawn(observe::read_store_when_alone(sidecar.clone())),
             actix_rt::spawn(reconcile::run(sidecar.clone())),
             actix_rt::spawn(traffic::log(sidecar.knowledge.clone())),
+            actix_rt::spawn(renew_when_silent(
+                sidecar.host.clone(),
+                edges.paths.all_silent(),
+            )),
         ];
         let servers = sidecar.serve(listeners);
         Ok(Running {
--- a/src/source.rs
+++ b/src/source.rs
@@ -81,6 +81,9 @@
         /// What happened.
         reason: String,
     },
+    /// The connection that it was asked over went silent with others; it is to be asked again.
+    #[error("the connection to the store went silent with others")]
+    Silent,
     /// The store refused.
     #[error("store answered {status}")]
     Refused {
--- a/tests/knowledge.rs
+++ b/tests/knowledge.rs
@@ -369,7 +369,8 @@
             address: entry(1, 1),
             entry: true,
         };
-        let knowledge = Knowledge::new(identity, Vec::new(), 7, Policy::default());
+        let paths = Rc::default();
+        let knowledge = Knowledge::new(identity, Vec::new(), 7, Policy::default(), paths);
         let record = Record {
             id: "i-1".into(),
             service: "tutor".into(),
