--- a/tests/knowledge.rs
+++ b/tests/knowledge.rs
@@ -1,6 +1,7 @@
 //! Who asks and reads for a whole data hall, and that others step in.
 
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
