A version's bound is counted by who heard of it first, and a version that the store tells no more is told by others

Cause: named versions were told only to those whose marks are older. A process that asks the store itself (one that begins, or whose watch hung) dates the newest version from then on, and its marks are like the others': it goes on sending to replicas of the version before until its own bound, up to the time that it was late. The store tells the newest version only, so one of two in a row was never learnt at all. A date that was corrected changed no choice either, for it was no news. Change: versions are told with their age for 20 s after their naming, whatever the marks; a date that moves back by 50 ms or more is news.

--- a/src/config/belief.rs
+++ b/src/config/belief.rs
@@ -18,6 +18,9 @@
 /// while it is, and a live replica writes itself again with its next heartbeat.
 pub const DOUBT: Duration = Duration::from_millis(1_250);
 
+/// A version whose bound turns out to end so much earlier is news: less is the way of a message.
+const DATED_BACK_MIN: Duration = Duration::from_millis(50);
+
 /// Versions of a model that are remembered: a bound may run for each of them.
 const NAMED_MAX: usize = 16;
 
@@ -425,10 +428,15 @@
         let since = now - age;
         let effect = self.learn_version(wanted.revision, model.clone(), wanted.version, since);
         let named = self.versions.get_mut(&model).into_iter().flatten();
+        let mut dated_back = false;
         for known in named.filter(|known| known.version == wanted.version) {
+            dated_back |= known.since.since(since) >= DATED_BACK_MIN;
             known.since = known.since.min(since);
         }
-        effect
+        match effect {
+            Effect::None if dated_back => Effect::Version,
+            effect => effect,
+        }
     }
 
     /// Drops replicas that went long enough ago. Returns whether any was dropped.
--- a/src/knowledge.rs
+++ b/src/knowledge.rs
@@ -52,6 +52,10 @@
 /// least each second, and tell so at least each half.
 const ANSWERS_OTHERS: Duration = Duration::from_millis(1_500);
 
+/// How long after its naming a version is told to those who know it, with its age: longer than any
+/// bound that is counted from there.
+const VERSIONS_TOLD: Duration = Duration::from_secs(20);
+
 /// Who a process is.
 #[derive(Debug, Clone)]
 pub struct Identity {
@@ -489,11 +493,7 @@
             routing: (newer_routing && sync.wants_routing)
                 .then(|| self.document())
                 .flatten(),
-            versions: if marks.versions > sync.marks.versions {
-                self.named(now)
-            } else {
-                Vec::new()
-            },
+            versions: self.named_for(sync.marks, now),
             replicas: (newer_list && changes.is_none()).then(|| list(&belief, self.shaky())),
             changes,
             brief: (newer_routing && brief).then(|| self.brief()).flatten(),
@@ -518,6 +518,19 @@
         kept.clone()
     }
 
+    /// The versions that a process with these marks is told. One that knows the newest may still lack
+    /// the one before, which the store tells nobody any more, or have heard of them later than this one.
+    fn named_for(&self, marks: Marks, now: Time) -> Vec<Named> {
+        let named = self.named(now);
+        let newer = self.belief.borrow().marks().versions > marks.versions;
+        let young = |named: &Named| Duration::from_millis(named.age_ms) < VERSIONS_TOLD;
+        if newer || named.iter().any(young) {
+            named
+        } else {
+            Vec::new()
+        }
+    }
+
     fn named(&self, now: Time) -> Vec<Named> {
         let belief = self.belief.borrow();
         let versions = belief.versions();
