Silence is confirmed, and what may be sent twice is renewed

Change: the used connection is waited for 40 ms more beside the new one, and whichever answers first counts; connections that were opened before the first message that was left unanswered and have brought nothing since the last one are doubted; while others of that time go on, those that wait for a first byte are left alone. What nobody else may receive is waited for, as before. When a request has to have started is looked up while it waits.

--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -24,6 +24,7 @@
     CONTENT_LENGTH, HOST, HeaderMap, HeaderName, HeaderValue, TRANSFER_ENCODING,
 };
 use actix_http::{ConnectionType, Method, RequestHead, RequestHeadType, ResponseHead, StatusCode};
+use actix_rt::time::{sleep, timeout};
 use bytes::{Bytes, BytesMut};
 use futures_util::future::{Either, select};
 use futures_util::{Stream, StreamExt};
@@ -32,6 +33,7 @@
 
 use crate::clock::Time;
 use crate::patience::Progress;
+use crate::silence::{self, Use};
 
 pub mod path;
 
@@ -43,6 +45,10 @@
 /// Idle connections kept for each peer.
 const IDLE_MAX: usize = 64;
 
+/// How much later than a new connection the used one may answer the same without counting as silent: a
+/// few times the longest way between two halls and back.
+const CONFIRMED_AFTER: Duration = Duration::from_millis(40);
+
 /// Bytes that are read at once of an answer without a length.
 const RAW_PART: usize = 8 * 1024;
 
@@ -119,12 +125,15 @@
         /// How long it had rested.
         rested: Duration,
     },
+    /// One that was opened when a used one had brought nothing for a while.
+    Renewed,
 }
 
 impl fmt::Display for Way {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::New => formatter.write_str("new"),
+            Self::Renewed => formatter.write_str("renewed"),
             Self::Used { rested } => write!(formatter, "used, rested {} ms", rested.as_millis()),
         }
     }
@@ -136,6 +145,11 @@
 pub struct Note(Rc<Cell<Option<Way>>>);
 
 impl Note {
+    /// The connection that was taken last, if any was.
+    pub fn way(&self) -> Option<Way> {
+        self.0.get()
+    }
+
     fn set(&self, way: Way) {
         self.0.set(Some(way));
     }
@@ -355,30 +369,66 @@
         options: Options,
         note: &Note,
     ) -> Result<Response, Error> {
-        let sending = Sending {
+        let sending = Rc::new(Sending {
             peer,
             head: Rc::new(head),
             body,
             options,
+        });
+        let used = match options.reuse {
+            Reuse::Allowed => self.used(peer, options, note),
+            Reuse::Never => None,
         };
-        if options.reuse == Reuse::Allowed
-            && let Some(taken) = self.used(peer, options, note)
-        {
-            let since = self.paths.now();
-            let answer = self.converse(&sending, taken);
-            let Some(renews_after) = options.renews_after else {
-                return answer.await;
-            };
-            if let Ok(answer) = actix_rt::time::timeout(renews_after, answer).await {
-                return answer;
+        let Some(used) = used else {
+            let taken = self.open(&sending, note).await?;
+            return self.converse(&sending, taken).await;
+        };
+        match options.renews_after {
+            None => self.converse(&sending, used).await,
+            Some(after) => self.converse_or_renew(sending, used, after, note).await,
+        }
+    }
+
+    /// Sends a request over a used connection, and again over a new one if that brings nothing `after`
+    /// so long. Whichever answers first counts.
+    async fn converse_or_renew(
+        &self,
+        sending: Rc<Sending>,
+        used: Taken,
+        after: Duration,
+        note: &Note,
+    ) -> Result<Response, Error> {
+        let since = self.paths.now();
+        let (client, request) = (self.clone(), sending.clone());
+        let old = Box::pin(async move { client.converse(&request, used).await });
+        let old = match select(old, pin!(sleep(after))).await {
+            Either::Left((Err(Error::Silent), _)) => None,
+            Either::Left((answer, _)) => return answer,
+            Either::Right((_, old)) => Some(old),
+        };
+        let new = pin!(async {
+            let taken = self.open(&sending, note).await?;
+            note.set(Way::Renewed);
+            self.converse(&sending, taken).await
+        });
+        let Some(old) = old else {
+            return new.await;
+        };
+        match select(old, new).await {
+            Either::Left((Ok(answer), _)) => Ok(answer),
+            Either::Left((Err(_), new)) => new.await,
+            Either::Right((answer, old)) => {
+                let answer = answer?;
+                let (paths, peer) = (self.paths.clone(), sending.peer);
+                actix_rt::spawn(async move {
+                    // What holds a link up holds both up: the old one answers about then as well.
+                    if timeout(CONFIRMED_AFTER, old).await.is_err() {
+                        paths.found_silent(peer, since);
+                    }
+                });
+                Ok(answer)
             }
-            let answer = self.converse(&sending, self.open(&sending, note).await?);
-            let answer = answer.await?;
-            self.paths.silent(peer, since);
-            return Ok(answer);
         }
-        let taken = self.open(&sending, note).await?;
-        self.converse(&sending, taken).await
     }
 
     /// Sends a request over a connection and reads the head of its answer.
@@ -419,7 +469,13 @@
     /// A connection to `peer` that was used before, and is good as far as is known.
     fn used(&self, peer: SocketAddr, options: Options, note: &Note) -> Option<Taken> {
         while let Some(kept) = self.kept(peer) {
-            if kept.usable(options.idle_max) && !self.paths.doubts(peer, kept.heard) {
+            let connection = silence::Connection {
+                peer,
+                opened: kept.opened,
+                heard: kept.heard,
+                is: Use::Rests,
+            };
+            if kept.usable(options.idle_max) && !self.paths.doubts(connection) {
                 let rested = kept.since.elapsed();
                 note.set(Way::Used { rested });
                 return Some(Taken {
@@ -436,7 +492,7 @@
     async fn open(&self, sending: &Sending, note: &Note) -> Result<Taken, Error> {
         note.set(Way::New);
         let open = self.connect(sending.peer);
-        let open = actix_rt::time::timeout(sending.options.connect_timeout, open);
+        let open = timeout(sending.options.connect_timeout, open);
         let stream = open
             .await
             .map_err(|_| not_sent("no connection in time"))?
@@ -587,6 +643,11 @@
         response
     }
 
+    /// Sets whether it ends with [`Error::Silent`] when its connection turns out to be silent.
+    pub fn set_guarded(&mut self, guarded: bool) {
+        self.hop.guarded = guarded;
+    }
+
     /// The value of a header, empty if there is none.
     pub fn header(&self, name: &str) -> &str {
         let value = self.headers.get(name);
@@ -627,7 +688,7 @@
             kept.push(Kept {
                 connection,
                 opened: self.hop.opened,
-                heard: self.hop.guard.last(),
+                heard: self.hop.guard.last_heard(),
                 since: Instant::now(),
                 good_for: self.good_for(),
             });
@@ -734,7 +795,9 @@
     fn poll_next(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<Self::Item>> {
         let part = self.poll_part(cx);
         if part.is_ready() {
-            self.hop.guard.heard();
+            if matches!(part, Poll::Ready(Some(Ok(_)))) {
+                self.hop.guard.heard();
+            }
             return part;
         }
         if self.hop.guarded && Pin::new(&mut self.hop.guard).poll(cx).is_ready() {
--- a/src/exchange/path.rs
+++ b/src/exchange/path.rs
@@ -1,6 +1,7 @@
 //! What a process's clients know together of their open connections.
 
 use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
 use std::fmt;
 use std::future::Future;
 use std::net::SocketAddr;
@@ -13,19 +14,36 @@
 use tokio::sync::watch;
 
 use crate::clock::{Clock, Time};
-use crate::silence::{Extent, Findings, Others};
+use crate::silence::{Connection, Extent, Findings, Others, Use};
 
-/// How much later than an exchange began bytes may come that were on their way then.
-const ON_THEIR_WAY: Duration = Duration::from_millis(10);
+/// How much later than a silence began bytes may come that were on their way: a few milliseconds
+/// between halls.
+const ON_THE_WAY: Duration = Duration::from_millis(10);
 
-/// Exchanges under way above which those that ended are forgotten at once.
-const UNDER_WAY_SWEPT: usize = 64;
+/// Length above which the list of exchanges under way is cleared of those that ended before it grows.
+const UNDER_WAY: usize = 64;
+
+/// Exchanges that ended and are remembered for what their connections brought.
+const ENDED: usize = 64;
 
 /// The connection of an exchange under way.
 #[derive(Debug)]
-struct Life {
+struct Carrier {
+    peer: SocketAddr,
     opened: Time,
     heard: Cell<Time>,
+    is: Cell<Use>,
+}
+
+impl Carrier {
+    fn connection(&self) -> Connection {
+        Connection {
+            peer: self.peer,
+            opened: self.opened,
+            heard: self.heard.get(),
+            is: self.is.get(),
+        }
+    }
 }
 
 /// The paths of a process's connections: what one client finds of them, the others know. It lives on
@@ -34,7 +52,8 @@
 pub struct Paths {
     clock: Clock,
     findings: RefCell<Findings>,
-    under_way: RefCell<Vec<Weak<Life>>>,
+    under_way: RefCell<Vec<Weak<Carrier>>>,
+    ended: RefCell<VecDeque<Connection>>,
     found: watch::Sender<u64>,
     found_all: watch::Sender<u64>,
 }
@@ -45,6 +64,7 @@
             clock: Clock::default(),
             findings: RefCell::default(),
             under_way: RefCell::default(),
+            ended: RefCell::default(),
             found: watch::Sender::new(0),
             found_all: watch::Sender::new(0),
         }
@@ -57,25 +77,27 @@
         self.clock.now()
     }
 
-    /// `peer` answered on a new connection what it had left unanswered on a used one from `since` on.
-    pub(super) fn silent(&self, peer: SocketAddr, since: Time) {
+    /// `peer` answered on a new connection, and not yet on a used one, what was sent there at `since`.
+    pub(super) fn found_silent(&self, peer: SocketAddr, since: Time) {
         let now = self.now();
         let others = self.others(since);
-        let extent = self.findings.borrow_mut().silent(peer, since, others, now);
-        let silent_ms = now.since(since).as_millis() as u64;
+        let mut findings = self.findings.borrow_mut();
+        let extent = findings.found_silent(peer, since, others, now);
+        drop(findings);
         log::warn!(
-            peer:% = peer, extent:? = extent, others:? = others, silent_ms;
-            "open connections are silent, new ones work"
+            peer:% = peer, extent:? = extent, others:? = others,
+            silent_ms = now.since(since).as_millis() as u64;
+            "a used connection is silent, a new one to the same peer works"
         );
         self.found.send_modify(|count| *count += 1);
-        if extent == Extent::All {
+        if extent == Extent::All && others == Others::Silent {
             self.found_all.send_modify(|count| *count += 1);
         }
     }
 
-    /// Whether a connection to `peer` is doubted that brought something at `heard` last.
-    pub(super) fn doubts(&self, peer: SocketAddr, heard: Time) -> bool {
-        self.findings.borrow().doubts(peer, heard)
+    /// Whether a connection that rests is doubted.
+    pub(super) fn doubts(&self, connection: Connection) -> bool {
+        self.findings.borrow().gives_up(connection).is_some()
     }
 
     /// Counts how often all open connections were found silent.
@@ -83,40 +105,51 @@
         self.found_all.subscribe()
     }
 
-    /// Whether exchanges on connections that were opened before `since` have brought anything from
-    /// then on.
+    /// Whether connections that were opened before `since` have brought anything from then on.
     fn others(&self, since: Time) -> Others {
+        let heard = |connection: Connection| {
+            connection.opened < since && connection.heard > since + ON_THE_WAY
+        };
         let under_way = self.under_way.borrow();
-        let mut lives = under_way.iter().filter_map(Weak::upgrade);
-        let heard =
-            lives.any(|life| life.opened < since && life.heard.get() > since + ON_THEIR_WAY);
-        if heard { Others::Heard } else { Others::Silent }
+        let mut under_way = under_way.iter().filter_map(Weak::upgrade);
+        let ended = self.ended.borrow();
+        if under_way.any(|carrier| heard(carrier.connection()))
+            || ended.iter().any(|connection| heard(*connection))
+        {
+            Others::Heard
+        } else {
+            Others::Silent
+        }
     }
 
     /// Guards an exchange on a connection to `peer` that was opened at `opened` and brought something
     /// at `heard` last.
     pub(super) fn guard(self: &Rc<Self>, peer: SocketAddr, opened: Time, heard: Time) -> Guard {
-        let heard = Cell::new(heard);
-        let life = Rc::new(Life { opened, heard });
+        let carrier = Rc::new(Carrier {
+            peer,
+            opened,
+            heard: Cell::new(heard),
+            is: Cell::new(Use::Waits),
+        });
         let mut under_way = self.under_way.borrow_mut();
-        if under_way.len() >= UNDER_WAY_SWEPT && under_way.len() == under_way.capacity() {
-            under_way.retain(|life| life.strong_count() > 0);
+        if under_way.len() >= UNDER_WAY && under_way.len() == under_way.capacity() {
+            under_way.retain(|carrier| carrier.strong_count() > 0);
         }
-        under_way.push(Rc::downgrade(&life));
+        under_way.push(Rc::downgrade(&carrier));
         Guard {
             paths: self.clone(),
-            life: life.clone(),
-            gives_up: Box::pin(gives_up(self.clone(), peer, life)),
+            carrier: carrier.clone(),
+            given_up: Box::pin(given_up(self.clone(), carrier)),
         }
     }
 }
 
 /// Ends when nothing is to be expected any more of a connection.
-async fn gives_up(paths: Rc<Paths>, peer: SocketAddr, life: Rc<Life>) {
+async fn given_up(paths: Rc<Paths>, carrier: Rc<Carrier>) {
     let mut found = paths.found.subscribe();
     loop {
         found.borrow_and_update();
-        let due = paths.findings.borrow().gives_up(peer, life.heard.get());
+        let due = paths.findings.borrow().gives_up(carrier.connection());
         match due.map(|due| due.since(paths.now())) {
             Some(left) if left.is_zero() => return,
             Some(left) => sleep(left).await,
@@ -129,25 +162,36 @@
 /// A future that ends when its exchange's connection has gone silent, by what other exchanges found.
 pub(super) struct Guard {
     paths: Rc<Paths>,
-    life: Rc<Life>,
-    gives_up: Pin<Box<dyn Future<Output = ()>>>,
+    carrier: Rc<Carrier>,
+    given_up: Pin<Box<dyn Future<Output = ()>>>,
 }
 
 impl fmt::Debug for Guard {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(formatter, "Guard({:?})", self.life)
+        write!(formatter, "Guard({:?})", self.carrier)
+    }
+}
+
+impl Drop for Guard {
+    fn drop(&mut self) {
+        let mut ended = self.paths.ended.borrow_mut();
+        if ended.len() == ENDED {
+            ended.pop_front();
+        }
+        ended.push_back(self.carrier.connection());
     }
 }
 
 impl Guard {
     /// Bytes came.
     pub fn heard(&self) {
-        self.life.heard.set(self.paths.now());
+        self.carrier.heard.set(self.paths.now());
+        self.carrier.is.set(Use::Receives);
     }
 
     /// When bytes came last.
-    pub fn last(&self) -> Time {
-        self.life.heard.get()
+    pub fn last_heard(&self) -> Time {
+        self.carrier.heard.get()
     }
 }
 
@@ -155,6 +199,6 @@
     type Output = ();
 
     fn poll(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<()> {
-        self.gives_up.as_mut().poll(cx)
+        self.given_up.as_mut().poll(cx)
     }
 }
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -74,6 +74,17 @@
     }
 }
 
+/// What is asked of a replica beside the request itself.
+#[derive(Debug, Clone, Copy)]
+pub struct Send {
+    /// The last event that the caller has.
+    pub last_event: Option<u64>,
+    /// The only version that will do.
+    pub version: Option<u64>,
+    /// Whether another replica may receive the request after this one.
+    pub moves_on: bool,
+}
+
 /// An attempt, counted at its replica until it is dropped.
 pub struct Attempt {
     gateway: Rc<Gateway>,
@@ -178,12 +189,12 @@
     }
 
     /// Sends the request and reads the head of its answer.
-    pub async fn send(
-        self,
-        job: &Job,
-        last_event: Option<u64>,
-        version: Option<u64>,
-    ) -> Result<Begun, Failure> {
+    pub async fn send(self, job: &Job, send: Send) -> Result<Begun, Failure> {
+        let Send {
+            last_event,
+            version,
+            moves_on,
+        } = send;
         let now = self.gateway.knowledge.now();
         let forward = Forward {
             replica: &self.replica,
@@ -196,7 +207,8 @@
         let head = self.gateway.dialect.forward(&job.head, forward);
         let client = &self.gateway.client;
         let body = job.body.clone();
-        let exchange = client.exchange_noting(self.address, head, body, options(job), &self.note);
+        let exchange =
+            client.exchange_noting(self.address, head, body, options(job, moves_on), &self.note);
         match self.within(job, exchange).await {
             None => Err(self.silent(job)),
             Some(Err(exchange::Error::NotSent { reason })) => {
@@ -222,7 +234,9 @@
             let now = self.gateway.knowledge.now();
             let remaining = job.remaining(now);
             // It may not start on its replica's version any more once the next one is due.
-            let start = self.start_bound.map_or(remaining, |bound| bound.since(now));
+            let start = self
+                .start_bound(job)
+                .map_or(remaining, |bound| bound.since(now));
             let longest = remaining.min(start);
             if let Ok(done) = timeout(silence.min(longest), &mut step).await {
                 return Some(done);
@@ -234,6 +248,18 @@
         }
     }
 
+    /// When the request has to have started at its replica, as far as is known now: a version may be
+    /// named, or turn out to have been named earlier, while it waits there.
+    fn start_bound(&self, job: &Job) -> Option<Time> {
+        if self.started.get() {
+            return None;
+        }
+        let model = job.ask.work.as_ref().map(|work| &*work.model)?;
+        let pool = self.gateway.pool.borrow();
+        let known = pool.start_bound(self.key, model, self.now());
+        self.start_bound.into_iter().chain(known).min()
+    }
+
     fn now(&self) -> Time {
         self.gateway.knowledge.now()
     }
@@ -241,9 +267,8 @@
     /// The replica was silent for as long as it may be.
     pub fn silent(&self, job: &Job) -> Failure {
         let late = job.remaining(self.gateway.knowledge.now()).is_zero();
-        let bound = self
-            .start_bound
-            .is_some_and(|bound| bound <= self.gateway.knowledge.now());
+        let now = self.gateway.knowledge.now();
+        let bound = self.start_bound(job).is_some_and(|bound| bound <= now);
         let detail = if late {
             "the request's time is over"
         } else if bound {
@@ -305,7 +330,7 @@
     }
 }
 
-fn options(job: &Job) -> Options {
+fn options(job: &Job, moves_on: bool) -> Options {
     Options {
         // A connection that its replica closes just now would leave unknown whether the request
         // ran.
@@ -317,7 +342,8 @@
         idle_max: IDLE_MAX,
         connect_timeout: CONNECT_TIMEOUT,
         unframed: Unframed::EndsWithConnection,
-        guarded: job.route.repeatable(),
+        // What nobody else may receive is waited for.
+        guarded: moves_on,
         ..Options::default()
     }
 }
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -10,7 +10,7 @@
 use rand::RngExt;
 
 use super::Gateway;
-use super::attempt::{Attempt, Begun, Failure};
+use super::attempt::{Attempt, Begun, Failure, Send};
 use super::dialect::{Ask, Code, Refusal};
 use super::relay::Relay;
 use super::trace::{Expected, Trace};
@@ -540,7 +540,12 @@
             first: choice.expected,
             requests: choice.requests,
         });
-        let result = attempt.send(&self.job, last_event, self.only).await;
+        let send = Send {
+            last_event,
+            version: self.only,
+            moves_on: self.may_move_after_one_more(),
+        };
+        let result = attempt.send(&self.job, send).await;
         let sent = !matches!(
             &result,
             Err(Failure {
@@ -569,9 +574,20 @@
 
     /// Whether another replica may still receive the request.
     pub fn may_move(&self) -> bool {
-        matches!(
-            next::after(Ended::Broken, self.situation()),
-            Next::Elsewhere { .. }
-        )
+        moves_on(self.situation())
+    }
+
+    /// Whether another one may once the next has received it.
+    fn may_move_after_one_more(&self) -> bool {
+        let situation = self.situation();
+        moves_on(Situation {
+            sent: situation.sent + 1,
+            ..situation
+        })
     }
 }
+
+fn moves_on(situation: Situation) -> bool {
+    let next = next::after(Ended::Broken, situation);
+    matches!(next, Next::Elsewhere { .. })
+}
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -141,11 +141,14 @@
     async fn step(&mut self) -> Step {
         let now = self.course.gateway.knowledge.now();
         let remaining = self.course.job.remaining(now);
-        let patience = if self.course.may_move() {
+        let may_move = self.course.may_move();
+        let patience = if may_move {
             remaining.min(SILENCE)
         } else {
             remaining
         };
+        // What nobody else may take up is waited for.
+        self.response.set_guarded(may_move);
         match timeout(patience, self.response.next()).await {
             Ok(Some(Ok(bytes))) => match self.cutter.push(bytes) {
                 Ok(events) if events.is_empty() => Step::Part,
--- a/src/knowledge/gossip.rs
+++ b/src/knowledge/gossip.rs
@@ -83,7 +83,19 @@
     path: &str,
     message: &T,
 ) -> Result<(), Error> {
-    let news: News = ask(knowledge, peer, path, message).await?;
+    post_noting(knowledge, peer, path, message, &Note::default()).await
+}
+
+/// Does the same, and notes which connection it takes.
+pub async fn post_noting<T: Serialize>(
+    knowledge: &Rc<Knowledge>,
+    peer: SocketAddr,
+    path: &str,
+    message: &T,
+    note: &Note,
+) -> Result<(), Error> {
+    let call = Call::new(peer, path, packed(message)?);
+    let news = call.exchange(knowledge, note, || true).await?;
     take(knowledge, peer, news);
     Ok(())
 }
--- a/src/sidecar/observe.rs
+++ b/src/sidecar/observe.rs
@@ -13,7 +13,8 @@
 use super::engine::State;
 use crate::backoff::Backoff;
 use crate::clock::Time;
-use crate::knowledge::gossip::post;
+use crate::exchange::{Note, Way};
+use crate::knowledge::gossip::post_noting;
 use crate::knowledge::hub;
 use crate::knowledge::readers::Readers;
 use crate::knowledge::traffic::Purpose;
@@ -267,8 +268,10 @@
         load: sidecar.load(),
         sync: sidecar.knowledge.sync(asks),
     };
-    let began = sidecar.knowledge.now();
-    match post(&sidecar.knowledge, entry, REPORT_PATH, &report).await {
+    let (began, note) = (sidecar.knowledge.now(), Note::default());
+    match post_noting(&sidecar.knowledge, entry, REPORT_PATH, &report, &note).await {
+        // The time of one that was sent twice says nothing of the link.
+        Ok(()) if note.way() == Some(Way::Renewed) => {}
         Ok(()) => {
             let now = sidecar.knowledge.now();
             sidecar.trips.borrow_mut().finish(now.since(began), now);
--- a/src/silence.rs
+++ b/src/silence.rs
@@ -1,13 +1,13 @@
 //! Which open connections of a process have gone silent, by what its exchanges find.
 //!
-//! A path that loses its state (a firewall or a translator that restarts) silences what is open on it for
-//! good: no end and no reset comes, and each exchange would wait out its own time limit to find that out. The
-//! kernel gives such a connection up after 1.5 to 2.5 s; a watch may wait longer yet. But connections
-//! share their path's fate, and one that was opened later works. So a peer that
-//! answers on a new connection what it left unanswered on a used one shows that the path went silent and not the peer.
-//! Nothing is expected then of the connections to that peer that have brought nothing since; after a second
-//! peer, of none of the process's own. With all of a deployment's connections silent at once, requests were in
-//! time again after 0.3 s, and after 3.5 s without this.
+//! A path that loses its state (a firewall or a translator that restarts) silences what is open on it
+//! for good: no end and no reset comes, and each exchange would wait out its own time limit to find
+//! that out. The kernel gives such a connection up after 1.5 to 2.5 s; a watch may wait longer yet.
+//! But connections share their path's fate, and one that was opened later works. So a peer that
+//! answers on a new connection, and still not on the used one, shows that the path went silent and not
+//! the peer. Nothing is expected then of the connections to that peer that were open and have brought
+//! nothing since; after a second peer, of none of the process's own. With all connections of a
+//! deployment silent at once that is known within 0.3 s; time limits took 1.5 to 2.7 s, one by one.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -15,27 +15,30 @@
 
 use crate::clock::Time;
 
-/// Findings about two peers within so long have one cause: the slowest exchanges that find it, heartbeats,
-/// come once a second.
+/// Findings about two peers within so long have one cause: the slowest exchanges that find it,
+/// heartbeats, come once a second.
 const TOGETHER: Duration = Duration::from_millis(1_500);
 
-/// How long an exchange under way is still given from when its connection is doubted: events of a stream
-/// come more often than that, and bytes on their way arrive.
+/// How long an exchange under way is still given from when its connection is doubted: events of a
+/// stream come more often than that, and bytes on their way arrive.
 const GRACE: Duration = Duration::from_millis(80);
 
-/// How long it is given while some old connections still bring something: a packet that was lost is sent
-/// again after 200 ms, and then the next event is due.
+/// How long a stream is given while some old connections still bring something: a packet that was lost
+/// is sent again after 200 ms, and then the next event is due.
 const GRACE_DIVIDED: Duration = Duration::from_millis(350);
 
-/// What was found.
+/// Findings about all connections that are remembered.
+const REMEMBERED: usize = 16;
+
+/// What one exchange found.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 struct Finding {
-    /// Connections that have brought nothing since then are doubted.
+    /// When what was left unanswered was sent.
     since: Time,
-    /// When it was found.
+    /// When that was found.
     at: Time,
-    /// How long exchanges under way are still given from then on.
-    grace: Duration,
+    /// Whether connections of that time still brought something.
+    others: Others,
 }
 
 /// How many connections a finding is about.
@@ -47,7 +50,7 @@
     All,
 }
 
-/// Whether connections that were opened before a finding still bring something.
+/// Whether connections that were open before a finding still bring something.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Others {
     /// None does.
@@ -56,59 +59,109 @@
     Heard,
 }
 
+/// What a connection is doing.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Use {
+    /// It rests. It is given up for little: another is opened in its place.
+    Rests,
+    /// Its exchange waits for the first byte, which may take long where there is a queue.
+    Waits,
+    /// The answer of its exchange is coming in.
+    Receives,
+}
+
+/// A connection, as far as its silence is concerned.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Connection {
+    /// Whose it is.
+    pub peer: SocketAddr,
+    /// When it was opened.
+    pub opened: Time,
+    /// When it brought something last, or was opened.
+    pub heard: Time,
+    /// What it is doing.
+    pub is: Use,
+}
+
 /// What a process has found of its connections.
 #[derive(Debug, Clone, Default)]
 pub struct Findings {
     peers: BTreeMap<SocketAddr, Finding>,
-    all: Option<Finding>,
+    /// Findings of one silence of all connections, the earliest sent first.
+    all: Vec<Finding>,
 }
 
 impl Findings {
-    /// `peer` answered on a new connection, at `now`, what it had left unanswered on a used one from
-    /// `since` on.
-    pub fn silent(&mut self, peer: SocketAddr, since: Time, others: Others, now: Time) -> Extent {
-        let grace = match others {
-            Others::Silent => GRACE,
-            Others::Heard => GRACE_DIVIDED,
-        };
+    /// `peer` answered on a new connection, and until `now` not on a used one, what was sent there at
+    /// `since`.
+    pub fn found_silent(
+        &mut self,
+        peer: SocketAddr,
+        since: Time,
+        others: Others,
+        now: Time,
+    ) -> Extent {
         let finding = Finding {
             since,
             at: now,
-            grace,
+            others,
         };
-        self.peers.insert(peer, finding);
-        // What was sent before the last conclusion is explained by it.
-        let explained = |found: &Finding| self.all.is_some_and(|all| found.since <= all.at);
+        let explained = |by: &Finding| since <= by.at;
+        if !self.peers.get(&peer).is_some_and(explained) {
+            self.peers.insert(peer, finding);
+        }
+        if self.all.iter().any(explained) {
+            self.remember(vec![finding]);
+            return Extent::All;
+        }
+        let concluded = self.all.iter().map(|found| found.at).max();
+        let fresh = |found: &Finding| concluded.is_none_or(|at| found.since > at);
         let lately = |found: &Finding| now.since(found.at) < TOGETHER;
-        let together: Vec<Finding> = self
-            .peers
-            .values()
-            .copied()
-            .filter(|found| lately(found) && !explained(found))
+        let together = self.peers.values().copied();
+        let together: Vec<Finding> = together
+            .filter(|found| lately(found) && fresh(found))
             .collect();
-        if together.len() < 2 || explained(&finding) {
+        if together.len() < 2 {
             return Extent::Peer;
         }
-        let first = together.iter().map(|found| found.since).min();
-        self.all = Some(Finding {
-            since: first.unwrap_or(since),
-            ..finding
-        });
+        self.all.clear();
+        self.remember(together);
         Extent::All
     }
 
-    /// Whether a connection to `peer` is doubted that brought something at `heard` last, or was opened
-    /// then.
-    pub fn doubts(&self, peer: SocketAddr, heard: Time) -> bool {
-        self.gives_up(peer, heard).is_some()
+    fn remember(&mut self, findings: Vec<Finding>) {
+        self.all.extend(findings);
+        self.all.sort_by_key(|found| found.since);
+        self.all.truncate(REMEMBERED);
+    }
+
+    /// When a connection is given up, unless something comes before; `None` if it is not doubted.
+    pub fn gives_up(&self, connection: Connection) -> Option<Time> {
+        let of_peer = self.peers.get(&connection.peer);
+        let of_peer = of_peer.and_then(|found| found.gives_up(connection, found.since));
+        // All went silent before what was left unanswered first was sent.
+        let first = self.all.first().map(|found| found.since);
+        let of_all = first.and_then(|first| {
+            let due = self.all.iter();
+            due.filter_map(|found| found.gives_up(connection, first))
+                .min()
+        });
+        of_peer.into_iter().chain(of_all).min()
     }
+}
 
-    /// When an exchange under way on such a connection is given up, unless something comes before;
-    /// `None` if the connection is not doubted.
-    pub fn gives_up(&self, peer: SocketAddr, heard: Time) -> Option<Time> {
-        let about = [self.peers.get(&peer).copied(), self.all];
-        let doubting = about.into_iter().flatten();
-        let doubting = doubting.filter(|found| heard < found.since);
-        doubting.map(|found| found.at + found.grace).min()
+impl Finding {
+    /// When it gives up a connection, if that was opened before `first` and has brought nothing since.
+    fn gives_up(self, connection: Connection, first: Time) -> Option<Time> {
+        if connection.opened >= first || connection.heard >= self.since {
+            return None;
+        }
+        match (connection.is, self.others) {
+            (Use::Rests, _) => Some(self.at),
+            (_, Others::Silent) => Some(self.at + GRACE),
+            (Use::Receives, Others::Heard) => Some(self.at + GRACE_DIVIDED),
+            // It may wait in a queue, and other old connections work.
+            (Use::Waits, Others::Heard) => None,
+        }
     }
 }
--- a/tests/silence.rs
+++ b/tests/silence.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use pumicelatch::clock::Time;
-use pumicelatch::silence::{Extent, Findings, Others};
+use pumicelatch::silence::{Connection, Extent, Findings, Others, Use};
 use quickcheck::quickcheck;
 
 fn peer(last: u8) -> SocketAddr {
@@ -16,99 +16,127 @@
     Time::from_millis(10_000 + millis)
 }
 
+/// A stream from the peer `last` that was opened at `opened` and brought something at `heard` last.
+fn stream(last: u8, opened: u64, heard: u64) -> Connection {
+    Connection {
+        peer: peer(last),
+        opened: at(opened),
+        heard: at(heard),
+        is: Use::Receives,
+    }
+}
+
+/// Findings of a silence of all connections: two peers left unanswered what was sent at 100 and 130.
+fn all_silent(others: Others) -> Findings {
+    let mut findings = Findings::default();
+    let first = findings.found_silent(peer(1), at(100), others, at(200));
+    assert_eq!(first, Extent::Peer);
+    let second = findings.found_silent(peer(2), at(130), others, at(230));
+    assert_eq!(second, Extent::All);
+    findings
+}
+
 #[test]
 fn one_peers_silence_is_about_its_connections_only() {
     let mut findings = Findings::default();
-    let extent = findings.silent(peer(1), at(100), Others::Silent, at(160));
-    assert_eq!(extent, Extent::Peer);
-    assert!(findings.doubts(peer(1), at(99)));
+    findings.found_silent(peer(1), at(100), Others::Silent, at(200));
+    assert!(findings.gives_up(stream(1, 50, 99)).is_some());
+    assert!(
+        findings.gives_up(stream(1, 50, 101)).is_none(),
+        "it brings something"
+    );
     assert!(
-        !findings.doubts(peer(1), at(101)),
-        "it has brought something"
+        findings.gives_up(stream(1, 101, 101)).is_none(),
+        "it is new"
     );
-    assert!(!findings.doubts(peer(2), at(99)));
+    assert!(findings.gives_up(stream(2, 50, 99)).is_none());
 }
 
 #[test]
 fn two_peers_silence_is_about_all_connections_that_bring_nothing() {
-    let mut findings = Findings::default();
-    findings.silent(peer(1), at(100), Others::Silent, at(160));
-    let extent = findings.silent(peer(2), at(130), Others::Silent, at(190));
-    assert_eq!(extent, Extent::All);
-    assert!(findings.doubts(peer(3), at(99)));
+    let findings = all_silent(Others::Silent);
+    assert!(findings.gives_up(stream(3, 50, 99)).is_some());
     assert!(
-        !findings.doubts(peer(3), at(101)),
-        "opened after the silence began"
+        findings.gives_up(stream(3, 101, 101)).is_none(),
+        "it was opened later"
     );
+    // The silence began after the first message was sent, and before the second.
+    assert!(findings.gives_up(stream(3, 50, 110)).is_some());
+    assert!(findings.gives_up(stream(3, 50, 131)).is_none());
 }
 
 #[test]
 fn silences_that_are_found_apart_have_no_common_cause() {
     let mut findings = Findings::default();
-    findings.silent(peer(1), at(100), Others::Silent, at(160));
-    let extent = findings.silent(peer(2), at(2_000), Others::Silent, at(2_060));
+    findings.found_silent(peer(1), at(100), Others::Silent, at(200));
+    let extent = findings.found_silent(peer(2), at(2_000), Others::Silent, at(2_100));
     assert_eq!(extent, Extent::Peer);
-    assert!(!findings.doubts(peer(3), at(99)));
+    assert!(findings.gives_up(stream(3, 50, 99)).is_none());
 }
 
 #[test]
 fn one_peer_that_is_found_twice_is_one() {
     let mut findings = Findings::default();
-    findings.silent(peer(1), at(100), Others::Silent, at(160));
-    let extent = findings.silent(peer(1), at(300), Others::Silent, at(360));
+    findings.found_silent(peer(1), at(100), Others::Silent, at(200));
+    let extent = findings.found_silent(peer(1), at(300), Others::Silent, at(400));
     assert_eq!(extent, Extent::Peer);
 }
 
 #[test]
-fn what_was_sent_before_the_conclusion_adds_nothing_to_it() {
-    let mut findings = Findings::default();
-    findings.silent(peer(1), at(100), Others::Silent, at(160));
-    findings.silent(peer(2), at(110), Others::Silent, at(170));
-    let extent = findings.silent(peer(4), at(165), Others::Silent, at(230));
-    assert_eq!(extent, Extent::Peer);
-    // A connection that was opened between the silence and its discovery is as good as before.
-    assert!(!findings.doubts(peer(3), at(120)));
+fn a_connection_that_was_opened_before_a_slow_exchange_found_the_same_stays() {
+    let mut findings = all_silent(Others::Silent);
+    findings.found_silent(peer(4), at(195), Others::Silent, at(450));
+    // Opened after the silence, it waits for a first byte.
+    let opened_after = Connection {
+        is: Use::Waits,
+        ..stream(3, 150, 150)
+    };
+    assert!(findings.gives_up(opened_after).is_none());
 }
 
 #[test]
 fn a_second_silence_is_found_as_the_first_was() {
-    let mut findings = Findings::default();
-    for (start, doubted) in [(0, 99), (700, 750)] {
-        findings.silent(peer(1), at(start + 100), Others::Silent, at(start + 160));
-        let second = findings.silent(peer(2), at(start + 110), Others::Silent, at(start + 170));
-        assert_eq!(second, Extent::All);
-        assert!(findings.doubts(peer(3), at(doubted)));
-    }
+    let mut findings = all_silent(Others::Silent);
+    findings.found_silent(peer(1), at(800), Others::Silent, at(900));
+    let second = findings.found_silent(peer(2), at(810), Others::Silent, at(910));
+    assert_eq!(second, Extent::All);
+    assert!(findings.gives_up(stream(3, 700, 790)).is_some());
+    assert!(findings.gives_up(stream(3, 805, 805)).is_none());
 }
 
 #[test]
-fn exchanges_under_way_get_longer_while_others_go_on() {
-    let given_up = |others| {
-        let mut findings = Findings::default();
-        findings.silent(peer(1), at(100), others, at(160));
-        findings.silent(peer(2), at(110), others, at(170));
-        findings.gives_up(peer(3), at(50)).unwrap()
-    };
-    let (soon, later) = (given_up(Others::Silent), given_up(Others::Heard));
+fn while_others_go_on_streams_get_longer_and_queues_are_left_alone() {
+    let due = |others| all_silent(others).gives_up(stream(3, 50, 60)).unwrap();
     // A lost packet is sent again after 200 ms.
-    assert!(later.since(at(170)) > Duration::from_millis(200));
-    assert!(soon.since(at(170)) < Duration::from_millis(100));
+    assert!(due(Others::Heard).since(at(230)) > Duration::from_millis(200));
+    assert!(due(Others::Silent).since(at(230)) < Duration::from_millis(100));
+    let waits = |others| {
+        all_silent(others).gives_up(Connection {
+            is: Use::Waits,
+            ..stream(3, 50, 60)
+        })
+    };
+    assert!(waits(Others::Silent).is_some());
+    assert!(waits(Others::Heard).is_none());
 }
 
 quickcheck! {
-    /// Whatever is found, a connection that brought something after all that is not doubted, and one
-    /// that is doubted would be if it had brought something earlier.
+    /// Whatever is found, one that brought something after all that stays, and one that is given up
+    /// would be as well if it had brought something earlier only.
     fn doubt_ends_with_the_first_byte(found: Vec<(u8, u16, u8)>, heard: u16, asked: u8) -> bool {
         let mut findings = Findings::default();
         let mut now = at(0);
         for (last, since, took) in found {
             let since = now + Duration::from_millis(u64::from(since % 3_000));
             now = since + Duration::from_millis(u64::from(took));
-            findings.silent(peer(last), since, Others::Silent, now);
+            findings.found_silent(peer(last), since, Others::Silent, now);
         }
+        let given_up = |heard| {
+            let known = stream(asked, 0, 0);
+            findings.gives_up(Connection { heard, ..known }).is_some()
+        };
         let heard = at(u64::from(heard));
         let earlier = heard - Duration::from_millis(1);
-        let kept = !findings.doubts(peer(asked), heard) || findings.doubts(peer(asked), earlier);
-        kept && !findings.doubts(peer(asked), now)
+        (!given_up(heard) || given_up(earlier)) && !given_up(now)
     }
 }
