--- a/src/agent.rs
+++ b/src/agent.rs
@@ -23,6 +23,7 @@
 use crate::request::Ledger;
 use crate::spread;
 use crate::spread::swarm::Tally;
+use crate::stop::Porter;
 use crate::version::{EngineState, Fence};
 use crate::weight::{Digest, Store};
 
@@ -80,6 +81,7 @@
     bursts: RefCell<BTreeMap<Digest, Rc<Burst>>>,
     gate: RefCell<Gate>,
     leaving: Cell<bool>,
+    porter: Rc<Porter>,
     in_flight: RefCell<limit::Target>,
     ledger: RefCell<Ledger>,
     keyring: Keyring,
@@ -144,6 +146,7 @@
             bursts: RefCell::default(),
             gate: RefCell::default(),
             leaving: Cell::new(false),
+            porter: Porter::new(node.clock, &node.metrics.meter()),
             in_flight: RefCell::default(),
             ledger: RefCell::new(Ledger::new(boot, KEYS_MAX, KEPT_ANSWER_MAX)),
             keyring: setting.keyring.clone(),
@@ -172,12 +175,6 @@
         }
     }
 
-    /// Whether no request and no upload is in progress.
-    pub fn idle(&self) -> bool {
-        let uploads = self.bursts.borrow().values().any(|burst| burst.uploading());
-        self.in_flight.borrow().total() == 0 && !uploads
-    }
-
     /// Bytes of chunks that were sent to other boxes.
     pub fn chunk_bytes_sent(&self) -> u64 {
         self.host.bytes_sent.get()
--- a/src/agent/daemon.rs
+++ b/src/agent/daemon.rs
@@ -1,11 +1,12 @@
 //! `pumicelatch-agent`: an agent as a process of its own.
 
 use super::{Agent, Setting};
-use crate::daemon::{self, Error, HEAR, SPECS};
+use crate::daemon::{self, Error, SPECS};
 use crate::http;
 use crate::member::Role;
 use crate::option::{Spec, Values};
 use crate::spread;
+use crate::stop::{self, HEAR};
 
 /// The program's name.
 pub const PROGRAM: &str = "pumicelatch-agent";
@@ -80,7 +81,12 @@
     daemon::stop_signal().await?;
     log::info!("planned stop");
     running.agent.drain();
-    actix_rt::time::sleep(HEAR).await;
-    daemon::wait_idle(common.drain, || running.agent.idle()).await;
+    // Entries take up and cancel here what this agent has under way.
+    let setting = stop::Setting {
+        longest: HEAR + common.drain,
+        reachable: true,
+        ..stop::Setting::default()
+    };
+    running.agent.porter.stop(setting, &running.server).await;
     Ok(())
 }
--- a/src/agent/door.rs
+++ b/src/agent/door.rs
@@ -189,7 +189,7 @@
     answer
 }
 
-fn not_admitted(reason: Reason) -> Answer {
+pub(super) fn not_admitted(reason: Reason) -> Answer {
     turned(
         StatusCode::SERVICE_UNAVAILABLE,
         "no",
--- a/src/agent/serve.rs
+++ b/src/agent/serve.rs
@@ -3,7 +3,7 @@
 use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
 
-use actix_http::{Request, StatusCode};
+use actix_http::{HttpMessage, Request, StatusCode};
 use bytes::Bytes;
 use futures_util::{Stream, stream};
 use tokio::net::TcpListener;
@@ -11,8 +11,9 @@
 use super::{Agent, door, status};
 use crate::burst::serve;
 use crate::http::{self, Answer, Server, Wrap};
+use crate::stop::Kind;
 use crate::weight::Digest;
-use crate::wire::{self, Report};
+use crate::wire::{self, Report, header};
 
 /// How often a report is sent without a change.
 const REPORT_EVERY: std::time::Duration = std::time::Duration::from_secs(1);
@@ -37,8 +38,7 @@
             "application/octet-stream",
             report_stream(&agent),
         ),
-        ("POST", ["v1", "run"]) => door::run(agent, request).await,
-        ("POST", ["v1", "keys"]) => door::issue_key(&agent, &request),
+        ("POST", ["v1", "run" | "keys"]) => take(agent, request).await,
         ("POST", ["v1", "cancel", id]) => door::cancel(&agent, &request, id).await,
         ("GET", ["health", "live"]) => http::status(StatusCode::OK),
         ("GET", ["health", "ready"]) => ready(&agent),
@@ -49,6 +49,23 @@
     }
 }
 
+/// Takes an entry's request, unless the agent stops.
+async fn take(agent: Rc<Agent>, request: Request) -> Answer {
+    let begun = request.headers().contains_key(header::FROM);
+    let ticket = agent.porter.enter(match begun {
+        true => Kind::Continued,
+        false => Kind::New,
+    });
+    if ticket.refused() {
+        return ticket.hold(door::not_admitted(door::Reason::Leaving));
+    }
+    let answer = match request.path().trim_matches('/') {
+        "v1/run" => door::run(agent, request).await,
+        _ => door::issue_key(&agent, &request),
+    };
+    ticket.hold(answer)
+}
+
 fn ready(agent: &Agent) -> Answer {
     if agent.leaving.get() {
         return http::body(StatusCode::SERVICE_UNAVAILABLE, "text/plain", "leaving");
@@ -63,7 +80,7 @@
 async fn swarm(agent: Rc<Agent>, digest: &str, rest: &[&str]) -> Answer {
     let burst = digest.parse().ok().and_then(|digest| agent.burst(digest));
     match burst {
-        Some(burst) => serve::answer(&agent.host, burst, rest).await,
+        Some(burst) => serve::answer(&agent.host, &agent.porter, burst, rest).await,
         None => http::status(StatusCode::NOT_FOUND),
     }
 }
--- a/src/burst/joined.rs
+++ b/src/burst/joined.rs
@@ -178,13 +178,4 @@
     pub fn any(&self) -> bool {
         self.burst.borrow().is_some()
     }
-
-    /// Whether no peer is being served.
-    pub fn idle(&self) -> bool {
-        !self
-            .burst
-            .borrow()
-            .as_ref()
-            .is_some_and(|burst| burst.uploading())
-    }
 }
--- a/src/burst/serve.rs
+++ b/src/burst/serve.rs
@@ -8,22 +8,28 @@
 use super::host::Host;
 use super::joined::Joined;
 use crate::http::{self, Answer};
+use crate::stop::{Kind, Porter};
 
 /// Answers a peer that asks for `path`, if it is of a burst that the process takes part in.
-pub async fn answer_path(joined: &Joined, path: &str) -> Answer {
+pub async fn answer_path(joined: &Joined, porter: &Rc<Porter>, path: &str) -> Answer {
     let parts: Vec<&str> = path.trim_matches('/').split('/').collect();
     let ["v1", "swarm", label, rest @ ..] = parts.as_slice() else {
         return http::status(StatusCode::NOT_FOUND);
     };
     let burst = label.parse().ok().and_then(|label| joined.get(label));
     match burst {
-        Some(burst) => answer(&joined.host, burst, rest).await,
+        Some(burst) => answer(&joined.host, porter, burst, rest).await,
         None => http::status(StatusCode::NOT_FOUND),
     }
 }
 
 /// Answers a peer; `rest` is the path after the version's name.
-pub async fn answer(host: &Rc<Host>, burst: Rc<Burst>, rest: &[&str]) -> Answer {
+pub async fn answer(
+    host: &Rc<Host>,
+    porter: &Rc<Porter>,
+    burst: Rc<Burst>,
+    rest: &[&str],
+) -> Answer {
     match rest {
         ["manifest"] => match host.store.borrow().manifest(burst.version()) {
             Some(manifest) => http::pack(StatusCode::OK, manifest),
@@ -35,7 +41,13 @@
             burst.have_stream(),
         ),
         ["chunks", index] => match index.parse() {
-            Ok(index) => burst.upload(host.clone(), index).await,
+            Ok(index) => {
+                let ticket = porter.enter(Kind::Peer);
+                if ticket.refused() {
+                    return http::status(StatusCode::SERVICE_UNAVAILABLE);
+                }
+                ticket.hold(burst.upload(host.clone(), index).await)
+            }
             Err(_) => http::status(StatusCode::BAD_REQUEST),
         },
         _ => http::status(StatusCode::NOT_FOUND),
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -1,10 +1,10 @@
-//! What the daemons share at their outermost edge: options, signals, a planned stop.
+//! What the daemons share at their outermost edge: options, signals.
 
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::time::{Duration, SystemTime};
 
-use actix_rt::time::{sleep, timeout};
+use actix_rt::time::timeout;
 use tokio::signal::unix::{SignalKind, signal};
 
 use crate::auth::Keyring;
@@ -14,15 +14,9 @@
 use crate::node;
 use crate::option::{self, EXIT_USAGE, Spec, Values};
 
-/// How often a stopping process looks whether it is idle.
-const LOOK: Duration = Duration::from_millis(50);
-
 /// How often a settings file is looked at.
 const RELOAD_LOOK: Duration = Duration::from_secs(1);
 
-/// How long a stopping process goes on accepting, so that those who route to it hear of it.
-pub const HEAR: Duration = Duration::from_secs(3);
-
 /// Why a daemon ended.
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
@@ -197,21 +191,6 @@
     Some((data.modified().ok()?, data.len()))
 }
 
-/// Waits until `idle`, at most for `longest`.
-pub async fn wait_idle(longest: Duration, idle: impl Fn() -> bool) {
-    let all = async {
-        while !idle() {
-            sleep(LOOK).await;
-        }
-    };
-    if timeout(longest, all).await.is_err() {
-        log::warn!(
-            "requests were still in progress after {} s",
-            longest.as_secs()
-        );
-    }
-}
-
 /// Ends the process with what `result` says.
 pub fn exit(program: &str, result: Result<(), Error>) -> ! {
     match result {
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -15,6 +15,7 @@
 use crate::node::{self, Node};
 use crate::request::RetryBudget;
 use crate::route::{Policy, Table};
+use crate::stop::{self, Porter};
 
 pub mod call;
 pub mod caller;
@@ -52,6 +53,7 @@
     budget: RefCell<RetryBudget>,
     rng: RefCell<SmallRng>,
     leaving: Cell<bool>,
+    porter: Rc<Porter>,
     counters: status::Counters,
     instruments: status::Instruments,
 }
@@ -88,6 +90,7 @@
             budget: RefCell::default(),
             rng: RefCell::new(SmallRng::seed_from_u64(setting.seed)),
             leaving: Cell::new(false),
+            porter: Porter::new(node.clock, &node.metrics.meter()),
             counters: status::Counters::default(),
             instruments: status::Instruments::new(&node.metrics.meter()),
             node: node.clone(),
@@ -108,6 +111,7 @@
     pub fn drain(&self) {
         if !self.leaving.replace(true) {
             self.node.audit(Deed::Draining);
+            self.porter.begin(stop::Setting::default());
         }
     }
 
--- a/src/entry/call.rs
+++ b/src/entry/call.rs
@@ -13,14 +13,14 @@
 use serde::{Deserialize, Serialize};
 
 use super::Entry;
-use super::caller::{BODY_MAX, BODY_TIMEOUT, Body, Code, Failure, Head};
+use super::caller::{self, Body, Code, Failure, Head};
 use super::event::Reader;
 use super::status::count;
 use crate::agent::door::{PROVEN, Reason, Turned};
 use crate::clock::{Time, unix_millis};
 use crate::config::InForce;
 use crate::exchange::{self, Response, Reuse};
-use crate::http::{self, Answer, Error};
+use crate::http::{self, Answer};
 use crate::limit::Refusal;
 use crate::request::{self, Break, Key, Next, Outcome, Situation};
 use crate::route::{Ask, End, Need, ReplicaKey, hash_of};
@@ -146,22 +146,6 @@
     }
 }
 
-async fn read_body(request: &mut Request) -> Result<Bytes, Failure> {
-    let read = http::read_request(request, BODY_MAX);
-    match actix_rt::time::timeout(BODY_TIMEOUT, read).await {
-        Err(_) => {
-            let message = format!("the body did not come within {} s", BODY_TIMEOUT.as_secs());
-            Err(Failure::not_run(Code::BodyTooSlow, message))
-        }
-        Ok(Err(Error::TooLong { limit })) => {
-            let message = format!("the body is longer than {limit} bytes");
-            Err(Failure::not_run(Code::BodyTooLong, message))
-        }
-        Ok(Err(error)) => Err(Failure::not_run(Code::BadBody, error.to_string())),
-        Ok(Ok(bytes)) => Ok(bytes),
-    }
-}
-
 fn customer_of(entry: &Entry, head: &Head) -> Result<InForce, Failure> {
     if let Some(in_force) = entry.node.book.borrow().customers().get(&head.customer) {
         return Ok(in_force.clone());
@@ -219,7 +203,8 @@
     }
 }
 
-fn refuse(entry: &Entry, failure: &Failure) -> Answer {
+/// Refuses a request that was not taken further.
+pub(super) fn refuse(entry: &Entry, failure: &Failure) -> Answer {
     count(&entry.counters.not_run);
     entry.instruments.ended("not_run", 0.0);
     failure.answer()
@@ -231,7 +216,7 @@
 ) -> Result<(Job, Flight), Failure> {
     let head = Head::read(request)?;
     let in_force = customer_of(entry, &head)?;
-    let body = read_body(request).await?;
+    let body = caller::read_body(&entry.porter, request).await?;
     let completion: Completion = serde_json::from_slice(&body).map_err(|error| {
         let message = format!("the body is no completion request: {error}");
         Failure::not_run(Code::BadBody, message)
@@ -289,7 +274,7 @@
             Failure::not_run(Code::UnknownService, message)
         })?;
     let repeatable = head.repeatable.unwrap_or(service.repeatable) && service.repeatable;
-    let body = read_body(request).await?;
+    let body = caller::read_body(&entry.porter, request).await?;
     let job = Job {
         path: format!("/{path}"),
         body,
@@ -311,7 +296,7 @@
 async fn issue(entry: &Rc<Entry>, request: &mut Request) -> Result<String, Failure> {
     let head = Head::read(request)?;
     let in_force = customer_of(entry, &head)?;
-    let body = read_body(request).await?;
+    let body = caller::read_body(&entry.porter, request).await?;
     let wanted: KeyRequest = serde_json::from_slice(&body)
         .map_err(|error| Failure::not_run(Code::BadBody, error.to_string()))?;
     let need = key_need(&in_force, &head, &wanted)?;
--- a/src/entry/caller.rs
+++ b/src/entry/caller.rs
@@ -4,10 +4,13 @@
 
 use actix_http::header::{HeaderName, HeaderValue, RETRY_AFTER};
 use actix_http::{HttpMessage, Request, StatusCode};
+use actix_rt::time::timeout;
+use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
-use crate::http::{self, Answer};
+use crate::http::{self, Answer, Error};
 use crate::request::{Key, Outcome};
+use crate::stop::{Porter, porter};
 use crate::template::fleet::Priority;
 use crate::wire::header;
 
@@ -138,6 +141,17 @@
         }
     }
 
+    /// The entry stops, and the request did not run.
+    pub fn stopping() -> Self {
+        Self::not_run(Code::Stopping, "the entry stops").retry_after(porter::RETRY)
+    }
+
+    /// The entry ends, and the request may have run.
+    pub fn ending() -> Self {
+        let failure = Self::not_run(Code::AnswerBroken, "the entry ends");
+        failure.with_outcome(Outcome::Unknown)
+    }
+
     /// The same with another outcome.
     pub fn with_outcome(self, outcome: Outcome) -> Self {
         Self { outcome, ..self }
@@ -185,6 +199,24 @@
     pub session: Option<String>,
 }
 
+/// Reads a request's body.
+pub async fn read_body(porter: &Porter, request: &mut Request) -> Result<Bytes, Failure> {
+    let read = porter.unless_given_up(http::read_request(request, BODY_MAX));
+    match timeout(BODY_TIMEOUT, read).await {
+        Err(_) => {
+            let message = format!("the body did not come within {} s", BODY_TIMEOUT.as_secs());
+            Err(Failure::not_run(Code::BodyTooSlow, message))
+        }
+        Ok(None) => Err(Failure::stopping()),
+        Ok(Some(Err(Error::TooLong { limit }))) => {
+            let message = format!("the body is longer than {limit} bytes");
+            Err(Failure::not_run(Code::BodyTooLong, message))
+        }
+        Ok(Some(Err(error))) => Err(Failure::not_run(Code::BadBody, error.to_string())),
+        Ok(Some(Ok(bytes))) => Ok(bytes),
+    }
+}
+
 fn text<'a>(request: &'a Request, name: &'static str) -> Result<Option<&'a str>, Failure> {
     let Some(value) = request.headers().get(HeaderName::from_static(name)) else {
         return Ok(None);
--- a/src/entry/daemon.rs
+++ b/src/entry/daemon.rs
@@ -3,11 +3,12 @@
 use rand::RngExt;
 
 use super::{Entry, Setting};
-use crate::daemon::{self, Error, HEAR, SPECS};
+use crate::daemon::{self, Error, SPECS};
 use crate::http;
 use crate::member::Role;
 use crate::option::{self, Spec, Values};
 use crate::route::Policy;
+use crate::stop::{self, HEAR};
 
 /// The program's name.
 pub const PROGRAM: &str = "pumicelatch-entry";
@@ -75,9 +76,10 @@
     daemon::stop_signal().await?;
     log::info!("planned stop");
     running.entry.drain();
-    // The balancer hears of it from the readiness check; until then requests are still taken.
-    actix_rt::time::sleep(HEAR).await;
-    running.server.stop_accepting();
-    daemon::wait_idle(common.drain, || running.entry.in_flight() == 0).await;
+    let setting = stop::Setting {
+        longest: HEAR + common.drain,
+        ..stop::Setting::default()
+    };
+    running.entry.porter.stop(setting, &running.server).await;
     Ok(())
 }
--- a/src/entry/serve.rs
+++ b/src/entry/serve.rs
@@ -9,6 +9,7 @@
 use super::caller::{Code, Failure};
 use super::{Entry, call, status};
 use crate::http::{self, Answer, Server, Wrap};
+use crate::stop::Kind;
 
 /// Starts the server.
 pub fn start(entry: &Rc<Entry>, listener: TcpListener, wrap: Wrap) -> Server {
@@ -22,21 +23,44 @@
     let path = request.path().to_owned();
     let parts: Vec<&str> = path.trim_matches('/').split('/').collect();
     match (request.method().as_str(), parts.as_slice()) {
-        ("POST", ["v1", "completions"]) => call::completion(entry, request).await,
-        ("POST", ["v1", "services", name, rest @ ..]) => {
-            call::service(entry, request, name, &rest.join("/")).await
+        ("POST", ["v1", "completions" | "services" | "keys", ..]) => {
+            take(entry, request, &parts).await
         }
-        ("POST", ["v1", "keys"]) => call::key(entry, request).await,
         ("GET", ["v1", "config"]) => entry.node.config_answer(request.uri().query()),
         ("GET", ["health", "live"]) => http::status(StatusCode::OK),
         ("GET", ["health", "ready"]) => ready(&entry),
         ("GET", ["status"]) => http::json(StatusCode::OK, &status::status(&entry)),
         ("GET", ["audit"]) => http::json(StatusCode::OK, entry.node.trail.borrow().entries()),
         ("GET", ["metrics"]) => entry.node.metrics_answer(),
-        _ => Failure::not_run(Code::NoSuchPath, "there is no such path or method").answer(),
+        _ => no_such_path(),
     }
 }
 
+fn no_such_path() -> Answer {
+    Failure::not_run(Code::NoSuchPath, "there is no such path or method").answer()
+}
+
+/// Takes a caller's request, unless the entry stops.
+async fn take(entry: Rc<Entry>, request: Request, parts: &[&str]) -> Answer {
+    let ticket = entry.porter.enter(Kind::New);
+    if ticket.refused() {
+        return ticket.hold(call::refuse(&entry, &Failure::stopping()));
+    }
+    let porter = entry.porter.clone();
+    let work = async {
+        match parts {
+            ["v1", "completions"] => call::completion(entry, request).await,
+            ["v1", "services", name, rest @ ..] => {
+                call::service(entry, request, name, &rest.join("/")).await
+            }
+            ["v1", "keys"] => call::key(entry, request).await,
+            _ => no_such_path(),
+        }
+    };
+    let answer = porter.unless_given_up(work).await;
+    ticket.hold(answer.unwrap_or_else(|| Failure::ending().answer()))
+}
+
 fn ready(entry: &Entry) -> Answer {
     if entry.leaving.get() {
         return http::body(StatusCode::SERVICE_UNAVAILABLE, "text/plain", "stopping");
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -2,7 +2,7 @@
 //! replicas of the platform's list.
 //!
 //! * [`dialect`] is how callers and replicas speak.
-//! * [`call`] takes one request through admission and attempts; [`attempt`] is one exchange with a
+//! * [`intake`] checks a request, [`call`] takes it through admission and attempts; [`attempt`] is one exchange with a
 //!   replica, [`relay`] passes a stream on.
 //! * [`place`] finds a place for it.
 //! * [`trace`] is what is counted and written down of a request.
@@ -42,6 +42,7 @@
 use crate::route::replica::Due;
 use crate::source::{Source, Topic};
 use crate::spread;
+use crate::stop::{self, Porter};
 use crate::version::rollout;
 use crate::weight::Store;
 
@@ -52,6 +53,7 @@
 pub mod event;
 pub mod greet;
 pub mod halls;
+pub mod intake;
 pub mod place;
 pub mod relay;
 pub mod status;
@@ -65,12 +67,6 @@
 /// Longest rest of a connection to a replica that is used again.
 pub const IDLE_MAX: Duration = Duration::from_millis(2_000);
 
-/// Time before the end of a planned stop that is kept free.
-const STOP_MARGIN: Duration = Duration::from_millis(700);
-
-/// Time for the last answers to leave the process.
-const LAST_BYTES: Duration = Duration::from_millis(200);
-
 /// Part of a version's bound, before its end, in which what has not started on an older one is
 /// ended.
 const START_MARGIN: Duration = Duration::from_millis(600);
@@ -131,9 +127,10 @@
     pub pool: RefCell<Pool>,
     /// Metrics.
     pub metrics: Metrics,
+    /// Lets requests in.
+    pub porter: Rc<Porter>,
     pool_at: Cell<u64>,
     budgets: RefCell<BTreeMap<Arc<str>, Budget>>,
-    leaving: Cell<bool>,
     in_flight: Cell<u64>,
     instruments: status::Instruments,
     joined: Joined,
@@ -195,14 +192,8 @@
         daemon::stop_signal().await?;
         let in_flight = self.gateway.in_flight();
         log::info!(in_flight; "planned stop begins");
-        self.gateway.drain();
-        // The balancer goes on sending until it has heard of it.
-        sleep(daemon::HEAR).await;
-        self.front.close();
-        let rest = grace.saturating_sub(daemon::HEAR + STOP_MARGIN);
-        daemon::wait_idle(rest, || self.gateway.in_flight() == 0).await;
-        sleep(LAST_BYTES).await;
-        log::info!(in_flight = self.gateway.in_flight(); "planned stop is over");
+        let setting = stop::Setting::within(grace);
+        self.gateway.porter.stop(setting, &self.front).await;
         Ok(())
     }
 }
@@ -252,11 +243,11 @@
             deadlines: RefCell::default(),
             pool_at: Cell::new(0),
             budgets: RefCell::default(),
-            leaving: Cell::new(false),
             in_flight: Cell::new(0),
             halls: RefCell::default(),
             hub: RefCell::new(Hub::new(knowledge.now())),
             instruments: status::Instruments::new(&metrics.meter()),
+            porter: Porter::new(knowledge.clock, &metrics.meter()),
             metrics,
             knowledge: knowledge.clone(),
             dialect,
@@ -451,13 +442,13 @@
     /// Whether callers' requests can be served.
     pub fn ready(&self) -> bool {
         let belief = self.knowledge.belief.borrow();
-        !self.leaving.get() && belief.routing().is_some() && belief.lists_replicas()
+        !self.porter.stopping() && belief.routing().is_some() && belief.lists_replicas()
     }
 
     /// Announces that the process stops: the balancer hears that it is not ready, and every answer
     /// asks its caller to use another connection.
     pub fn drain(&self) {
-        self.leaving.set(true);
+        self.porter.begin(stop::Setting::default());
     }
 
     /// Requests in progress.
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -4,27 +4,25 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use actix_http::{ConnectionType, Request, RequestHead};
-use actix_rt::time::{sleep, timeout};
+use actix_http::{Request, RequestHead};
+use actix_rt::time::sleep;
 use bytes::Bytes;
 use rand::RngExt;
 
-use super::Gateway;
 use super::attempt::{Attempt, Begun, Failure};
 use super::dialect::{Ask, Code, Refusal};
 use super::relay::Relay;
 use super::trace::{Expected, Trace};
+use super::{Gateway, intake};
 use crate::clock::Time;
-use crate::config::routing::{Access, Kind, Limits, Route, Routing};
-use crate::http::{self, Answer, Error};
+use crate::config::routing::{Kind, Route, Routing};
+use crate::http::Answer;
 use crate::limit::admission::{self, Bounds, Case, Verdict};
 use crate::request::Outcome;
 use crate::request::attempt::{self as next, Ended, Next, Situation};
 use crate::route::estimate::Demand;
 use crate::route::pool::{self, Choice, Key, ModelNeed, Shortage};
-
-/// When a caller should come back to a process that knows no configuration yet.
-const NOT_READY_RETRY: Duration = Duration::from_millis(300);
+use crate::stop;
 
 /// When a caller should come back if a service has no replica.
 const NO_REPLICA_RETRY: Duration = Duration::from_millis(1_900);
@@ -90,10 +88,18 @@
 
 /// Takes one caller's request.
 pub async fn handle(gateway: Rc<Gateway>, mut request: Request) -> Answer {
+    let ticket = gateway.porter.enter(stop::Kind::New);
     let arrived = gateway.knowledge.now();
     let mut trace = Trace::begin(&gateway, arrived);
-    let prepared = prepare(&gateway, &mut request, &mut trace).await;
-    let mut answer = match prepared {
+    let prepared = if ticket.refused() {
+        intake::name(&gateway, &request, &mut trace);
+        Err(stopping())
+    } else {
+        let work = intake::prepare(&gateway, &mut request, &mut trace);
+        let prepared = gateway.porter.unless_given_up(work).await;
+        prepared.unwrap_or_else(|| Err(stopping()))
+    };
+    let answer = match prepared {
         Ok(job) => {
             trace.returned = job.returned;
             gateway.count_request(&job.service);
@@ -102,10 +108,17 @@
         }
         Err(refusal) => refuse(&gateway, &mut trace, &refusal),
     };
-    if gateway.leaving.get() {
-        answer.head_mut().set_connection_type(ConnectionType::Close);
-    }
-    answer
+    ticket.hold(answer)
+}
+
+/// The process stops, and the request has not run.
+fn stopping() -> Refusal {
+    Refusal::new(Code::Stopping, "the process stops").retry_after(stop::porter::RETRY)
+}
+
+/// The process ends, and the request may have run.
+fn ending() -> Refusal {
+    Refusal::new(Code::Broken, "the process ends")
 }
 
 fn refuse(gateway: &Gateway, trace: &mut Trace, refusal: &Refusal) -> Answer {
@@ -115,133 +128,6 @@
     gateway.dialect.refuse(refusal, id)
 }
 
-async fn prepare(
-    gateway: &Gateway,
-    request: &mut Request,
-    trace: &mut Trace,
-) -> Result<Job, Refusal> {
-    let routing = gateway.knowledge.belief.borrow().routing().cloned();
-    let ask = gateway.dialect.ask(request.head());
-    if let Ok(ask) = &ask {
-        trace.id.clone_from(&ask.id);
-    }
-    let Some(routing) = routing else {
-        let refusal = Refusal::new(Code::NotReady, "no configuration is known yet");
-        return Err(refusal.retry_after(NOT_READY_RETRY));
-    };
-    let ask = ask.map_err(|error| Refusal::new(Code::Malformed, error.to_string()))?;
-    let limits = routing.document.limits;
-    check_head(request.head(), &ask, limits)?;
-    let route = routing
-        .route(&ask.host, &ask.path)
-        .cloned()
-        .ok_or_else(|| no_route(&routing))?;
-    trace.route = route.name.clone();
-    let (customer, priority) = match routing.access(&route, ask.key.as_deref()) {
-        Access::Customer(customer) => (
-            Some(customer.name.clone()),
-            customer.priority.unwrap_or(route.priority),
-        ),
-        Access::Anonymous => (None, route.priority),
-        Access::Denied => {
-            let text = "a valid key is needed";
-            return Err(Refusal::new(Code::NoAccess, text));
-        }
-        Access::Unknown => return Err(not_understood("customers")),
-    };
-    let draw = gateway.knowledge.rng.borrow_mut().random();
-    let service = route
-        .service(draw)
-        .cloned()
-        .ok_or_else(|| not_understood("the services of this route"))?;
-    let held = Duration::from_millis(route.timeout_ms);
-    let longest = ask.deadline.map_or(held, |deadline| deadline.min(held));
-    let arrived = trace.arrived;
-    let body = read_body(request, limits, longest).await?;
-    let returned = gateway.has_been_away(&routing, &route, ask.deadline);
-    Ok(Job {
-        head: copy_head(request.head()),
-        ask,
-        body,
-        route,
-        service,
-        routing,
-        customer,
-        priority,
-        arrived,
-        deadline: arrived + longest,
-        returned,
-    })
-}
-
-/// A part of the configuration could not be read, and this request may need it: nobody may tell its
-/// caller that it is not allowed.
-fn not_understood(part: &str) -> Refusal {
-    let text = format!("{part} of the configuration could not be read");
-    Refusal::new(Code::NotReady, text).retry_after(NOT_READY_RETRY)
-}
-
-fn no_route(routing: &Routing) -> Refusal {
-    if routing.document.gaps.routes {
-        return not_understood("routes");
-    }
-    Refusal::new(Code::NoRoute, "no route takes this host and path")
-}
-
-fn copy_head(head: &RequestHead) -> RequestHead {
-    let mut copy = RequestHead::default();
-    copy.method = head.method.clone();
-    copy.uri = head.uri.clone();
-    copy.headers = head.headers.clone();
-    copy
-}
-
-fn check_head(head: &RequestHead, ask: &Ask, limits: Limits) -> Result<(), Refusal> {
-    let line = head
-        .uri
-        .path_and_query()
-        .map_or(0, |path| path.as_str().len());
-    let fields = head.headers.iter();
-    let length: usize = fields
-        .map(|(name, value)| name.as_str().len() + value.len() + 4)
-        .sum();
-    if line + length > limits.head_bytes {
-        let text = format!("the head is longer than {} bytes", limits.head_bytes);
-        return Err(Refusal::new(Code::HeadTooLong, text));
-    }
-    if ask
-        .body_length
-        .is_some_and(|length| length > limits.body_bytes as u64)
-    {
-        let text = format!("the body is longer than {} bytes", limits.body_bytes);
-        return Err(Refusal::new(Code::BodyTooLong, text));
-    }
-    Ok(())
-}
-
-async fn read_body(
-    request: &mut Request,
-    limits: Limits,
-    longest: Duration,
-) -> Result<Option<Bytes>, Refusal> {
-    let none = matches!(request.payload(), actix_http::Payload::None);
-    if none {
-        return Ok(None);
-    }
-    match timeout(longest, http::read_request(request, limits.body_bytes)).await {
-        Err(_) => Err(Refusal::new(
-            Code::BodyTooSlow,
-            "the body did not come in time",
-        )),
-        Ok(Err(Error::TooLong { limit })) => {
-            let text = format!("the body is longer than {limit} bytes");
-            Err(Refusal::new(Code::BodyTooLong, text))
-        }
-        Ok(Err(error)) => Err(Refusal::new(Code::Malformed, error.to_string())),
-        Ok(Ok(body)) => Ok(Some(body)),
-    }
-}
-
 /// A request on its way.
 pub struct Course {
     /// The gateway.
@@ -270,23 +156,28 @@
     }
 
     async fn run(mut self) -> Answer {
+        let porter = self.gateway.porter.clone();
         loop {
-            let choice = match self.admit().await {
-                Ok(choice) => choice,
-                Err(refusal) => return self.give_up(&refusal),
+            let choice = match porter.unless_given_up(self.admit()).await {
+                Some(Ok(choice)) => choice,
+                Some(Err(refusal)) => return self.give_up(&refusal),
+                None => return self.give_up(&self.untold()),
             };
-            let failure = match self.attempt(choice, self.job.ask.last_event, None).await {
-                Ok(begun) if self.job.route.kind == Kind::Streaming => {
+            let attempt = self.attempt(choice, self.job.ask.last_event, None);
+            let failure = match porter.unless_given_up(attempt).await {
+                Some(Ok(begun)) if self.job.route.kind == Kind::Streaming => {
                     return Relay::new(self, begun).answer();
                 }
-                Ok(begun) => match begun.gather(&self).await {
-                    Ok(answer) => {
+                Some(Ok(begun)) => match porter.unless_given_up(begun.gather(&self)).await {
+                    Some(Ok(answer)) => {
                         self.trace.ended("whole");
                         return answer;
                     }
-                    Err(failure) => failure,
+                    Some(Err(failure)) => failure,
+                    None => return self.give_up(&ending()),
                 },
-                Err(failure) => failure,
+                Some(Err(failure)) => failure,
+                None => return self.give_up(&ending()),
             };
             if let Err(refusal) = self.follow_up(failure) {
                 return self.give_up(&refusal);
@@ -294,6 +185,11 @@
         }
     }
 
+    /// What a caller without an answer is told when the process ends before a further attempt.
+    fn untold(&self) -> Refusal {
+        if self.tainted { ending() } else { stopping() }
+    }
+
     /// Ends with the replica's own failure if there is one, or else with `refusal`.
     fn give_up(&mut self, refusal: &Refusal) -> Answer {
         match self.failure.take() {
--- a/src/gateway/dialect.rs
+++ b/src/gateway/dialect.rs
@@ -105,6 +105,8 @@
     NoAccess,
     /// This process has no configuration yet.
     NotReady,
+    /// This process stops. It has not run.
+    Stopping,
     /// No replica can take it in time. It has not run.
     Overload,
     /// No replica is there. It has not run.
@@ -127,9 +129,11 @@
             Self::BodyTooSlow => StatusCode::REQUEST_TIMEOUT,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::NoAccess => StatusCode::UNAUTHORIZED,
-            Self::NotReady | Self::Overload | Self::NoReplica | Self::LateNotRun => {
-                StatusCode::SERVICE_UNAVAILABLE
-            }
+            Self::NotReady
+            | Self::Stopping
+            | Self::Overload
+            | Self::NoReplica
+            | Self::LateNotRun => StatusCode::SERVICE_UNAVAILABLE,
             Self::LateUnknown => StatusCode::GATEWAY_TIMEOUT,
             Self::Broken => StatusCode::BAD_GATEWAY,
         }
@@ -145,6 +149,7 @@
             Self::NoRoute => "no_route",
             Self::NoAccess => "no_access",
             Self::NotReady => "not_ready",
+            Self::Stopping => "stopping",
             Self::Overload => "overload",
             Self::NoReplica => "no_replica",
             Self::LateNotRun => "late_not_run",
--- /dev/null
+++ b/src/gateway/intake.rs
@@ -0,0 +1,153 @@
+//! Takes a caller's request in: its head, its route and access, its body.
+
+use std::time::Duration;
+
+use actix_http::{Request, RequestHead};
+use actix_rt::time::timeout;
+use bytes::Bytes;
+use rand::RngExt;
+
+use super::Gateway;
+use super::call::Job;
+use super::dialect::{Ask, Code, Refusal};
+use super::trace::Trace;
+use crate::config::routing::{Access, Limits, Routing};
+use crate::http::{self, Error};
+
+/// When a caller should come back to a process that knows no configuration yet.
+const NOT_READY_RETRY: Duration = Duration::from_millis(300);
+
+/// Notes the id of a request that is not looked into.
+pub fn name(gateway: &Gateway, request: &Request, trace: &mut Trace) {
+    if let Ok(ask) = gateway.dialect.ask(request.head()) {
+        trace.id = ask.id;
+    }
+}
+
+/// Checks a request against the configuration in force, and reads its body.
+pub async fn prepare(
+    gateway: &Gateway,
+    request: &mut Request,
+    trace: &mut Trace,
+) -> Result<Job, Refusal> {
+    let routing = gateway.knowledge.belief.borrow().routing().cloned();
+    let ask = gateway.dialect.ask(request.head());
+    if let Ok(ask) = &ask {
+        trace.id.clone_from(&ask.id);
+    }
+    let Some(routing) = routing else {
+        let refusal = Refusal::new(Code::NotReady, "no configuration is known yet");
+        return Err(refusal.retry_after(NOT_READY_RETRY));
+    };
+    let ask = ask.map_err(|error| Refusal::new(Code::Malformed, error.to_string()))?;
+    let limits = routing.document.limits;
+    check_head(request.head(), &ask, limits)?;
+    let route = routing
+        .route(&ask.host, &ask.path)
+        .cloned()
+        .ok_or_else(|| no_route(&routing))?;
+    trace.route = route.name.clone();
+    let (customer, priority) = match routing.access(&route, ask.key.as_deref()) {
+        Access::Customer(customer) => (
+            Some(customer.name.clone()),
+            customer.priority.unwrap_or(route.priority),
+        ),
+        Access::Anonymous => (None, route.priority),
+        Access::Denied => {
+            let text = "a valid key is needed";
+            return Err(Refusal::new(Code::NoAccess, text));
+        }
+        Access::Unknown => return Err(not_understood("customers")),
+    };
+    let draw = gateway.knowledge.rng.borrow_mut().random();
+    let service = route
+        .service(draw)
+        .cloned()
+        .ok_or_else(|| not_understood("the services of this route"))?;
+    let held = Duration::from_millis(route.timeout_ms);
+    let longest = ask.deadline.map_or(held, |deadline| deadline.min(held));
+    let arrived = trace.arrived;
+    let body = read_body(request, limits, longest).await?;
+    let returned = gateway.has_been_away(&routing, &route, ask.deadline);
+    Ok(Job {
+        head: copy_head(request.head()),
+        ask,
+        body,
+        route,
+        service,
+        routing,
+        customer,
+        priority,
+        arrived,
+        deadline: arrived + longest,
+        returned,
+    })
+}
+
+/// A part of the configuration could not be read, and this request may need it: nobody may tell its
+/// caller that it is not allowed.
+fn not_understood(part: &str) -> Refusal {
+    let text = format!("{part} of the configuration could not be read");
+    Refusal::new(Code::NotReady, text).retry_after(NOT_READY_RETRY)
+}
+
+fn no_route(routing: &Routing) -> Refusal {
+    if routing.document.gaps.routes {
+        return not_understood("routes");
+    }
+    Refusal::new(Code::NoRoute, "no route takes this host and path")
+}
+
+fn copy_head(head: &RequestHead) -> RequestHead {
+    let mut copy = RequestHead::default();
+    copy.method = head.method.clone();
+    copy.uri = head.uri.clone();
+    copy.headers = head.headers.clone();
+    copy
+}
+
+fn check_head(head: &RequestHead, ask: &Ask, limits: Limits) -> Result<(), Refusal> {
+    let line = head
+        .uri
+        .path_and_query()
+        .map_or(0, |path| path.as_str().len());
+    let fields = head.headers.iter();
+    let length: usize = fields
+        .map(|(name, value)| name.as_str().len() + value.len() + 4)
+        .sum();
+    if line + length > limits.head_bytes {
+        let text = format!("the head is longer than {} bytes", limits.head_bytes);
+        return Err(Refusal::new(Code::HeadTooLong, text));
+    }
+    if ask
+        .body_length
+        .is_some_and(|length| length > limits.body_bytes as u64)
+    {
+        let text = format!("the body is longer than {} bytes", limits.body_bytes);
+        return Err(Refusal::new(Code::BodyTooLong, text));
+    }
+    Ok(())
+}
+
+async fn read_body(
+    request: &mut Request,
+    limits: Limits,
+    longest: Duration,
+) -> Result<Option<Bytes>, Refusal> {
+    let none = matches!(request.payload(), actix_http::Payload::None);
+    if none {
+        return Ok(None);
+    }
+    match timeout(longest, http::read_request(request, limits.body_bytes)).await {
+        Err(_) => Err(Refusal::new(
+            Code::BodyTooSlow,
+            "the body did not come in time",
+        )),
+        Ok(Err(Error::TooLong { limit })) => {
+            let text = format!("the body is longer than {limit} bytes");
+            Err(Refusal::new(Code::BodyTooLong, text))
+        }
+        Ok(Err(error)) => Err(Refusal::new(Code::Malformed, error.to_string())),
+        Ok(Ok(body)) => Ok(Some(body)),
+    }
+}
--- a/src/http.rs
+++ b/src/http.rs
@@ -1,36 +1,27 @@
-//! HTTP at a process's edge: one accept loop and small helpers around `actix-http` and `awc`.
+//! HTTP at a process's edge: small helpers around `actix-http` and `awc`.
 //!
-//! A process keeps its state on one thread, without locks, so its connections are served on that
-//! thread too; `actix-server`'s worker threads would force every table behind a mutex.
+//! * [`server`] is the accept loop and what becomes of connections.
 
-use std::cell::Cell;
 use std::future::Future;
 use std::io;
 use std::net::{IpAddr, SocketAddr};
 use std::pin::Pin;
-use std::rc::Rc;
-use std::task::{Context, Poll};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
-use actix_http::body::{BodySize, BodyStream, BoxBody, MessageBody};
+use actix_http::body::{BodyStream, BoxBody, MessageBody};
 use actix_http::header::{CONTENT_TYPE, HeaderValue};
-use actix_http::{HttpService, Request, Response, StatusCode};
-use actix_service::{Service, ServiceFactory, fn_service};
+use actix_http::{Request, Response, StatusCode};
 use bytes::{Bytes, BytesMut};
 use futures_util::{Stream, StreamExt};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
-use tokio::io::{AsyncRead, AsyncWrite};
-use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::watch;
+use tokio::net::TcpListener;
 
 use crate::patience::{self, Progress};
 
-/// How long a caller may take to send a request's head.
-const HEAD_TIMEOUT: Duration = Duration::from_secs(5);
+pub mod server;
 
-/// How long an idle connection is kept.
-const KEEP_ALIVE: Duration = Duration::from_secs(30);
+pub use server::{Io, Server, Timing, Wrap, plain};
 
 /// How long a client waits for a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
@@ -38,15 +29,6 @@
 /// Connections that wait to be accepted.
 const BACKLOG: i32 = 1024;
 
-/// How long after its last answer a connection counts as busy: its bytes may not have left yet.
-const LAST_BYTES: Duration = Duration::from_millis(100);
-
-/// How often a closing server looks whether a connection rests.
-const REST_LOOK: Duration = Duration::from_millis(50);
-
-/// Bytes that one connection's answer may wait in memory before the body is paused.
-const WRITE_BUFFER: usize = 64 * 1024;
-
 /// What goes wrong while a message is sent or read.
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
@@ -112,19 +94,6 @@
     }
 }
 
-/// A connection as the server sees it: a plain socket, or one that a test bench has wrapped.
-pub trait Io: AsyncRead + AsyncWrite + Unpin {}
-
-impl<T: AsyncRead + AsyncWrite + Unpin> Io for T {}
-
-/// Wraps each accepted connection. Production serves plain sockets; a bench shapes them.
-pub type Wrap = Rc<dyn Fn(TcpStream, SocketAddr) -> Box<dyn Io>>;
-
-/// The [`Wrap`] that leaves a connection as it is.
-pub fn plain() -> Wrap {
-    Rc::new(|stream, _| Box::new(stream))
-}
-
 /// The answer type of all handlers.
 pub type Answer = Response<BoxBody>;
 
@@ -153,208 +122,6 @@
     TcpListener::from_std(listener).map_err(|source| Error::Listen { address, source })
 }
 
-/// How a server treats its connections.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Timing {
-    /// How long a caller may take to send a request's head.
-    pub head: Duration,
-    /// How long an idle connection is kept.
-    pub idle: Duration,
-    /// Whether a caller that closed its sending side still gets its answer. If not, its request
-    /// ends at once.
-    pub half_closed: bool,
-}
-
-impl Default for Timing {
-    fn default() -> Self {
-        Self {
-            head: HEAD_TIMEOUT,
-            idle: KEEP_ALIVE,
-            half_closed: true,
-        }
-    }
-}
-
-/// A running accept loop. Dropping it closes the listener; connections that are open go on.
-#[derive(Debug)]
-pub struct Server {
-    accept: actix_rt::task::JoinHandle<()>,
-    closing: watch::Sender<bool>,
-}
-
-impl Server {
-    /// Serves `listener` with `handler` on the present thread.
-    pub fn start<F, Fut>(listener: TcpListener, wrap: Wrap, handler: F) -> Self
-    where
-        F: Fn(Request, SocketAddr) -> Fut + Clone + 'static,
-        Fut: Future<Output = Answer> + 'static,
-    {
-        Self::with_timing(listener, wrap, handler, Timing::default)
-    }
-
-    /// Serves `listener` with `handler`; each new connection is treated as `timing` says then.
-    pub fn with_timing<F, Fut, T>(listener: TcpListener, wrap: Wrap, handler: F, timing: T) -> Self
-    where
-        F: Fn(Request, SocketAddr) -> Fut + Clone + 'static,
-        Fut: Future<Output = Answer> + 'static,
-        T: Fn() -> Timing + 'static,
-    {
-        let closing = watch::Sender::new(false);
-        let closed = closing.subscribe();
-        let accept = actix_rt::spawn(accept_loop(listener, wrap, handler, timing, closed));
-        Self { accept, closing }
-    }
-
-    /// Stops accepting connections. Those that are open go on.
-    pub fn stop_accepting(&self) {
-        self.accept.abort();
-    }
-
-    /// Stops accepting connections, and closes those that are open as soon as they rest.
-    pub fn close(&self) {
-        self.accept.abort();
-        self.closing.send_replace(true);
-    }
-}
-
-impl Drop for Server {
-    fn drop(&mut self) {
-        self.accept.abort();
-    }
-}
-
-/// What a connection has to do: requests whose answers are not written yet.
-#[derive(Debug, Default)]
-struct Activity {
-    answers: Cell<u32>,
-    rests_since: Cell<Option<Instant>>,
-}
-
-impl Activity {
-    fn rests(&self) -> bool {
-        let since = self.rests_since.get();
-        self.answers.get() == 0 && since.is_none_or(|since| since.elapsed() >= LAST_BYTES)
-    }
-}
-
-/// Counts an answer until it is written or given up.
-struct Busy(Rc<Activity>);
-
-impl Busy {
-    fn begin(activity: &Rc<Activity>) -> Self {
-        activity.answers.set(activity.answers.get() + 1);
-        Self(activity.clone())
-    }
-}
-
-impl Drop for Busy {
-    fn drop(&mut self) {
-        self.0.answers.set(self.0.answers.get() - 1);
-        self.0.rests_since.set(Some(Instant::now()));
-    }
-}
-
-/// A body that keeps its connection busy.
-struct BusyBody {
-    body: BoxBody,
-    _busy: Busy,
-}
-
-impl MessageBody for BusyBody {
-    type Error = Box<dyn std::error::Error>;
-
-    fn size(&self) -> BodySize {
-        self.body.size()
-    }
-
-    fn poll_next(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Bytes, Self::Error>>> {
-        Pin::new(&mut self.body).poll_next(cx)
-    }
-}
-
-/// Waits until the server closes and the connection rests.
-async fn closed_at_rest(mut closing: watch::Receiver<bool>, activity: Rc<Activity>) {
-    if closing.wait_for(|closing| *closing).await.is_err() {
-        // The server is gone, and its connections go on.
-        std::future::pending::<()>().await;
-    }
-    while !activity.rests() {
-        actix_rt::time::sleep(REST_LOOK).await;
-    }
-}
-
-async fn accept_loop<F, Fut, T>(
-    listener: TcpListener,
-    wrap: Wrap,
-    handler: F,
-    timing: T,
-    closing: watch::Receiver<bool>,
-) where
-    F: Fn(Request, SocketAddr) -> Fut + Clone + 'static,
-    Fut: Future<Output = Answer> + 'static,
-    T: Fn() -> Timing + 'static,
-{
-    loop {
-        let Ok((stream, peer)) = listener.accept().await else {
-            // Out of descriptors: wait for some to be closed instead of spinning.
-            actix_rt::time::sleep(Duration::from_millis(50)).await;
-            continue;
-        };
-        let _ = stream.set_nodelay(true);
-        let connection = serve_connection(wrap(stream, peer), peer, handler.clone(), timing());
-        let closing = closing.clone();
-        actix_rt::spawn(async move {
-            let activity = Rc::new(Activity::default());
-            let closed = closed_at_rest(closing, activity.clone());
-            let both =
-                futures_util::future::select(Box::pin(connection(activity)), Box::pin(closed));
-            both.await;
-        });
-    }
-}
-
-fn serve_connection<F, Fut>(
-    io: Box<dyn Io>,
-    peer: SocketAddr,
-    handler: F,
-    timing: Timing,
-) -> impl FnOnce(Rc<Activity>) -> Pin<Box<dyn Future<Output = ()>>>
-where
-    F: Fn(Request, SocketAddr) -> Fut + Clone + 'static,
-    Fut: Future<Output = Answer> + 'static,
-{
-    move |activity| {
-        Box::pin(async move {
-            let service = fn_service(move |request: Request| {
-                let busy = Busy::begin(&activity);
-                let answer = handler(request, peer);
-                async move {
-                    let answer = answer.await.map_body(|_, body| {
-                        let busy = BusyBody { body, _busy: busy };
-                        busy.boxed()
-                    });
-                    Ok::<_, actix_http::Error>(answer)
-                }
-            });
-            let factory = HttpService::<Box<dyn Io>, _, BoxBody>::build()
-                .client_request_timeout(timing.head)
-                .keep_alive(timing.idle)
-                .h1_allow_half_closed(timing.half_closed)
-                .h1_write_buffer_size(WRITE_BUFFER)
-                .h1(service);
-            let Ok(connection) = factory.new_service(()).await else {
-                return;
-            };
-            if let Err(error) = connection.call((io, Some(peer))).await {
-                log::debug!(peer:% = peer; "connection ended: {error}");
-            }
-        })
-    }
-}
-
 /// Settings of an HTTP client.
 #[derive(Debug, Clone, Copy)]
 pub struct ClientSetting {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -36,6 +36,7 @@
 pub mod source;
 pub mod spread;
 pub mod standin;
+pub mod stop;
 pub mod template;
 pub mod version;
 pub mod weight;
--- a/src/sidecar.rs
+++ b/src/sidecar.rs
@@ -33,6 +33,7 @@
 use crate::policy::Policy;
 use crate::source::Source;
 use crate::spread;
+use crate::stop::{self, Porter};
 use crate::version::rollout;
 use crate::weight::{Digest, Store};
 use crate::wire::sync::{SYNC_PATH, Sync};
@@ -44,8 +45,8 @@
 
 use engine::{Engine, State};
 
-/// How long a planned stop waits for uploads.
-const UPLOADS_END: Duration = Duration::from_secs(1);
+/// A planned stop: nobody has to hear of it, and a chunk on its way has a second.
+const STOP: Duration = Duration::from_secs(1);
 
 /// Part of its machine's memory that a process gives to weights: two versions and what is on its way fit in.
 const MEMORY_PART: u64 = 4;
@@ -88,6 +89,8 @@
     pub host: Rc<Host>,
     /// Metrics.
     pub metrics: Metrics,
+    /// Lets requests in.
+    pub porter: Rc<Porter>,
     engine: Rc<dyn Engine>,
     joined: Joined,
     source: Rc<dyn Source>,
@@ -107,7 +110,8 @@
 pub struct Running {
     /// The sidecar.
     pub sidecar: Rc<Sidecar>,
-    _servers: Vec<Server>,
+    control: Server,
+    _metrics: Option<Server>,
     tasks: Vec<JoinHandle<()>>,
 }
 
@@ -131,8 +135,12 @@
         );
         daemon::stop_signal().await?;
         log::info!("planned stop begins");
-        daemon::wait_idle(UPLOADS_END, || self.sidecar.idle()).await;
-        log::info!("planned stop is over");
+        let setting = stop::Setting {
+            hear: Duration::ZERO,
+            longest: STOP,
+            ..stop::Setting::default()
+        };
+        self.sidecar.porter.stop(setting, &self.control).await;
         Ok(())
     }
 }
@@ -225,6 +233,7 @@
         let host = Rc::new(host);
         let now = knowledge.now();
         let sidecar = Rc::new(Self {
+            porter: Porter::new(knowledge.clock, &metrics.meter()),
             knowledge,
             joined: Joined::new(host.clone(), edges.origins, setting.first_start),
             host,
@@ -250,33 +259,28 @@
             actix_rt::spawn(reconcile::run(sidecar.clone())),
             actix_rt::spawn(traffic::log(sidecar.knowledge.clone())),
         ];
-        let servers = sidecar.serve(listeners);
+        let (control, metrics) = sidecar.serve(listeners);
         Ok(Running {
             sidecar,
-            _servers: servers,
+            control,
+            _metrics: metrics,
             tasks,
         })
     }
 
-    fn serve(self: &Rc<Self>, listeners: Listeners) -> Vec<Server> {
+    fn serve(self: &Rc<Self>, listeners: Listeners) -> (Server, Option<Server>) {
         let sidecar = self.clone();
         let control = Server::start(listeners.control, http::plain(), move |request, _| {
             answer(sidecar.clone(), request)
         });
-        let mut servers = vec![control];
-        if let Some(listener) = listeners.metrics {
+        let metrics = listeners.metrics.map(|listener| {
             let sidecar = self.clone();
-            servers.push(Server::start(listener, http::plain(), move |_, _| {
+            Server::start(listener, http::plain(), move |_, _| {
                 let answer = sidecar.metrics.answer();
                 async move { answer }
-            }));
-        }
-        servers
-    }
-
-    /// Whether no peer is being served.
-    pub fn idle(&self) -> bool {
-        self.joined.idle()
+            })
+        });
+        (control, metrics)
     }
 
     /// The version that the replica is to hold, counted from when the oldest was named that it
@@ -303,10 +307,15 @@
         };
     }
     if path == place::PATH {
-        return match message::<place::Ask>(&mut request).await {
+        let ticket = sidecar.porter.enter(stop::Kind::Peer);
+        if ticket.refused() {
+            return http::status(StatusCode::SERVICE_UNAVAILABLE);
+        }
+        let answer = match message::<place::Ask>(&mut request).await {
             Ok(ask) => http::pack(StatusCode::OK, &sidecar.place(ask)),
             Err(answer) => answer,
         };
+        return ticket.hold(answer);
     }
-    burst::serve::answer_path(&sidecar.joined, &path).await
+    burst::serve::answer_path(&sidecar.joined, &sidecar.porter, &path).await
 }
--- /dev/null
+++ b/src/stop/porter.rs
@@ -0,0 +1,257 @@
+//! A planned stop at a process's edge: lets requests in, counts what becomes of them, and tells when
+//! the process may end.
+
+use std::cell::{Cell, RefCell};
+use std::future::Future;
+use std::pin::{Pin, pin};
+use std::rc::Rc;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use actix_http::body::{BodySize, BoxBody, MessageBody};
+use actix_http::{ConnectionType, StatusCode};
+use actix_rt::time::sleep;
+use bytes::Bytes;
+use futures_util::future::{Either, select};
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::{Counter, Meter};
+use tokio::sync::watch;
+
+use super::{Kind, Phase, Setting, Stop, Verdict};
+use crate::clock::Clock;
+use crate::http::{Answer, Server};
+
+/// How often a stopping process looks how far it has come: a quarter of the time for last bytes.
+const LOOK: Duration = Duration::from_millis(50);
+
+/// When a refused caller should come back: others take it at once, and have heard of the stop.
+pub const RETRY: Duration = Duration::from_millis(150);
+
+/// What became of the requests that arrived within a stop.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Tally {
+    /// Those that were answered whole.
+    pub served: u64,
+    /// Those that were refused as not run, for whatever reason.
+    pub refused: u64,
+    /// Those whose answer did not come whole, or whose outcome nobody knows.
+    pub cut: u64,
+}
+
+/// How a request ended, as far as a stop is concerned.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum End {
+    Served,
+    Refused,
+    Cut,
+}
+
+/// Lets requests in. It lives on one thread.
+#[derive(Debug)]
+pub struct Porter {
+    clock: Clock,
+    stop: RefCell<Stop>,
+    phase: watch::Sender<Phase>,
+    tally: Cell<Tally>,
+    late: Cell<u64>,
+    requests: Counter<u64>,
+}
+
+impl Porter {
+    /// A porter of a process that does not stop yet.
+    pub fn new(clock: Clock, meter: &Meter) -> Rc<Self> {
+        Rc::new(Self {
+            clock,
+            stop: RefCell::default(),
+            phase: watch::Sender::default(),
+            tally: Cell::default(),
+            late: Cell::new(0),
+            requests: meter
+                .u64_counter("pumicelatch.stop.requests")
+                .with_description(
+                    "Callers' requests that arrived within a planned stop, by outcome",
+                )
+                .build(),
+        })
+    }
+
+    /// The process is to stop, and goes on taking requests for now.
+    pub fn begin(&self, setting: Setting) {
+        self.stop.borrow_mut().begin(setting, self.clock.now());
+        self.tell();
+    }
+
+    fn tell(&self) {
+        let phase = self.stop.borrow().phase();
+        self.phase.send_if_modified(|told| {
+            let changed = *told != phase;
+            *told = phase;
+            changed
+        });
+    }
+
+    /// Whether the process stops.
+    pub fn stopping(&self) -> bool {
+        self.stop.borrow().phase() > Phase::Serving
+    }
+
+    /// Requests whose answers are not handed over.
+    pub fn under_way(&self) -> u64 {
+        self.stop.borrow().under_way()
+    }
+
+    /// What became of the requests that arrived within the stop so far.
+    pub fn tally(&self) -> Tally {
+        self.tally.get()
+    }
+
+    /// A request arrives.
+    pub fn enter(self: &Rc<Self>, kind: Kind) -> Ticket {
+        let verdict = self.stop.borrow_mut().arrive(kind, self.clock.now());
+        let late = self.stopping() && kind != Kind::Peer;
+        self.late.set(self.late.get() + u64::from(late));
+        Ticket {
+            porter: self.clone(),
+            verdict,
+            late,
+            end: End::Cut,
+        }
+    }
+
+    /// Does `work` unless what is under way is given up before it is done.
+    pub async fn unless_given_up<T>(&self, work: impl Future<Output = T>) -> Option<T> {
+        let mut phase = self.phase.subscribe();
+        let given_up = phase.wait_for(|phase| *phase >= Phase::Ending);
+        match select(pin!(work), pin!(given_up)).await {
+            Either::Left((done, _)) => Some(done),
+            Either::Right(_) => None,
+        }
+    }
+
+    /// Stops the process that takes requests at `server`. Returns when it may end; nothing else may
+    /// happen on the thread before it does.
+    pub async fn stop(&self, setting: Setting, server: &Server) {
+        self.begin(setting);
+        loop {
+            sleep(LOOK).await;
+            let phase = self.stop.borrow_mut().look(self.clock.now());
+            self.tell();
+            if !self.stop.borrow().accepts() {
+                server.stop_accepting();
+            }
+            match phase {
+                Phase::Closing => server.close(),
+                Phase::Over => return self.count_rest(),
+                _ => {}
+            }
+        }
+    }
+
+    /// What is under way when the process ends is cut.
+    fn count_rest(&self) {
+        let under_way = self.under_way();
+        if under_way > 0 {
+            log::warn!(under_way; "requests were still in progress at the end of the stop");
+        }
+        for _ in 0..self.late.replace(0) {
+            self.count(End::Cut);
+        }
+        let Tally {
+            served,
+            refused,
+            cut,
+        } = self.tally();
+        log::info!(under_way, served, refused, cut; "planned stop is over");
+    }
+
+    fn count(&self, end: End) {
+        let mut tally = self.tally();
+        let (counter, name) = match end {
+            End::Served => (&mut tally.served, "served"),
+            End::Refused => (&mut tally.refused, "refused"),
+            End::Cut => (&mut tally.cut, "cut"),
+        };
+        *counter += 1;
+        self.tally.set(tally);
+        self.requests.add(1, &[KeyValue::new("outcome", name)]);
+    }
+}
+
+/// A request, from its arrival to the end of its answer.
+#[derive(Debug)]
+pub struct Ticket {
+    porter: Rc<Porter>,
+    verdict: Verdict,
+    late: bool,
+    end: End,
+}
+
+impl Ticket {
+    /// Whether it is to be refused.
+    pub fn refused(&self) -> bool {
+        self.verdict != Verdict::Taken
+    }
+
+    /// Keeps the ticket until `answer` is handed over. In a stop, its connection takes no more.
+    pub fn hold(self, mut answer: Answer) -> Answer {
+        if self.porter.stopping() {
+            answer.head_mut().set_connection_type(ConnectionType::Close);
+        }
+        let once_whole = match answer.status() {
+            StatusCode::SERVICE_UNAVAILABLE => End::Refused,
+            StatusCode::BAD_GATEWAY | StatusCode::GATEWAY_TIMEOUT => End::Cut,
+            _ => End::Served,
+        };
+        answer.map_body(|_, body| {
+            let mut held = Held {
+                body,
+                once_whole,
+                ticket: self,
+            };
+            if matches!(held.size(), BodySize::None | BodySize::Sized(0)) {
+                held.ticket.end = once_whole;
+            }
+            held.boxed()
+        })
+    }
+}
+
+impl Drop for Ticket {
+    fn drop(&mut self) {
+        let porter = &self.porter;
+        if self.verdict != Verdict::Dismissed {
+            porter.stop.borrow_mut().end(porter.clock.now());
+        }
+        let late = porter.late.get();
+        if self.late && late > 0 {
+            porter.late.set(late - 1);
+            porter.count(self.end);
+        }
+    }
+}
+
+/// A body that holds its request's ticket.
+struct Held {
+    body: BoxBody,
+    once_whole: End,
+    ticket: Ticket,
+}
+
+impl MessageBody for Held {
+    type Error = Box<dyn std::error::Error>;
+
+    fn size(&self) -> BodySize {
+        self.body.size()
+    }
+
+    fn poll_next(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Bytes, Self::Error>>> {
+        let polled = Pin::new(&mut self.body).poll_next(cx);
+        if matches!(polled, Poll::Ready(None)) {
+            self.ticket.end = self.once_whole;
+        }
+        polled
+    }
+}
