A stop's worth to callers is counted by outcome; its listen queue is asked of the system

Cause: what a planned stop does to callers was not to be seen, and a refusal because of the stop looked like one because of load. A listener that its runtime had not heard of connections from dropped them although its queue was meant to be accepted.

Change: pumicelatch_stop_requests_total{outcome}: of callers' requests that arrive within a stop, those served whole, refused as at any other time, stopped (refused because of the stop) and cut or of unknown outcome; the sums stand in the log's "planned stop is over", as nobody reads the metrics then. Answers of the process's own bear the request's outcome. The listen queue is emptied by the system's accept.

--- a/src/entry.rs
+++ b/src/entry.rs
@@ -52,8 +52,9 @@
     customers: RefCell<Customers>,
     budget: RefCell<RetryBudget>,
     rng: RefCell<SmallRng>,
+    /// Lets requests in.
+    pub porter: Rc<Porter>,
     leaving: Cell<bool>,
-    porter: Rc<Porter>,
     counters: status::Counters,
     instruments: status::Instruments,
 }
--- a/src/entry/caller.rs
+++ b/src/entry/caller.rs
@@ -171,7 +171,11 @@
         let body = Body {
             error: self.clone(),
         };
-        let mut answer = http::json(self.code.status(), &body);
+        let status = self.code.status();
+        let mut answer = http::json(status, &body);
+        if status.is_server_error() {
+            answer.extensions_mut().insert(self.outcome);
+        }
         if let Some(millis) = self.retry_after_ms {
             let seconds = millis.div_ceil(1_000);
             if let Ok(value) = HeaderValue::from_str(&seconds.to_string()) {
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -125,7 +125,11 @@
     trace.ended(refusal.code.name());
     trace.reason.clone_from(&refusal.detail);
     let id = (!trace.id.is_empty()).then_some(trace.id.as_str());
-    gateway.dialect.refuse(refusal, id)
+    let mut answer = gateway.dialect.refuse(refusal, id);
+    if let Some(outcome) = refusal.code.outcome() {
+        answer.extensions_mut().insert(outcome);
+    }
+    answer
 }
 
 /// A request on its way.
--- a/src/gateway/dialect.rs
+++ b/src/gateway/dialect.rs
@@ -10,6 +10,7 @@
 
 use crate::exchange::Response;
 use crate::http::Answer;
+use crate::request::Outcome;
 
 /// What a request asks of a model engine.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -139,6 +140,15 @@
         }
     }
 
+    /// Whether the request ran, if nothing is wrong with the request itself.
+    pub fn outcome(self) -> Option<Outcome> {
+        match self.status() {
+            StatusCode::SERVICE_UNAVAILABLE => Some(Outcome::NotRun),
+            StatusCode::GATEWAY_TIMEOUT | StatusCode::BAD_GATEWAY => Some(Outcome::Unknown),
+            _ => None,
+        }
+    }
+
     /// Its name in answers, logs and metrics.
     pub fn name(self) -> &'static str {
         match self {
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -15,7 +15,6 @@
 use actix_http::{HttpService, Request};
 use actix_service::{Service, ServiceFactory, fn_service};
 use bytes::Bytes;
-use futures_util::FutureExt;
 use futures_util::future::{Either, select};
 use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::{TcpListener, TcpStream};
@@ -243,9 +242,21 @@
             Either::Right((Err(_), _)) => actix_rt::time::sleep(REST_LOOK).await,
         }
     }
-    // Those in the listen queue believe that they are connected.
-    while let Some(Ok((stream, peer))) = listener.accept().now_or_never() {
-        serve(stream, peer);
+    match listener.into_std() {
+        Ok(queue) => accept_queue(&queue, serve),
+        Err(error) => log::warn!("connections in the listen queue are lost: {error}"),
+    }
+}
+
+/// Accepts what waits in the listen queue: those callers believe that they are connected. The
+/// runtime may not have heard of them yet, so the system is asked.
+fn accept_queue(queue: &std::net::TcpListener, serve: impl Fn(TcpStream, SocketAddr)) {
+    while let Ok((stream, peer)) = queue.accept() {
+        let adopted = stream.set_nonblocking(true);
+        match adopted.and_then(|()| TcpStream::from_std(stream)) {
+            Ok(stream) => serve(stream, peer),
+            Err(error) => log::debug!(peer:% = peer; "connection not taken over: {error}"),
+        }
     }
 }
 
--- a/src/stop/porter.rs
+++ b/src/stop/porter.rs
@@ -8,8 +8,8 @@
 use std::task::{Context, Poll};
 use std::time::Duration;
 
+use actix_http::ConnectionType;
 use actix_http::body::{BodySize, BoxBody, MessageBody};
-use actix_http::{ConnectionType, StatusCode};
 use actix_rt::time::sleep;
 use bytes::Bytes;
 use futures_util::future::{Either, select};
@@ -20,6 +20,7 @@
 use super::{Kind, Phase, Setting, Stop, Verdict};
 use crate::clock::Clock;
 use crate::http::{Answer, Server};
+use crate::request::Outcome;
 
 /// How often a stopping process looks how far it has come: a quarter of the time for last bytes.
 const LOOK: Duration = Duration::from_millis(50);
@@ -32,8 +33,10 @@
 pub struct Tally {
     /// Those that were answered whole.
     pub served: u64,
-    /// Those that were refused as not run, for whatever reason.
+    /// Those that were refused as not run, as at any other time.
     pub refused: u64,
+    /// Those that were refused as not run because of the stop.
+    pub stopped: u64,
     /// Those whose answer did not come whole, or whose outcome nobody knows.
     pub cut: u64,
 }
@@ -43,6 +46,7 @@
 enum End {
     Served,
     Refused,
+    Stopped,
     Cut,
 }
 
@@ -159,9 +163,10 @@
         let Tally {
             served,
             refused,
+            stopped,
             cut,
         } = self.tally();
-        log::info!(under_way, served, refused, cut; "planned stop is over");
+        log::info!(under_way, served, refused, stopped, cut; "planned stop is over");
     }
 
     fn count(&self, end: End) {
@@ -169,6 +174,7 @@
         let (counter, name) = match end {
             End::Served => (&mut tally.served, "served"),
             End::Refused => (&mut tally.refused, "refused"),
+            End::Stopped => (&mut tally.stopped, "stopped"),
             End::Cut => (&mut tally.cut, "cut"),
         };
         *counter += 1;
@@ -192,16 +198,26 @@
         self.verdict != Verdict::Taken
     }
 
+    /// How the request ends once `answer` is handed over. An answer of the process's own bears the
+    /// request's [`Outcome`].
+    fn ends_as(&self, answer: &Answer) -> End {
+        let given_up = self.porter.stop.borrow().phase() >= Phase::Ending;
+        let told = answer.extensions().get::<Outcome>().copied();
+        match told {
+            _ if self.refused() => End::Stopped,
+            Some(Outcome::NotRun) if given_up => End::Stopped,
+            Some(Outcome::NotRun) => End::Refused,
+            Some(Outcome::Unknown) => End::Cut,
+            Some(Outcome::Ran) | None => End::Served,
+        }
+    }
+
     /// Keeps the ticket until `answer` is handed over. In a stop, its connection takes no more.
     pub fn hold(self, mut answer: Answer) -> Answer {
         if self.porter.stopping() {
             answer.head_mut().set_connection_type(ConnectionType::Close);
         }
-        let once_whole = match answer.status() {
-            StatusCode::SERVICE_UNAVAILABLE => End::Refused,
-            StatusCode::BAD_GATEWAY | StatusCode::GATEWAY_TIMEOUT => End::Cut,
-            _ => End::Served,
-        };
+        let once_whole = self.ends_as(&answer);
         answer.map_body(|_, body| {
             let mut held = Held {
                 body,
--- /dev/null
+++ b/tests/stop_edge.rs
@@ -0,0 +1,116 @@
+//! A planned stop at the edge: the product's own entry, and connections that were not accepted yet.
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::time::{Duration, Instant};
+
+use actix_http::StatusCode;
+use pumicelatch::entry::{Entry, Setting};
+use pumicelatch::http::{self, Server};
+use pumicelatch::member::Role;
+use pumicelatch::node;
+use pumicelatch::route::Policy;
+use pumicelatch::standin::fleet::KEYRING;
+use pumicelatch::stop;
+
+/// A wait that ends without its condition fails the test.
+const PATIENCE: Duration = Duration::from_secs(60);
+
+/// Longer than the clock of a process that began just now.
+const FOREVER: Duration = Duration::from_secs(1 << 20);
+
+fn listen() -> (SocketAddr, tokio::net::TcpListener) {
+    let listener = http::bind(([127, 0, 0, 1], 0).into()).unwrap();
+    (
+        listener.local_addr().unwrap(),
+        http::adopt(listener).unwrap(),
+    )
+}
+
+/// Reads an answer to its end, which is that of its connection, on a thread of its own.
+async fn answer(mut connection: TcpStream) -> String {
+    let read = actix_rt::task::spawn_blocking(move || {
+        connection.set_read_timeout(Some(PATIENCE)).unwrap();
+        let mut all = Vec::new();
+        let _ = connection.read_to_end(&mut all);
+        String::from_utf8(all).unwrap().to_lowercase()
+    });
+    read.await.unwrap()
+}
+
+async fn until_closed(address: SocketAddr) {
+    let deadline = Instant::now() + PATIENCE;
+    while TcpStream::connect(address).is_ok() {
+        assert!(Instant::now() < deadline, "it goes on listening");
+        actix_rt::time::sleep(Duration::from_millis(10)).await;
+    }
+}
+
+#[test]
+fn a_connection_in_the_listen_queue_is_served_although_no_more_are_accepted() {
+    actix_rt::System::new().block_on(async {
+        let (address, listener) = listen();
+        let server = Server::start(listener, http::plain(), |_, _| async {
+            http::status(StatusCode::OK)
+        });
+        // Nothing else runs on this thread meanwhile, so the connection is not accepted yet.
+        let mut queued = TcpStream::connect(address).unwrap();
+        server.stop_accepting();
+        until_closed(address).await;
+        queued
+            .write_all(b"GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n")
+            .unwrap();
+        let answer = answer(queued).await;
+        assert!(answer.starts_with("http/1.1 200"), "{answer:?}");
+    });
+}
+
+#[test]
+fn an_entry_that_stops_refuses_what_open_connections_bring() {
+    actix_rt::System::new().block_on(async {
+        let (address, listener) = listen();
+        let nowhere = "http://127.0.0.1:1".to_owned();
+        let setting = Setting {
+            node: node::Setting {
+                name: "entry".into(),
+                hall: "hall".into(),
+                role: Role::Entry,
+                listen: address,
+                config_url: nowhere.clone(),
+                list_url: nowhere,
+            },
+            keyring: KEYRING.parse().unwrap(),
+            policy: Policy::Expected,
+            remote_targets: 1,
+            seed: 7,
+        };
+        let running = Entry::start(setting, listener, http::plain()).unwrap();
+        let mut open = TcpStream::connect(address).unwrap();
+        running.entry.drain();
+        let setting = stop::Setting {
+            hear: Duration::ZERO,
+            longest: FOREVER,
+            last_bytes: FOREVER,
+            ..stop::Setting::default()
+        };
+        let porter = running.entry.porter.clone();
+        let stop = actix_rt::spawn(async move { porter.stop(setting, &running.server).await });
+        until_closed(address).await;
+        open.write_all(
+            b"POST /v1/completions HTTP/1.1\r\nHost: a\r\nContent-Length: 100\r\n\r\nbegun",
+        )
+        .unwrap();
+        let answer = answer(open).await;
+        assert!(answer.starts_with("http/1.1 503"), "{answer:?}");
+        for part in [
+            "connection: close",
+            "retry-after: ",
+            "\"stopping\"",
+            "\"not_run\"",
+        ] {
+            assert!(answer.contains(part), "{part}: {answer}");
+        }
+        assert!(!stop.is_finished());
+        stop.abort();
+    });
+}
