--- a/src/gateway/dialect.rs
+++ b/src/gateway/dialect.rs
@@ -10,6 +10,7 @@
 
 use crate::exchange::Response;
 use crate::http::Answer;
+use crate::request::Outcome;
 
 /// What a request asks of a model engine.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -105,6 +106,8 @@
     NoAccess,
     /// This process has no configuration yet.
     NotReady,
+    /// This process stops. It has not run.
+    Stopping,
     /// No replica can take it in time. It has not run.
     Overload,
     /// No replica is there. It has not run.
@@ -127,14 +130,25 @@
             Self::BodyTooSlow => StatusCode::REQUEST_TIMEOUT,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::NoAccess => StatusCode::UNAUTHORIZED,
-            Self::NotReady | Self::Overload | Self::NoReplica | Self::LateNotRun => {
-                StatusCode::SERVICE_UNAVAILABLE
-            }
+            Self::NotReady
+            | Self::Stopping
+            | Self::Overload
+            | Self::NoReplica
+            | Self::LateNotRun => StatusCode::SERVICE_UNAVAILABLE,
             Self::LateUnknown => StatusCode::GATEWAY_TIMEOUT,
             Self::Broken => StatusCode::BAD_GATEWAY,
         }
     }
 
+    /// Whether the request ran, if nothing is wrong with the request itself.
+    pub fn outcome(self) -> Option<Outcome> {
+        match self.status() {
+            StatusCode::SERVICE_UNAVAILABLE => Some(Outcome::NotRun),
+            StatusCode::GATEWAY_TIMEOUT | StatusCode::BAD_GATEWAY => Some(Outcome::Unknown),
+            _ => None,
+        }
+    }
+
     /// Its name in answers, logs and metrics.
     pub fn name(self) -> &'static str {
         match self {
@@ -145,6 +159,7 @@
             Self::NoRoute => "no_route",
             Self::NoAccess => "no_access",
             Self::NotReady => "not_ready",
+            Self::Stopping => "stopping",
             Self::Overload => "overload",
             Self::NoReplica => "no_replica",
             Self::LateNotRun => "late_not_run",
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -37,6 +37,7 @@
 pub mod source;
 pub mod spread;
 pub mod standin;
+pub mod stop;
 pub mod template;
 pub mod version;
 pub mod weight;
