A leaving entry closes each connection once it has answered on it

Cause: a stream that began before a planned stop has told its caller nothing of it; the caller's next request came on the same connection and was refused from 3 s on, where others could have taken it at once. Change: from the beginning of a stop a connection is closed when it rests after an answer; a caller that finds it closed has lost nothing.

--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -81,6 +81,9 @@
 enum Closing {
     /// It accepts connections.
     Open,
+    /// It still does, but closes each that is open once it has answered on it: an answer that had begun
+    /// before could not say that it is the last.
+    Leaving,
     /// It accepts no more; those that are open go on.
     Refusing,
     /// It closes those that are open as soon as they rest.
@@ -117,19 +120,28 @@
         Self { accept, closing }
     }
 
+    /// Closes each open connection once it has answered on it.
+    pub fn leave(&self) {
+        self.close_as_far_as(Closing::Leaving);
+    }
+
     /// Stops accepting connections but those that wait in the listen queue. Those that are open go
     /// on.
     pub fn stop_accepting(&self) {
+        self.close_as_far_as(Closing::Refusing);
+    }
+
+    fn close_as_far_as(&self, stage: Closing) {
         self.closing.send_if_modified(|closing| {
-            let first = *closing < Closing::Refusing;
-            *closing = Closing::Refusing.max(*closing);
+            let first = *closing < stage;
+            *closing = stage.max(*closing);
             first
         });
     }
 
     /// Stops accepting connections, and closes those that are open as soon as they rest.
     pub fn close(&self) {
-        self.closing.send_replace(Closing::Resting);
+        self.close_as_far_as(Closing::Resting);
     }
 }
 
@@ -143,6 +155,7 @@
 #[derive(Debug, Default)]
 struct Activity {
     answers: Cell<u32>,
+    answered: Cell<u64>,
     rests_since: Cell<Option<Instant>>,
 }
 
@@ -166,6 +179,7 @@
 impl Drop for Busy {
     fn drop(&mut self) {
         self.0.answers.set(self.0.answers.get() - 1);
+        self.0.answered.set(self.0.answered.get() + 1);
         self.0.rests_since.set(Some(Instant::now()));
     }
 }
@@ -199,13 +213,15 @@
     }
 }
 
-/// Waits until the server closes and the connection rests.
+/// Waits until the server leaves and the connection rests after an answer, or closes and it rests.
 async fn closed_at_rest(mut closing: watch::Receiver<Closing>, activity: Rc<Activity>) {
-    reached(&mut closing, Closing::Resting).await;
+    reached(&mut closing, Closing::Leaving).await;
+    let answered = activity.answered.get();
     loop {
         // What has arrived by the end of a sleep is read before this looks.
         actix_rt::time::sleep(REST_LOOK).await;
-        if activity.rests() {
+        let closes = *closing.borrow() >= Closing::Resting || activity.answered.get() > answered;
+        if closes && activity.rests() {
             return;
         }
     }
--- a/src/stop/porter.rs
+++ b/src/stop/porter.rs
@@ -136,6 +136,7 @@
     /// happen on the thread before it does.
     pub async fn stop(&self, setting: Setting, server: &Server) {
         self.begin(setting);
+        server.leave();
         loop {
             sleep(LOOK).await;
             let phase = self.stop.borrow_mut().look(self.clock.now());
