--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -98,7 +98,7 @@
     number: u64,
     start_bound: Option<Time>,
     started: Cell<bool>,
-    note: Note,
+    connection: Note,
 }
 
 impl Drop for Attempt {
@@ -130,7 +130,7 @@
             number,
             start_bound,
             started: Cell::new(false),
-            note: Note::default(),
+            connection: Note::default(),
         })
     }
 
@@ -172,7 +172,7 @@
             ended = name(ended),
             known_requests = self.choice.requests,
             expected_ms = self.choice.expected.as_millis() as u64,
-            connection:% = self.note,
+            connection:% = self.connection,
             ms = self.elapsed().as_millis() as u64;
             "attempt ended: {detail}"
         );
@@ -207,8 +207,13 @@
         let head = self.gateway.dialect.forward(&job.head, forward);
         let client = &self.gateway.client;
         let body = job.body.clone();
-        let exchange =
-            client.exchange_noting(self.address, head, body, options(job, moves_on), &self.note);
+        let exchange = client.exchange_noting(
+            self.address,
+            head,
+            body,
+            options(job, moves_on),
+            &self.connection,
+        );
         match self.within(job, exchange).await {
             None => Err(self.silent(job)),
             Some(Err(exchange::Error::NotSent { reason })) => {
--- a/src/route/health.rs
+++ b/src/route/health.rs
@@ -39,7 +39,7 @@
     Unreachable,
     /// It refused, without having run the request.
     Refused,
-    /// Nothing about the replica: the caller left, say.
+    /// Nothing about the replica: the caller left, say, or the connection went silent with others.
     None,
 }
 
