--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -322,11 +322,6 @@
         }
     }
 
-    /// What is known of the process's connections.
-    pub fn paths(&self) -> Rc<Paths> {
-        self.paths.clone()
-    }
-
     /// Sends `request` to `peer` and returns the head of its answer.
     pub async fn send(&self, peer: SocketAddr, request: &Request) -> Result<Response, Error> {
         let options = Options {
