--- a/src/config/belief.rs
+++ b/src/config/belief.rs
@@ -110,17 +110,40 @@
     pub replicas: u64,
 }
 
-/// What changed in the list of replicas between two revisions.
-#[derive(Debug, Clone, PartialEq, Default)]
+/// A replica's entry and its revision.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct DatedRecord {
+    /// The revision.
+    pub revision: u64,
+    /// The entry.
+    pub record: Record,
+}
+
+/// An entry of the list that went.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Removal {
+    /// The revision that removed it.
+    pub revision: u64,
+    /// Whose it was.
+    pub id: Arc<str>,
+}
+
+/// What changed in the list of replicas between two revisions, as one process tells another.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Changes {
     /// The revision after which the changes came.
     pub since: u64,
     /// The revision of the newest of them.
     pub at: u64,
-    /// Entries that were written, and their revisions.
-    pub records: Vec<(u64, Record)>,
-    /// Entries that went, and their revisions.
-    pub gone: Vec<(u64, Arc<str>)>,
+    /// Whether the store was out of reach shortly before.
+    #[serde(default)]
+    pub shaky: bool,
+    /// Entries that were written.
+    #[serde(default)]
+    pub records: Vec<DatedRecord>,
+    /// Entries that went.
+    #[serde(default)]
+    pub gone: Vec<Removal>,
 }
 
 /// Beliefs.
@@ -383,11 +406,18 @@
         Some(Changes {
             since,
             at: self.replicas_changed,
+            shaky: false,
             records: present
-                .map(|listed| (listed.revision, listed.record.clone()))
+                .map(|listed| DatedRecord {
+                    revision: listed.revision,
+                    record: listed.record.clone(),
+                })
                 .collect(),
             gone: removals
-                .map(|(id, revision)| (*revision, id.clone()))
+                .map(|(id, revision)| Removal {
+                    revision: *revision,
+                    id: id.clone(),
+                })
                 .collect(),
         })
     }
@@ -397,13 +427,14 @@
         if !self.lists_replicas() || self.replicas_changed.max(self.replicas_at) < changes.since {
             return Effect::None;
         }
+        let shaky = shaky || changes.shaky;
         let mut effect = Effect::None;
-        for (revision, record) in changes.records {
+        for DatedRecord { revision, record } in changes.records {
             if self.learn_replica(revision, record) != Effect::None {
                 effect = Effect::Replicas;
             }
         }
-        for (revision, id) in changes.gone {
+        for Removal { revision, id } in changes.gone {
             if self.forget_replica(revision, &id, now, shaky) != Effect::None {
                 effect = Effect::Replicas;
             }
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -1,6 +1,6 @@
 //! The entry: takes callers' requests, admits, routes, retries, and streams answers back.
 
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::rc::Rc;
 
 use rand::SeedableRng;
@@ -54,7 +54,6 @@
     rng: RefCell<SmallRng>,
     /// Lets requests in.
     pub porter: Rc<Porter>,
-    leaving: Cell<bool>,
     counters: status::Counters,
     instruments: status::Instruments,
 }
@@ -90,7 +89,6 @@
             customers: RefCell::default(),
             budget: RefCell::default(),
             rng: RefCell::new(SmallRng::seed_from_u64(setting.seed)),
-            leaving: Cell::new(false),
             porter: Porter::new(node.clock, &node.metrics.meter()),
             counters: status::Counters::default(),
             instruments: status::Instruments::new(&node.metrics.meter()),
@@ -110,7 +108,7 @@
     /// Announces that the entry stops: it fails its readiness check, so that the balancer sends
     /// nothing more, and finishes what it has.
     pub fn drain(&self) {
-        if !self.leaving.replace(true) {
+        if !self.porter.stopping() {
             self.node.audit(Deed::Draining);
             self.porter.begin(stop::Setting::default());
         }
--- a/src/entry/serve.rs
+++ b/src/entry/serve.rs
@@ -62,7 +62,7 @@
 }
 
 fn ready(entry: &Entry) -> Answer {
-    if entry.leaving.get() {
+    if entry.porter.stopping() {
         return http::body(StatusCode::SERVICE_UNAVAILABLE, "text/plain", "stopping");
     }
     if !*entry.node.ready.borrow() {
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -15,7 +15,7 @@
 use std::pin::{Pin, pin};
 use std::rc::Rc;
 use std::task::Poll;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use actix_codec::Framed;
 use actix_http::body::BodySize;
@@ -251,15 +251,15 @@
 struct Kept {
     connection: Connection,
     opened: Time,
+    /// When it brought something last. It rests since then.
     heard: Time,
-    since: Instant,
     good_for: Option<Duration>,
 }
 
 impl Kept {
-    fn usable(&self, idle_max: Duration) -> bool {
+    fn usable(&self, idle_max: Duration, now: Time) -> bool {
         let longest = self.good_for.map_or(idle_max, |good| good.min(idle_max));
-        self.since.elapsed() < longest && still_open(&self.connection)
+        now.since(self.heard) < longest && still_open(&self.connection)
     }
 }
 
@@ -453,6 +453,7 @@
 
     /// A connection to `peer` that was used before, and is good as far as is known.
     fn used(&self, peer: SocketAddr, options: Options, note: &Note) -> Option<Taken> {
+        let now = self.paths.now();
         while let Some(kept) = self.kept(peer) {
             let connection = silence::Connection {
                 peer,
@@ -460,8 +461,8 @@
                 heard: kept.heard,
                 is: Use::Rests,
             };
-            if kept.usable(options.idle_max) && !self.paths.doubts(connection) {
-                let rested = kept.since.elapsed();
+            if kept.usable(options.idle_max, now) && !self.paths.doubts(connection) {
+                let rested = now.since(kept.heard);
                 note.set(Way::Used { rested });
                 return Some(Taken {
                     connection: kept.connection,
@@ -494,8 +495,9 @@
 
     /// Closes connections that rested for longer than `idle_max`, or than their peers said.
     pub fn reap(&self, idle_max: Duration) {
+        let now = self.paths.now();
         self.idle.borrow_mut().retain(|_, kept| {
-            kept.retain(|kept| kept.usable(idle_max));
+            kept.retain(|kept| kept.usable(idle_max, now));
             !kept.is_empty()
         });
     }
--- a/src/exchange/answer.rs
+++ b/src/exchange/answer.rs
@@ -7,7 +7,7 @@
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::task::{Context, Poll};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use actix_codec::Framed;
 use actix_http::h1::{ClientCodec, ClientPayloadCodec, MessageType};
@@ -145,8 +145,7 @@
             kept.push(Kept {
                 connection,
                 opened: self.hop.opened,
-                heard: self.hop.guard.last_heard(),
-                since: Instant::now(),
+                heard: self.hop.guard.now(),
                 good_for: self.good_for(),
             });
         }
--- a/src/exchange/path.rs
+++ b/src/exchange/path.rs
@@ -185,13 +185,13 @@
 impl Guard {
     /// Bytes came.
     pub fn heard(&self) {
-        self.carrier.heard.set(self.paths.now());
+        self.carrier.heard.set(self.now());
         self.carrier.is.set(Use::Receives);
     }
 
-    /// When bytes came last.
-    pub fn last_heard(&self) -> Time {
-        self.carrier.heard.get()
+    /// The present instant.
+    pub fn now(&self) -> Time {
+        self.paths.now()
     }
 }
 
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -130,7 +130,6 @@
     pub porter: Rc<Porter>,
     pool_at: Cell<u64>,
     budgets: RefCell<BTreeMap<Arc<str>, Budget>>,
-    in_flight: Cell<u64>,
     instruments: status::Instruments,
     joined: Joined,
     halls: RefCell<Halls>,
@@ -247,7 +246,6 @@
             deadlines: RefCell::default(),
             pool_at: Cell::new(0),
             budgets: RefCell::default(),
-            in_flight: Cell::new(0),
             halls: RefCell::default(),
             hub: RefCell::new(Hub::new(knowledge.now())),
             instruments: status::Instruments::new(&metrics.meter()),
@@ -456,9 +454,9 @@
         self.porter.begin(stop::Setting::default());
     }
 
-    /// Requests in progress.
+    /// Requests in progress, of callers and of other processes that chunks are handed to.
     pub fn in_flight(&self) -> u64 {
-        self.in_flight.get()
+        self.porter.under_way()
     }
 
     fn count_request(&self, service: &Arc<str>) {
--- a/src/gateway/trace.rs
+++ b/src/gateway/trace.rs
@@ -51,7 +51,6 @@
 impl Trace {
     /// A request whose head came.
     pub fn begin(gateway: &Rc<Gateway>, arrived: Time) -> Self {
-        gateway.in_flight.set(gateway.in_flight.get() + 1);
         Self {
             gateway: gateway.clone(),
             id: String::new(),
@@ -88,7 +87,6 @@
 impl Drop for Trace {
     fn drop(&mut self) {
         let gateway = &self.gateway;
-        gateway.in_flight.set(gateway.in_flight.get() - 1);
         let took = self.elapsed();
         gateway.instruments.request(self.outcome, took);
         let belief = gateway.knowledge.belief.borrow();
--- a/src/http.rs
+++ b/src/http.rs
@@ -19,6 +19,7 @@
 
 use crate::patience::{self, Progress};
 
+pub mod held;
 pub mod server;
 
 pub use server::{Io, Server, Timing, Wrap, plain};
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -8,19 +8,18 @@
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll};
 use std::time::{Duration, Instant};
 
-use actix_http::body::{BodySize, BoxBody, MessageBody};
+use actix_http::body::{BoxBody, MessageBody};
 use actix_http::{HttpService, Request};
 use actix_service::{Service, ServiceFactory, fn_service};
-use bytes::Bytes;
 use futures_util::future::{Either, select};
 use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
 use super::Answer;
+use super::held::{Held, Keeper};
 
 /// How long a caller may take to send a request's head.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(5);
@@ -176,6 +175,8 @@
     }
 }
 
+impl Keeper for Busy {}
+
 impl Drop for Busy {
     fn drop(&mut self) {
         self.0.answers.set(self.0.answers.get() - 1);
@@ -184,27 +185,6 @@
     }
 }
 
-/// A body that keeps its connection busy.
-struct BusyBody {
-    body: BoxBody,
-    _busy: Busy,
-}
-
-impl MessageBody for BusyBody {
-    type Error = Box<dyn std::error::Error>;
-
-    fn size(&self) -> BodySize {
-        self.body.size()
-    }
-
-    fn poll_next(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Bytes, Self::Error>>> {
-        Pin::new(&mut self.body).poll_next(cx)
-    }
-}
-
 /// Waits until the server has closed as far as `stage`; forever if it is gone before.
 async fn reached(closing: &mut watch::Receiver<Closing>, stage: Closing) {
     if closing.wait_for(|closing| *closing >= stage).await.is_err() {
@@ -292,10 +272,9 @@
                 let busy = Busy::begin(&activity);
                 let answer = handler(request, peer);
                 async move {
-                    let answer = answer.await.map_body(|_, body| {
-                        let busy = BusyBody { body, _busy: busy };
-                        busy.boxed()
-                    });
+                    let answer = answer
+                        .await
+                        .map_body(|_, body| Held::new(body, busy).boxed());
                     Ok::<_, actix_http::Error>(answer)
                 }
             });
--- a/src/knowledge.rs
+++ b/src/knowledge.rs
@@ -23,7 +23,7 @@
 use traffic::Traffic;
 
 use crate::clock::{Clock, Time};
-use crate::config::belief::{self, Belief, Dated, Effect, Fact, Marks, Wanted};
+use crate::config::belief::{Belief, Changes, Dated, DatedRecord, Effect, Fact, Marks, Wanted};
 use crate::exchange::{self, path::Paths};
 use crate::log::Repeats;
 use crate::member::peer::Peers;
@@ -32,9 +32,7 @@
 use crate::policy::Policy;
 use crate::source::{Batch, Damaged, Topic};
 use crate::wire::pack;
-use crate::wire::sync::{
-    Brief, Changes, DatedDocument, DatedRecord, List, Named, News, Removal, Sync,
-};
+use crate::wire::sync::{Brief, DatedDocument, List, Named, News, Sync};
 
 pub mod draws;
 pub mod gossip;
@@ -395,16 +393,6 @@
         let revision = changes.at;
         let (written, removed) = (changes.records.len(), changes.gone.len());
         let shaky = changes.shaky || self.shaky();
-        let records = changes.records.into_iter();
-        let gone = changes.gone.into_iter();
-        let changes = belief::Changes {
-            since: changes.since,
-            at: changes.at,
-            records: records
-                .map(|dated| (dated.revision, dated.record))
-                .collect(),
-            gone: gone.map(|removal| (removal.revision, removal.id)).collect(),
-        };
         let now = self.now();
         let effect = self.belief.borrow_mut().learn_changes(changes, now, shaky);
         if effect != Effect::None {
@@ -482,8 +470,12 @@
         let newer_routing = marks.routing > sync.marks.routing;
         let newer_list = marks.replicas > sync.marks.replicas;
         let changes = (newer_list && sync.takes_changes)
-            .then(|| changes(&belief, sync.marks.replicas, self.shaky()))
+            .then(|| belief.changes_since(sync.marks.replicas))
             .flatten();
+        let changes = changes.map(|changes| Changes {
+            shaky: self.shaky(),
+            ..changes
+        });
         News {
             hall: self.identity.hall.clone(),
             entry: self.identity.entry,
@@ -493,7 +485,11 @@
             routing: (newer_routing && sync.wants_routing)
                 .then(|| self.document())
                 .flatten(),
-            versions: self.named_for(sync.marks, now),
+            versions: if marks.versions > sync.marks.versions || names_young(&belief, now) {
+                self.named(now)
+            } else {
+                Vec::new()
+            },
             replicas: (newer_list && changes.is_none()).then(|| list(&belief, self.shaky())),
             changes,
             brief: (newer_routing && brief).then(|| self.brief()).flatten(),
@@ -518,19 +514,6 @@
         kept.clone()
     }
 
-    /// The versions that a process with these marks is told. One that knows the newest may still lack
-    /// the one before, which the store tells nobody any more, or have heard of them later than this one.
-    fn named_for(&self, marks: Marks, now: Time) -> Vec<Named> {
-        let named = self.named(now);
-        let newer = self.belief.borrow().marks().versions > marks.versions;
-        let young = |named: &Named| Duration::from_millis(named.age_ms) < VERSIONS_TOLD;
-        if newer || named.iter().any(young) {
-            named
-        } else {
-            Vec::new()
-        }
-    }
-
     fn named(&self, now: Time) -> Vec<Named> {
         let belief = self.belief.borrow();
         let versions = belief.versions();
@@ -569,6 +552,13 @@
     }
 }
 
+/// Whether a version was named lately. Then a process that knows the newest may still lack the one before,
+/// which the store tells nobody any more, or have heard of them later than this one.
+fn names_young(belief: &Belief, now: Time) -> bool {
+    let mut named = belief.versions();
+    named.any(|(_, wanted)| now.since(wanted.since) < VERSIONS_TOLD)
+}
+
 fn list(belief: &Belief, shaky: bool) -> List {
     let present = belief.replicas().values();
     let present = present.filter(|listed| listed.gone.is_none());
@@ -584,23 +574,6 @@
     }
 }
 
-fn changes(belief: &Belief, since: u64, shaky: bool) -> Option<Changes> {
-    let changes = belief.changes_since(since)?;
-    let records = changes.records.into_iter();
-    let gone = changes.gone.into_iter();
-    Some(Changes {
-        since: changes.since,
-        at: changes.at,
-        shaky,
-        records: records
-            .map(|(revision, record)| DatedRecord { revision, record })
-            .collect(),
-        gone: gone
-            .map(|(revision, id)| Removal { revision, id })
-            .collect(),
-    })
-}
-
 fn describe(fact: &Fact) -> String {
     match fact {
         Fact::Routing(document) => format!("routing version {}", document.version),
--- a/src/knowledge/traffic.rs
+++ b/src/knowledge/traffic.rs
@@ -10,7 +10,7 @@
 
 use actix_rt::time::sleep;
 use opentelemetry::KeyValue;
-use opentelemetry::metrics::Meter;
+use opentelemetry::metrics::{AsyncInstrument, Meter};
 
 use super::Knowledge;
 
@@ -92,31 +92,30 @@
 
     /// Serves the counts as metrics.
     pub fn register(&self, meter: &Meter) {
-        let traffic = self.clone();
         meter
             .u64_observable_counter("pumicelatch.control.messages")
             .with_description("Messages to other processes by purpose")
-            .with_callback(move |observer| {
-                for purpose in PURPOSES {
-                    let (messages, _) = traffic.of(purpose);
-                    observer.observe(messages, &[KeyValue::new("purpose", purpose.name())]);
-                }
-            })
+            .with_callback(self.observed(|(messages, _)| messages))
             .build();
-        let traffic = self.clone();
         meter
             .u64_observable_counter("pumicelatch.control.bytes")
             .with_unit("By")
             .with_description("Bytes of those messages and their answers, without heads")
-            .with_callback(move |observer| {
-                for purpose in PURPOSES {
-                    let (_, bytes) = traffic.of(purpose);
-                    observer.observe(bytes, &[KeyValue::new("purpose", purpose.name())]);
-                }
-            })
+            .with_callback(self.observed(|(_, bytes)| bytes))
             .build();
     }
 
+    /// Tells one of the counts of each purpose to whoever reads the metrics.
+    fn observed(&self, count: fn((u64, u64)) -> u64) -> impl Fn(&dyn AsyncInstrument<u64>) + use<> {
+        let traffic = self.clone();
+        move |observer| {
+            for purpose in PURPOSES {
+                let count = count(traffic.of(purpose));
+                observer.observe(count, &[KeyValue::new("purpose", purpose.name())]);
+            }
+        }
+    }
+
     /// The counts in one line, without purposes that nothing was sent for.
     fn describe(&self) -> String {
         let counts = PURPOSES.iter().filter_map(|&purpose| {
--- a/src/stop/porter.rs
+++ b/src/stop/porter.rs
@@ -3,15 +3,13 @@
 
 use std::cell::{Cell, RefCell};
 use std::future::Future;
-use std::pin::{Pin, pin};
+use std::pin::pin;
 use std::rc::Rc;
-use std::task::{Context, Poll};
 use std::time::Duration;
 
 use actix_http::ConnectionType;
-use actix_http::body::{BodySize, BoxBody, MessageBody};
+use actix_http::body::MessageBody;
 use actix_rt::time::sleep;
-use bytes::Bytes;
 use futures_util::future::{Either, select};
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Meter};
@@ -19,6 +17,7 @@
 
 use super::{Kind, Phase, Setting, Stop, Verdict};
 use crate::clock::Clock;
+use crate::http::held::{Held, Keeper};
 use crate::http::{Answer, Server};
 use crate::request::Outcome;
 
@@ -218,18 +217,11 @@
         if self.porter.stopping() {
             answer.head_mut().set_connection_type(ConnectionType::Close);
         }
-        let once_whole = self.ends_as(&answer);
-        answer.map_body(|_, body| {
-            let mut held = Held {
-                body,
-                once_whole,
-                ticket: self,
-            };
-            if matches!(held.size(), BodySize::None | BodySize::Sized(0)) {
-                held.ticket.end = once_whole;
-            }
-            held.boxed()
-        })
+        let kept = Kept {
+            once_whole: self.ends_as(&answer),
+            ticket: self,
+        };
+        answer.map_body(|_, body| Held::new(body, kept).boxed())
     }
 }
 
@@ -247,28 +239,14 @@
     }
 }
 
-/// A body that holds its request's ticket.
-struct Held {
-    body: BoxBody,
-    once_whole: End,
+/// A ticket that an answer's body keeps.
+struct Kept {
     ticket: Ticket,
+    once_whole: End,
 }
 
-impl MessageBody for Held {
-    type Error = Box<dyn std::error::Error>;
-
-    fn size(&self) -> BodySize {
-        self.body.size()
-    }
-
-    fn poll_next(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Bytes, Self::Error>>> {
-        let polled = Pin::new(&mut self.body).poll_next(cx);
-        if matches!(polled, Poll::Ready(None)) {
-            self.ticket.end = self.once_whole;
-        }
-        polled
+impl Keeper for Kept {
+    fn whole(&mut self) {
+        self.ticket.end = self.once_whole;
     }
 }
--- a/src/wire/sync.rs
+++ b/src/wire/sync.rs
@@ -5,10 +5,9 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::config::belief::Marks;
+use crate::config::belief::{Changes, DatedRecord, Marks};
 use crate::config::routing::Engine;
 use crate::member::peer::Told;
-use crate::member::replica::Record;
 use crate::route::replica::Load;
 
 /// Path of a [`Sync`].
@@ -133,15 +132,6 @@
     pub packed: Vec<u8>,
 }
 
-/// A replica's entry and its revision.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct DatedRecord {
-    /// The revision.
-    pub revision: u64,
-    /// The entry.
-    pub record: Record,
-}
-
 /// A list of replicas.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct List {
@@ -154,33 +144,6 @@
     pub records: Vec<DatedRecord>,
 }
 
-/// An entry of the list that went.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Removal {
-    /// The revision that removed it.
-    pub revision: u64,
-    /// Whose it was.
-    pub id: Arc<str>,
-}
-
-/// What changed in the list of replicas.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct Changes {
-    /// The revision after which the changes came.
-    pub since: u64,
-    /// The revision of the newest of them.
-    pub at: u64,
-    /// Whether the store was out of reach shortly before.
-    #[serde(default)]
-    pub shaky: bool,
-    /// Entries that were written.
-    #[serde(default)]
-    pub records: Vec<DatedRecord>,
-    /// Entries that went.
-    #[serde(default)]
-    pub gone: Vec<Removal>,
-}
-
 /// What a process beside a replica needs of the configuration.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Brief {
