A replica's life is its id and its start; what is believed belongs to one life

Cause: a replica may start again under its id. Beliefs were keyed by the id alone: a heartbeat of the earlier life that was written late put its weights back, and penalties, denials, requests under way, reports, places, staged chunks and connections outlived it. Change: the adapter reads the start from the list and the report; an entry of the list in which something of what every replica tells is missing or of another type names none. A record of an earlier life never replaces a later one, whatever its revision. The pool gives a later life a key of its own, so that nothing of the earlier one reaches it; a report of another life than the listed one begins it or is dropped; connections at rest to it are closed. The process beside it forgets places, orders and what it staged.

--- a/src/config/belief.rs
+++ b/src/config/belief.rs
@@ -298,9 +298,16 @@
             return Effect::None;
         }
         let known = self.replicas.get(&record.id);
-        if known.is_some_and(|known| known.revision >= revision) {
+        let life = known.map_or(0, |known| known.record.born);
+        if record.born < life {
+            // A heartbeat of an earlier life may be written after the first one of a later life.
             return Effect::None;
         }
+        if known.is_some_and(|known| known.revision >= revision && record.born == life) {
+            return Effect::None;
+        }
+        // That late heartbeat may be known already.
+        let revision = known.map_or(revision, |known| known.revision.max(revision));
         let unchanged = known.is_some_and(|known| known.record == record && known.gone.is_none());
         if !unchanged {
             self.replicas_changed = self.replicas_changed.max(revision);
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -502,6 +502,11 @@
         });
     }
 
+    /// Closes connections to `peer` that rest: another process listens there now.
+    pub fn forget(&self, peer: SocketAddr) {
+        self.idle.borrow_mut().remove(&peer);
+    }
+
     fn kept(&self, peer: SocketAddr) -> Option<Kept> {
         self.idle.borrow_mut().get_mut(&peer)?.pop()
     }
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -398,14 +398,18 @@
     /// The pool, with the list as it is believed now.
     fn refresh_pool(&self) {
         let changes = *self.knowledge.changed.borrow();
-        if self.pool_at.replace(changes) == changes {
-            return;
+        if self.pool_at.replace(changes) != changes {
+            let belief = self.knowledge.belief.borrow();
+            let list = belief.replicas();
+            let waves = self.waves(&belief);
+            let due = |record: &Record| self.due(&belief, &waves, record);
+            self.pool.borrow_mut().update(list, due);
+        }
+        let reborn = self.pool.borrow_mut().take_reborn();
+        for address in reborn {
+            log::info!(replica:% = address; "a later life of a replica began");
+            self.client.forget(address);
         }
-        let belief = self.knowledge.belief.borrow();
-        let list = belief.replicas();
-        let waves = self.waves(&belief);
-        let due = |record: &Record| self.due(&belief, &waves, record);
-        self.pool.borrow_mut().update(list, due);
     }
 
     /// The waves in which replicas change to the wanted version, worked out once for each service in
--- a/src/member/replica.rs
+++ b/src/member/replica.rs
@@ -23,8 +23,12 @@
 /// A replica's entry in the list.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Record {
-    /// Drawn anew at each start of the replica.
+    /// Its id. A replica may start again under the one that it had.
     pub id: Arc<str>,
+    /// When it started, in milliseconds since the Unix epoch; 0 if it does not tell. With the id it
+    /// names one life of the replica: a later one holds and knows nothing of an earlier one.
+    #[serde(default)]
+    pub born: u64,
     /// Its service.
     pub service: Arc<str>,
     /// Where it listens.
@@ -43,6 +47,15 @@
 }
 
 impl Record {
+    /// The record of a later life that began at `born`, of which nothing else is known yet.
+    pub fn reborn(&self, born: u64) -> Self {
+        Self {
+            born,
+            models: Vec::new(),
+            ..self.clone()
+        }
+    }
+
     /// The version of `model` that it holds.
     pub fn version(&self, model: &str) -> Option<u64> {
         version_of(&self.models, model)
--- a/src/route/replica.rs
+++ b/src/route/replica.rs
@@ -36,6 +36,8 @@
 #[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
 #[serde(default)]
 pub struct Load {
+    /// The life of the replica that it is about, as [`Record::born`]; 0 if it does not tell.
+    pub born: u64,
     /// Requests that run.
     pub running: u32,
     /// Requests that wait.
--- a/src/sidecar.rs
+++ b/src/sidecar.rs
@@ -96,6 +96,8 @@
     source: Rc<dyn Source>,
     state: Rc<RefCell<Option<State>>>,
     misses: Cell<u32>,
+    /// The replica's life, as [`State::born`].
+    born: Cell<u64>,
     noticed: Cell<Option<Time>>,
     staged: RefCell<reconcile::Staged>,
     crew: RefCell<Option<reconcile::Crew>>,
@@ -245,6 +247,7 @@
             source: edges.source,
             state,
             misses: Cell::new(0),
+            born: Cell::new(0),
             noticed: Cell::new(None),
             staged: RefCell::default(),
             crew: RefCell::default(),
--- a/src/sidecar/engine.rs
+++ b/src/sidecar/engine.rs
@@ -8,6 +8,8 @@
 /// What a replica reports of itself.
 #[derive(Debug, Clone, PartialEq, Default)]
 pub struct State {
+    /// When it started, in milliseconds since the Unix epoch; 0 if it does not tell.
+    pub born: u64,
     /// The models that it holds.
     pub models: Vec<Held>,
     /// Whether it carries an order out.
--- a/src/sidecar/observe.rs
+++ b/src/sidecar/observe.rs
@@ -11,6 +11,7 @@
 
 use super::Sidecar;
 use super::engine::State;
+use super::reconcile::Staged;
 use crate::backoff::Backoff;
 use crate::clock::Time;
 use crate::exchange::{Note, Way};
@@ -83,6 +84,15 @@
 
 impl Sidecar {
     fn take_state(&self, state: Option<State>) {
+        if let Some(state) = &state {
+            if state.born < self.born.get() {
+                // An answer of an earlier life, or one that does not tell.
+                return;
+            }
+            if self.born.replace(state.born) < state.born {
+                self.begin_life(state.born);
+            }
+        }
         let before = self.state.replace(state);
         let now = self.state.borrow();
         let mut ledger = self.ledger.borrow_mut();
@@ -103,6 +113,16 @@
         }
     }
 
+    /// The replica started at `born`, perhaps anew: places, orders and what lay staged belong to an
+    /// earlier life. What lies there all the same is read back before it is used.
+    fn begin_life(&self, born: u64) {
+        log::info!(born; "a life of the replica began");
+        self.state.replace(None);
+        self.ledger.borrow_mut().lost();
+        self.staged.replace(Staged::default());
+        self.set_noticed(None);
+    }
+
     /// Tells that the replica will change, or that it has.
     pub(super) fn set_noticed(&self, noticed: Option<Time>) {
         if self.noticed.replace(noticed) != noticed {
@@ -126,6 +146,7 @@
         let state = self.state.borrow();
         let Some(state) = state.as_ref() else {
             return Load {
+                born: self.born.get(),
                 alive: self.misses.get() < MISSES_MAX,
                 pace: 1.0,
                 round_trip_ms,
@@ -135,6 +156,7 @@
             };
         };
         Load {
+            born: state.born,
             running: state.running,
             queued: state.queued,
             pace: state.pace,
--- a/tests/belief.rs
+++ b/tests/belief.rs
@@ -54,6 +54,7 @@
 fn record(id: &str) -> Record {
     Record {
         id: id.into(),
+        born: 0,
         service: "tutor".into(),
         address: "10.0.0.1:80".parse().unwrap(),
         hall: "lis-a".into(),
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -53,6 +53,7 @@
 fn record(index: u8, version: u64) -> Record {
     Record {
         id: format!("i-{index}").into(),
+        born: 0,
         service: "tutor".into(),
         address: address(index),
         hall: "lis-a".into(),
--- a/tests/knowledge.rs
+++ b/tests/knowledge.rs
@@ -374,6 +374,7 @@
         let knowledge = Knowledge::new(identity, Vec::new(), 7, Policy::default(), paths);
         let record = Record {
             id: "i-1".into(),
+            born: 0,
             service: "tutor".into(),
             address: "10.1.0.9:80".parse().unwrap(),
             hall: hall(1),
--- /dev/null
+++ b/tests/life.rs
@@ -0,0 +1,322 @@
+//! A replica may start again under the id that it had. It then holds nothing of before, and news of its
+//! earlier life arrives late, through the list, reports and other entries, in any order. Whatever was
+//! believed belongs to one life: a later one replaces it whole.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use pumicelatch::clock::Time;
+use pumicelatch::config::belief::{Belief, Dated, Effect, Fact};
+use pumicelatch::config::routing::Engine;
+use pumicelatch::member::replica::{Held, Record};
+use pumicelatch::policy::Policy;
+use pumicelatch::route::estimate::Demand;
+use pumicelatch::route::health::Sign;
+use pumicelatch::route::pool::{Ask, Choice, Key, ModelNeed, Pool, Shortage};
+use pumicelatch::route::replica::Load;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+const NOW: Time = Time::from_millis(50_000);
+
+/// The starts of the two lives, in milliseconds since the Unix epoch.
+const FIRST: u64 = 1_764_720_000_000;
+const SECOND: u64 = FIRST + 700;
+
+fn holding(version: u64) -> Vec<Held> {
+    vec![Held {
+        model: "model".into(),
+        version,
+    }]
+}
+
+fn record(born: u64, models: Vec<Held>) -> Record {
+    Record {
+        id: "i-1".into(),
+        born,
+        service: "tutor".into(),
+        address: "10.0.0.1:80".parse().unwrap(),
+        hall: "hall".into(),
+        slots: 8,
+        leaving: false,
+        models,
+    }
+}
+
+fn load(born: u64, models: Vec<Held>) -> Load {
+    Load {
+        born,
+        running: 3,
+        pace: 1.0,
+        alive: true,
+        models,
+        ..Load::default()
+    }
+}
+
+/// An entry's picture: what it believes of the list, and its pool.
+struct Entry {
+    belief: Belief,
+    pool: Pool,
+    engine: Engine,
+}
+
+impl Entry {
+    fn new() -> Self {
+        Self {
+            belief: Belief::new(true),
+            pool: Pool::new("hall".into(), Policy::default()),
+            engine: Engine {
+                guessed: false,
+                ..Engine::default()
+            },
+        }
+    }
+
+    fn learn(&mut self, revision: u64, record: Record) -> Effect {
+        let fact = Fact::Replica(record);
+        let effect = self.belief.learn(Dated { revision, fact }, NOW, false);
+        self.pool.update(self.belief.replicas(), |_| None);
+        effect
+    }
+
+    fn ask(&self) -> Ask<'_> {
+        Ask {
+            service: "tutor",
+            model: Some(ModelNeed {
+                model: "model",
+                oldest: 0,
+                only: None,
+            }),
+            engine: Some(&self.engine),
+            demand: Demand {
+                prompt: 900,
+                output: 90,
+            },
+            tried: &[],
+            full: &[],
+            connections_max: 64,
+        }
+    }
+
+    fn choose(&self) -> Result<Choice, Shortage> {
+        self.pool
+            .choose(self.ask(), NOW, &mut SmallRng::seed_from_u64(1))
+    }
+
+    fn key(&self) -> Key {
+        self.pool.of("tutor")[0]
+    }
+}
+
+/// News of the replica, as it may arrive at an entry.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum News {
+    /// The list's entry of the first life, written early.
+    ListedFirst,
+    /// A heartbeat of the first life, written after the second one began.
+    ListedLate,
+    /// The list's entry of the second life.
+    ListedSecond,
+    /// The process beside it tells of the first life.
+    ReportedFirst,
+    /// It tells of the second life.
+    ReportedSecond,
+    /// Another entry tells what it was told of the first life.
+    DigestLate,
+}
+
+use News::*;
+
+impl News {
+    fn arrives(self, entry: &mut Entry) {
+        let address = "10.0.0.1:80".parse().unwrap();
+        match self {
+            ListedFirst => drop(entry.learn(10, record(FIRST, holding(1)))),
+            ListedLate => drop(entry.learn(14, record(FIRST, holding(1)))),
+            ListedSecond => drop(entry.learn(12, record(SECOND, Vec::new()))),
+            ReportedFirst | DigestLate => {
+                let _ = entry.pool.report(address, &load(FIRST, holding(1)), NOW);
+            }
+            ReportedSecond => {
+                let _ = entry.pool.report(address, &load(SECOND, Vec::new()), NOW);
+            }
+        }
+    }
+
+    fn tells_second(self) -> bool {
+        matches!(self, ListedSecond | ReportedSecond)
+    }
+}
+
+fn orders(rest: &[News]) -> Vec<Vec<News>> {
+    if rest.is_empty() {
+        return vec![Vec::new()];
+    }
+    let mut all = Vec::new();
+    for (place, &first) in rest.iter().enumerate() {
+        let mut others = rest.to_vec();
+        others.remove(place);
+        for mut order in orders(&others) {
+            order.insert(0, first);
+            all.push(order);
+        }
+    }
+    all
+}
+
+#[test]
+fn in_every_order_of_news_a_later_life_is_never_used_for_what_an_earlier_one_held() {
+    let all = [
+        ListedFirst,
+        ListedLate,
+        ListedSecond,
+        ReportedFirst,
+        ReportedSecond,
+        DigestLate,
+    ];
+    for order in orders(&all) {
+        let mut entry = Entry::new();
+        let mut told = false;
+        for news in &order {
+            let listed = entry.belief.replicas().contains_key("i-1");
+            // A report about a replica that is not listed yet is no news of it.
+            told |= news.tells_second() && (listed || *news == ListedSecond);
+            news.arrives(&mut entry);
+            if told {
+                assert_eq!(
+                    entry.choose(),
+                    Err(Shortage::NoneFit),
+                    "{order:?} after {news:?}"
+                );
+            }
+        }
+        let listed = &entry.belief.replicas()["i-1"];
+        assert_eq!(
+            (listed.record.born, listed.gone),
+            (SECOND, None),
+            "{order:?}"
+        );
+        let served = load(SECOND, holding(2));
+        entry.pool.report(
+            listed.record.address,
+            &served,
+            NOW + Duration::from_millis(1),
+        );
+        assert!(
+            entry.choose().is_ok(),
+            "{order:?}: it serves once it holds something"
+        );
+    }
+}
+
+#[test]
+fn the_order_of_lists_makes_no_difference_to_what_is_told_on() {
+    let (early, late) = (record(FIRST, holding(1)), record(SECOND, Vec::new()));
+    let learnt = |order: [(u64, &Record); 2]| {
+        let mut belief = Belief::new(true);
+        for (revision, record) in order {
+            let fact = Fact::Replica(record.clone());
+            belief.learn(Dated { revision, fact }, NOW, false);
+        }
+        belief.replicas()["i-1"].record.clone()
+    };
+    for (first, second) in [(10, 12), (12, 10)] {
+        assert_eq!(learnt([(first, &early), (second, &late)]), late);
+        assert_eq!(learnt([(second, &late), (first, &early)]), late);
+    }
+}
+
+/// Everything that an entry believes of one life, and that another would suffer from.
+#[test]
+fn requests_penalties_lags_denials_and_connections_end_with_their_life() {
+    let mut entry = Entry::new();
+    entry.learn(10, record(FIRST, holding(1)));
+    let address = "10.0.0.1:80".parse().unwrap();
+    entry.pool.report(address, &load(FIRST, holding(1)), NOW);
+    let demand = entry.ask().demand;
+    let first = entry.key();
+    let numbers: Vec<u64> = (0..8)
+        .map(|_| entry.pool.begin(first, demand, Duration::ZERO, NOW))
+        .collect();
+    for _ in 0..8 {
+        entry.pool.note(first, Sign::Broken, NOW);
+    }
+    entry.pool.deny(first);
+    entry.pool.unheard(first, true, NOW);
+    assert_eq!(entry.choose(), Err(Shortage::NoneFit));
+    assert_eq!(entry.pool.take_reborn(), []);
+
+    entry.learn(12, record(SECOND, holding(1)));
+    assert_eq!(entry.pool.take_reborn(), [address]);
+    let second = entry.key();
+    assert_ne!(
+        second, first,
+        "whoever tried the first life may try the second"
+    );
+    let choice = entry.choose().unwrap();
+    assert_eq!((choice.key, choice.requests), (second, 0));
+    let alone = choice.expected;
+
+    // What the first life's requests and its process still bring changes nothing.
+    let late = NOW + Duration::from_millis(900);
+    for number in numbers {
+        entry.pool.started(first, number, demand, true, late);
+        entry.pool.end(first, number);
+        entry.pool.note(first, Sign::Unreachable, late);
+    }
+    entry.pool.report(address, &load(FIRST, holding(1)), late);
+    let choice = entry.choose().unwrap();
+    assert_eq!(
+        (choice.key, choice.requests, choice.expected),
+        (second, 0, alone)
+    );
+    assert!(
+        !entry.pool.gives_places(second, late),
+        "its process has not told yet"
+    );
+}
+
+#[test]
+fn where_replicas_tell_their_lives_an_entry_without_one_names_none_and_the_others_hold() {
+    let stranger = Record {
+        id: "i-2".into(),
+        address: "10.0.0.9:80".parse().unwrap(),
+        ..record(0, holding(1))
+    };
+    let listed = |order: [&Record; 2]| {
+        let mut entry = Entry::new();
+        for (step, record) in order.into_iter().enumerate() {
+            entry.learn(10 + step as u64, record.clone());
+        }
+        let ids = entry.pool.of("tutor").iter();
+        let ids = ids.map(|&key| entry.pool.get(key).unwrap().record.id.clone());
+        ids.collect::<Vec<Arc<str>>>()
+    };
+    let sound = record(FIRST, holding(1));
+    assert_eq!(listed([&stranger, &sound]), ["i-1".into()]);
+    assert_eq!(listed([&sound, &stranger]), ["i-1".into()]);
+    // Where nobody tells, all are used.
+    let silent = record(0, holding(1));
+    assert_eq!(listed([&silent, &stranger]).len(), 2);
+}
+
+#[test]
+fn a_report_is_about_the_replica_of_its_life_where_two_are_listed_at_one_address() {
+    let mut entry = Entry::new();
+    entry.learn(10, record(FIRST, holding(1)));
+    let next = Record {
+        id: "i-2".into(),
+        ..record(SECOND, Vec::new())
+    };
+    entry.learn(11, next);
+    let address = "10.0.0.1:80".parse().unwrap();
+    entry.pool.report(address, &load(SECOND, holding(2)), NOW);
+    let holds = |id: &str| {
+        let keys = entry.pool.of("tutor").iter();
+        let mut found = keys.map(|&key| entry.pool.get(key).unwrap());
+        let found = found.find(|replica| &*replica.record.id == id).unwrap();
+        found.version("model", NOW)
+    };
+    assert_eq!((holds("i-1"), holds("i-2")), (Some(1), Some(2)));
+}
