Who was refused is known by what was refused, not by a short deadline

Cause: callers have deadlines of many lengths. Every deadline under 97 hundredths of the longest was taken for the rest of one who comes back, and admitted at a quarter of its objective: 194 of 194 refusals of a sample were of that kind while engines had places. Change: an entry remembers what it refuses by a fingerprint of what stays the same, and tells it with its questions for places; the process beside a replica says when it knows the request. Whoever can be in time yet, counted from the first try, is treated like any other; who cannot gets the late limit. The guess by deadlines is deleted.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -23,8 +23,8 @@
 use crate::audit::{Deed, Trail};
 use crate::burst::host::{Calls, Host, Instruments, renew_when_silent};
 use crate::burst::joined::{self, Joined, Origins};
+use crate::clock::Time;
 use crate::config::belief::Belief;
-use crate::config::routing::{Route, Routing};
 use crate::daemon;
 use crate::exchange::{self, path::Paths};
 use crate::http::{self, ClientSetting, Server, Timing};
@@ -58,6 +58,7 @@
 pub mod status;
 pub mod trace;
 
+use call::Job;
 use dialect::Dialect;
 
 /// How often beliefs are looked over.
@@ -134,7 +135,10 @@
     joined: Joined,
     halls: RefCell<Halls>,
     hub: RefCell<Hub>,
-    deadlines: RefCell<returning::Table>,
+    /// Requests that were refused lately, here or as others told.
+    refused: RefCell<returning::Memory>,
+    /// What was refused here and others are told.
+    refusals: RefCell<returning::Log>,
 }
 
 /// What a gateway works with.
@@ -243,7 +247,8 @@
             joined: Joined::new(host.clone(), origins, setting.first_start),
             client: exchange::Client::sharing(paths),
             pool: RefCell::new(Pool::new(setting.identity.hall.clone(), setting.policy)),
-            deadlines: RefCell::default(),
+            refused: RefCell::default(),
+            refusals: RefCell::default(),
             pool_at: Cell::new(0),
             budgets: RefCell::default(),
             halls: RefCell::default(),
@@ -470,15 +475,22 @@
         budget.request(self.setting.budget, now);
     }
 
-    /// Notes the deadline of a request on `route`. Returns whether its caller has been away.
-    fn has_been_away(&self, routing: &Routing, route: &Route, deadline: Option<Duration>) -> bool {
-        let Some(deadline) = deadline else {
-            return false;
-        };
-        let timeout = Duration::from_millis(route.timeout_ms);
-        let routes = routing.document.routes.len();
-        let mut deadlines = self.deadlines.borrow_mut();
-        deadlines.note(&route.name, routes, deadline, timeout)
+    /// When the caller of a request tried first, if it was refused before.
+    fn first_try(&self, job: &Job) -> Option<Time> {
+        let refused = self.refused.borrow();
+        refused.first_try(job.fingerprint, job.arrived)
+    }
+
+    /// A request was refused whose caller tried first at `first`. Only engines are short of places so
+    /// often that it matters.
+    fn note_refused(&self, job: &Job, first: Time) {
+        if job.ask.work.is_none() {
+            return;
+        }
+        let mut refused = self.refused.borrow_mut();
+        refused.refused(job.fingerprint, first, job.deadline);
+        let mut refusals = self.refusals.borrow_mut();
+        refusals.refused(job.fingerprint, first, job.deadline);
     }
 
     /// Takes one repeat from the service's budget, if there is one.
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -18,6 +18,7 @@
 use crate::config::routing::{Kind, Route, Routing};
 use crate::http::Answer;
 use crate::limit::admission::{self, Bounds, Case, Verdict};
+use crate::limit::returning::{self, Fingerprint};
 use crate::request::Outcome;
 use crate::request::attempt::{self as next, Ended, Next, Situation};
 use crate::route::estimate::Demand;
@@ -61,8 +62,8 @@
     pub arrived: Time,
     /// When it has to be over.
     pub deadline: Time,
-    /// Whether its caller was refused before, and came back.
-    pub returned: bool,
+    /// What stays the same of it when its caller tries again.
+    pub fingerprint: Fingerprint,
 }
 
 impl Job {
@@ -101,7 +102,6 @@
     };
     let answer = match prepared {
         Ok(job) => {
-            trace.returned = job.returned;
             gateway.count_request(&job.service);
             let course = Course::new(gateway.clone(), Rc::new(job), trace);
             course.run().await
@@ -144,13 +144,18 @@
     unreached: u32,
     tainted: bool,
     failure: Option<Answer>,
+    /// When its caller tried first, if it was refused before and came back.
+    pub(super) first_try: Option<Time>,
     /// The only version that will do, once an answer of it has begun.
     pub(super) only: Option<u64>,
 }
 
 impl Course {
-    fn new(gateway: Rc<Gateway>, job: Rc<Job>, trace: Trace) -> Self {
+    fn new(gateway: Rc<Gateway>, job: Rc<Job>, mut trace: Trace) -> Self {
+        let first_try = gateway.first_try(&job);
+        trace.returned = first_try.is_some();
         Self {
+            first_try,
             gateway,
             job,
             trace,
@@ -205,10 +210,24 @@
                 self.trace.reason.clone_from(&refusal.detail);
                 answer
             }
-            None => refuse(&self.gateway, &mut self.trace, refusal),
+            None => {
+                if refusal.code.outcome() == Some(Outcome::NotRun) {
+                    let first = self.first_try.unwrap_or(self.job.arrived);
+                    self.gateway.note_refused(&self.job, first);
+                }
+                refuse(&self.gateway, &mut self.trace, refusal)
+            }
         }
     }
 
+    /// A process beside a replica knows that the caller tried `age` ago already.
+    pub(super) fn note_returned(&mut self, age: Duration) {
+        let first = self.gateway.knowledge.now() - age;
+        let known = self.first_try.get_or_insert(first);
+        *known = first.min(*known);
+        self.trace.returned = true;
+    }
+
     /// Notes a failed attempt. An error is the end.
     fn follow_up(&mut self, failure: Failure) -> Result<(), Refusal> {
         let (ended, detail) = self.take_failure(failure);
@@ -293,6 +312,10 @@
                 self.limit()
             };
             let found = self.find(asks, limit).await;
+            if let Some(age) = found.tried_before {
+                self.note_returned(age);
+            }
+            let limit = if chosen_before { limit } else { self.limit() };
             self.trace.asked += found.asked;
             self.trace.place = found.given;
             let (choice, idle) = (found.choice, found.idle);
@@ -339,8 +362,16 @@
         refusal.retry_after(self.arrival(remaining))
     }
 
-    /// The limit that is common to requests of the service, as far as the policy shares it.
+    /// The limit on its first event, counted from its arrival.
     fn limit(&self) -> Duration {
+        let (whole, late) = self.limits();
+        let age = self.first_try.map(|first| self.job.arrived.since(first));
+        age.map_or(whole, |age| returning::limit(whole, late, age))
+    }
+
+    /// The limit that is common to requests of the service, as far as the policy shares it, and that
+    /// of requests whose callers were refused before and are late.
+    pub(super) fn limits(&self) -> (Duration, Duration) {
         let gateway = &self.gateway;
         let own = self.job.objective();
         let tightest = self.job.routing.tightest_ms(&self.job.service);
@@ -349,15 +380,7 @@
             None => own,
         };
         let policy = &gateway.setting.policy;
-        let service = self.job.routing.service(&self.job.service);
-        let engines = service.is_some_and(|service| service.engine.is_some());
-        // A plain service is seldom full; nobody need go last there.
-        let part = if self.job.returned && engines {
-            policy.admit.min(policy.return_admit)
-        } else {
-            policy.admit
-        };
-        base * part / 100
+        (base * policy.admit / 100, base * policy.return_admit / 100)
     }
 
     /// When the caller should come back to find weights at the replicas.
--- a/src/gateway/dialect.rs
+++ b/src/gateway/dialect.rs
@@ -23,6 +23,8 @@
     pub output_max: u32,
     /// Tokens that the caller expects.
     pub output_hint: Option<u32>,
+    /// What names the beginnings that the prompt shares with others.
+    pub prefix: Option<Arc<str>>,
 }
 
 /// What a caller's head says.
--- a/src/gateway/intake.rs
+++ b/src/gateway/intake.rs
@@ -9,14 +9,18 @@
 
 use super::Gateway;
 use super::call::Job;
-use super::dialect::{Ask, Code, Refusal};
+use super::dialect::{Ask, Code, Refusal, Work};
 use super::trace::Trace;
 use crate::config::routing::{Access, Limits, Routing};
 use crate::http::{self, Error};
+use crate::limit::returning::Fingerprint;
 
 /// When a caller should come back to a process that knows no configuration yet.
 const NOT_READY_RETRY: Duration = Duration::from_millis(300);
 
+/// Bytes of a body that tell it from others: long ones are not hashed whole.
+const FINGERPRINTED: usize = 4 << 10;
+
 /// Notes the id of a request that is not looked into.
 pub fn name(gateway: &Gateway, request: &Request, trace: &mut Trace) {
     if let Ok(ask) = gateway.dialect.ask(request.head()) {
@@ -68,7 +72,7 @@
     let longest = ask.deadline.map_or(held, |deadline| deadline.min(held));
     let arrived = trace.arrived;
     let body = read_body(request, limits, longest).await?;
-    let returned = gateway.has_been_away(&routing, &route, ask.deadline);
+    let fingerprint = fingerprint(&ask, body.as_deref());
     Ok(Job {
         head: copy_head(request.head()),
         ask,
@@ -80,10 +84,34 @@
         priority,
         arrived,
         deadline: arrived + longest,
-        returned,
+        fingerprint,
     })
 }
 
+/// What stays the same when the caller tries again: everything but the try's id, its deadline, and how
+/// much of an answer the caller has.
+fn fingerprint(ask: &Ask, body: Option<&[u8]>) -> Fingerprint {
+    let body = body.unwrap_or_default();
+    let length = (body.len() as u64).to_le_bytes();
+    let work = ask.work.as_ref();
+    let number = |of: fn(&Work) -> u32| work.map_or(0, of).to_le_bytes();
+    let (prompt, output) = (number(|work| work.prompt), number(|work| work.output_max));
+    let hint = number(|work| work.output_hint.unwrap_or(0));
+    Fingerprint::of([
+        ask.host.as_bytes(),
+        ask.path.as_bytes(),
+        ask.key.as_deref().unwrap_or_default().as_bytes(),
+        work.and_then(|work| work.prefix.as_deref())
+            .unwrap_or_default()
+            .as_bytes(),
+        &prompt,
+        &output,
+        &hint,
+        &length,
+        &body[..body.len().min(FINGERPRINTED)],
+    ])
+}
+
 /// A part of the configuration could not be read, and this request may need it: nobody may tell its
 /// caller that it is not allowed.
 fn not_understood(part: &str) -> Refusal {
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -30,17 +30,29 @@
     pub idle: bool,
     /// Processes that were asked.
     pub asked: u32,
+    /// Time since the caller's first try, if one of them knows that it was refused before.
+    pub tried_before: Option<Duration>,
+}
+
+/// What a process beside a replica answered.
+#[derive(Default)]
+struct Asked {
+    /// The replica, if it has a place.
+    choice: Option<Choice>,
+    /// Time since the caller's first try, if it is known there.
+    tried_before: Option<Duration>,
 }
 
 impl Course {
     /// Asks up to `asks` processes for a place from which the first event comes within `limit`.
     pub(super) async fn find(&self, asks: u32, limit: Duration) -> Found {
         let mut search = Search::new(asks, limit);
+        let mut tried_before = None;
         loop {
             let (key, known) = match search.step() {
                 Step::Judge => {
                     let known = self.choose(search.asked());
-                    return self.best_known(&search, known);
+                    return self.best_known(&search, known, tried_before);
                 }
                 Step::Again(key) => (key, None),
                 Step::Another => {
@@ -51,22 +63,26 @@
                             continue;
                         }
                         Ok(choice) => (choice.key, Some(known)),
-                        Err(_) => return self.best_known(&search, known),
+                        Err(_) => return self.best_known(&search, known, tried_before),
                     }
                 }
             };
             let Some((process, limits)) = self.process_beside(key, limit) else {
                 let known = known.unwrap_or_else(|| self.choose(search.asked()));
-                return self.best_known(&search, known);
+                return self.best_known(&search, known, tried_before);
             };
             let again = search.asked().contains(&key);
-            let limit = if again { limits.whole } else { limits.tight };
-            if let Some(choice) = self.ask(&mut search, key, process, limit).await {
+            let at = if again { limits.whole } else { limits.tight };
+            let ask = self.place_ask(process, at, limits.whole);
+            let answer = self.ask(&mut search, key, process, &ask).await;
+            tried_before = tried_before.max(answer.tried_before);
+            if let Some(choice) = answer.choice {
                 return Found {
                     choice: Ok(choice),
                     given: true,
                     idle: false,
                     asked: search.asked().len() as u32 + 1,
+                    tried_before,
                 };
             }
         }
@@ -74,7 +90,12 @@
 
     /// The best replica without a place: one of those that answered, if any did; but if most places
     /// of the service are free, the one that is `known` beside those.
-    fn best_known(&self, search: &Search, known: (Result<Choice, Shortage>, bool)) -> Found {
+    fn best_known(
+        &self,
+        search: &Search,
+        known: (Result<Choice, Shortage>, bool),
+        tried_before: Option<Duration>,
+    ) -> Found {
         let (known, idle) = known;
         let now = self.gateway.knowledge.now();
         let least = search.least().filter(|_| !idle);
@@ -84,42 +105,70 @@
             given: false,
             idle,
             asked: search.asked().len() as u32,
+            tried_before,
         }
     }
 
-    /// Asks the process beside the replica `key`. Returns the choice if it gives a place.
+    /// The question for a place at once or in the queue, by its limit `at`, where `whole` is that of
+    /// the request as such.
+    fn place_ask(&self, process: SocketAddr, at: Duration, whole: Duration) -> place::Ask {
+        let gateway = &self.gateway;
+        let knowledge = &gateway.knowledge;
+        let demand = self.job.demand();
+        let known = self.first_try.is_some();
+        let (_, late) = self.limits();
+        let told = gateway.refusals.borrow_mut().tell(process, knowledge.now());
+        place::Ask {
+            prompt: demand.prompt,
+            output: demand.output,
+            limit_ms: at.as_millis() as u64,
+            queue_spread: knowledge.policy.queue_spread,
+            // Whose first try is known has its limit already.
+            request: (!known).then_some(self.job.fingerprint),
+            whole_ms: whole.as_millis() as u64,
+            late_ms: late.as_millis() as u64,
+            refused: told,
+        }
+    }
+
+    /// Asks the process beside the replica `key`.
     async fn ask(
         &self,
         search: &mut Search,
         key: Key,
         process: SocketAddr,
-        limit: Duration,
-    ) -> Option<Choice> {
+        ask: &place::Ask,
+    ) -> Asked {
         let knowledge = &self.gateway.knowledge;
-        let demand = self.job.demand();
-        let ask = place::Ask {
-            prompt: demand.prompt,
-            output: demand.output,
-            limit_ms: limit.as_millis() as u64,
-            queue_spread: knowledge.policy.queue_spread,
-        };
         let (within, note) = ((ANSWERS_WITHIN, ANSWERS_AGAIN), Note::default());
         let answer =
-            gossip::ask_within::<_, Answer>(knowledge, process, place::PATH, &ask, within, &note);
+            gossip::ask_within::<_, Answer>(knowledge, process, place::PATH, ask, within, &note);
         let answer = answer.await;
         let now = knowledge.now();
         match answer {
             Ok(answer) => {
-                let address = self.gateway.pool.borrow().get(key)?.record.address;
-                let mut pool = self.gateway.pool.borrow_mut();
-                pool.report(address, &answer.load, now);
-                drop(pool);
+                let address = {
+                    let pool = self.gateway.pool.borrow();
+                    pool.get(key).map(|replica| replica.record.address)
+                };
+                if let Some(address) = address {
+                    let mut pool = self.gateway.pool.borrow_mut();
+                    pool.report(address, &answer.load, now);
+                }
+                let tried_before = answer.tried_before_ms.map(Duration::from_millis);
                 let choice = self.expects(key, now);
                 if answer.given && choice.is_some() {
-                    return choice;
+                    return Asked {
+                        choice,
+                        tried_before,
+                    };
                 }
                 let said = choice.map_or(Said::Nothing, |choice| Said::Later(choice.expected));
                 search.heard(key, said);
+                Asked {
+                    choice: None,
+                    tried_before,
+                }
             }
             Err(error) => {
                 log::info!(
@@ -136,9 +185,9 @@
                 } else {
                     search.heard(key, Said::Nothing);
                 }
+                Asked::default()
             }
         }
-        None
     }
 
     fn expects(&self, key: Key, now: Time) -> Option<Choice> {
--- a/src/limit/returning.rs
+++ b/src/limit/returning.rs
@@ -1,78 +1,175 @@
-//! Who comes back after a refusal: a caller of whose usual time a part is gone already.
+//! Who comes back after a refusal, known by what was refused.
+//!
+//! While engines are full, a place for a caller who is late already is one less for a caller who can
+//! still be in time. A deadline does not tell the two apart: callers have deadlines of many lengths
+//! of their own. So entries remember what they refused by a fingerprint of what stays the same when a
+//! caller tries again, and tell it with the questions for places that they ask anyway. Whoever comes
+//! back is then known at whichever entry and replica of the hall.
 
-use std::collections::BTreeMap;
-use std::sync::Arc;
+use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddr;
 use std::time::Duration;
 
-/// A deadline under this part of the usual one, in hundredths, is that of a caller who was away:
-/// the shortest time that one is asked to stay away is a hundredth of the usual deadlines.
-const WHOLE: u32 = 97;
+use serde::{Deserialize, Serialize};
 
-/// Requests among which a whole deadline is sure to be, if callers still have that much time: with
-/// half of them back from a refusal, all of 24 are once in ten million times.
-const SAMPLE: u32 = 24;
+use crate::clock::Time;
 
-/// How many times shorter than a route's timeout a first deadline may be to be taken for a rest of it.
-const REST_MAX: u32 = 3;
+/// Refused requests that are remembered, the newest of them: 2,000 a second for two seconds each.
+const REMEMBERED_MAX: usize = 4_096;
 
-/// The deadline that callers of one route usually have, as observed.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
-pub struct Deadlines {
-    usual: Duration,
-    longest: Duration,
-    seen: u32,
-}
+/// Refused requests that are told with one question, the newest of them: 11 bytes each.
+const TOLD_MAX: usize = 12;
+
+/// Processes to which the log remembers what it told, far more than replicas of a hall.
+const LISTENERS_MAX: usize = 1_024;
 
-impl Deadlines {
-    /// Takes a request's deadline, where its route holds requests for `timeout`. Returns whether its
-    /// caller has been away.
-    pub fn note(&mut self, deadline: Duration, timeout: Duration) -> bool {
-        if self.usual.is_zero() {
-            // The first ones after a fault may all have been away.
-            self.usual = if deadline * REST_MAX > timeout {
-                deadline.max(timeout)
-            } else {
-                deadline
-            };
+/// What stays the same of a request when its caller tries again. Two different requests have the
+/// same once in four billion pairs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default, Serialize, Deserialize)]
+pub struct Fingerprint(u32);
+
+impl Fingerprint {
+    /// The fingerprint of `parts`.
+    pub fn of<'a>(parts: impl IntoIterator<Item = &'a [u8]>) -> Self {
+        let mut hasher = blake3::Hasher::new();
+        for part in parts {
+            hasher.update(&(part.len() as u64).to_le_bytes());
+            hasher.update(part);
         }
-        self.longest = self.longest.max(deadline);
-        self.seen += 1;
-        if self.longest > self.usual || self.seen >= SAMPLE {
-            *self = Self {
-                usual: self.longest,
-                ..Self::default()
-            };
+        let mut word = [0; 4];
+        word.copy_from_slice(&hasher.finalize().as_bytes()[..4]);
+        Self(u32::from_le_bytes(word))
+    }
+}
+
+/// A refused request as one process tells another.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(from = "(u32, u32, u32)", into = "(u32, u32, u32)")]
+pub struct Refused {
+    /// The request.
+    pub request: Fingerprint,
+    /// Milliseconds since its caller's first try.
+    pub age_ms: u32,
+    /// Milliseconds until its caller can't be back any more.
+    pub left_ms: u32,
+}
+
+impl From<(u32, u32, u32)> for Refused {
+    fn from((request, age_ms, left_ms): (u32, u32, u32)) -> Self {
+        Self {
+            request: Fingerprint(request),
+            age_ms,
+            left_ms,
         }
-        deadline < self.usual * WHOLE / 100
     }
 }
 
-/// The deadlines of all routes.
-#[derive(Debug, Clone, Default)]
-pub struct Table {
-    routes: BTreeMap<Arc<str>, Deadlines>,
+impl From<Refused> for (u32, u32, u32) {
+    fn from(refused: Refused) -> Self {
+        (refused.request.0, refused.age_ms, refused.left_ms)
+    }
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Try {
+    first: Time,
+    until: Time,
+}
+
+/// Requests that were refused lately.
+#[derive(Debug, Default)]
+pub struct Memory {
+    tries: BTreeMap<Fingerprint, Try>,
+    order: VecDeque<Fingerprint>,
 }
 
-impl Table {
-    /// Takes the deadline of a request on `route`, one of so many `routes`. Returns whether its
-    /// caller has been away.
-    pub fn note(
-        &mut self,
-        route: &Arc<str>,
-        routes: usize,
-        deadline: Duration,
-        timeout: Duration,
-    ) -> bool {
-        if self.routes.len() > routes {
-            // Some are of routes that are gone; the others are soon learnt again.
-            self.routes.clear();
+impl Memory {
+    /// A request was refused whose caller tried first at `first`, and can be back up to `until`.
+    pub fn refused(&mut self, request: Fingerprint, first: Time, until: Time) {
+        let known = self.tries.get(&request).copied();
+        let first = known.map_or(first, |known| known.first.min(first));
+        let until = known.map_or(until, |known| known.until.max(until));
+        self.tries.insert(request, Try { first, until });
+        if known.is_some() {
+            return;
+        }
+        self.order.push_back(request);
+        if self.order.len() > REMEMBERED_MAX
+            && let Some(oldest) = self.order.pop_front()
+        {
+            self.tries.remove(&oldest);
         }
-        let known = self.routes.entry(route.clone()).or_default();
-        known.note(deadline, timeout)
     }
 
-    /// Routes that it remembers.
+    /// Another process told of a refused request.
+    pub fn heard(&mut self, refused: Refused, now: Time) {
+        let first = now - Duration::from_millis(refused.age_ms.into());
+        let until = now + Duration::from_millis(refused.left_ms.into());
+        self.refused(refused.request, first, until);
+    }
+
+    /// When the caller of a request tried first, if it was refused and can be back.
+    pub fn first_try(&self, request: Fingerprint, now: Time) -> Option<Time> {
+        let known = self.tries.get(&request)?;
+        (now <= known.until).then_some(known.first)
+    }
+
+    /// Requests that it remembers.
     pub fn remembered(&self) -> usize {
-        self.routes.len()
+        self.tries.len()
     }
 }
+
+#[derive(Debug, Clone, Copy)]
+struct Entry {
+    number: u64,
+    request: Fingerprint,
+    tried: Try,
+}
+
+/// What an entry refused itself, and whom it told.
+#[derive(Debug, Default)]
+pub struct Log {
+    entries: VecDeque<Entry>,
+    next: u64,
+    told: BTreeMap<SocketAddr, u64>,
+}
+
+impl Log {
+    /// A request was refused here, as for [`Memory::refused`].
+    pub fn refused(&mut self, request: Fingerprint, first: Time, until: Time) {
+        self.next += 1;
+        self.entries.push_back(Entry {
+            number: self.next,
+            request,
+            tried: Try { first, until },
+        });
+        if self.entries.len() > TOLD_MAX {
+            self.entries.pop_front();
+        }
+    }
+
+    /// What the process at `listener` is told now: what it was not told, and matters yet.
+    pub fn tell(&mut self, listener: SocketAddr, now: Time) -> Vec<Refused> {
+        if self.told.len() > LISTENERS_MAX {
+            self.told.clear();
+        }
+        let before = self.told.insert(listener, self.next).unwrap_or(0);
+        let new = self.entries.iter().filter(|entry| entry.number > before);
+        let matters = new.filter(|entry| now <= entry.tried.until);
+        matters
+            .map(|entry| Refused {
+                request: entry.request,
+                age_ms: now.since(entry.tried.first).as_millis() as u32,
+                left_ms: entry.tried.until.since(now).as_millis() as u32,
+            })
+            .collect()
+    }
+}
+
+/// The limit on the first event of a request whose caller tried first `age` ago, where `whole` is that
+/// of a first try: what is left of it, so that whoever can be in time is treated like any other, and
+/// `late` for whoever cannot.
+pub fn limit(whole: Duration, late: Duration, age: Duration) -> Duration {
+    whole.saturating_sub(age).max(late.min(whole))
+}
--- a/src/place.rs
+++ b/src/place.rs
@@ -15,6 +15,7 @@
 
 use crate::clock::Time;
 use crate::config::routing::Engine;
+use crate::limit::returning::{self, Fingerprint, Memory, Refused};
 use crate::route::estimate::{self, Demand, Work};
 use crate::route::replica::Load;
 
@@ -27,7 +28,7 @@
 const ARRIVES: Duration = Duration::from_millis(60);
 
 /// An entry asks for a place.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub struct Ask {
     /// Tokens to read.
     pub prompt: u32,
@@ -37,6 +38,32 @@
     pub limit_ms: u64,
     /// Hundredths of the mean time in an engine's queue that are expected.
     pub queue_spread: u32,
+    /// The request, unless it is known that its caller was refused before.
+    #[serde(default)]
+    pub request: Option<Fingerprint>,
+    /// Milliseconds that are the limit wherever the first event comes from: a place is asked for within
+    /// less at first.
+    #[serde(default)]
+    pub whole_ms: u64,
+    /// Milliseconds that are the limit if its caller was refused before and is late.
+    #[serde(default)]
+    pub late_ms: u64,
+    /// Requests that the asker refused lately.
+    #[serde(default)]
+    pub refused: Vec<Refused>,
+}
+
+impl Ask {
+    /// The limit, where the caller's first try was so long ago, if it was refused before.
+    fn limit(&self, tried_before: Option<Duration>) -> Duration {
+        let at = Duration::from_millis(self.limit_ms);
+        let Some(age) = tried_before else {
+            return at;
+        };
+        let whole = Duration::from_millis(self.whole_ms);
+        let late = Duration::from_millis(self.late_ms);
+        at.min(returning::limit(whole, late, age))
+    }
 }
 
 /// The answer.
@@ -46,6 +73,9 @@
     pub given: bool,
     /// How the replica does, other requests on their way to it included.
     pub load: Load,
+    /// Milliseconds since the caller's first try, if it is known here that it was refused.
+    #[serde(default)]
+    pub tried_before_ms: Option<u64>,
 }
 
 /// A place that was given.
@@ -60,6 +90,7 @@
 pub struct Ledger {
     leases: VecDeque<Lease>,
     present: u32,
+    refused: Memory,
 }
 
 impl Ledger {
@@ -74,7 +105,8 @@
 
     /// The engine is gone, with all that it had.
     pub fn lost(&mut self) {
-        *self = Self::default();
+        self.leases.clear();
+        self.present = 0;
     }
 
     /// Requests that are on their way.
@@ -84,8 +116,15 @@
 
     /// Answers `ask` at a replica that does as `load` says, without those on their way. `engine` has
     /// its figures, if they are known.
-    pub fn answer(&mut self, ask: Ask, load: Load, engine: Option<&Engine>, now: Time) -> Answer {
-        let limit = Duration::from_millis(ask.limit_ms);
+    pub fn answer(&mut self, ask: &Ask, load: Load, engine: Option<&Engine>, now: Time) -> Answer {
+        for refused in &ask.refused {
+            self.refused.heard(*refused, now);
+        }
+        let first = ask
+            .request
+            .and_then(|request| self.refused.first_try(request, now));
+        let tried_before = first.map(|first| now.since(first));
+        let limit = ask.limit(tried_before);
         let in_time = engine.is_none_or(|engine| self.expected(ask, &load, engine) <= limit);
         let load = Load {
             queued: load.queued + self.leased(),
@@ -97,11 +136,15 @@
             let prompt = ask.prompt;
             self.leases.push_back(Lease { at: now, prompt });
         }
-        Answer { given, load }
+        Answer {
+            given,
+            load,
+            tried_before_ms: tried_before.map(|age| age.as_millis() as u64),
+        }
     }
 
     /// When the first event of a request that comes now is expected.
-    fn expected(&self, ask: Ask, load: &Load, engine: &Engine) -> Duration {
+    fn expected(&self, ask: &Ask, load: &Load, engine: &Engine) -> Duration {
         let coming = self.leases.iter().map(|lease| f64::from(lease.prompt));
         let work = Work {
             requests: load.present() + self.leased(),
--- a/src/sidecar.rs
+++ b/src/sidecar.rs
@@ -322,7 +322,7 @@
             return http::status(StatusCode::SERVICE_UNAVAILABLE);
         }
         let answer = match message::<place::Ask>(&mut request).await {
-            Ok(ask) => http::pack(StatusCode::OK, &sidecar.place(ask)),
+            Ok(ask) => http::pack(StatusCode::OK, &sidecar.place(&ask)),
             Err(answer) => answer,
         };
         return ticket.hold(answer);
--- a/src/sidecar/observe.rs
+++ b/src/sidecar/observe.rs
@@ -131,7 +131,7 @@
     }
 
     /// Answers an entry that asks for a place.
-    pub(super) fn place(&self, ask: place::Ask) -> place::Answer {
+    pub(super) fn place(&self, ask: &place::Ask) -> place::Answer {
         let engine = self.knowledge.brief().and_then(|brief| brief.engine);
         let now = self.knowledge.now();
         let load = self.load();
