An empty replica takes what others serve while the newest version cannot be had; waves follow the origin's link

Cause: a process took part in the newest version's burst alone, and let the older one go. With the origin away, half of a service that is replaced came up empty and stayed so for ten seconds, though the version before was allowed. Waves were planned for an origin of 7.3 Mbit/s, and all at once were due when weights came late. A wave begins no earlier than a copy over the origin's link takes; what is left of the bound is shared anew among waves that are behind. A burst that was replaced stops drawing at once.

--- a/src/agent.rs
+++ b/src/agent.rs
@@ -241,6 +241,8 @@
             .unwrap_or_default();
         for carry in carried {
             let purpose = Purpose {
+                peers_only: false,
+                origin_chunk: None,
                 favour: carry.favour,
                 holders: Holders::Nobody,
             };
--- a/src/burst.rs
+++ b/src/burst.rs
@@ -23,6 +23,7 @@
 use crate::spread::ring::Member;
 use crate::spread::swarm::{Action, FetchKey, Outcome, PeerKey, Source, Swarm, Tally};
 use crate::spread::upload::{Queue, UploadKey};
+use crate::version::stopgap::Outlook;
 use crate::weight::{self, Digest};
 
 pub mod fetch;
@@ -56,6 +57,10 @@
     pub favour: Favour,
     /// Who holds the version already, as far as is known.
     pub holders: Holders,
+    /// Whether it comes from peers alone: the origin is left to a newer version.
+    pub peers_only: bool,
+    /// How long a chunk takes over the origin's link, if that is known.
+    pub origin_chunk: Option<Duration>,
 }
 
 /// Who holds a version already.
@@ -89,6 +94,9 @@
     origin: Rc<dyn Origin>,
     purpose: Purpose,
     wanted: Cell<bool>,
+    /// Whether nothing more is drawn or listened to: what is held is served.
+    at_rest: Cell<bool>,
+    began: crate::clock::Time,
     members: RefCell<BTreeMap<Arc<str>, Listed>>,
     swarm: RefCell<Option<Swarm>>,
     gained: RefCell<Vec<u32>>,
@@ -127,6 +135,8 @@
             origin,
             purpose,
             wanted: Cell::new(true),
+            at_rest: Cell::new(false),
+            began: host.clock.now(),
             members: RefCell::default(),
             swarm: RefCell::default(),
             gained: RefCell::default(),
@@ -161,6 +171,40 @@
         self.wanted.get()
     }
 
+    /// Draws nothing more, and serves what is held.
+    pub fn rest(&self) {
+        if self.at_rest.replace(true) {
+            return;
+        }
+        self.follows.borrow_mut().clear();
+        for (_, fetch) in self.fetches.borrow_mut().drain() {
+            fetch.abort();
+        }
+        if let Some(swarm) = self.swarm.borrow_mut().as_mut() {
+            swarm.drop_all();
+        }
+    }
+
+    /// Draws from peers again after a rest.
+    pub fn resume(self: &Rc<Self>, host: &Rc<Host>) {
+        if self.at_rest.replace(false) {
+            if let Some(swarm) = self.swarm.borrow_mut().as_mut() {
+                swarm.leave_origin();
+            }
+            self.review(host);
+        }
+    }
+
+    /// What is known of the version's weights, here and at peers.
+    pub fn outlook(&self, now: crate::clock::Time) -> Outlook {
+        let swarm = self.swarm.borrow();
+        let unknown = Outlook {
+            quiet: now.since(self.began),
+            ..Outlook::default()
+        };
+        swarm.as_ref().map_or(unknown, |swarm| swarm.outlook(now))
+    }
+
     /// Whether a peer is being served.
     pub fn uploading(&self) -> bool {
         self.uploads.borrow().load() > 0
@@ -218,6 +262,12 @@
         };
         let now = host.clock.now();
         let mut setting = host.spread.favouring(self.purpose.favour);
+        if let Some(chunk) = self.purpose.origin_chunk {
+            setting = setting.with_origin_chunk(chunk);
+        }
+        if self.purpose.peers_only {
+            setting.origin_fetches_max = 0;
+        }
         setting.settle_whole = self.purpose.holders == Holders::All;
         setting.settle = match self.purpose.holders {
             Holders::Nobody => Duration::ZERO,
@@ -259,6 +309,9 @@
 
     /// Follows the peers that the plan wants, and lets go of those that are no members any more.
     fn review(self: &Rc<Self>, host: &Rc<Host>) {
+        if self.at_rest.get() {
+            return;
+        }
         let (ring, relays) = (self.ring(), self.relays());
         let mut guard = self.swarm.borrow_mut();
         let Some(swarm) = guard.as_mut() else {
@@ -321,6 +374,9 @@
 
     /// Makes a plan and carries it out.
     fn plan(self: &Rc<Self>, host: &Rc<Host>) {
+        if self.at_rest.get() {
+            return;
+        }
         let now = host.clock.now();
         let actions = match self.swarm.borrow_mut().as_mut() {
             Some(swarm) => swarm.tick(now),
--- a/src/burst/fetch.rs
+++ b/src/burst/fetch.rs
@@ -49,6 +49,9 @@
     let mut origin_due = host.clock.now();
     loop {
         let strong = burst.upgrade()?;
+        if strong.at_rest.get() {
+            return None;
+        }
         let (version, origin) = (strong.version, strong.origin.clone());
         let sources = strong.manifest_sources(host, round);
         drop(strong);
@@ -115,7 +118,8 @@
         let drawing = ring::drawing(&members, &relays);
         let sponsors = ring::sponsors(self.version, &drawing, host.spread.sponsors);
         let mut sources = Vec::new();
-        if sponsors.contains(&host.name) || round >= MANIFEST_ROUNDS {
+        let asks_origin = sponsors.contains(&host.name) || round >= MANIFEST_ROUNDS;
+        if asks_origin && !self.purpose.peers_only {
             let url = self.origin.manifest_url(self.version);
             sources.push(ManifestSource::Origin(url));
         }
--- a/src/burst/joined.rs
+++ b/src/burst/joined.rs
@@ -103,13 +103,46 @@
     }
 }
 
-/// The burst that a process takes part in.
+/// Older versions that a process keeps for replicas that start meanwhile: the one that most serve, and
+/// one that was just being passed on.
+const KEPT_MAX: usize = 2;
+
+/// A version of which the process has a part.
+struct Part {
+    target: Target,
+    burst: Rc<Burst>,
+}
+
+/// Who takes part in a burst, and where weights come from.
+pub struct Crew {
+    /// The origin.
+    pub origin: SocketAddr,
+    /// How long a chunk takes over its link, if that is known.
+    pub origin_chunk: Option<Duration>,
+    /// The members, this process included or not.
+    pub members: Vec<Listed>,
+    /// This process.
+    pub own: Listed,
+}
+
+impl Crew {
+    fn all(mut self) -> Vec<Listed> {
+        let own = self.own;
+        self.members.retain(|listed| listed.name != own.name);
+        self.members.push(own);
+        self.members
+    }
+}
+
+/// The bursts that a process takes part in: that of the newest version, and those of older ones that it
+/// serves to others yet.
 pub struct Joined {
-    /// The process's side of it.
+    /// The process's side of them.
     pub host: Rc<Host>,
     origins: Rc<dyn Origins>,
     first_start: bool,
-    burst: RefCell<Option<Rc<Burst>>>,
+    /// The newest version first.
+    parts: RefCell<Vec<Part>>,
 }
 
 impl Joined {
@@ -119,29 +152,79 @@
             host,
             origins,
             first_start,
-            burst: RefCell::default(),
+            parts: RefCell::default(),
         }
     }
 
-    /// Takes part in the burst of `target`, and in no other.
-    pub fn join(&self, target: &Target, origin: SocketAddr, mut members: Vec<Listed>, own: Listed) {
+    /// Takes part in the burst of `target`. Of older versions, from `oldest` on, it serves what it holds.
+    pub fn join(&self, target: &Target, oldest: u64, crew: Crew) {
         let label = target.label();
-        let known = self.get(label);
-        let burst = known.unwrap_or_else(|| {
-            self.leave();
+        let burst = self.get(label).unwrap_or_else(|| {
+            self.rest_others();
+            self.make_room();
             log::info!(model = &*target.model, version = target.version; "burst joined");
-            let origin = self.origins.of(origin, &target.model, target.version);
-            let purpose = Purpose {
-                favour: Favour::Time,
-                holders: self.holders(target),
-            };
-            let burst = Burst::start(&self.host, origin, label, purpose);
-            self.burst.replace(Some(burst.clone()));
-            burst
+            self.begin(target, &crew, false)
+        });
+        self.let_go(|place, part| place > 0 && part.target.version < oldest);
+        burst.set_members(&self.host, crew.all());
+    }
+
+    /// Takes `target`, an older version than the newest, from peers that hold it.
+    pub fn join_older(&self, target: &Target, crew: Crew) {
+        let known = self.get(target.label());
+        let burst = known.unwrap_or_else(|| {
+            log::info!(model = &*target.model, version = target.version; "older version joined");
+            self.begin(target, &crew, true)
         });
-        members.retain(|listed| listed.name != own.name);
-        members.push(own);
-        burst.set_members(&self.host, members);
+        burst.resume(&self.host);
+        burst.set_members(&self.host, crew.all());
+    }
+
+    fn begin(&self, target: &Target, crew: &Crew, peers_only: bool) -> Rc<Burst> {
+        let origin = self.origins.of(crew.origin, &target.model, target.version);
+        let purpose = Purpose {
+            favour: Favour::Time,
+            holders: self.holders(target),
+            peers_only,
+            origin_chunk: crew.origin_chunk,
+        };
+        let burst = Burst::start(&self.host, origin, target.label(), purpose);
+        let part = Part {
+            target: target.clone(),
+            burst: burst.clone(),
+        };
+        let mut parts = self.parts.borrow_mut();
+        let place = parts.partition_point(|known| known.target.version > target.version);
+        parts.insert(place, part);
+        burst
+    }
+
+    /// Nothing more of the versions so far is drawn.
+    fn rest_others(&self) {
+        for part in &*self.parts.borrow() {
+            part.burst.rest();
+        }
+        self.let_go(|place, part| place >= KEPT_MAX || part.burst.progress().0 == 0);
+    }
+
+    /// Lets the oldest versions go until another of their size finds room.
+    fn make_room(&self) {
+        loop {
+            let size = {
+                let parts = self.parts.borrow();
+                let store = self.host.store.borrow();
+                let newest = parts.first();
+                newest
+                    .and_then(|part| store.manifest(part.burst.version()))
+                    .map_or(0, |manifest| manifest.model_bytes)
+            };
+            let (used, capacity) = self.host.store.borrow().usage();
+            let last = self.parts.borrow().len();
+            if last == 0 || used + size <= capacity {
+                return;
+            }
+            self.let_go(|place, _| place + 1 == last);
+        }
     }
 
     fn holders(&self, target: &Target) -> Holders {
@@ -156,26 +239,36 @@
 
     /// Takes part in none.
     pub fn leave(&self) {
-        let Some(old) = self.burst.take() else {
-            return;
-        };
-        let version = old.version();
-        self.host.store.borrow_mut().release(version);
-        let version = version.short();
-        self.host.audit(Deed::Released { version });
+        self.let_go(|_, _| true);
+    }
+
+    /// Lets those parts go that `goes` names by their places and themselves.
+    fn let_go(&self, goes: impl Fn(usize, &Part) -> bool) {
+        let mut place = 0;
+        self.parts.borrow_mut().retain(|part| {
+            let gone = goes(place, part);
+            place += 1;
+            if gone {
+                part.burst.rest();
+                let version = part.burst.version();
+                self.host.store.borrow_mut().release(version);
+                let version = version.short();
+                self.host.audit(Deed::Released { version });
+            }
+            !gone
+        });
     }
 
     /// The burst of `version`, if the process takes part in it.
     pub fn get(&self, version: Digest) -> Option<Rc<Burst>> {
-        let burst = self.burst.borrow();
-        burst
-            .as_ref()
-            .filter(|burst| burst.version() == version)
-            .cloned()
+        let parts = self.parts.borrow();
+        let mut parts = parts.iter();
+        let part = parts.find(|part| part.burst.version() == version);
+        part.map(|part| part.burst.clone())
     }
 
     /// Whether it takes part in any.
     pub fn any(&self) -> bool {
-        self.burst.borrow().is_some()
+        !self.parts.borrow().is_empty()
     }
 }
--- a/src/config/belief.rs
+++ b/src/config/belief.rs
@@ -216,6 +216,18 @@
         fellows.find_map(|record| Some(record.models.first()?.model.clone()))
     }
 
+    /// Versions of `model` that listed replicas hold, and how many do.
+    pub fn holders(&self, model: &str) -> BTreeMap<u64, u32> {
+        let mut holders = BTreeMap::new();
+        let listed = self.replicas.values();
+        for listed in listed.filter(|listed| listed.gone.is_none()) {
+            if let Some(version) = listed.record.version(model) {
+                *holders.entry(version).or_default() += 1;
+            }
+        }
+        holders
+    }
+
     /// The revision up to which the list of replicas is known.
     pub fn listed_at(&self) -> u64 {
         self.replicas_at
--- a/src/config/routing.rs
+++ b/src/config/routing.rs
@@ -6,6 +6,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
@@ -148,6 +149,18 @@
     pub guessed: bool,
 }
 
+/// Time that `bytes` take over a link of so many megabits a second.
+pub fn over_link(bytes: u64, mbps: f64) -> Duration {
+    Duration::from_secs_f64((bytes as f64 * 8.0 / (mbps * 1e6)).clamp(0.0, 3_600.0))
+}
+
+impl Engine {
+    /// Bytes of a whole copy of a model's weights; 0 if untold.
+    pub fn weight_bytes(&self) -> u64 {
+        u64::from(self.chunks) * u64::from(self.chunk_bytes)
+    }
+}
+
 impl Default for Engine {
     /// Figures for an engine that does not tell its own: round ones near the middle of the engines
     /// that were seen. What is observed corrects them.
@@ -191,6 +204,9 @@
     /// Its address, if it is the origin of weights.
     #[serde(default)]
     pub origin: Option<SocketAddr>,
+    /// Megabits that its link carries in a second, if it tells.
+    #[serde(default)]
+    pub link_mbps: Option<f64>,
 }
 
 /// A customer, as far as requests are concerned.
@@ -349,6 +365,13 @@
             .find_map(|service| service.origin)
     }
 
+    /// Megabits that the link of the origin of weights carries in a second, if it tells.
+    pub fn origin_mbps(&self) -> Option<f64> {
+        let services = self.document.services.iter();
+        let mut origins = services.filter(|service| service.origin.is_some());
+        origins.find_map(|service| service.link_mbps)
+    }
+
     /// Whether a request with `key` may use `route`.
     pub fn access(&self, route: &Route, key: Option<&str>) -> Access<'_> {
         let owner = key.and_then(|key| self.keys.get(key));
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -44,6 +44,7 @@
 use crate::stop::{self, Porter};
 use crate::version::rollout;
 use crate::weight::Store;
+use crate::wire::sync::Brief;
 
 pub mod attempt;
 pub mod call;
@@ -362,7 +363,9 @@
             return;
         }
         let knowledge = &self.knowledge;
-        let origin = knowledge.brief().and_then(|brief| brief.origin);
+        let brief = knowledge.brief();
+        let origin_chunk = brief.as_ref().and_then(Brief::chunk);
+        let origin = brief.and_then(|brief| brief.origin);
         let (Some(target), Some(origin)) = (joined::newest(knowledge), origin) else {
             return;
         };
@@ -382,7 +385,17 @@
             identity.address,
             Role::Entry,
         );
-        self.joined.join(&target, origin, members, own);
+        let oldest = {
+            let belief = knowledge.belief.borrow();
+            belief.oldest_allowed(&target.model, self.setting.rollout.bound, knowledge.now())
+        };
+        let crew = joined::Crew {
+            origin,
+            origin_chunk,
+            members,
+            own,
+        };
+        self.joined.join(&target, oldest, crew);
     }
 
     async fn tick(self: Rc<Self>) {
@@ -417,6 +430,12 @@
         }
     }
 
+    /// The settings of the change of versions, for an origin like the present one.
+    fn rollout(&self) -> rollout::Setting {
+        let copy = self.knowledge.brief().and_then(|brief| brief.copy());
+        self.setting.rollout.with_copy(copy, self.setting.policy)
+    }
+
     /// The waves in which replicas change to the wanted version, worked out once for each service in
     /// each hall.
     fn waves(&self, belief: &Belief) -> Waves {
@@ -427,7 +446,7 @@
             let host = record.address.ip().to_string();
             hosts.entry(group).or_default().push(host);
         }
-        let waves = self.setting.rollout.waves;
+        let waves = self.rollout().waves;
         let placed = hosts.into_iter().filter_map(|(group, hosts)| {
             let model = self.knowledge.model_of(&group.0)?;
             let label = joined::label(&model, belief.wanted(&model)?.version);
@@ -443,7 +462,7 @@
         let host = record.address.ip().to_string();
         let wave = *waves.get(&group)?.get(&host)?;
         let model = self.knowledge.model_of(&record.service)?;
-        let rollout = self.setting.rollout;
+        let rollout = self.rollout();
         Some(Due {
             named: belief.named(&model).to_vec(),
             begins: rollout::begins(rollout, wave).saturating_sub(rollout.notice),
--- a/src/knowledge.rs
+++ b/src/knowledge.rs
@@ -547,6 +547,7 @@
         Some(Brief {
             revision: belief.marks().routing,
             origin: routing.origin(),
+            origin_mbps: routing.origin_mbps(),
             engine: services.clone().find_map(|service| service.engine.clone()),
         })
     }
--- a/src/sidecar.rs
+++ b/src/sidecar.rs
@@ -73,6 +73,8 @@
     pub rollout: rollout::Setting,
     /// Bytes of weights that the process may hold.
     pub memory_bytes: u64,
+    /// Megabits that its machine's link carries in a second.
+    pub link_mbps: f64,
     /// Seed of random choices.
     pub seed: u64,
     /// The mechanisms of the policy.
@@ -100,6 +102,10 @@
     born: Cell<u64>,
     noticed: Cell<Option<Time>>,
     staged: RefCell<reconcile::Staged>,
+    /// An older version that the replica takes while the newest cannot be had.
+    stopgap: RefCell<Option<Target>>,
+    /// The version that was complete last, and since when.
+    complete: Cell<Option<(Digest, Time)>>,
     crew: RefCell<Option<reconcile::Crew>>,
     joined_with: RefCell<Option<(Digest, Rc<[Listed]>)>>,
     trips: RefCell<trip::Trips>,
@@ -250,6 +256,8 @@
             born: Cell::new(0),
             noticed: Cell::new(None),
             staged: RefCell::default(),
+            stopgap: RefCell::default(),
+            complete: Cell::new(None),
             crew: RefCell::default(),
             joined_with: RefCell::default(),
             trips: RefCell::new(trip::Trips::new(now)),
--- a/src/sidecar/observe.rs
+++ b/src/sidecar/observe.rs
@@ -177,7 +177,8 @@
         if holds_any {
             return (0, 0);
         }
-        let Some(target) = self.target() else {
+        let meanwhile = self.stopgap.borrow().clone();
+        let Some(target) = meanwhile.or_else(|| self.target()) else {
             return (0, 0);
         };
         let (held, all) = self.host.store.borrow().progress(target.label());
--- a/src/sidecar/reconcile.rs
+++ b/src/sidecar/reconcile.rs
@@ -13,8 +13,11 @@
 use crate::audit::Deed;
 use crate::burst::joined::{self, Target};
 use crate::clock::Time;
+use crate::config::belief::first_lacking;
+use crate::config::routing::over_link;
 use crate::member::{Listed, Role};
 use crate::version::rollout::{self, Step};
+use crate::version::stopgap;
 use crate::weight::Digest;
 
 /// How often the replica is looked over.
@@ -26,6 +29,9 @@
 /// Chunks that are staged before anything else is looked at.
 const STAGED_AT_ONCE: usize = 16;
 
+/// A version that the replica takes for a time is given up if its bound comes sooner: it would hardly serve.
+const SERVES_AFTER: Duration = Duration::from_millis(1_000);
+
 /// How long a list of the burst's members is used: an entry counts as gone by its silence alone.
 const CREW_MAX: Duration = Duration::from_millis(500);
 
@@ -58,7 +64,8 @@
             continue;
         }
         sidecar.join(&target);
-        sidecar.advance(&target).await;
+        let goal = sidecar.stopgap(&target).unwrap_or(target);
+        sidecar.advance(&goal).await;
         let _ = timeout(LOOK, sidecar.host.wake.notified()).await;
     }
 }
@@ -86,9 +93,20 @@
         if joined {
             return;
         }
-        let Some(origin) = self.knowledge.brief().and_then(|brief| brief.origin) else {
+        let Some(with) = self.burst_crew(&crew) else {
             return;
         };
+        let oldest = {
+            let belief = self.knowledge.belief.borrow();
+            let (bound, now) = (self.setting.rollout.bound, self.knowledge.now());
+            belief.oldest_allowed(&target.model, bound, now)
+        };
+        self.joined.join(target, oldest, with);
+        self.joined_with.replace(Some((label, crew)));
+    }
+
+    fn burst_crew(&self, members: &[Listed]) -> Option<joined::Crew> {
+        let brief = self.knowledge.brief()?;
         let identity = &self.setting.identity;
         let own = joined::member(
             self.host.name.to_string(),
@@ -96,8 +114,70 @@
             identity.address,
             Role::Model,
         );
-        self.joined.join(target, origin, crew.to_vec(), own);
-        self.joined_with.replace(Some((label, crew)));
+        Some(joined::Crew {
+            origin: brief.origin?,
+            origin_chunk: brief.chunk(),
+            members: members.to_vec(),
+            own,
+        })
+    }
+
+    /// The older version that the replica takes while `newest` cannot be had, if it is empty and that
+    /// pays.
+    fn stopgap(&self, newest: &Target) -> Option<Target> {
+        let version = self.stopgap_version(newest);
+        let target = version.map(|version| Target {
+            version,
+            ..newest.clone()
+        });
+        if *self.stopgap.borrow() != target {
+            log::info!(version:? = version; "version meanwhile");
+            self.stopgap.replace(target.clone());
+        }
+        if let Some(target) = &target
+            && let Some(with) = self.burst_crew(&self.crew())
+        {
+            self.joined.join_older(target, with);
+        }
+        target
+    }
+
+    fn stopgap_version(&self, newest: &Target) -> Option<u64> {
+        let empty = {
+            let state = self.state.borrow();
+            let state = state.as_ref()?;
+            state.held(&newest.model).is_none() && !state.busy
+        };
+        let label = newest.label();
+        if !empty || self.host.store.borrow().complete(label) {
+            return None;
+        }
+        let now = self.knowledge.now();
+        let outlook = self.joined.get(label)?.outlook(now);
+        let times = self.times()?;
+        let belief = self.knowledge.belief.borrow();
+        let named = belief.named(&newest.model);
+        let known = self.stopgap.borrow().as_ref().map(|target| target.version);
+        let hold = belief.holders(&newest.model);
+        // One that is coming already is not left for another.
+        let chosen = known.filter(|version| {
+            let lacking = first_lacking(named, *version);
+            let ends = lacking.map_or(now, |lacking| lacking.since + times.bound);
+            ends > now + SERVES_AFTER
+        });
+        chosen.or_else(|| stopgap::choose(named, &hold, outlook, times, now))
+    }
+
+    fn times(&self) -> Option<stopgap::Times> {
+        let brief = self.knowledge.brief()?;
+        let bytes = brief.engine.as_ref()?.weight_bytes();
+        let rollout = self.setting.rollout;
+        let own = over_link(bytes, self.setting.link_mbps);
+        Some(stopgap::Times {
+            origin: brief.copy().unwrap_or(own),
+            own,
+            bound: rollout.bound.saturating_sub(rollout.margin),
+        })
     }
 
     /// The members of the burst, listed anew when what is known of them changed, and now and then.
@@ -139,7 +219,24 @@
             .filter(|member| member.hall == *hall && member.role == Role::Model)
             .map(|member| &*member.name)
             .collect();
-        rollout::wave(label, &self.host.name, &fellows, self.setting.rollout.waves)
+        rollout::wave(label, &self.host.name, &fellows, self.rollout().waves)
+    }
+
+    /// The settings of the change of versions, for an origin like the present one.
+    fn rollout(&self) -> rollout::Setting {
+        let copy = self.knowledge.brief().and_then(|brief| brief.copy());
+        self.setting.rollout.with_copy(copy, self.setting.policy)
+    }
+
+    /// Since when all chunks of the version `label` are here, if they are.
+    fn complete_since(&self, label: Digest) -> Option<Time> {
+        if !self.host.store.borrow().complete(label) {
+            return None;
+        }
+        let known = self.complete.get().filter(|(known, _)| *known == label);
+        let since = known.map_or_else(|| self.knowledge.now(), |(_, since)| since);
+        self.complete.set(Some((label, since)));
+        Some(since)
     }
 
     async fn advance(&self, target: &Target) {
@@ -154,16 +251,17 @@
                 named: target.named,
                 held: known.held(&target.model),
                 busy: known.busy,
-                complete: self.host.store.borrow().complete(label),
+                complete: self.complete_since(label),
                 wave: self.wave(label),
                 noticed: self.noticed.get(),
             }
         };
-        if state.held != Some(target.version) {
+        // What a replica is taking in is left as it lies.
+        if state.held != Some(target.version) && !state.busy {
             self.stage(target, label).await;
         }
         let now = self.knowledge.now();
-        match rollout::step(state, self.setting.rollout, now) {
+        match rollout::step(state, self.rollout(), now) {
             Step::Rest => {
                 if state.held == Some(target.version) {
                     self.set_noticed(None);
@@ -249,7 +347,8 @@
         let Some(newest) = self.target() else {
             return;
         };
-        if newest.label() != label {
+        let meanwhile = self.stopgap.borrow().as_ref().map(Target::label);
+        if newest.label() != label && meanwhile != Some(label) {
             return;
         }
         self.staged.borrow_mut().ordered = Some(self.knowledge.now());
--- a/src/spread.rs
+++ b/src/spread.rs
@@ -40,7 +40,7 @@
     pub fetches_max: usize,
     /// Chunks that a box draws from one peer at once.
     pub peer_fetches_max: usize,
-    /// Chunks that a sponsor draws from the origin at once.
+    /// Chunks that a sponsor draws from the origin at once; 0 if nothing is drawn there.
     pub origin_fetches_max: usize,
     /// Sponsors that draw from the origin in ordinary times.
     pub sponsors: usize,
--- a/src/spread/swarm.rs
+++ b/src/spread/swarm.rs
@@ -13,6 +13,7 @@
 use super::ring::{self, Member};
 use crate::backoff::Backoff;
 use crate::clock::Time;
+use crate::version::stopgap::Outlook;
 use crate::weight::Digest;
 
 slotmap::new_key_type! {
@@ -434,6 +435,32 @@
         (self.have.count(), self.have.len())
     }
 
+    /// What is known of the version's weights, here and at peers.
+    pub fn outlook(&self, now: Time) -> Outlook {
+        let lacked = |chunk: &usize| !self.have.get(*chunk);
+        let unseen = |chunk: &usize| lacked(chunk) && self.rarity[*chunk] == 0;
+        let chunks = 0..self.have.len();
+        Outlook {
+            missing: chunks.clone().filter(lacked).count() as u32,
+            unseen: chunks.clone().filter(unseen).count() as u32,
+            chunks: chunks.len() as u32,
+            quiet: now.since(self.new_seen),
+        }
+    }
+
+    /// All fetches were dropped.
+    pub fn drop_all(&mut self) {
+        let keys: Vec<FetchKey> = self.fetches.keys().collect();
+        for key in keys {
+            self.remove_fetch(key);
+        }
+    }
+
+    /// Draws nothing from the origin from now on.
+    pub fn leave_origin(&mut self) {
+        self.setting.origin_fetches_max = 0;
+    }
+
     /// How fetches ended so far.
     pub fn tally(&self) -> Tally {
         self.tally
--- a/src/version.rs
+++ b/src/version.rs
@@ -4,6 +4,7 @@
 //! present fence, and the engine itself reports that digest.
 
 pub mod rollout;
+pub mod stopgap;
 
 use std::collections::BTreeMap;
 
--- a/src/version/rollout.rs
+++ b/src/version/rollout.rs
@@ -12,10 +12,14 @@
 use crate::spread::ring;
 use crate::weight::Digest;
 
-/// Time from the naming of a version until it is complete at the boxes: the first copy over the
-/// origin's link (2.6 s at 7.3 Mbit/s), and the last chunks from there over those of the boxes.
+/// Time from the naming of a version until it is complete at the boxes, at the least: a copy over a
+/// box's link (2.6 s at 7.3 Mbit/s), and [`PASSED_ON`].
 const TRANSFER: Duration = Duration::from_millis(3_400);
 
+/// Time that the last chunks take from the origin through relays to the boxes, and until boxes have
+/// heard of the version and of its manifest.
+const PASSED_ON: Duration = Duration::from_millis(800);
+
 /// Time that a wave takes: an order took 0.3 to 1.7 s to be carried out, with what ran before it.
 const WAVE: Duration = Duration::from_millis(1_200);
 
@@ -40,8 +44,21 @@
     /// waves as there is time for, so that each takes few of them away, and in no fewer than by
     /// default.
     pub fn due_within(bound: Duration, policy: Policy) -> Self {
+        Self::due_after(TRANSFER, bound, policy)
+    }
+
+    /// The settings where a copy takes `copy` over the origin's link, if that is known: no wave is
+    /// planned for before its weights can be there.
+    pub fn with_copy(self, copy: Option<Duration>, policy: Policy) -> Self {
+        match copy.map(|copy| copy + PASSED_ON) {
+            Some(transfer) if transfer > TRANSFER => Self::due_after(transfer, self.bound, policy),
+            _ => self,
+        }
+    }
+
+    fn due_after(transfer: Duration, bound: Duration, policy: Policy) -> Self {
         let default = Self::default();
-        let spread = bound.saturating_sub(TRANSFER + default.margin);
+        let spread = bound.saturating_sub(transfer + default.margin);
         let spread = spread.max(default.spread);
         let waves = match policy.waves {
             0 => 1 + (spread.as_millis() / WAVE.as_millis()) as u32,
@@ -106,6 +123,18 @@
     last.saturating_sub(setting.spread * (steps - wave) / steps)
 }
 
+/// When a wave may begin, counted from when the version was named, at a box that had the weights so
+/// long after that: once all waves are behind their time, what is left is shared among them anew, or
+/// all replicas would change at once.
+pub fn begins_with(setting: Setting, wave: u32, complete: Duration) -> Duration {
+    let last = setting.bound.saturating_sub(setting.margin);
+    if complete <= begins(setting, 0) || complete >= last {
+        return begins(setting, wave);
+    }
+    let steps = setting.waves.max(2) - 1;
+    complete + (last - complete) * wave.min(steps) / steps
+}
+
 /// What a process knows of its replica and the wanted version.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct State {
@@ -117,8 +146,8 @@
     pub held: Option<u64>,
     /// Whether the replica carries an order out.
     pub busy: bool,
-    /// Whether every chunk of the wanted version is here and verified.
-    pub complete: bool,
+    /// Since when every chunk of the wanted version is here and verified, if that is so.
+    pub complete: Option<Time>,
     /// The replica's wave.
     pub wave: u32,
     /// When the process began to tell that its replica will change.
@@ -147,9 +176,9 @@
     if state.held.is_some_and(|held| held >= state.wanted) || state.busy {
         return Step::Rest;
     }
-    if !state.complete {
+    let Some(complete) = state.complete else {
         return Step::Receive;
-    }
+    };
     if state.held.is_none() {
         // It serves nothing, so there is nobody to be told and nothing to wait for.
         return Step::Order;
@@ -158,7 +187,8 @@
         // Nobody sends it anything any more, so there is nobody to be told.
         return Step::Order;
     }
-    if now.since(state.named) + setting.notice < begins(setting, state.wave) {
+    let complete = complete.since(state.named);
+    if now.since(state.named) + setting.notice < begins_with(setting, state.wave, complete) {
         return Step::Await;
     }
     match state.noticed {
--- a/src/wire/sync.rs
+++ b/src/wire/sync.rs
@@ -2,11 +2,12 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
 use crate::config::belief::{Changes, DatedRecord, Marks};
-use crate::config::routing::Engine;
+use crate::config::routing::{Engine, over_link};
 use crate::member::peer::Told;
 use crate::route::replica::Load;
 
@@ -152,11 +153,29 @@
     /// The origin of weights.
     #[serde(default)]
     pub origin: Option<SocketAddr>,
+    /// Megabits that the origin's link carries in a second, if it tells.
+    #[serde(default)]
+    pub origin_mbps: Option<f64>,
     /// The engine's figures.
     #[serde(default)]
     pub engine: Option<Engine>,
 }
 
+impl Brief {
+    /// Time that a whole copy of the weights takes over the origin's link, if that can be told.
+    pub fn copy(&self) -> Option<Duration> {
+        let bytes = self.engine.as_ref()?.weight_bytes();
+        let copy = over_link(bytes, self.origin_mbps?);
+        (!copy.is_zero()).then_some(copy)
+    }
+
+    /// Time that one chunk takes over it.
+    pub fn chunk(&self) -> Option<Duration> {
+        let chunk_bytes = self.engine.as_ref()?.chunk_bytes;
+        Some(over_link(chunk_bytes.into(), self.origin_mbps?))
+    }
+}
+
 /// The answer to a heartbeat or a report: whatever its sender lacks.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct News {
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -689,6 +689,43 @@
     }
 }
 
+/// Weights come 3 s after their waves were planned, because their origin was away: all replicas that are behind
+/// their time would change at once, and none of them takes anything meanwhile.
+#[test]
+fn waves_that_are_behind_their_time_share_what_is_left_of_it() {
+    let bound = Duration::from_millis(13_400);
+    let setting = rollout::Setting::due_within(bound, Policy::default());
+    let last = bound - setting.margin;
+    let complete = rollout::begins(setting, 0) + Duration::from_secs(3);
+    let begins = |wave| rollout::begins_with(setting, wave, complete);
+    let waves: Vec<Duration> = (0..setting.waves).map(begins).collect();
+    assert_eq!((waves[0], waves[waves.len() - 1]), (complete, last));
+    let gaps = waves.windows(2).map(|pair| pair[1] - pair[0]);
+    let (shortest, longest) = (gaps.clone().min(), gaps.max());
+    assert!(longest.unwrap() - shortest.unwrap() < Duration::from_millis(1));
+    // In time, the plan holds; past the last wave's time nothing is left to share.
+    for complete in [Duration::ZERO, last] {
+        let wave = setting.waves - 1;
+        assert_eq!(rollout::begins_with(setting, wave, complete), last);
+    }
+}
+
+#[test]
+fn no_wave_is_planned_for_before_a_narrow_origin_can_have_sent_the_weights() {
+    let bound = Duration::from_millis(13_400);
+    let setting = rollout::Setting::due_within(bound, Policy::default());
+    let copy = |millis| Some(Duration::from_millis(millis));
+    let narrow = setting.with_copy(copy(4_300), Policy::default());
+    assert!(rollout::begins(narrow, 0) >= Duration::from_millis(5_100));
+    assert_eq!(
+        rollout::begins(narrow, narrow.waves - 1),
+        bound - narrow.margin
+    );
+    // A copy over a box's own link takes its time however wide the origin's is.
+    assert_eq!(setting.with_copy(copy(1_300), Policy::default()), setting);
+    assert_eq!(setting.with_copy(None, Policy::default()), setting);
+}
+
 #[test]
 fn a_change_is_ordered_only_when_everything_is_here_and_told() {
     let setting = rollout::Setting::default();
@@ -697,7 +734,7 @@
         named: NOW,
         held: Some(1),
         busy: false,
-        complete: false,
+        complete: None,
         wave: 0,
         noticed: None,
     };
@@ -705,7 +742,7 @@
     let late = NOW + last - setting.notice;
     assert_eq!(rollout::step(state, setting, late), rollout::Step::Receive);
     let complete = rollout::State {
-        complete: true,
+        complete: Some(NOW),
         ..state
     };
     assert_eq!(rollout::step(complete, setting, NOW), rollout::Step::Await);
