A replica that was asked again and has no place is judged by what it said last

Cause: of 45 engines at 472 streams a second 1,250 of 7,700 streams were sent without a place: the least estimate of the search's first questions was kept when the same process, asked again a moment later, expected more than the limit.

--- a/src/route/search.rs
+++ b/src/route/search.rs
@@ -92,7 +92,8 @@
         }
         match said {
             Said::Later(expected) => {
-                if self.least.is_none_or(|(least, _)| expected < least) {
+                // What the one that was asked again says now replaces what it said at first.
+                if self.insisted || self.least.is_none_or(|(least, _)| expected < least) {
                     self.least = Some((expected, key));
                 }
             }
--- a/tests/place.rs
+++ b/tests/place.rs
@@ -196,6 +196,8 @@
     search.heard(keys[1], Said::Later(Duration::from_millis(600)));
     assert_eq!(search.step(), Step::Judge);
     assert_eq!(search.asked().len(), 3);
+    // It would be late by now: what it said at first, before others came, is not sent by.
+    assert_eq!(search.least(), Some((Duration::from_millis(600), keys[1])));
 }
 
 #[test]
