An entry that is started again spends no slack of the retry budget for a window's length

Cause: each entry may spend its part of the slack in every window, and one that starts again remembers nothing. Six of seven killed while replicas shed half of what they get spend theirs twice within one window (tests/repeat.rs: over the bound wherever the kill falls). Change: who does not begin with the whole system has the ratio of its own requests alone for the first window. Policy: queue_spread 200 -> 130.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -132,6 +132,7 @@
     pub porter: Rc<Porter>,
     pool_at: Cell<u64>,
     budgets: RefCell<BTreeMap<Arc<str>, Budget>>,
+    began: Time,
     instruments: status::Instruments,
     joined: Joined,
     halls: RefCell<Halls>,
@@ -252,6 +253,7 @@
             refusals: RefCell::default(),
             pool_at: Cell::new(0),
             budgets: RefCell::default(),
+            began: knowledge.now(),
             halls: RefCell::default(),
             hub: RefCell::new(Hub::new(knowledge.now())),
             instruments: status::Instruments::new(&metrics.meter()),
@@ -490,7 +492,9 @@
     fn count_request(&self, service: &Arc<str>) {
         let now = self.knowledge.now();
         let mut budgets = self.budgets.borrow_mut();
-        let budget = budgets.entry(service.clone()).or_default();
+        let budget = budgets
+            .entry(service.clone())
+            .or_insert_with(|| Budget::new(self.setting.budget, self.began));
         budget.request(self.setting.budget, now);
     }
 
@@ -525,7 +529,9 @@
         let now = self.knowledge.now();
         let entries = self.knowledge.peers.borrow().bound();
         let mut budgets = self.budgets.borrow_mut();
-        let budget = budgets.entry(service.clone()).or_default();
+        let budget = budgets
+            .entry(service.clone())
+            .or_insert_with(|| Budget::new(self.setting.budget, self.began));
         budget.spend(self.setting.budget, entries, now)
     }
 }
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -71,7 +71,7 @@
             link_delay: true,
             crowding: Duration::from_millis(3),
             remote: Duration::from_millis(60),
-            queue_spread: 200,
+            queue_spread: 130,
             waves: 0,
             chunk_order: true,
             claims: true,
--- a/src/request/budget.rs
+++ b/src/request/budget.rs
@@ -24,6 +24,9 @@
     pub slack: f64,
     /// The length of every window.
     pub window: Duration,
+    /// Whether an entry that starts may spend its part of the slack at once. One that is started again may
+    /// not: what it replaces may have spent it just before.
+    pub slack_at_once: bool,
 }
 
 impl Default for Setting {
@@ -32,6 +35,7 @@
             ratio: 0.1,
             slack: 20.0,
             window: Duration::from_secs(10),
+            slack_at_once: true,
         }
     }
 }
@@ -44,12 +48,26 @@
 }
 
 /// One service's budget at one entry.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Budget {
     buckets: VecDeque<Bucket>,
+    slack_from: Time,
 }
 
 impl Budget {
+    /// The budget of an entry that started at `began`.
+    pub fn new(setting: Setting, began: Time) -> Self {
+        let without = if setting.slack_at_once {
+            Duration::ZERO
+        } else {
+            setting.window
+        };
+        Self {
+            buckets: VecDeque::new(),
+            slack_from: began + without,
+        }
+    }
+
     fn bucket(&mut self, setting: Setting, now: Time) -> &mut Bucket {
         // A repeat counts for a bucket longer than the window, a request for one less.
         let kept = setting.window + BUCKET;
@@ -91,7 +109,12 @@
             .sum();
         let repeats: u32 = self.buckets.iter().map(|bucket| bucket.repeats).sum();
         let own = setting.ratio * RATIO_SPENT * f64::from(requests);
-        let allowed = own + setting.slack / entries.max(1) as f64;
+        let slack = if now < self.slack_from {
+            0.0
+        } else {
+            setting.slack / entries.max(1) as f64
+        };
+        let allowed = own + slack;
         if f64::from(repeats + 1) > allowed {
             return false;
         }
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -619,9 +619,11 @@
             ratio: 0.2,
             slack: 20.0,
             window: Duration::from_secs(2),
+            ..Setting::default()
         };
         let entries = 4;
-        let mut budgets: Vec<Budget> = (0..entries).map(|_| Budget::default()).collect();
+        let budget = |_| Budget::new(setting, Time::default());
+        let mut budgets: Vec<Budget> = (0..entries).map(budget).collect();
         let (mut requests, mut repeats) = (Vec::new(), Vec::new());
         for (step, (pick, repeat)) in steps.iter().enumerate() {
             let now = Time::from_millis(1_000 + step as u64 * 20);
--- /dev/null
+++ b/tests/repeat.rs
@@ -0,0 +1,101 @@
+//! The budget of repeated requests under two loads that spend it: entries are killed and start again while
+//! replicas shed half of what they get, and streams break off by the hundred.
+
+use std::time::Duration;
+
+use pumicelatch::clock::Time;
+use pumicelatch::request::Outcome;
+use pumicelatch::request::attempt::{self, Ended, Next, Situation};
+use pumicelatch::request::budget::{Budget, Setting};
+use quickcheck::quickcheck;
+
+const SETTING: Setting = Setting {
+    ratio: 0.2,
+    slack: 100.0,
+    window: Duration::from_secs(10),
+    slack_at_once: true,
+};
+
+const ENTRIES: usize = 7;
+
+/// Whether repeats keep within the budget in every window that ends with one.
+fn holds(requests: &[Time], repeats: &[Time]) -> bool {
+    repeats.iter().all(|&end| {
+        let within = |at: &&Time| **at <= end && end.since(**at) < SETTING.window;
+        let asked = requests.iter().filter(within).count() as f64;
+        let spent = repeats.iter().filter(within).count() as f64;
+        spent <= SETTING.ratio * asked + SETTING.slack
+    })
+}
+
+/// Every entry wants to repeat more than it may. Six of seven are killed once, at any moment, and start
+/// again without a memory of what was spent.
+#[test]
+fn entries_that_start_again_do_not_spend_the_slack_twice() {
+    fn property(killed: u8) -> bool {
+        let killed = Time::from_millis(50_000 + u64::from(killed) * 80);
+        let mut budgets: Vec<Budget> = (0..ENTRIES)
+            .map(|_| Budget::new(SETTING, Time::default()))
+            .collect();
+        let (mut requests, mut repeats) = (Vec::new(), Vec::new());
+        let mut again = false;
+        for step in 0..3_000u64 {
+            let now = Time::from_millis(50_000 + step * 10);
+            if now >= killed && !again {
+                again = true;
+                let setting = Setting {
+                    slack_at_once: false,
+                    ..SETTING
+                };
+                budgets[..ENTRIES - 1].fill_with(|| Budget::new(setting, now));
+            }
+            let budget = &mut budgets[step as usize % ENTRIES];
+            budget.request(SETTING, now);
+            requests.push(now);
+            for _ in 0..2 {
+                if budget.spend(SETTING, ENTRIES, now) {
+                    repeats.push(now);
+                }
+            }
+        }
+        holds(&requests, &repeats)
+    }
+    quickcheck(property as fn(u8) -> bool);
+}
+
+/// Two of five streams break off, each in the middle. Taking one up is a repeat like any other.
+#[test]
+fn streams_that_break_off_by_the_hundred_are_taken_up_within_the_budget() {
+    let broken = Situation {
+        repeatable: true,
+        tainted: true,
+        sent: 1,
+        sent_max: 2,
+        unreached: 0,
+        time_left: true,
+    };
+    assert_eq!(
+        attempt::after(Ended::Broken, broken),
+        Next::Elsewhere { charged: true }
+    );
+    let twice = Situation { sent: 2, ..broken };
+    assert_eq!(
+        attempt::after(Ended::Broken, twice),
+        Next::GiveUp(Outcome::Unknown)
+    );
+    let mut budget = Budget::new(SETTING, Time::default());
+    let (mut requests, mut repeats, mut wanted) = (Vec::new(), Vec::new(), 0);
+    for step in 0..1_500u64 {
+        let now = Time::from_millis(50_000 + step * 10);
+        budget.request(SETTING, now);
+        requests.push(now);
+        if step % 5 < 2 {
+            wanted += 1;
+            if budget.spend(SETTING, 1, now) {
+                repeats.push(now);
+            }
+        }
+    }
+    assert!(holds(&requests, &repeats));
+    assert!(repeats.len() * 2 > wanted, "{} of {wanted}", repeats.len());
+}
