Gateway: a request's job and course have rooms of their own; attempt, relay and intake don't import call

No behaviour changes: attempt, call, intake and relay imported each other in a circle. Job (what was checked) and Course (admission, choice, attempts, what follows) are what the others stand on; call takes a request in and runs its course.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -49,18 +49,20 @@
 pub mod attempt;
 pub mod call;
 pub mod control;
+pub mod course;
 pub mod dialect;
 pub mod event;
 pub mod greet;
 pub mod halls;
 pub mod intake;
+pub mod job;
 pub mod place;
 pub mod relay;
 pub mod status;
 pub mod trace;
 
-use call::Job;
 use dialect::Dialect;
+use job::Job;
 
 /// How often beliefs are looked over.
 const TICK: Duration = Duration::from_millis(200);
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -12,8 +12,8 @@
 use actix_rt::time::timeout;
 use bytes::Bytes;
 
-use super::call::{Course, Job};
 use super::dialect::{Forward, Reading};
+use super::job::Job;
 use super::{Gateway, IDLE_MAX};
 use crate::clock::Time;
 use crate::exchange::{self, Note, Options, Response, Reuse, Unframed};
@@ -374,8 +374,8 @@
     }
 
     /// Gathers a whole success.
-    pub async fn gather(self, course: &Course) -> Result<Answer, Failure> {
-        let (attempt, answer) = self.whole(&course.job).await?;
+    pub async fn gather(self, job: &Job) -> Result<Answer, Failure> {
+        let (attempt, answer) = self.whole(job).await?;
         attempt.started();
         attempt.note(Sign::Whole(attempt.elapsed()));
         attempt.count_whole();
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -1,92 +1,17 @@
-//! One caller's request from its head to the head of its answer: admission and attempts.
+//! One caller's request from its head to the head of its answer.
 
 use std::rc::Rc;
-use std::sync::Arc;
-use std::time::Duration;
 
-use actix_http::{Request, RequestHead};
-use actix_rt::time::sleep;
-use bytes::Bytes;
-use rand::RngExt;
+use actix_http::Request;
 
-use super::attempt::{Attempt, Begun, Failure, Send};
-use super::dialect::{Ask, Code, Refusal};
+use super::course::{Course, ending, refuse, stopping};
 use super::relay::Relay;
-use super::trace::{Expected, Trace};
+use super::trace::Trace;
 use super::{Gateway, intake};
-use crate::clock::Time;
-use crate::config::routing::{Kind, Route, Routing};
+use crate::config::routing::Kind;
 use crate::http::Answer;
-use crate::limit::admission::{self, Bounds, Case, Verdict};
-use crate::limit::returning::{self, Fingerprint};
-use crate::request::Outcome;
-use crate::request::attempt::{self as next, Ended, Next, Situation};
-use crate::route::estimate::Demand;
-use crate::route::pool::{self, Choice, Key, ModelNeed, Shortage};
 use crate::stop;
 
-/// When a caller should come back if a service has no replica.
-const NO_REPLICA_RETRY: Duration = Duration::from_millis(1_900);
-
-/// When a caller should come back after a replica refused its request.
-const REFUSED_RETRY: Duration = Duration::from_millis(150);
-
-/// Connections to a replica that an entry may always have.
-const CONNECTIONS_MIN: u32 = 3;
-
-/// Processes that are asked for a place at each later look while a request waits.
-const ASKS_AGAIN: u32 = 1;
-
-/// Service time that is left out of the budget of a request that is tried again.
-const RETRY_TIME_MIN: Duration = Duration::from_millis(30);
-
-/// A request that was checked.
-pub struct Job {
-    /// What its head says.
-    pub ask: Ask,
-    /// The head itself.
-    pub head: RequestHead,
-    /// Its body, unless it has none.
-    pub body: Option<Bytes>,
-    /// Its route.
-    pub route: Route,
-    /// The service that it goes to.
-    pub service: Arc<str>,
-    /// The configuration that it is handled by.
-    pub routing: Rc<Routing>,
-    /// Its customer.
-    pub customer: Option<Arc<str>>,
-    /// Its rank.
-    pub priority: u8,
-    /// When its head came.
-    pub arrived: Time,
-    /// When it has to be over.
-    pub deadline: Time,
-    /// What stays the same of it when its caller tries again.
-    pub fingerprint: Fingerprint,
-}
-
-impl Job {
-    /// Time within which its first event is in time.
-    pub fn objective(&self) -> Duration {
-        Duration::from_millis(self.route.objective_ms)
-    }
-
-    /// Time until its deadline.
-    pub fn remaining(&self, now: Time) -> Duration {
-        self.deadline.since(now)
-    }
-
-    /// What it asks of an engine.
-    pub fn demand(&self) -> Demand {
-        let work = self.ask.work.as_ref();
-        Demand {
-            prompt: work.map_or(0, |work| work.prompt),
-            output: work.map_or(0, |work| work.output_hint.unwrap_or(work.output_max)),
-        }
-    }
-}
-
 /// Takes one caller's request.
 pub async fn handle(gateway: Rc<Gateway>, mut request: Request) -> Answer {
     let ticket = gateway.porter.enter(stop::Kind::New);
@@ -103,414 +28,40 @@
     let answer = match prepared {
         Ok(job) => {
             gateway.count_request(&job.service);
-            let course = Course::new(gateway.clone(), Rc::new(job), trace);
-            course.run().await
+            run(Course::new(gateway.clone(), Rc::new(job), trace)).await
         }
         Err(refusal) => refuse(&gateway, &mut trace, &refusal),
     };
     ticket.hold(answer)
 }
 
-/// The process stops, and the request has not run.
-fn stopping() -> Refusal {
-    Refusal::new(Code::Stopping, "the process stops").retry_after(stop::porter::RETRY)
-}
-
-/// The process ends, and the request may have run.
-fn ending() -> Refusal {
-    Refusal::new(Code::Broken, "the process ends")
-}
-
-fn refuse(gateway: &Gateway, trace: &mut Trace, refusal: &Refusal) -> Answer {
-    trace.ended(refusal.code.name());
-    trace.reason.clone_from(&refusal.detail);
-    let id = (!trace.id.is_empty()).then_some(trace.id.as_str());
-    let mut answer = gateway.dialect.refuse(refusal, id);
-    if let Some(outcome) = refusal.code.outcome() {
-        answer.extensions_mut().insert(outcome);
-    }
-    answer
-}
-
-/// A request on its way.
-pub struct Course {
-    /// The gateway.
-    pub gateway: Rc<Gateway>,
-    /// The request.
-    pub job: Rc<Job>,
-    /// What is written down of it.
-    pub trace: Trace,
-    tried: Vec<Key>,
-    unreached: u32,
-    tainted: bool,
-    failure: Option<Answer>,
-    /// When its caller tried first, if it was refused before and came back.
-    pub(super) first_try: Option<Time>,
-    /// The only version that will do, once an answer of it has begun.
-    pub(super) only: Option<u64>,
-}
-
-impl Course {
-    fn new(gateway: Rc<Gateway>, job: Rc<Job>, mut trace: Trace) -> Self {
-        let first_try = gateway.first_try(&job);
-        trace.returned = first_try.is_some();
-        Self {
-            first_try,
-            gateway,
-            job,
-            trace,
-            tried: Vec::new(),
-            unreached: 0,
-            tainted: false,
-            failure: None,
-            only: None,
-        }
-    }
-
-    async fn run(mut self) -> Answer {
-        let porter = self.gateway.porter.clone();
-        loop {
-            let choice = match porter.unless_given_up(self.admit()).await {
-                Some(Ok(choice)) => choice,
-                Some(Err(refusal)) => return self.give_up(&refusal),
-                None => return self.give_up(&self.untold()),
-            };
-            let attempt = self.attempt(choice, self.job.ask.last_event);
-            let failure = match porter.unless_given_up(attempt).await {
-                Some(Ok(begun)) if self.job.route.kind == Kind::Streaming => {
-                    return Relay::new(self, begun).answer();
-                }
-                Some(Ok(begun)) => match porter.unless_given_up(begun.gather(&self)).await {
-                    Some(Ok(answer)) => {
-                        self.trace.ended("whole");
-                        return answer;
-                    }
-                    Some(Err(failure)) => failure,
-                    None => return self.give_up(&ending()),
-                },
-                Some(Err(failure)) => failure,
-                None => return self.give_up(&ending()),
-            };
-            if let Err(refusal) = self.follow_up(failure) {
-                return self.give_up(&refusal);
-            }
-        }
-    }
-
-    /// What a caller without an answer is told when the process ends before a further attempt.
-    fn untold(&self) -> Refusal {
-        if self.tainted { ending() } else { stopping() }
-    }
-
-    /// Ends with the replica's own failure if there is one, or else with `refusal`.
-    fn give_up(&mut self, refusal: &Refusal) -> Answer {
-        match self.failure.take() {
-            Some(answer) => {
-                self.trace.ended("failed");
-                self.trace.reason.clone_from(&refusal.detail);
-                answer
-            }
-            None => {
-                if refusal.code.outcome() == Some(Outcome::NotRun) {
-                    let first = self.first_try.unwrap_or(self.job.arrived);
-                    self.gateway.note_refused(&self.job, first);
-                }
-                refuse(&self.gateway, &mut self.trace, refusal)
-            }
-        }
-    }
-
-    /// A process beside a replica knows that the caller tried `age` ago already.
-    pub(super) fn note_returned(&mut self, age: Duration) {
-        let first = self.gateway.knowledge.now() - age;
-        let known = self.first_try.get_or_insert(first);
-        *known = first.min(*known);
-        self.trace.returned = true;
-    }
-
-    /// Notes a failed attempt. An error is the end.
-    fn follow_up(&mut self, failure: Failure) -> Result<(), Refusal> {
-        let (ended, detail) = self.take_failure(failure);
-        match next::after(ended, self.situation()) {
-            Next::Elsewhere { .. } if !self.gateway.setting.policy.retries => {
-                Err(self.refusal_after(ended, detail))
-            }
-            Next::Elsewhere { charged } => {
-                if !charged || self.gateway.spend_repeat(&self.job.service) {
-                    return Ok(());
-                }
-                let detail = format!("{detail}; no repeat is left in the budget");
-                Err(self.refusal_after(ended, detail))
-            }
-            Next::PassOn | Next::GiveUp(_) => Err(self.refusal_after(ended, detail)),
-        }
-    }
-
-    /// Takes what is to be kept of a failed attempt.
-    fn take_failure(&mut self, failure: Failure) -> (Ended, String) {
-        let Failure {
-            ended,
-            detail,
-            answer,
-        } = failure;
-        if ended == Ended::NotSent {
-            self.unreached += 1;
-        }
-        self.tainted |= next::ran(ended) != Outcome::NotRun;
-        if answer.is_some() {
-            self.failure = answer;
-        }
-        (ended, detail)
-    }
-
-    /// What is known of the request.
-    fn situation(&self) -> Situation {
-        let remaining = self.job.remaining(self.gateway.knowledge.now());
-        Situation {
-            repeatable: self.job.route.repeatable(),
-            tainted: self.tainted,
-            sent: self.trace.sent,
-            sent_max: self.job.route.attempts_max,
-            unreached: self.unreached,
-            time_left: remaining > RETRY_TIME_MIN,
-        }
-    }
-
-    /// What a caller is told when no further attempt is made.
-    fn refusal_after(&self, ended: Ended, detail: String) -> Refusal {
-        let late = self.job.remaining(self.gateway.knowledge.now()) <= RETRY_TIME_MIN;
-        if self.tainted || next::ran(ended) != Outcome::NotRun {
-            let code = if late {
-                Code::LateUnknown
-            } else {
-                Code::Broken
-            };
-            return Refusal::new(code, detail);
-        }
-        if late {
-            return Refusal::new(Code::LateNotRun, detail);
-        }
-        let now = self.gateway.knowledge.now();
-        let outage = self.gateway.pool.borrow().mostly_denied(&self.job.service);
-        let retry_after = if outage {
-            self.arrival(self.job.remaining(now))
-        } else {
-            REFUSED_RETRY
+/// Takes a request through its attempts until one is answered or none may follow.
+async fn run(mut course: Course) -> Answer {
+    let porter = course.gateway.porter.clone();
+    loop {
+        let choice = match porter.unless_given_up(course.admit()).await {
+            Some(Ok(choice)) => choice,
+            Some(Err(refusal)) => return course.give_up(&refusal),
+            None => return course.give_up(&course.untold()),
         };
-        Refusal::new(Code::NoReplica, detail).retry_after(retry_after)
-    }
-
-    /// Finds a place, waits for one, or refuses.
-    async fn admit(&mut self) -> Result<Choice, Refusal> {
-        let mut asks = self.gateway.setting.policy.asks;
-        loop {
-            let chosen_before = self.trace.sent + self.unreached > 0;
-            let limit = if chosen_before {
-                // A request that was chosen a replica for already is worth the rest of its time.
-                self.job.deadline.since(self.job.arrived)
-            } else {
-                self.limit()
-            };
-            let found = self.find(asks, limit).await;
-            if let Some(age) = found.tried_before {
-                self.note_returned(age);
-            }
-            let limit = if chosen_before { limit } else { self.limit() };
-            self.trace.asked += found.asked;
-            self.trace.place = found.given;
-            let (choice, idle) = (found.choice, found.idle);
-            if chosen_before {
-                return choice
-                    .map_err(|shortage| self.refusal_after(Ended::Refused, shortage.to_string()));
-            }
-            if found.given {
-                return choice.map_err(|shortage| self.shortage(shortage));
+        let attempt = course.attempt(choice, course.job.ask.last_event);
+        let failure = match porter.unless_given_up(attempt).await {
+            Some(Ok(begun)) if course.job.route.kind == Kind::Streaming => {
+                return Relay::new(course, begun).answer();
             }
-            asks = asks.min(ASKS_AGAIN);
-            let now = self.gateway.knowledge.now();
-            let remaining = self.job.remaining(now);
-            let case = Case {
-                elapsed: now.since(self.job.arrived),
-                remaining,
-                expected: choice.as_ref().ok().map(|choice| choice.expected),
-            };
-            let verdict = if idle {
-                Verdict::Send
-            } else {
-                admission::judge(case, Bounds::new(self.job.objective(), limit))
-            };
-            match (verdict, choice) {
-                (Verdict::Send, Ok(choice)) => return Ok(choice),
-                (Verdict::Wait(pause), _) => sleep(pause).await,
-                (Verdict::Refuse { retry_after }, Ok(choice)) => {
-                    let detail = format!(
-                        "first event expected in {} ms at the best replica with {} requests",
-                        choice.expected.as_millis(),
-                        choice.requests
-                    );
-                    let refusal = Refusal::new(Code::Overload, detail);
-                    return Err(refusal.retry_after(retry_after));
+            Some(Ok(begun)) => match porter.unless_given_up(begun.gather(&course.job)).await {
+                Some(Ok(answer)) => {
+                    course.trace.ended("whole");
+                    return answer;
                 }
-                (_, Err(shortage)) => return Err(self.shortage(shortage)),
-            }
-        }
-    }
-
-    fn shortage(&self, shortage: Shortage) -> Refusal {
-        let remaining = self.job.remaining(self.gateway.knowledge.now());
-        let refusal = Refusal::new(Code::NoReplica, shortage.to_string());
-        refusal.retry_after(self.arrival(remaining))
-    }
-
-    /// The limit on its first event, counted from its arrival.
-    fn limit(&self) -> Duration {
-        let (whole, late) = self.limits();
-        let age = self.first_try.map(|first| self.job.arrived.since(first));
-        age.map_or(whole, |age| returning::limit(whole, late, age))
-    }
-
-    /// The limit that is common to requests of the service, as far as the policy shares it, and that
-    /// of requests whose callers were refused before and are late.
-    pub(super) fn limits(&self) -> (Duration, Duration) {
-        let gateway = &self.gateway;
-        let own = self.job.objective();
-        let tightest = self.job.routing.tightest_ms(&self.job.service);
-        let base = match tightest.filter(|_| gateway.setting.policy.shared_limit) {
-            Some(tightest) => own.min(Duration::from_millis(tightest)),
-            None => own,
-        };
-        let policy = &gateway.setting.policy;
-        (base * policy.admit / 100, base * policy.return_admit / 100)
-    }
-
-    /// When the caller should come back to find weights at the replicas.
-    fn arrival(&self, remaining: Duration) -> Duration {
-        let gateway = &self.gateway;
-        if !gateway.setting.policy.named_return {
-            return NO_REPLICA_RETRY;
-        }
-        let now = gateway.knowledge.now();
-        let arrival = gateway.pool.borrow().arrival(&self.job.service, now);
-        let spread = gateway.knowledge.rng.borrow_mut().random_range(0.0..1.0);
-        admission::come_back(arrival, remaining, spread)
-    }
-
-    /// Chooses a replica, if possible none of `full`; for a begun answer, one of its version. Tells as
-    /// well whether the service is mostly idle, so that nothing is to be refused.
-    pub fn choose(&self, full: &[Key]) -> (Result<Choice, Shortage>, bool) {
-        let gateway = &self.gateway;
-        gateway.refresh_pool();
-        let now = gateway.knowledge.now();
-        self.with_ask(full, |ask| {
-            let pool = gateway.pool.borrow();
-            let mut rng = gateway.knowledge.rng.borrow_mut();
-            let choice = pool.choose(ask, now, &mut *rng);
-            let (taken, places) = pool.occupancy(ask, now);
-            (choice, taken * 2 < places)
-        })
-    }
-
-    /// Calls `then` with what this request asks the pool for.
-    pub(super) fn with_ask<T>(&self, full: &[Key], then: impl FnOnce(pool::Ask<'_>) -> T) -> T {
-        let gateway = &self.gateway;
-        let now = gateway.knowledge.now();
-        let service = self.job.routing.service(&self.job.service);
-        let model = self.job.ask.work.as_ref().map(|work| &*work.model);
-        let engine = service.and_then(|service| service.engine.as_ref());
-        // Replicas that hold models are engines, whatever could be read of their service.
-        let engines = || {
-            let belief = gateway.knowledge.belief.borrow();
-            engine.is_some() || belief.held_model(Some(&self.job.service)).is_some()
-        };
-        let model = model.filter(|_| engines());
-        let entries = gateway.knowledge.peers.borrow().bound() as u32;
-        let connections = service.map_or(u32::MAX, |service| service.connections_max);
-        then(pool::Ask {
-            service: &self.job.service,
-            model: model.map(|model| ModelNeed {
-                model,
-                oldest: self.oldest_version(model, now),
-                only: self.only,
-            }),
-            engine,
-            demand: self.job.demand(),
-            tried: &self.tried,
-            full,
-            connections_max: (connections / entries.max(1)).max(CONNECTIONS_MIN),
-        })
-    }
-
-    fn oldest_version(&self, model: &str, now: Time) -> u64 {
-        let rollout = self.gateway.setting.rollout;
-        let belief = self.gateway.knowledge.belief.borrow();
-        let bound = rollout.bound.saturating_sub(rollout.margin);
-        belief.oldest_allowed(model, bound, now)
-    }
-
-    /// Sends the request to the chosen replica.
-    pub async fn attempt(
-        &mut self,
-        choice: Choice,
-        last_event: Option<u64>,
-    ) -> Result<Begun, Failure> {
-        let Some(attempt) = Attempt::begin(&self.gateway, &self.job, choice) else {
-            return Err(Failure::new(Ended::NotSent, "the replica has gone"));
-        };
-        self.tried.push(choice.key);
-        self.trace.replica = Some(attempt.replica.clone());
-        self.trace.expected = Some(Expected {
-            chosen: self.trace.elapsed(),
-            first: choice.expected,
-            requests: choice.requests,
-        });
-        let send = Send {
-            last_event,
-            version: self.only,
-            moves_on: self.may_move_after_one_more(),
+                Some(Err(failure)) => failure,
+                None => return course.give_up(&ending()),
+            },
+            Some(Err(failure)) => failure,
+            None => return course.give_up(&ending()),
         };
-        let result = attempt.send(&self.job, send).await;
-        let sent = !matches!(
-            &result,
-            Err(Failure {
-                ended: Ended::NotSent,
-                ..
-            })
-        );
-        self.trace.sent += u32::from(sent);
-        result
-    }
-
-    /// Notes the failure of an attempt to take a begun answer up. Returns whether another may
-    /// follow.
-    pub fn may_resume(&mut self, failure: Failure) -> bool {
-        let (ended, detail) = self.take_failure(failure);
-        self.trace.reason = detail;
-        if !self.gateway.setting.policy.resume {
-            return false;
-        }
-        let next = next::after(ended, self.situation());
-        match next {
-            Next::Elsewhere { charged } => !charged || self.gateway.spend_repeat(&self.job.service),
-            Next::PassOn | Next::GiveUp(_) => false,
+        if let Err(refusal) = course.follow_up(failure) {
+            return course.give_up(&refusal);
         }
     }
-
-    /// Whether another replica may still receive the request.
-    pub fn may_move(&self) -> bool {
-        moves_on(self.situation())
-    }
-
-    /// Whether another one may once the next has received it.
-    fn may_move_after_one_more(&self) -> bool {
-        let situation = self.situation();
-        moves_on(Situation {
-            sent: situation.sent + 1,
-            ..situation
-        })
-    }
-}
-
-fn moves_on(situation: Situation) -> bool {
-    let next = next::after(Ended::Broken, situation);
-    matches!(next, Next::Elsewhere { .. })
 }
--- a/src/gateway/intake.rs
+++ b/src/gateway/intake.rs
@@ -8,8 +8,8 @@
 use rand::RngExt;
 
 use super::Gateway;
-use super::call::Job;
 use super::dialect::{Ask, Code, Refusal, Work};
+use super::job::Job;
 use super::trace::Trace;
 use crate::config::routing::{Access, Limits, Routing};
 use crate::http::{self, Error};
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use super::call::Course;
+use super::course::Course;
 use crate::clock::Time;
 use crate::exchange::Note;
 use crate::knowledge::gossip;
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -9,7 +9,7 @@
 use futures_util::{Stream, StreamExt, stream};
 
 use super::attempt::{self, Attempt, Begun};
-use super::call::Course;
+use super::course::Course;
 use super::event::Cutter;
 use crate::clock::Time;
 use crate::exchange::Response;
