--- a/tests/place.rs
+++ b/tests/place.rs
@@ -5,6 +5,7 @@
 
 use pumicelatch::clock::Time;
 use pumicelatch::config::routing::Engine;
+use pumicelatch::limit::returning::{Fingerprint, Refused};
 use pumicelatch::member::replica::Held;
 use pumicelatch::place::{Answer, Ask, Ledger};
 use pumicelatch::route::estimate::{self, Demand, Work};
@@ -113,6 +114,91 @@
     assert_eq!(places.count(), 2);
 }
 
+/// Prompts of 400 to 4,000 tokens. A long one makes the pass in which it is read five times as long, and who comes
+/// meanwhile waits for its end: that came up to 200 ms later than expected while half a plain pass was counted.
+#[test]
+fn who_comes_while_a_long_prompt_is_read_waits_for_the_end_of_its_pass() {
+    let at = |ms| NOW + Duration::from_millis(ms);
+    let expected = |ledger: &mut Ledger, now| {
+        // Nothing is given within no time at all, so that asking changes nothing.
+        let answer = ledger.answer(&ask(0), load(3, 0), Some(&engine()), now);
+        answer.expected_ms.unwrap()
+    };
+    let mut ledger = Ledger::default();
+    ledger.shown(3, NOW);
+    let alone = expected(&mut ledger, NOW);
+    let long = Ask {
+        prompt: 4_000,
+        ..ask(2_000)
+    };
+    assert!(given(&mut ledger, long, load(3, 0), NOW));
+    // It is read in the next pass together with whoever comes before that begins.
+    let read = estimate::read(&engine(), 4_000, 1.0).as_millis() as u64;
+    let together = expected(&mut ledger, NOW);
+    assert!(together.abs_diff(alone + read) <= 3, "{together}");
+    // Half a pass later it is being read: the rest of that pass, and one more.
+    ledger.shown(4, at(60));
+    let pass = estimate::pass(&engine(), 4, 1.0).as_millis() as u64;
+    let meanwhile = expected(&mut ledger, at(60));
+    assert!(
+        meanwhile > read && meanwhile < together + pass,
+        "{meanwhile}"
+    );
+    assert!(expected(&mut ledger, at(200)) < meanwhile - 100);
+    // Once it is read, a newcomer is alone again.
+    assert!(expected(&mut ledger, at(900)).abs_diff(alone) <= 3);
+}
+
+/// An entry refuses a request and asks for places for others; its caller comes back to another entry of the hall, and
+/// to a replica that the first one asked since.
+#[test]
+fn a_caller_who_comes_back_is_known_through_what_another_entry_refused() {
+    let entry = |number: u8| std::net::SocketAddr::from(([10, 0, 0, number], 80));
+    let request = Fingerprint::of([b"/summary".as_slice()]);
+    let refused = Refused {
+        request,
+        age_ms: 300,
+        left_ms: 4_000,
+    };
+    let mut ledger = Ledger::default();
+    let told = Ask {
+        from: Some(entry(1)),
+        refused: vec![refused],
+        ..ask(0)
+    };
+    ledger.answer(&told, load(3, 0), Some(&engine()), NOW);
+    let back = |limit_ms, late_ms| Ask {
+        from: Some(entry(2)),
+        request: Some(request),
+        whole_ms: limit_ms,
+        late_ms,
+        ..ask(limit_ms)
+    };
+    let stranger = Ask {
+        request: Some(Fingerprint::of([b"/other".as_slice()])),
+        ..back(400, 100)
+    };
+    assert!(given(
+        &mut Ledger::default(),
+        stranger.clone(),
+        load(3, 0),
+        NOW
+    ));
+    let answer = ledger.answer(&back(400, 100), load(3, 0), Some(&engine()), NOW);
+    assert_eq!((answer.given, answer.tried_before_ms), (false, Some(300)));
+    // The other entry hears of it, once, and so would refuse by itself.
+    assert_eq!(answer.refused, [refused]);
+    let answer = ledger.answer(&back(700, 100), load(3, 0), Some(&engine()), NOW);
+    assert!(answer.given, "400 ms of its objective are left");
+    assert_eq!(answer.refused, []);
+    assert!(
+        ledger
+            .answer(&stranger, load(3, 0), Some(&engine()), NOW)
+            .tried_before_ms
+            .is_none()
+    );
+}
+
 #[test]
 fn a_longer_limit_opens_the_queue() {
     let mut ledger = Ledger::default();
