--- /dev/null
+++ b/src/route/pool/life.rs
@@ -0,0 +1,119 @@
+//! Which lives of replicas the pool has: what the list and reports say of who is there.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use super::{Key, Pool};
+use crate::clock::Time;
+use crate::config::belief::Listed;
+use crate::member::replica::Record;
+use crate::route::replica::{Due, Load, Replica};
+
+impl Pool {
+    /// Takes the list as it stands now, and what change of version each replica has before it.
+    pub fn update(
+        &mut self,
+        list: &BTreeMap<Arc<str>, Listed>,
+        due: impl Fn(&Record) -> Option<Due>,
+    ) {
+        let tell_lives: BTreeSet<&str> = list
+            .values()
+            .filter(|listed| listed.record.born > 0)
+            .map(|listed| &*listed.record.service)
+            .collect();
+        let usable = |listed: &Listed| {
+            // Where replicas tell when they started, an entry without that is by another writer.
+            let tells = listed.record.born > 0 || !tell_lives.contains(&*listed.record.service);
+            tells && (listed.gone.is_none() || listed.doubted)
+        };
+        let gone: Vec<Arc<str>> = self
+            .ids
+            .keys()
+            .filter(|id| !list.get(*id).is_some_and(usable))
+            .cloned()
+            .collect();
+        for id in gone {
+            if let Some(key) = self.ids.remove(&id) {
+                self.replicas.remove(key);
+            }
+        }
+        for (id, listed) in list.iter().filter(|(_, listed)| usable(listed)) {
+            let life = self
+                .ids
+                .get(id)
+                .map(|&key| (key, self.replicas[key].record.born));
+            let key = match life {
+                Some((key, born)) if born >= listed.record.born => key,
+                Some((key, _)) => self.begin_life(key, listed.record.clone()),
+                None => {
+                    let key = self.replicas.insert(Replica::new(listed.record.clone()));
+                    self.ids.insert(id.clone(), key);
+                    key
+                }
+            };
+            let replica = &mut self.replicas[key];
+            if replica.record.born == listed.record.born {
+                replica.record = listed.record.clone();
+            }
+            replica.due = due(&listed.record);
+        }
+        self.index();
+    }
+
+    /// A later life of a replica begins. Whatever was believed of the earlier one goes with its key:
+    /// weights, load, requests under way, pace, penalties, doubts. Returns the new key.
+    fn begin_life(&mut self, earlier: Key, record: Record) -> Key {
+        self.replicas.remove(earlier);
+        self.reborn.push(record.address);
+        let id = record.id.clone();
+        let key = self.replicas.insert(Replica::new(record));
+        self.ids.insert(id, key);
+        key
+    }
+
+    /// Addresses of replicas of which a later life began since the last call: connections to the
+    /// earlier one lead nowhere.
+    pub fn take_reborn(&mut self) -> Vec<SocketAddr> {
+        std::mem::take(&mut self.reborn)
+    }
+
+    fn index(&mut self) {
+        self.services.clear();
+        self.addresses.clear();
+        for (key, replica) in &self.replicas {
+            let address = replica.record.address;
+            self.addresses.entry(address).or_default().push(key);
+            let service = replica.record.service.clone();
+            self.services.entry(service).or_default().push(key);
+        }
+    }
+
+    /// The process beside the replica at `address` reported at `at`. Returns whether anyone is
+    /// there.
+    pub fn report(&mut self, address: SocketAddr, load: &Load, at: Time) -> bool {
+        let Some(here) = self.addresses.get(&address).cloned() else {
+            return false;
+        };
+        let lives = here.iter().map(|&key| self.replicas[key].record.born);
+        let known = load.born > 0 && lives.clone().any(|born| born == load.born);
+        let reborn = load.born > 0 && !known && lives.clone().any(|born| born < load.born);
+        for key in here {
+            let record = &self.replicas[key].record;
+            if load.born == 0 || load.born == record.born {
+                self.replicas[key].report(load, at);
+            } else if !known && record.born < load.born {
+                // The list does not tell of this life yet.
+                let record = record.reborn(load.born);
+                let due = self.replicas[key].due.clone();
+                let key = self.begin_life(key, record);
+                self.replicas[key].due = due;
+                self.replicas[key].report(load, at);
+            }
+        }
+        if reborn {
+            self.index();
+        }
+        true
+    }
+}
