--- a/src/burst/joined.rs
+++ b/src/burst/joined.rs
@@ -1,4 +1,5 @@
-//! A process's part in the burst of one wanted version at a time.
+//! A process's part in bursts: it draws the newest version, and serves on what it holds of older ones while
+//! requests may still start on them, for replicas that come up empty.
 
 use std::cell::RefCell;
 use std::net::SocketAddr;
--- a/src/sidecar/reconcile.rs
+++ b/src/sidecar/reconcile.rs
@@ -82,7 +82,7 @@
         !self.setting.first_start && self.misses.get() >= MISSES_MAX
     }
 
-    /// Takes part in the burst of the wanted version, and in no other.
+    /// Takes part in the burst of the wanted version, and serves older ones on while they are allowed.
     fn join(&self, target: &Target) {
         let crew = self.crew();
         let label = target.label();
