A refusal that a caller can't be back from any more doesn't date a later one back

Cause, by reading: the memory of refused requests kept the first try of one that was refused, long ago, with the same fingerprint; who asks for the same a minute later and is refused would have come back as one who is an hour late. Test first (red: first_try told the older one), then the mend.

--- a/src/limit/returning.rs
+++ b/src/limit/returning.rs
@@ -96,11 +96,13 @@
 impl Memory {
     /// A request was refused whose caller tried first at `first`, and can be back up to `until`.
     pub fn refused(&mut self, request: Fingerprint, first: Time, until: Time) {
-        let known = self.tries.get(&request).copied();
+        let remembered = self.tries.get(&request).copied();
+        // Whoever asks for the same after that is another caller, or the same one for the first time again.
+        let known = remembered.filter(|known| first <= known.until);
         let first = known.map_or(first, |known| known.first.min(first));
         let until = known.map_or(until, |known| known.until.max(until));
         self.tries.insert(request, Try { first, until });
-        if known.is_some() {
+        if remembered.is_some() {
             return;
         }
         self.order.push_back(request);
@@ -113,8 +115,9 @@
 
     /// Another process told of a refused request. Returns whether that is news.
     pub fn heard(&mut self, refused: Refused, now: Time) -> bool {
-        let news = !self.tries.contains_key(&refused.request);
         let (first, until) = refused.times(now);
+        let known = self.tries.get(&refused.request);
+        let news = known.is_none_or(|known| first > known.until);
         self.refused(refused.request, first, until);
         news
     }
--- a/tests/limit.rs
+++ b/tests/limit.rs
@@ -47,6 +47,10 @@
     memory.refused(request(1), back, NOW + millis(900));
     assert_eq!(memory.first_try(request(1), back + millis(200)), Some(NOW));
     assert_eq!(memory.first_try(request(1), NOW + millis(901)), None);
+    // The same asked again a minute later is a first try, and its own refusal counts from there.
+    let anew = NOW + millis(60_000);
+    memory.refused(request(1), anew, anew + millis(900));
+    assert_eq!(memory.first_try(request(1), anew + millis(100)), Some(anew));
     // 250 ms of 400 are gone: 150 are left. Later it is one of those who cannot be in time.
     let limit = |age| returning::limit(millis(400), millis(100), millis(age));
     assert_eq!(limit(250), millis(150));
