Requests go only where they may: regions, evacuated halls, cold replicas

Cause: three things that the platform says were not read at all. Routes and customers may be bound to regions; operators may ask that a hall's replicas get nothing more; a replica says that it is cold and bears few requests.

Change: config::residency (both bounds bind; what cannot be read allows nothing), config::evacuation (newest revision wins; told to the hall and to others like versions; a whole read of the store ends what is not there any more), route::cold (the process beside a cold replica deals out what it bears, entries send their parts where nobody does).

Ruled out: forwarding of bodies between entries (there is none).

--- a/src/config.rs
+++ b/src/config.rs
@@ -5,6 +5,8 @@
 //! refuses whatever would bring an older revision back.
 
 pub mod belief;
+pub mod evacuation;
+pub mod residency;
 pub mod routing;
 
 use std::collections::BTreeMap;
--- a/src/config/belief.rs
+++ b/src/config/belief.rs
@@ -10,6 +10,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::evacuation::{Evacuation, Evacuations};
 use super::routing::{Document, Routing};
 use crate::clock::Time;
 use crate::member::replica::Record;
@@ -46,6 +47,13 @@
     Replica(Record),
     /// A replica's entry was removed.
     ReplicaGone(Arc<str>),
+    /// Whether a hall's replicas are to get nothing more.
+    Evacuation {
+        /// The hall.
+        hall: Arc<str>,
+        /// Whether that is asked; else it is over.
+        asked: bool,
+    },
 }
 
 /// A fact and the revision that set it.
@@ -97,6 +105,8 @@
     Version,
     /// The list of replicas.
     Replicas,
+    /// The halls whose replicas are to get nothing more.
+    Evacuations,
 }
 
 /// How fresh a process's facts are, for comparing with another.
@@ -108,6 +118,9 @@
     pub versions: u64,
     /// Revision of the newest change in the list of replicas.
     pub replicas: u64,
+    /// Revision of what operators said last of a hall's evacuation.
+    #[serde(default)]
+    pub evacuations: u64,
 }
 
 /// A replica's entry and its revision.
@@ -146,11 +159,20 @@
     pub gone: Vec<Removal>,
 }
 
+fn evacuated(changed: bool) -> Effect {
+    if changed {
+        Effect::Evacuations
+    } else {
+        Effect::None
+    }
+}
+
 /// Beliefs.
 #[derive(Debug, Default)]
 pub struct Belief {
     routing: Option<(u64, Rc<Routing>)>,
     versions: BTreeMap<Arc<str>, Vec<Wanted>>,
+    evacuations: Evacuations,
     replicas: BTreeMap<Arc<str>, Listed>,
     replicas_at: u64,
     replicas_changed: u64,
@@ -245,9 +267,25 @@
                 .max()
                 .unwrap_or(0),
             replicas: self.replicas_changed,
+            evacuations: self.evacuations.revision(),
         }
     }
 
+    /// The halls whose replicas are to get nothing more.
+    pub fn evacuations(&self) -> &Evacuations {
+        &self.evacuations
+    }
+
+    /// Takes what was said of one hall.
+    pub fn learn_evacuation(&mut self, told: Evacuation) -> Effect {
+        evacuated(self.evacuations.learn(told))
+    }
+
+    /// All evacuations that were asked for at `revision` were those of `halls`.
+    pub fn learn_evacuations(&mut self, halls: &[Arc<str>], revision: u64) -> Effect {
+        evacuated(self.evacuations.learn_all(halls, revision))
+    }
+
     /// Takes one fact. `shaky` tells that the store was out of reach shortly before.
     pub fn learn(&mut self, dated: Dated, now: Time, shaky: bool) -> Effect {
         let revision = dated.revision;
@@ -256,6 +294,11 @@
             Fact::Version { model, version } => self.learn_version(revision, model, version, now),
             Fact::Replica(record) => self.learn_replica(revision, record),
             Fact::ReplicaGone(id) => self.forget_replica(revision, &id, now, shaky),
+            Fact::Evacuation { hall, asked } => self.learn_evacuation(Evacuation {
+                hall,
+                asked,
+                revision,
+            }),
         }
     }
 
--- a/src/config/routing.rs
+++ b/src/config/routing.rs
@@ -10,6 +10,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::residency::Residency;
+
 /// What may be repeated of a route's requests.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Kind {
@@ -66,6 +68,8 @@
     pub anonymous: bool,
     /// Whether a stream may be taken up at another replica.
     pub resumable: bool,
+    /// Where its requests may be served.
+    pub residency: Residency,
 }
 
 impl Default for Route {
@@ -83,6 +87,7 @@
             attempts_max: 1,
             anonymous: false,
             resumable: false,
+            residency: Residency::default(),
         }
     }
 }
@@ -210,6 +215,9 @@
     /// Megabits that its link carries in a second, if it tells.
     #[serde(default)]
     pub link_mbps: Option<f64>,
+    /// Requests a second that one of its replicas bears while it is cold; 0 if there is no bound.
+    #[serde(default)]
+    pub cold_per_s: f64,
 }
 
 /// A customer, as far as requests are concerned.
@@ -221,6 +229,9 @@
     pub keys: Vec<String>,
     /// Its rank, which goes before the route's.
     pub priority: Option<u8>,
+    /// Where its requests may be served.
+    #[serde(default)]
+    pub residency: Residency,
 }
 
 /// Limits on what a caller sends.
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -25,6 +25,7 @@
 use crate::burst::joined::{self, Joined, Origins};
 use crate::clock::Time;
 use crate::config::belief::Belief;
+use crate::config::residency::Regions;
 use crate::daemon;
 use crate::exchange::{self, path::Paths};
 use crate::http::{self, ClientSetting, Server, Timing};
@@ -98,6 +99,8 @@
     pub identity: Identity,
     /// Processes of the system to begin with.
     pub seeds: Vec<SocketAddr>,
+    /// The regions of data halls.
+    pub regions: Regions,
     /// The port at which processes beside replicas listen.
     pub sidecar_port: u16,
     /// The bounds of the budget that all entries share.
@@ -245,6 +248,7 @@
             paths.clone(),
         );
         knowledge.traffic.register(&metrics.meter());
+        knowledge.regions.replace(setting.regions.clone());
         let host = Rc::new(relay_host(&setting, &knowledge, &metrics));
         let all_silent = paths.all_silent();
         let gateway = Rc::new(Self {
@@ -423,7 +427,11 @@
             let rollout = self.knowledge.rollout(self.setting.rollout);
             let waves = self.waves(&belief, rollout.waves);
             let due = |record: &Record| self.due(&belief, rollout, &waves, record);
-            self.pool.borrow_mut().update(list, due);
+            let evacuated = belief.evacuations().asked().cloned().collect();
+            let mut pool = self.pool.borrow_mut();
+            pool.update(list, due);
+            pool.evacuate(evacuated);
+            pool.tell_cold(self.knowledge.now());
         }
         let reborn = self.pool.borrow_mut().take_reborn();
         for address in reborn {
--- a/src/gateway/course.rs
+++ b/src/gateway/course.rs
@@ -15,6 +15,7 @@
 use crate::http::Answer;
 use crate::limit::admission::{self, Bounds, Case, Verdict};
 use crate::limit::returning;
+use crate::place::Cold;
 use crate::request::Outcome;
 use crate::request::attempt::{self as next, Ended, Next, Situation};
 use crate::route::pool::{self, Choice, Key, ModelNeed, Shortage};
@@ -216,6 +217,7 @@
             let (choice, idle) = (found.choice, found.idle);
             if chosen_before {
                 return choice
+                    .and_then(|choice| self.unless_cold(choice, found.given))
                     .map_err(|shortage| self.refusal_after(Ended::Refused, shortage.to_string()));
             }
             if found.given {
@@ -235,7 +237,10 @@
                 admission::judge(case, Bounds::new(self.job.objective(), limit))
             };
             match (verdict, choice) {
-                (Verdict::Send, Ok(choice)) => return Ok(choice),
+                (Verdict::Send, Ok(choice)) => {
+                    let choice = self.unless_cold(choice, found.given);
+                    return choice.map_err(|shortage| self.shortage(shortage));
+                }
                 (Verdict::Wait(pause), _) => sleep(pause).await,
                 (Verdict::Refuse { retry_after }, Ok(choice)) => {
                     let detail = format!(
@@ -320,6 +325,7 @@
         let model = model.filter(|_| engines());
         let entries = gateway.knowledge.peers.borrow().bound() as u32;
         let connections = service.map_or(u32::MAX, |service| service.connections_max);
+        let regions = gateway.knowledge.regions.borrow();
         then(pool::Ask {
             service: &self.job.service,
             model: model.map(|model| ModelNeed {
@@ -332,9 +338,44 @@
             tried: &self.tried,
             full,
             connections_max: (connections / entries.max(1)).max(CONNECTIONS_MIN),
+            residency: &self.job.residency,
+            regions: &regions,
+            cold_per_s: self.own_cold_per_s(),
         })
     }
 
+    /// Requests a second that a cold replica bears; 0 if there is no bound.
+    fn cold_per_s(&self) -> f64 {
+        let service = self.job.routing.service(&self.job.service);
+        service.map_or(0.0, |service| service.cold_per_s)
+    }
+
+    /// Part of it that this entry may send where the process beside the replica deals none out.
+    fn own_cold_per_s(&self) -> f64 {
+        let entries = self.gateway.knowledge.peers.borrow().bound();
+        self.cold_per_s() / entries.max(1) as f64
+    }
+
+    /// What the replica `key` bears, if it is cold.
+    pub(super) fn cold(&self, key: Key) -> Option<Cold> {
+        let per_s = self.cold_per_s();
+        let now = self.gateway.knowledge.now();
+        let pool = self.gateway.pool.borrow();
+        let rest = pool.get(key)?.cold(now);
+        (per_s > 0.0 && !rest.is_zero()).then(|| Cold {
+            rest_ms: rest.as_millis() as u64,
+            per_s,
+        })
+    }
+
+    /// The choice, unless no place is kept there, and the replica is cold and bears no more.
+    fn unless_cold(&self, choice: Choice, given: bool) -> Result<Choice, Shortage> {
+        let now = self.gateway.knowledge.now();
+        let mut pool = self.gateway.pool.borrow_mut();
+        let bears = given || pool.take_cold(choice.key, self.own_cold_per_s(), now);
+        bears.then_some(choice).ok_or(Shortage::Cold)
+    }
+
     fn oldest_version(&self, model: &str, now: Time) -> u64 {
         let rollout = self.gateway.setting.rollout;
         let belief = self.gateway.knowledge.belief.borrow();
--- a/src/gateway/intake.rs
+++ b/src/gateway/intake.rs
@@ -51,18 +51,22 @@
         .cloned()
         .ok_or_else(|| no_route(&routing))?;
     trace.route = route.name.clone();
-    let (customer, priority) = match routing.access(&route, ask.key.as_deref()) {
-        Access::Customer(customer) => (
-            Some(customer.name.clone()),
-            customer.priority.unwrap_or(route.priority),
-        ),
-        Access::Anonymous => (None, route.priority),
+    let customer = match routing.access(&route, ask.key.as_deref()) {
+        Access::Customer(customer) => Some(customer),
+        Access::Anonymous => None,
         Access::Denied => {
             let text = "a valid key is needed";
             return Err(Refusal::new(Code::NoAccess, text));
         }
         Access::Unknown => return Err(not_understood("customers")),
     };
+    let priority = customer.and_then(|customer| customer.priority);
+    let priority = priority.unwrap_or(route.priority);
+    let residency = customer.map_or_else(
+        || route.residency.clone(),
+        |customer| route.residency.and(&customer.residency),
+    );
+    let customer = customer.map(|customer| customer.name.clone());
     let draw = gateway.knowledge.rng.borrow_mut().random();
     let service = route
         .service(draw)
@@ -82,6 +86,7 @@
         routing,
         customer,
         priority,
+        residency,
         arrived,
         deadline: arrived + longest,
         fingerprint,
--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -9,6 +9,7 @@
 
 use super::dialect::Ask;
 use crate::clock::Time;
+use crate::config::residency::Residency;
 use crate::config::routing::{Route, Routing};
 use crate::limit::returning::Fingerprint;
 use crate::route::estimate::Demand;
@@ -31,6 +32,8 @@
     pub customer: Option<Arc<str>>,
     /// Its rank.
     pub priority: u8,
+    /// Where it may be served.
+    pub residency: Residency,
     /// When its head came.
     pub arrived: Time,
     /// When it has to be over.
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -73,7 +73,10 @@
             };
             let again = search.asked().contains(&key);
             let at = if again { limits.whole } else { limits.tight };
-            let ask = self.place_ask(process, at, limits.whole);
+            let ask = place::Ask {
+                cold: self.cold(key),
+                ..self.place_ask(process, at, limits.whole)
+            };
             let answer = self.ask(&mut search, key, process, &ask).await;
             tried_before = tried_before.max(answer.tried_before);
             if let Some(choice) = answer.choice {
@@ -133,6 +136,7 @@
             whole_ms: whole.as_millis() as u64,
             late_ms: late.as_millis() as u64,
             refused: told,
+            cold: None,
         }
     }
 
@@ -161,6 +165,11 @@
                     pool.report(address, &answer.load, now);
                 }
                 self.gateway.take_refused(&answer.refused, now);
+                if answer.dealt_out {
+                    self.gateway.pool.borrow_mut().dealt_out(key, now);
+                    search.heard(key, Said::Nothing);
+                    return Asked::default();
+                }
                 let tried_before = answer.tried_before_ms.map(Duration::from_millis);
                 let choice = self.expects_by(key, &answer, now);
                 if answer.given && choice.is_some() {
--- a/src/knowledge.rs
+++ b/src/knowledge.rs
@@ -24,6 +24,7 @@
 
 use crate::clock::{Clock, Time};
 use crate::config::belief::{Belief, Changes, Dated, DatedRecord, Effect, Fact, Marks, Wanted};
+use crate::config::residency::Regions;
 use crate::exchange::{self, path::Paths};
 use crate::log::Repeats;
 use crate::member::peer::Peers;
@@ -100,6 +101,8 @@
     pub brief: RefCell<Option<Brief>>,
     /// Addresses of processes to begin with.
     pub seeds: RefCell<Vec<SocketAddr>>,
+    /// The regions of data halls.
+    pub regions: RefCell<Regions>,
     /// Changes of what is believed.
     pub changed: tokio::sync::watch::Sender<u64>,
     /// Wakes those who tell the hall's entries that there is news.
@@ -138,6 +141,7 @@
             peers: RefCell::new(Peers::new(own)),
             brief: RefCell::default(),
             seeds: RefCell::new(seeds),
+            regions: RefCell::default(),
             changed: tokio::sync::watch::Sender::new(0),
             news: Notify::new(),
             store_regained: Notify::new(),
@@ -220,6 +224,7 @@
         marks.routing > own.routing
             || marks.versions > own.versions
             || marks.replicas > own.replicas
+            || marks.evacuations > own.evacuations
     }
 
     /// Whether this entry draws the configuration of `revision` from `peer` in `hall` now. If so,
@@ -254,7 +259,7 @@
         match topic {
             Topic::Operator => {
                 let marks = belief.marks();
-                marks.routing.max(marks.versions)
+                marks.routing.max(marks.versions).max(marks.evacuations)
             }
             Topic::Replicas => belief.listed_at(),
         }
@@ -321,6 +326,9 @@
             return effect != Effect::None;
         }
         let mut changed = false;
+        if whole {
+            changed |= self.take_evacuations(&batch);
+        }
         for dated in batch.facts {
             changed |= self.learn(dated, "store") != Effect::None;
         }
@@ -330,6 +338,21 @@
         changed
     }
 
+    /// The store's whole word on evacuations: one that is not in it is over.
+    fn take_evacuations(&self, batch: &Batch) -> bool {
+        let halls = batch.facts.iter().filter_map(|dated| match &dated.fact {
+            Fact::Evacuation { hall, asked: true } => Some(hall.clone()),
+            _ => None,
+        });
+        let halls: Vec<Arc<str>> = halls.collect();
+        let effect = self.belief.borrow_mut().learn_evacuations(&halls, batch.at);
+        if effect != Effect::None {
+            log::info!(revision = batch.at; "learned: evacuations that are over");
+        }
+        self.tell(effect);
+        effect != Effect::None
+    }
+
     /// Writes down what could not be read of entries of the store.
     fn note_damage(&self, damaged: &[Damaged], revision: u64) {
         let mut losses = self.losses.borrow_mut();
@@ -368,6 +391,14 @@
         for named in news.versions {
             self.take_named(named);
         }
+        for told in news.evacuations {
+            let revision = told.revision;
+            let fact = Fact::Evacuation {
+                hall: told.hall,
+                asked: told.asked,
+            };
+            self.learn(Dated { revision, fact }, &from.to_string());
+        }
         if let Some(list) = news.replicas {
             let records = list.records.into_iter();
             let records = records.map(|dated| (dated.revision, dated.record));
@@ -491,6 +522,11 @@
             } else {
                 Vec::new()
             },
+            evacuations: if marks.evacuations > sync.marks.evacuations {
+                belief.evacuations().tell()
+            } else {
+                Vec::new()
+            },
             replicas: (newer_list && changes.is_none()).then(|| list(&belief, self.shaky())),
             changes,
             brief: (newer_routing && brief).then(|| self.brief()).flatten(),
@@ -591,5 +627,7 @@
             format!("replica {} of {} {state}", record.id, record.service)
         }
         Fact::ReplicaGone(id) => format!("replica {id} gone"),
+        Fact::Evacuation { hall, asked: true } => format!("hall {hall} is evacuated"),
+        Fact::Evacuation { hall, .. } => format!("the evacuation of hall {hall} is over"),
     }
 }
--- a/src/member/replica.rs
+++ b/src/member/replica.rs
@@ -44,6 +44,9 @@
     /// The models that it holds.
     #[serde(default)]
     pub models: Vec<Held>,
+    /// Milliseconds that it is still cold for, by its own word.
+    #[serde(default)]
+    pub cold_ms: u64,
 }
 
 impl Record {
--- a/src/place.rs
+++ b/src/place.rs
@@ -17,6 +17,7 @@
 use crate::clock::Time;
 use crate::config::routing::Engine;
 use crate::limit::returning::{self, Fingerprint, Log, Memory, Refused};
+use crate::route::cold::Allowance;
 use crate::route::estimate;
 use crate::route::replica::Load;
 
@@ -80,8 +81,17 @@
     }
 }
 
+/// A replica is cold.
+#[derive(Debug, Clone, Copy, PartialEq, Default, Serialize, Deserialize)]
+pub struct Cold {
+    /// Milliseconds for which it is.
+    pub rest_ms: u64,
+    /// Requests a second that it bears meanwhile.
+    pub per_s: f64,
+}
+
 /// An entry asks for a place.
-#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
 pub struct Ask {
     /// The entry that asks, if it tells.
     #[serde(default)]
@@ -107,6 +117,9 @@
     /// Requests that the asker refused lately.
     #[serde(default)]
     pub refused: Vec<Refused>,
+    /// What the replica bears, if the asker knows that it is cold.
+    #[serde(default)]
+    pub cold: Option<Cold>,
 }
 
 impl Ask {
@@ -138,6 +151,9 @@
     /// Requests that other entries refused lately.
     #[serde(default)]
     pub refused: Vec<Refused>,
+    /// Whether the replica is cold, and bears no more at the moment.
+    #[serde(default)]
+    pub dealt_out: bool,
 }
 
 /// A place that was given.
@@ -154,6 +170,8 @@
     passes: Passes,
     refused: Memory,
     refusals: Log,
+    cold: Option<(Cold, Time)>,
+    allowance: Allowance,
 }
 
 impl Ledger {
@@ -171,6 +189,24 @@
         self.leases.clear();
         self.present = 0;
         self.passes = Passes::default();
+        self.cold = None;
+    }
+
+    /// What one entry knows of the replica's being cold binds all: others may not know it yet.
+    fn hear_cold(&mut self, told: Option<Cold>, now: Time) {
+        let until = |cold: Cold| now + Duration::from_millis(cold.rest_ms);
+        let known = self.cold.map(|(_, until)| until);
+        if let Some(told) = told.filter(|told| known.is_none_or(|known| known < until(*told))) {
+            self.cold = Some((told, until(told)));
+        }
+    }
+
+    /// Whether the replica bears one more request, as far as it is cold; if so, that is counted.
+    fn bears(&mut self, now: Time) -> bool {
+        match self.cold {
+            Some((cold, until)) if now < until => self.allowance.take(cold.per_s, now),
+            _ => true,
+        }
     }
 
     /// Requests that are on their way.
@@ -199,7 +235,9 @@
         };
         let expected = engine.map(|engine| self.expected(ask, &load, engine, now));
         let takes = load.alive && !load.switching && !load.models.is_empty();
-        let given = takes && expected.is_none_or(|expected| expected <= limit);
+        let takes = takes && expected.is_none_or(|expected| expected <= limit);
+        self.hear_cold(ask.cold, now);
+        let given = takes && self.bears(now);
         if given {
             self.leases.push_back(Lease { at: now });
             if let Some(engine) = engine {
@@ -212,6 +250,7 @@
             expected_ms: expected.map(|expected| expected.as_millis() as u64),
             tried_before_ms: tried_before.map(|age| age.as_millis() as u64),
             refused: told.unwrap_or_default(),
+            dealt_out: takes && !given,
         }
     }
 
--- a/src/route.rs
+++ b/src/route.rs
@@ -3,6 +3,7 @@
 //! Eligibility is strict (version, hall, leaving); everything else is a matter of cost. Reports lag
 //! by up to a second, so the entry corrects them by what it sent and got back itself since.
 
+pub mod cold;
 pub mod correction;
 pub mod estimate;
 pub mod health;
--- a/src/route/pool.rs
+++ b/src/route/pool.rs
@@ -17,6 +17,7 @@
 use super::health::Sign;
 use super::replica::Replica;
 use crate::clock::Time;
+use crate::config::residency::{Regions, Residency};
 use crate::config::routing::Engine;
 use crate::policy::Policy;
 use crate::wire::sync::Reported;
@@ -81,6 +82,12 @@
     pub full: &'a [Key],
     /// Connections that this entry may have to one replica.
     pub connections_max: u32,
+    /// Where the request may be served.
+    pub residency: &'a Residency,
+    /// The regions of halls.
+    pub regions: &'a Regions,
+    /// Requests a second that this entry may send to a replica that is cold; 0 if there is no bound.
+    pub cold_per_s: f64,
 }
 
 /// A replica that was chosen.
@@ -109,9 +116,15 @@
     /// The list shows none for the service.
     #[error("no replica is listed")]
     NoneListed,
+    /// None stands in a region where the request may be served, and in a hall that is not evacuated.
+    #[error("no replica stands where the request may be served")]
+    NoneThere,
     /// All are leaving, or hold no weights that are allowed.
     #[error("no replica is fit")]
     NoneFit,
+    /// All that are fit are cold, and bear no more at the moment.
+    #[error("all replicas are cold and bear no more")]
+    Cold,
     /// All that are fit were tried.
     #[error("all replicas were tried")]
     AllTried,
@@ -140,6 +153,7 @@
     services: BTreeMap<Arc<str>, Vec<Key>>,
     addresses: BTreeMap<SocketAddr, Vec<Key>>,
     corrections: BTreeMap<Arc<str>, Correction>,
+    evacuated: BTreeSet<Arc<str>>,
     reborn: Vec<SocketAddr>,
     begun: u64,
 }
@@ -242,6 +256,32 @@
             .is_some_and(|replica| replica.gives_places(now))
     }
 
+    /// The replicas of `halls` are to get nothing more, and those of no others.
+    pub fn evacuate(&mut self, halls: BTreeSet<Arc<str>>) {
+        self.evacuated = halls;
+    }
+
+    /// Takes how long replicas say that they are cold.
+    pub fn tell_cold(&mut self, now: Time) {
+        for replica in self.replicas.values_mut() {
+            replica.tell_cold(now);
+        }
+    }
+
+    /// The process beside a cold replica has dealt out what that bears.
+    pub fn dealt_out(&mut self, key: Key, now: Time) {
+        if let Some(replica) = self.replicas.get_mut(key) {
+            replica.dealt_out(now);
+        }
+    }
+
+    /// Takes a request to the replica `key` from this entry's part of what it bears while it is cold,
+    /// `per_s` a second, if it may be sent.
+    pub fn take_cold(&mut self, key: Key, per_s: f64, now: Time) -> bool {
+        let replica = self.replicas.get_mut(key);
+        replica.is_none_or(|replica| replica.take_cold(per_s, now))
+    }
+
     /// A replica is not the one that is listed any more: nothing more goes there.
     pub fn deny(&mut self, key: Key) {
         if let Some(replica) = self.replicas.get_mut(key) {
@@ -255,14 +295,28 @@
         if listed.is_empty() {
             return Err(Shortage::NoneListed);
         }
-        let fit: Vec<Key> = listed
+        let there: Vec<Key> = listed
             .iter()
             .copied()
+            .filter(|&key| self.there(&self.replicas[key], ask))
+            .collect();
+        if there.is_empty() {
+            return Err(Shortage::NoneThere);
+        }
+        let fit: Vec<Key> = there
+            .into_iter()
             .filter(|&key| self.fit(&self.replicas[key], ask, now))
             .collect();
         if fit.is_empty() {
             return Err(Shortage::NoneFit);
         }
+        let fit: Vec<Key> = fit
+            .into_iter()
+            .filter(|&key| self.replicas[key].bears(ask.cold_per_s, now))
+            .collect();
+        if fit.is_empty() {
+            return Err(Shortage::Cold);
+        }
         let untried: Vec<Key> = fit
             .into_iter()
             .filter(|key| !ask.tried.contains(key))
@@ -295,7 +349,16 @@
             .ok_or(Shortage::NoneFit)
     }
 
+    /// Whether a replica stands where the request may be served.
+    fn there(&self, replica: &Replica, ask: Ask<'_>) -> bool {
+        let hall = &replica.record.hall;
+        !self.evacuated.contains(hall) && ask.residency.allows(ask.regions.of(hall))
+    }
+
     fn fit(&self, replica: &Replica, ask: Ask<'_>, now: Time) -> bool {
+        if !self.there(replica, ask) {
+            return false;
+        }
         if replica.record.leaving || replica.denied || replica.dead(now) {
             return false;
         }
--- a/src/route/replica.rs
+++ b/src/route/replica.rs
@@ -4,6 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::cold::{Allowance, Cold};
 use super::estimate::Demand;
 use super::health::Health;
 use crate::clock::Time;
@@ -26,6 +27,10 @@
 /// Delay of a link over which a process did not answer a question in time.
 const UNHEARD_DELAY: Duration = Duration::from_millis(250);
 
+/// How long a cold replica is passed over whose process has dealt out what it bears. At 14 to 26 requests a
+/// second the next one is allowed after 40 to 70 ms.
+const DEALS_AGAIN: Duration = Duration::from_millis(50);
+
 /// Time in which what is known of a replica's lag loses half of its weight.
 const LAG_HALF: Duration = Duration::from_millis(1_500);
 
@@ -86,6 +91,11 @@
     unread_at_report: u32,
     lag: Lag,
     arriving: Option<Arriving>,
+    cold: Cold,
+    /// Requests of this entry that may be sent while it is cold and nobody beside it deals them out.
+    allowance: Allowance,
+    /// Until when the process beside it has no request of a cold replica to deal out.
+    dealt_out: Time,
     pub(super) due: Option<Due>,
     pub(super) denied: bool,
 }
@@ -212,6 +222,9 @@
             unread_at_report: 0,
             lag: Lag::default(),
             arriving: None,
+            cold: Cold::default(),
+            allowance: Allowance::default(),
+            dealt_out: Time::default(),
             due: None,
             health: Health::default(),
             denied: false,
@@ -310,6 +323,44 @@
         self.fresh(now).is_some_and(|load| load.switching)
     }
 
+    /// Takes how long it says that it is cold.
+    pub(super) fn tell_cold(&mut self, now: Time) {
+        self.cold.tell(self.record.cold_ms, now);
+    }
+
+    /// For how long it is still cold.
+    pub fn cold(&self, now: Time) -> Duration {
+        self.cold.rest(now)
+    }
+
+    /// Whether its being cold bounds what it gets, where it bears `per_s` requests a second then.
+    fn bound(&self, per_s: f64, now: Time) -> bool {
+        per_s > 0.0 && !self.cold(now).is_zero()
+    }
+
+    /// Whether a request may be on its way to it soon, as far as it is cold: the process beside it
+    /// deals out what it bears, or else this entry's part, `per_s` a second, allows one.
+    pub(super) fn bears(&self, per_s: f64, now: Time) -> bool {
+        if !self.bound(per_s, now) {
+            return true;
+        }
+        if self.gives_places(now) {
+            return self.dealt_out <= now;
+        }
+        let mut allowance = self.allowance;
+        allowance.allows(per_s, now)
+    }
+
+    /// Takes one request from this entry's part of what a cold replica bears.
+    pub(super) fn take_cold(&mut self, per_s: f64, now: Time) -> bool {
+        !self.bound(per_s, now) || self.allowance.take(per_s, now)
+    }
+
+    /// The process beside it has dealt out what a cold replica bears.
+    pub(super) fn dealt_out(&mut self, now: Time) {
+        self.dealt_out = now + DEALS_AGAIN;
+    }
+
     /// Whether the process beside it finds nobody there.
     pub(super) fn dead(&self, now: Time) -> bool {
         self.fresh(now).is_some_and(|load| !load.alive)
--- a/src/wire/sync.rs
+++ b/src/wire/sync.rs
@@ -7,6 +7,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::config::belief::{Changes, DatedRecord, Marks};
+use crate::config::evacuation::Evacuation;
 use crate::config::routing::{Engine, over_link};
 use crate::member::peer::Told;
 use crate::route::replica::Load;
@@ -200,6 +201,9 @@
     /// Newer wanted versions.
     #[serde(default)]
     pub versions: Vec<Named>,
+    /// Newer evacuations.
+    #[serde(default)]
+    pub evacuations: Vec<Evacuation>,
     /// A newer list, where its changes alone can't be told.
     #[serde(default)]
     pub replicas: Option<List>,
--- a/tests/belief.rs
+++ b/tests/belief.rs
@@ -6,6 +6,7 @@
 
 use pumicelatch::clock::{Clock, Time};
 use pumicelatch::config::belief::{Belief, DOUBT, Dated, Effect, Fact, Wanted, first_lacking};
+use pumicelatch::config::residency::Residency;
 use pumicelatch::config::routing::{
     Access, Customer, Document, Gaps, Kind, Limits, Route, Routing, Share,
 };
@@ -29,6 +30,7 @@
         attempts_max: 2,
         anonymous: false,
         resumable: false,
+        residency: Residency::Anywhere,
     }
 }
 
@@ -45,6 +47,7 @@
             name: "escola".into(),
             keys: vec!["k1".to_owned()],
             priority: None,
+            residency: Residency::Anywhere,
         }],
         limits: Limits::default(),
         gaps: Gaps::default(),
@@ -61,6 +64,7 @@
         slots: 16,
         leaving: false,
         models: Vec::new(),
+        cold_ms: 0,
     }
 }
 
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use pumicelatch::clock::Time;
 use pumicelatch::config::belief::{Listed, Wanted};
+use pumicelatch::config::residency::{Regions, Residency};
 use pumicelatch::config::routing::Engine;
 use pumicelatch::gateway::event::Cutter;
 use pumicelatch::limit::admission::{self, Bounds, Case, Verdict};
@@ -64,6 +65,7 @@
             model: MODEL.into(),
             version,
         }],
+        cold_ms: 0,
     }
 }
 
@@ -91,6 +93,7 @@
     tried: Vec<Key>,
     oldest: u64,
     only: Option<u64>,
+    regions: Regions,
 }
 
 impl Default for Asking {
@@ -100,6 +103,7 @@
             tried: Vec::new(),
             oldest: 0,
             only: None,
+            regions: Regions::default(),
         }
     }
 }
@@ -121,6 +125,9 @@
             tried: &self.tried,
             full: &[],
             connections_max: 20,
+            residency: &Residency::Anywhere,
+            regions: &self.regions,
+            cold_per_s: 0.0,
         }
     }
 
--- a/tests/knowledge.rs
+++ b/tests/knowledge.rs
@@ -381,6 +381,7 @@
             slots: 16,
             leaving: false,
             models: Vec::new(),
+            cold_ms: 0,
         };
         let batch = |at, fact| Batch {
             facts: vec![Dated { revision: at, fact }],
@@ -404,6 +405,51 @@
     assert!(!removal_is_doubted(true));
 }
 
+fn entry_knowing_nothing(index: u8) -> Rc<Knowledge> {
+    let identity = Identity {
+        name: "entry".into(),
+        hall: hall(1),
+        address: entry(1, index),
+        entry: true,
+    };
+    Knowledge::new(identity, Vec::new(), 7, Policy::default(), Rc::default())
+}
+
+#[test]
+fn an_entry_that_the_store_turns_away_hears_of_evacuations_and_their_end() {
+    let (reader, other) = (entry_knowing_nothing(1), entry_knowing_nothing(2));
+    let asked = |knowledge: &Knowledge| {
+        let belief = knowledge.belief.borrow();
+        belief.evacuations().asked().cloned().collect::<Vec<_>>()
+    };
+    let tell = || {
+        let news = reader.news_for(&other.sync(false), false);
+        other.take_news(entry(1, 1), news);
+    };
+    let batch = |at, facts| Batch {
+        facts,
+        at,
+        ..Batch::default()
+    };
+    let evacuation = Fact::Evacuation {
+        hall: hall(2),
+        asked: true,
+    };
+    let dated = Dated {
+        revision: 6,
+        fact: evacuation,
+    };
+    reader.take_batch(Topic::Operator, false, batch(6, vec![dated]));
+    assert!(other.lacks(reader.sync(false).marks));
+    tell();
+    assert_eq!(asked(&other), [hall(2)]);
+    // The store forgot what happened since: the whole that is read then shows that it is over.
+    reader.take_batch(Topic::Operator, true, batch(9, Vec::new()));
+    tell();
+    assert_eq!(asked(&reader), []);
+    assert_eq!(asked(&other), []);
+}
+
 #[test]
 fn messages_are_counted_by_purpose_and_served_as_metrics() {
     let metrics = Metrics::new().unwrap();
--- a/tests/life.rs
+++ b/tests/life.rs
@@ -7,6 +7,7 @@
 
 use pumicelatch::clock::Time;
 use pumicelatch::config::belief::{Belief, Dated, Effect, Fact};
+use pumicelatch::config::residency::{Regions, Residency};
 use pumicelatch::config::routing::Engine;
 use pumicelatch::member::replica::{Held, Record};
 use pumicelatch::policy::Policy;
@@ -40,6 +41,7 @@
         slots: 8,
         leaving: false,
         models,
+        cold_ms: 0,
     }
 }
 
@@ -59,6 +61,7 @@
     belief: Belief,
     pool: Pool,
     engine: Engine,
+    regions: Regions,
 }
 
 impl Entry {
@@ -70,6 +73,7 @@
                 guessed: false,
                 ..Engine::default()
             },
+            regions: Regions::default(),
         }
     }
 
@@ -96,6 +100,9 @@
             tried: &[],
             full: &[],
             connections_max: 64,
+            residency: &Residency::Anywhere,
+            regions: &self.regions,
+            cold_per_s: 0.0,
         }
     }
 
--- /dev/null
+++ b/tests/where.rs
@@ -0,0 +1,324 @@
+//! Where requests may go at all: regions that customers and routes are bound to, halls that operators
+//! evacuate, and replicas that are cold after their start while everyone calls them back.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use pumicelatch::clock::Time;
+use pumicelatch::config::belief::{Belief, Dated, Effect, Fact};
+use pumicelatch::config::evacuation::{Evacuation, Evacuations};
+use pumicelatch::config::residency::{Regions, Residency};
+use pumicelatch::member::replica::{Held, Record};
+use pumicelatch::place::{self, Cold, Ledger};
+use pumicelatch::policy::Policy;
+use pumicelatch::route::cold::Allowance;
+use pumicelatch::route::estimate::Demand;
+use pumicelatch::route::pool::{Ask, Pool, Shortage};
+use pumicelatch::route::replica::Load;
+use quickcheck::quickcheck;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+const NOW: Time = Time::from_millis(50_000);
+
+fn at(ms: u64) -> Time {
+    NOW + Duration::from_millis(ms)
+}
+
+fn only(regions: &[&str]) -> Residency {
+    Residency::Only(regions.iter().map(|region| Arc::from(*region)).collect())
+}
+
+fn record(index: u8, hall: &str, cold_ms: u64) -> Record {
+    Record {
+        id: format!("i-{index}").into(),
+        born: 0,
+        service: "desk".into(),
+        address: format!("10.0.0.{index}:80").parse().unwrap(),
+        hall: hall.into(),
+        slots: 8,
+        leaving: false,
+        models: Vec::new(),
+        cold_ms,
+    }
+}
+
+/// An entry of the hall north-a, with two replicas in each of three halls of two regions.
+struct Entry {
+    belief: Belief,
+    pool: Pool,
+    regions: Regions,
+    cold_per_s: f64,
+}
+
+impl Entry {
+    fn new() -> Self {
+        let mut entry = Self {
+            belief: Belief::new(true),
+            pool: Pool::new("north-a".into(), Policy::default()),
+            regions: [
+                ("north-a", "north"),
+                ("north-b", "north"),
+                ("south-a", "south"),
+            ]
+            .into_iter()
+            .collect(),
+            cold_per_s: 0.0,
+        };
+        for (index, hall) in ["north-a", "north-b", "south-a"].iter().enumerate() {
+            for twin in 0..2 {
+                let index = 2 * index as u8 + twin;
+                entry.learn(
+                    1 + u64::from(index),
+                    Fact::Replica(record(index, hall, 0)),
+                    NOW,
+                );
+            }
+        }
+        entry
+    }
+
+    fn learn(&mut self, revision: u64, fact: Fact, now: Time) -> Effect {
+        let effect = self.belief.learn(Dated { revision, fact }, now, false);
+        self.pool.update(self.belief.replicas(), |_| None);
+        let halls: BTreeSet<Arc<str>> = self.belief.evacuations().asked().cloned().collect();
+        self.pool.evacuate(halls);
+        self.pool.tell_cold(now);
+        effect
+    }
+
+    fn evacuate(&mut self, revision: u64, hall: &str, asked: bool) -> Effect {
+        let hall = hall.into();
+        self.learn(revision, Fact::Evacuation { hall, asked }, NOW)
+    }
+
+    fn ask<'a>(&'a self, residency: &'a Residency) -> Ask<'a> {
+        Ask {
+            service: "desk",
+            model: None,
+            engine: None,
+            demand: Demand {
+                prompt: 0,
+                output: 0,
+            },
+            tried: &[],
+            full: &[],
+            connections_max: 64,
+            residency,
+            regions: &self.regions,
+            cold_per_s: self.cold_per_s,
+        }
+    }
+
+    /// The halls to which a hundred requests go, or why they go nowhere.
+    fn halls(&self, residency: &Residency, now: Time) -> Result<BTreeSet<String>, Shortage> {
+        (0..100)
+            .map(|seed| {
+                let mut rng = SmallRng::seed_from_u64(seed);
+                let choice = self.pool.choose(self.ask(residency), now, &mut rng)?;
+                Ok(self.pool.get(choice.key).unwrap().record.hall.to_string())
+            })
+            .collect()
+    }
+}
+
+#[test]
+fn bound_requests_reach_no_replica_of_another_region_however_near_it_is() {
+    let entry = Entry::new();
+    let south = entry.halls(&only(&["south"]), NOW);
+    assert_eq!(south, Ok(["south-a".to_owned()].into()));
+    let nowhere = entry.halls(&only(&["west"]), NOW);
+    assert_eq!(nowhere, Err(Shortage::NoneThere));
+    let anywhere = entry.halls(&Residency::Anywhere, NOW).unwrap();
+    assert!(!anywhere.contains("south-a"), "the own region is nearer");
+}
+
+#[test]
+fn a_replica_whose_region_is_not_known_serves_nobody_who_is_bound() {
+    let mut entry = Entry::new();
+    entry.regions = Regions::default();
+    let bound = entry.halls(&only(&["south"]), NOW);
+    assert_eq!(bound, Err(Shortage::NoneThere));
+    assert!(entry.halls(&Residency::Anywhere, NOW).is_ok());
+}
+
+#[test]
+fn a_place_that_was_chosen_is_dropped_when_its_hall_is_not_allowed() {
+    let mut entry = Entry::new();
+    let south = only(&["south"]);
+    let key = entry.pool.of("desk")[0];
+    assert!(entry.pool.expects(key, entry.ask(&south), NOW).is_none());
+    let anywhere = Residency::Anywhere;
+    assert!(entry.pool.expects(key, entry.ask(&anywhere), NOW).is_some());
+    entry.evacuate(20, "north-a", true);
+    assert!(entry.pool.expects(key, entry.ask(&anywhere), NOW).is_none());
+}
+
+#[test]
+fn route_and_customer_bind_both() {
+    let route = only(&["north", "south"]);
+    assert_eq!(route.and(&only(&["south", "west"])), only(&["south"]));
+    assert_eq!(route.and(&Residency::Anywhere), route);
+    assert_eq!(Residency::Anywhere.and(&route), route);
+    let none = route.and(&only(&["west"]));
+    assert!(!none.allows(Some("north")) && !none.allows(None));
+}
+
+#[test]
+fn an_evacuated_hall_gets_nothing_until_that_is_taken_back() {
+    let mut entry = Entry::new();
+    assert_eq!(entry.evacuate(20, "north-a", true), Effect::Evacuations);
+    let halls = entry.halls(&Residency::Anywhere, NOW).unwrap();
+    assert!(!halls.contains("north-a") && !halls.is_empty());
+    entry.evacuate(21, "north-b", true);
+    entry.evacuate(22, "south-a", true);
+    let none = entry.halls(&Residency::Anywhere, NOW);
+    assert_eq!(none, Err(Shortage::NoneThere));
+    assert_eq!(entry.evacuate(23, "north-a", false), Effect::Evacuations);
+    let halls = entry.halls(&Residency::Anywhere, NOW);
+    assert_eq!(halls, Ok(["north-a".to_owned()].into()));
+}
+
+fn told(revision: u64, asked: bool) -> Evacuation {
+    Evacuation {
+        hall: "north-a".into(),
+        asked,
+        revision,
+    }
+}
+
+#[test]
+fn the_newest_word_on_a_hall_wins_in_whatever_order_it_comes() {
+    fn property(steps: Vec<(u8, bool)>) -> bool {
+        let mut known = Evacuations::default();
+        let mut newest: Option<(u64, bool)> = None;
+        for (revision, asked) in steps {
+            let revision = u64::from(revision) + 1;
+            known.learn(told(revision, asked));
+            if newest.is_none_or(|(known, _)| known < revision) {
+                newest = Some((revision, asked));
+            }
+        }
+        let asked = newest.is_some_and(|(_, asked)| asked);
+        (known.asked().count() == 1) == asked
+            && known.revision() == newest.map_or(0, |(revision, _)| revision)
+    }
+    quickcheck(property as fn(Vec<(u8, bool)>) -> bool);
+}
+
+#[test]
+fn a_store_that_forgot_its_history_ends_evacuations_that_are_not_there_any_more() {
+    let mut known = Evacuations::default();
+    assert!(known.learn(told(10, true)));
+    assert!(!known.learn_all(&["north-a".into()], 30));
+    assert!(!known.learn_all(&[], 9), "a read of before says nothing");
+    assert!(known.learn_all(&[], 30));
+    assert_eq!(known.asked().count(), 0);
+    assert!(!known.learn(told(10, true)), "late news of it");
+}
+
+/// Most of `sent` within any one second.
+fn busiest_second(sent: &[u64]) -> usize {
+    let within = |from: u64| {
+        let second = from..from + 1_000;
+        sent.iter().filter(|at| second.contains(*at)).count()
+    };
+    sent.iter().map(|from| within(*from)).max().unwrap_or(0)
+}
+
+/// The rate that a replica of 12 places bears while it is cold, as fleets of them tell it.
+const COLD_PER_S: f64 = 14.0;
+
+/// Requests in a second above which a cold replica falls over: half as many again, and five.
+const COLD_MOST: usize = 26;
+
+#[test]
+fn everyone_returns_to_a_cold_replica_at_once_and_it_is_dealt_out_what_it_bears() {
+    let mut ledger = Ledger::default();
+    let load = Load {
+        alive: true,
+        pace: 1.0,
+        models: vec![Held {
+            model: "model".into(),
+            version: 1,
+        }],
+        ..Load::default()
+    };
+    let mut given = Vec::new();
+    // Forty entries ask every 5 ms each; one in ten knows already that it is cold.
+    for ms in (0..3_000).step_by(5) {
+        for entry in 0..40 {
+            let cold = (entry % 10 == 0).then_some(Cold {
+                rest_ms: 3_000 - ms,
+                per_s: COLD_PER_S,
+            });
+            let ask = place::Ask {
+                limit_ms: 400,
+                cold,
+                ..place::Ask::default()
+            };
+            let answer = ledger.answer(&ask, load.clone(), None, at(ms));
+            assert!(answer.given || answer.dealt_out);
+            if answer.given {
+                given.push(ms);
+            }
+        }
+    }
+    assert!(
+        busiest_second(&given) <= COLD_MOST,
+        "{}",
+        busiest_second(&given)
+    );
+    assert!(
+        given.len() >= 2 * COLD_PER_S as usize,
+        "{} in all",
+        given.len()
+    );
+    let warm = ledger.answer(&place::Ask::default(), load, None, at(3_001));
+    assert!(warm.given && !warm.dealt_out);
+}
+
+#[test]
+fn entries_without_a_process_beside_the_replica_share_what_a_cold_one_bears() {
+    fn property(entries: u8, per_s: u8) -> bool {
+        let (entries, per_s) = (usize::from(entries % 40) + 1, f64::from(per_s % 30) + 1.0);
+        let mut own = vec![Allowance::default(); entries];
+        let part = per_s / entries as f64;
+        let mut sent = Vec::new();
+        for ms in (0..4_000).step_by(10) {
+            let each = own.iter_mut();
+            let taken = each.filter_map(|own| own.take(part, at(ms)).then_some(ms));
+            sent.extend(taken);
+        }
+        // Each may have one request saved up.
+        busiest_second(&sent) <= (per_s * 1.25).ceil() as usize + entries
+    }
+    quickcheck(property as fn(u8, u8) -> bool);
+}
+
+#[test]
+fn a_cold_replica_without_anyone_to_ask_is_passed_over_until_it_may_get_something() {
+    let mut entry = Entry::new();
+    entry.cold_per_s = 2.0;
+    for index in 0..4 {
+        let hall = if index < 2 { "north-a" } else { "north-b" };
+        entry.learn(
+            30 + u64::from(index),
+            Fact::Replica(record(index, hall, 3_000)),
+            NOW,
+        );
+    }
+    let north = only(&["north"]);
+    assert_eq!(entry.halls(&north, NOW), Err(Shortage::Cold));
+    let key = entry.pool.of("desk")[0];
+    assert!(!entry.pool.take_cold(key, 2.0, at(100)));
+    assert!(entry.pool.take_cold(key, 2.0, at(600)));
+    assert!(!entry.pool.take_cold(key, 2.0, at(610)));
+    // Its heartbeats tell the same again, and later that it is warm.
+    entry.learn(40, Fact::Replica(record(0, "north-a", 3_000)), at(1_200));
+    assert!(!entry.pool.take_cold(key, 2.0, at(1_050)));
+    assert!(entry.halls(&north, at(3_100)).is_ok());
+    entry.learn(41, Fact::Replica(record(1, "north-a", 0)), at(1_300));
+    assert!(entry.halls(&north, at(1_300)).is_ok());
+}
