Refused requests in one room; names that stood twice

Gateway and ledger each kept a memory and a log of refused requests beside each other: `returning::Refusals` holds both. The listed members of a burst are a `Roll`, what joins one is a `joined::Crew`.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -32,7 +32,7 @@
 use crate::knowledge::halls::Halls;
 use crate::knowledge::hub::Hub;
 use crate::knowledge::{Identity, Knowledge, gossip, store, traffic};
-use crate::limit::returning::{self, Refused};
+use crate::limit::returning::Refusals;
 use crate::member::Role;
 use crate::member::replica::Record;
 use crate::metric::{self, Metrics};
@@ -143,9 +143,7 @@
     halls: RefCell<Halls>,
     hub: RefCell<Hub>,
     /// Requests that were refused lately, here or as others told.
-    refused: RefCell<returning::Memory>,
-    /// What was refused here and others are told.
-    refusals: RefCell<returning::Log>,
+    refusals: RefCell<Refusals>,
 }
 
 /// What a gateway works with.
@@ -255,7 +253,6 @@
             joined: Joined::new(host.clone(), origins, setting.first_start),
             client: exchange::Client::sharing(paths),
             pool: RefCell::new(Pool::new(setting.identity.hall.clone(), setting.policy)),
-            refused: RefCell::default(),
             refusals: RefCell::default(),
             pool_at: Cell::new(0),
             budgets: RefCell::default(),
@@ -509,16 +506,8 @@
 
     /// When the caller of a request tried first, if it was refused before.
     fn first_try(&self, job: &Job) -> Option<Time> {
-        let refused = self.refused.borrow();
-        refused.first_try(job.fingerprint, job.arrived)
-    }
-
-    /// Other entries refused requests.
-    fn take_refused(&self, told: &[Refused], now: Time) {
-        let mut refused = self.refused.borrow_mut();
-        for request in told {
-            refused.heard(*request, now);
-        }
+        let refusals = self.refusals.borrow();
+        refusals.first_try(job.fingerprint, job.arrived)
     }
 
     /// A request was refused whose caller tried first at `first`. Only engines are short of places so
@@ -527,8 +516,6 @@
         if job.ask.work.is_none() {
             return;
         }
-        let mut refused = self.refused.borrow_mut();
-        refused.refused(job.fingerprint, first, job.deadline);
         let mut refusals = self.refusals.borrow_mut();
         refusals.refused(job.fingerprint, first, job.deadline);
     }
--- a/src/gateway/course.rs
+++ b/src/gateway/course.rs
@@ -362,7 +362,7 @@
         let now = self.gateway.knowledge.now();
         let pool = self.gateway.pool.borrow();
         let rest = pool.get(key)?.cold(now);
-        (per_s > 0.0 && !rest.is_zero()).then(|| Cold {
+        (per_s > 0.0 && !rest.is_zero()).then_some(Cold {
             rest_ms: rest.as_millis() as u64,
             per_s,
         })
--- a/src/limit/returning.rs
+++ b/src/limit/returning.rs
@@ -181,6 +181,48 @@
     }
 }
 
+/// Requests that were refused lately, as one process knows them, and what it tells of them.
+#[derive(Debug, Default)]
+pub struct Refusals {
+    memory: Memory,
+    log: Log,
+}
+
+impl Refusals {
+    /// A request was refused here, as for [`Memory::refused`]: others are told.
+    pub fn refused(&mut self, request: Fingerprint, first: Time, until: Time) {
+        self.memory.refused(request, first, until);
+        self.log.refused(request, first, until);
+    }
+
+    /// Others told of refused requests.
+    pub fn hear(&mut self, told: &[Refused], now: Time) {
+        for refused in told {
+            self.memory.heard(*refused, now);
+        }
+    }
+
+    /// Others told of refused requests; what is news is told on.
+    pub fn pass_on(&mut self, told: &[Refused], now: Time) {
+        for refused in told {
+            if self.memory.heard(*refused, now) {
+                let (first, until) = refused.times(now);
+                self.log.refused(refused.request, first, until);
+            }
+        }
+    }
+
+    /// When the caller of a request tried first, as for [`Memory::first_try`].
+    pub fn first_try(&self, request: Fingerprint, now: Time) -> Option<Time> {
+        self.memory.first_try(request, now)
+    }
+
+    /// What the process at `listener` is told, as for [`Log::tell`].
+    pub fn tell(&mut self, listener: SocketAddr, now: Time) -> Vec<Refused> {
+        self.log.tell(listener, now)
+    }
+}
+
 /// The limit on the first event of a request whose caller tried first `age` ago, where `whole` is that
 /// of a first try: what is left of it, so that whoever can be in time is treated like any other, and
 /// `late` for whoever cannot.
--- a/src/place.rs
+++ b/src/place.rs
@@ -16,7 +16,7 @@
 
 use crate::clock::Time;
 use crate::config::routing::Engine;
-use crate::limit::returning::{self, Fingerprint, Log, Memory, Refused};
+use crate::limit::returning::{self, Fingerprint, Refusals, Refused};
 use crate::route::cold::Allowance;
 use crate::route::estimate;
 use crate::route::replica::Load;
@@ -168,8 +168,7 @@
     leases: VecDeque<Lease>,
     present: u32,
     passes: Passes,
-    refused: Memory,
-    refusals: Log,
+    refusals: Refusals,
     cold: Option<(Cold, Time)>,
     allowance: Allowance,
 }
@@ -218,15 +217,10 @@
     /// its figures, if they are known.
     pub fn answer(&mut self, ask: &Ask, load: Load, engine: Option<&Engine>, now: Time) -> Answer {
         let told = ask.from.map(|from| self.refusals.tell(from, now));
-        for refused in &ask.refused {
-            if self.refused.heard(*refused, now) {
-                let (first, until) = refused.times(now);
-                self.refusals.refused(refused.request, first, until);
-            }
-        }
+        self.refusals.pass_on(&ask.refused, now);
         let first = ask
             .request
-            .and_then(|request| self.refused.first_try(request, now));
+            .and_then(|request| self.refusals.first_try(request, now));
         let tried_before = first.map(|first| now.since(first));
         let limit = ask.limit(tried_before);
         let load = Load {
--- a/src/sidecar.rs
+++ b/src/sidecar.rs
@@ -106,7 +106,7 @@
     stopgap: RefCell<Option<Target>>,
     /// The version that was complete last, and since when.
     complete: Cell<Option<(Digest, Time)>>,
-    crew: RefCell<Option<reconcile::Crew>>,
+    roll: RefCell<Option<reconcile::Roll>>,
     joined_with: RefCell<Option<(Digest, Rc<[Listed]>)>>,
     trips: RefCell<trip::Trips>,
     ledger: RefCell<Ledger>,
@@ -258,7 +258,7 @@
             staged: RefCell::default(),
             stopgap: RefCell::default(),
             complete: Cell::new(None),
-            crew: RefCell::default(),
+            roll: RefCell::default(),
             joined_with: RefCell::default(),
             trips: RefCell::new(trip::Trips::new(now)),
             ledger: RefCell::default(),
--- a/src/sidecar/reconcile.rs
+++ b/src/sidecar/reconcile.rs
@@ -33,11 +33,11 @@
 const SERVES_AFTER: Duration = Duration::from_millis(1_000);
 
 /// How long a list of the burst's members is used: an entry counts as gone by its silence alone.
-const CREW_MAX: Duration = Duration::from_millis(500);
+const ROLL_MAX: Duration = Duration::from_millis(500);
 
 /// The members of the burst as they were listed.
 #[derive(Debug)]
-pub struct Crew {
+pub struct Roll {
     changes: u64,
     at: Time,
     members: Rc<[Listed]>,
@@ -84,27 +84,27 @@
 
     /// Takes part in the burst of the wanted version, and serves older ones on while they are allowed.
     fn join(&self, target: &Target) {
-        let crew = self.crew();
+        let members = self.listed();
         let label = target.label();
         let joined = self
             .joined_with
             .borrow()
             .as_ref()
             .is_some_and(|(known, with)| {
-                *known == label && Rc::ptr_eq(with, &crew) && self.joined.get(label).is_some()
+                *known == label && Rc::ptr_eq(with, &members) && self.joined.get(label).is_some()
             });
         if joined {
             return;
         }
-        let Some(with) = self.burst_crew(&crew) else {
+        let Some(with) = self.crew(&members) else {
             return;
         };
         let oldest = joined::oldest(&self.knowledge, target, self.setting.rollout.bound);
         self.joined.join(target, oldest, with);
-        self.joined_with.replace(Some((label, crew)));
+        self.joined_with.replace(Some((label, members)));
     }
 
-    fn burst_crew(&self, members: &[Listed]) -> Option<joined::Crew> {
+    fn crew(&self, members: &[Listed]) -> Option<joined::Crew> {
         let brief = self.knowledge.brief()?;
         let identity = &self.setting.identity;
         let own = joined::member(
@@ -134,7 +134,7 @@
             self.stopgap.replace(target.clone());
         }
         if let Some(target) = &target
-            && let Some(with) = self.burst_crew(&self.crew())
+            && let Some(with) = self.crew(&self.listed())
         {
             self.joined.join_older(target, with);
         }
@@ -180,17 +180,17 @@
     }
 
     /// The members of the burst, listed anew when what is known of them changed, and now and then.
-    fn crew(&self) -> Rc<[Listed]> {
+    fn listed(&self) -> Rc<[Listed]> {
         let changes = *self.knowledge.changed.borrow();
         let now = self.knowledge.now();
-        if let Some(known) = self.crew.borrow().as_ref()
+        if let Some(known) = self.roll.borrow().as_ref()
             && known.changes == changes
-            && now.since(known.at) < CREW_MAX
+            && now.since(known.at) < ROLL_MAX
         {
             return known.members.clone();
         }
         let members: Rc<[Listed]> = self.members().into();
-        self.crew.replace(Some(Crew {
+        self.roll.replace(Some(Roll {
             changes,
             at: now,
             members: members.clone(),
@@ -211,7 +211,7 @@
     }
 
     fn wave(&self, label: Digest, waves: u32) -> u32 {
-        let members = self.crew();
+        let members = self.listed();
         let hall = &self.host.hall;
         let fellows: Vec<&str> = members
             .iter()
