A cold replica that nobody looks after gets its entries' parts; its later life is not cold for the earlier one

Cause 1: whether an entry may send to a cold replica was asked of a copy of its allowance, and the original began to fill with the first request taken. None was ever taken: where no process beside the replica deals requests out, it got nothing until it was warm. Change: an allowance begins when the replica turns cold, at entries and in the ledger; asking changes nothing.

Cause 2: `Record::reborn`, a later life known by its report alone, kept the earlier life's word on being cold. Change: it has none.

Also: a caller who was refused before stays known when the process asked has dealt out what its cold replica bears.

--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -165,13 +165,13 @@
                     pool.report(address, &answer.load, now);
                 }
                 self.gateway.hear_refused(&answer.refused, now);
+                let tried_before = answer.tried_before_ms.map(Duration::from_millis);
                 if answer.dealt_out {
                     self.gateway.pool.borrow_mut().dealt_out(key, now);
-                    search.heard(key, Said::Nothing);
-                    return Asked::default();
                 }
-                let tried_before = answer.tried_before_ms.map(Duration::from_millis);
-                let choice = self.expects_by(key, &answer, now);
+                let choice = self
+                    .expects_by(key, &answer, now)
+                    .filter(|_| !answer.dealt_out);
                 if answer.given && choice.is_some() {
                     return Asked {
                         choice,
--- a/src/member/replica.rs
+++ b/src/member/replica.rs
@@ -55,6 +55,7 @@
         Self {
             born,
             models: Vec::new(),
+            cold_ms: 0,
             ..self.clone()
         }
     }
--- a/src/place.rs
+++ b/src/place.rs
@@ -195,9 +195,13 @@
     fn hear_cold(&mut self, told: Option<Cold>, now: Time) {
         let until = |cold: Cold| now + Duration::from_millis(cold.rest_ms);
         let known = self.cold.map(|(_, until)| until);
-        if let Some(told) = told.filter(|told| known.is_none_or(|known| known < until(*told))) {
-            self.cold = Some((told, until(told)));
+        let Some(told) = told.filter(|told| known.is_none_or(|known| known < until(*told))) else {
+            return;
+        };
+        if known.is_none_or(|known| known <= now) {
+            self.allowance = Allowance::new(now);
         }
+        self.cold = Some((told, until(told)));
     }
 
     /// Whether the replica bears one more request, as far as it is cold; if so, that is counted.
--- a/src/route/cold.rs
+++ b/src/route/cold.rs
@@ -38,29 +38,36 @@
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Allowance {
     requests: f64,
-    at: Option<Time>,
+    at: Time,
 }
 
 impl Allowance {
-    /// Counts what has become allowed at `per_s` requests a second.
-    fn fill(&mut self, per_s: f64, now: Time) {
-        let passed = self.at.map_or(Duration::ZERO, |at| now.since(at));
+    /// None yet: the replica turned cold at `now`.
+    pub fn new(now: Time) -> Self {
+        Self {
+            requests: 0.0,
+            at: now,
+        }
+    }
+
+    /// What is allowed at `now`, at `per_s` requests a second.
+    fn filled(&self, per_s: f64, now: Time) -> f64 {
         let most = (per_s * BURST_PART).max(1.0);
-        self.requests = (self.requests + per_s * passed.as_secs_f64()).min(most);
-        self.at = Some(now);
+        let gained = per_s * now.since(self.at).as_secs_f64();
+        (self.requests + gained).min(most)
     }
 
     /// Whether a request may be sent now.
-    pub fn allows(&mut self, per_s: f64, now: Time) -> bool {
-        self.fill(per_s, now);
-        self.requests >= 1.0
+    pub fn allows(&self, per_s: f64, now: Time) -> bool {
+        self.filled(per_s, now) >= 1.0
     }
 
     /// Takes one request, if it may be sent now.
     pub fn take(&mut self, per_s: f64, now: Time) -> bool {
         let allowed = self.allows(per_s, now);
         if allowed {
-            self.requests -= 1.0;
+            self.requests = self.filled(per_s, now) - 1.0;
+            self.at = now;
         }
         allowed
     }
--- a/src/route/replica.rs
+++ b/src/route/replica.rs
@@ -325,7 +325,11 @@
 
     /// Takes how long it says that it is cold.
     pub(super) fn tell_cold(&mut self, now: Time) {
+        let warm = self.cold(now).is_zero();
         self.cold.tell(self.record.cold_ms, now);
+        if warm {
+            self.allowance = Allowance::new(now);
+        }
     }
 
     /// For how long it is still cold.
@@ -347,8 +351,7 @@
         if self.gives_places(now) {
             return self.dealt_out <= now;
         }
-        let mut allowance = self.allowance;
-        allowance.allows(per_s, now)
+        self.allowance.allows(per_s, now)
     }
 
     /// Takes one request from this entry's part of what a cold replica bears.
--- a/tests/where.rs
+++ b/tests/where.rs
@@ -322,3 +322,51 @@
     entry.learn(41, Fact::Replica(record(1, "north-a", 0)), at(1_300));
     assert!(entry.halls(&north, at(1_300)).is_ok());
 }
+
+#[test]
+fn where_nobody_deals_them_out_an_entry_sends_its_part_of_what_a_cold_replica_bears() {
+    let mut entry = Entry::new();
+    entry.cold_per_s = 2.0;
+    for index in 0..2 {
+        entry.learn(
+            30 + u64::from(index),
+            Fact::Replica(record(index, "north-a", 3_000)),
+            NOW,
+        );
+    }
+    entry.evacuate(40, "north-b", true);
+    let north = only(&["north"]);
+    assert_eq!(entry.halls(&north, at(400)), Err(Shortage::Cold));
+    assert!(entry.halls(&north, at(600)).is_ok());
+    for key in entry.pool.of("desk").to_vec() {
+        assert!(entry.pool.take_cold(key, 2.0, at(600)));
+    }
+    assert_eq!(entry.halls(&north, at(700)), Err(Shortage::Cold));
+    assert!(entry.halls(&north, at(1_200)).is_ok());
+}
+
+#[test]
+fn a_later_life_is_not_cold_because_an_earlier_one_was() {
+    let mut entry = Entry::new();
+    let first = Record {
+        born: 1,
+        ..record(0, "north-a", 3_000)
+    };
+    let address = first.address;
+    entry.learn(30, Fact::Replica(first), NOW);
+    let cold = |entry: &Entry| {
+        let keys = entry.pool.of("desk").iter();
+        let mut replicas = keys.filter_map(|key| entry.pool.get(*key));
+        let replica = replicas.find(|replica| replica.record.address == address);
+        !replica.unwrap().cold(at(10)).is_zero()
+    };
+    assert!(cold(&entry));
+    let second = Load {
+        born: 2,
+        alive: true,
+        ..Load::default()
+    };
+    entry.pool.report(address, &second, at(5));
+    entry.pool.tell_cold(at(6));
+    assert!(!cold(&entry));
+}
