Read-through: names, constants and looks that stood twice

`place::Cold` beside `route::cold::Cold` is `Ration`; the question for a place is made in one function; where a replica stands is looked at once for a choice (`able` apart from `there`); an evacuation has one way into a belief; the time that a replica takes to serve stood in two modules and is `version::TAKING_IN`.

--- a/src/config/belief.rs
+++ b/src/config/belief.rs
@@ -276,11 +276,6 @@
         &self.evacuations
     }
 
-    /// Takes what was said of one hall.
-    pub fn learn_evacuation(&mut self, told: Evacuation) -> Effect {
-        evacuated(self.evacuations.learn(told))
-    }
-
     /// All evacuations that were asked for at `revision` were those of `halls`.
     pub fn learn_evacuations(&mut self, halls: &[Arc<str>], revision: u64) -> Effect {
         evacuated(self.evacuations.learn_all(halls, revision))
@@ -294,11 +289,11 @@
             Fact::Version { model, version } => self.learn_version(revision, model, version, now),
             Fact::Replica(record) => self.learn_replica(revision, record),
             Fact::ReplicaGone(id) => self.forget_replica(revision, &id, now, shaky),
-            Fact::Evacuation { hall, asked } => self.learn_evacuation(Evacuation {
+            Fact::Evacuation { hall, asked } => evacuated(self.evacuations.learn(Evacuation {
                 hall,
                 asked,
                 revision,
-            }),
+            })),
         }
     }
 
--- a/src/gateway/course.rs
+++ b/src/gateway/course.rs
@@ -15,7 +15,7 @@
 use crate::http::Answer;
 use crate::limit::admission::{self, Bounds, Case, Verdict};
 use crate::limit::returning;
-use crate::place::Cold;
+use crate::place::Ration;
 use crate::request::Outcome;
 use crate::request::attempt::{self as next, Ended, Next, Situation};
 use crate::route::pool::{self, Choice, Key, ModelNeed, Shortage};
@@ -357,12 +357,12 @@
     }
 
     /// What the replica `key` bears, if it is cold.
-    pub(super) fn cold(&self, key: Key) -> Option<Cold> {
+    pub(super) fn ration(&self, key: Key) -> Option<Ration> {
         let per_s = self.cold_per_s();
         let now = self.gateway.knowledge.now();
         let pool = self.gateway.pool.borrow();
         let rest = pool.get(key)?.cold(now);
-        (per_s > 0.0 && !rest.is_zero()).then_some(Cold {
+        (per_s > 0.0 && !rest.is_zero()).then_some(Ration {
             rest_ms: rest.as_millis() as u64,
             per_s,
         })
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -73,10 +73,7 @@
             };
             let again = search.asked().contains(&key);
             let at = if again { limits.whole } else { limits.tight };
-            let ask = place::Ask {
-                cold: self.cold(key),
-                ..self.place_ask(process, at, limits.whole)
-            };
+            let ask = self.place_ask(key, process, at, limits.whole);
             let answer = self.ask(&mut search, key, process, &ask).await;
             tried_before = tried_before.max(answer.tried_before);
             if let Some(choice) = answer.choice {
@@ -116,9 +113,15 @@
         }
     }
 
-    /// The question for a place at once or in the queue, by its limit `at`, where `whole` is that of
+    /// The question for a place at the replica `key`, at once or in the queue, by its limit `at`, where `whole` is that of
     /// the request as such.
-    fn place_ask(&self, process: SocketAddr, at: Duration, whole: Duration) -> place::Ask {
+    fn place_ask(
+        &self,
+        key: Key,
+        process: SocketAddr,
+        at: Duration,
+        whole: Duration,
+    ) -> place::Ask {
         let gateway = &self.gateway;
         let knowledge = &gateway.knowledge;
         let demand = self.job.demand();
@@ -136,7 +139,7 @@
             whole_ms: whole.as_millis() as u64,
             late_ms: late.as_millis() as u64,
             refused: told,
-            cold: None,
+            cold: self.ration(key),
         }
     }
 
--- a/src/place.rs
+++ b/src/place.rs
@@ -81,10 +81,10 @@
     }
 }
 
-/// A replica is cold.
+/// What a cold replica bears.
 #[derive(Debug, Clone, Copy, PartialEq, Default, Serialize, Deserialize)]
-pub struct Cold {
-    /// Milliseconds for which it is.
+pub struct Ration {
+    /// Milliseconds for which it is cold.
     pub rest_ms: u64,
     /// Requests a second that it bears meanwhile.
     pub per_s: f64,
@@ -119,7 +119,7 @@
     pub refused: Vec<Refused>,
     /// What the replica bears, if the asker knows that it is cold.
     #[serde(default)]
-    pub cold: Option<Cold>,
+    pub cold: Option<Ration>,
 }
 
 impl Ask {
@@ -169,7 +169,7 @@
     present: u32,
     passes: Passes,
     refusals: Refusals,
-    cold: Option<(Cold, Time)>,
+    cold: Option<(Ration, Time)>,
     allowance: Allowance,
 }
 
@@ -192,8 +192,8 @@
     }
 
     /// What one entry knows of the replica's being cold binds all: others may not know it yet.
-    fn hear_cold(&mut self, told: Option<Cold>, now: Time) {
-        let until = |cold: Cold| now + Duration::from_millis(cold.rest_ms);
+    fn hear_cold(&mut self, told: Option<Ration>, now: Time) {
+        let until = |told: Ration| now + Duration::from_millis(told.rest_ms);
         let known = self.cold.map(|(_, until)| until);
         let Some(told) = told.filter(|told| known.is_none_or(|known| known < until(*told))) else {
             return;
@@ -207,7 +207,7 @@
     /// Whether the replica bears one more request, as far as it is cold; if so, that is counted.
     fn bears(&mut self, now: Time) -> bool {
         match self.cold {
-            Some((cold, until)) if now < until => self.allowance.take(cold.per_s, now),
+            Some((ration, until)) if now < until => self.allowance.take(ration.per_s, now),
             _ => true,
         }
     }
--- a/src/route/pool.rs
+++ b/src/route/pool.rs
@@ -305,7 +305,7 @@
         }
         let fit: Vec<Key> = there
             .into_iter()
-            .filter(|&key| self.fit(&self.replicas[key], ask, now))
+            .filter(|&key| self.able(&self.replicas[key], ask, now))
             .collect();
         if fit.is_empty() {
             return Err(Shortage::NoneFit);
@@ -356,9 +356,11 @@
     }
 
     fn fit(&self, replica: &Replica, ask: Ask<'_>, now: Time) -> bool {
-        if !self.there(replica, ask) {
-            return false;
-        }
+        self.there(replica, ask) && self.able(replica, ask, now)
+    }
+
+    /// Whether a replica takes the request, wherever it stands.
+    fn able(&self, replica: &Replica, ask: Ask<'_>, now: Time) -> bool {
         if replica.record.leaving || replica.denied || replica.dead(now) {
             return false;
         }
--- a/src/route/replica.rs
+++ b/src/route/replica.rs
@@ -10,6 +10,7 @@
 use crate::clock::Time;
 use crate::config::belief::{self, Wanted};
 use crate::member::replica::{self, Held, Record};
+use crate::version::TAKING_IN;
 
 /// A report older than this says nothing of the load any more.
 const STALE: Duration = Duration::from_millis(3_000);
@@ -161,10 +162,6 @@
     }
 }
 
-/// Time from a replica's last chunk until it serves: the order, and taking the weights in (0.36 s
-/// at giftenkring-router, docs/POLICY.md), and until its entries know.
-const TAKING_IN: Duration = Duration::from_millis(600);
-
 /// Weights on their way to a replica.
 #[derive(Debug, Clone, Copy)]
 struct Arriving {
--- a/src/version.rs
+++ b/src/version.rs
@@ -7,11 +7,16 @@
 pub mod stopgap;
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
 use crate::weight::Digest;
 
+/// Time from a replica's last chunk until it serves: staged, verified and ordered, taken in (0.36 to 0.4 s,
+/// measured from the order to its report), and until its entries know.
+pub const TAKING_IN: Duration = Duration::from_millis(600);
+
 /// Ranks orders to an engine. A newer process outranks an older one whatever revision either knows.
 #[derive(
     Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default, Hash, Serialize, Deserialize,
--- a/src/version/stopgap.rs
+++ b/src/version/stopgap.rs
@@ -8,6 +8,7 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
+use super::TAKING_IN;
 use crate::clock::Time;
 use crate::config::belief::{Wanted, first_lacking};
 
@@ -15,9 +16,6 @@
 /// second of its work (what runs is finished, 0.3 s to take the next one in).
 const SERVES_MIN: Duration = Duration::from_millis(2_000);
 
-/// Time from a version's last chunk at a box until its replica serves: staged, verified, and taken in.
-const TAKING_IN: Duration = Duration::from_millis(600);
-
 /// How long no chunk of a version may be new anywhere before nobody can tell when it comes: an origin
 /// that is drawn from brings one each few hundredths of a second.
 const QUIET_MAX: Duration = Duration::from_millis(1_500);
--- a/tests/where.rs
+++ b/tests/where.rs
@@ -10,7 +10,7 @@
 use pumicelatch::config::evacuation::{Evacuation, Evacuations};
 use pumicelatch::config::residency::{Regions, Residency};
 use pumicelatch::member::replica::{Held, Record};
-use pumicelatch::place::{self, Cold, Ledger};
+use pumicelatch::place::{self, Ledger, Ration};
 use pumicelatch::policy::Policy;
 use pumicelatch::route::cold::Allowance;
 use pumicelatch::route::estimate::Demand;
@@ -249,7 +249,7 @@
     // Forty entries ask every 5 ms each; one in ten knows already that it is cold.
     for ms in (0..3_000).step_by(5) {
         for entry in 0..40 {
-            let cold = (entry % 10 == 0).then_some(Cold {
+            let cold = (entry % 10 == 0).then_some(Ration {
                 rest_ms: 3_000 - ms,
                 per_s: COLD_PER_S,
             });
