Sight: attempts under way at entries and requests at replicas, each second

Cause: nothing told whether replicas work on runs that no entry reads. Change: a line and a gauge each second at both sides.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -75,6 +75,9 @@
 /// ended.
 const START_MARGIN: Duration = Duration::from_millis(600);
 
+/// Looks between two of which it is written down how many attempts have not ended.
+const LOOKS_LOGGED: u32 = 5;
+
 /// How often the members of a burst are looked over.
 const RELAY_LOOK: Duration = Duration::from_millis(500);
 
@@ -401,9 +404,14 @@
     }
 
     async fn tick(self: Rc<Self>) {
-        loop {
+        for look in 1_u32.. {
             sleep(TICK).await;
             let now = self.knowledge.now();
+            let under_way = self.pool.borrow().under_way();
+            self.instruments.under_way(under_way);
+            if look.is_multiple_of(LOOKS_LOGGED) && under_way > 0 {
+                log::info!(under_way; "attempts under way");
+            }
             let swept = self.knowledge.belief.borrow_mut().sweep(now);
             if swept {
                 self.knowledge.changed.send_modify(|count| *count += 1);
--- a/src/gateway/status.rs
+++ b/src/gateway/status.rs
@@ -18,6 +18,7 @@
     duration: Histogram<f64>,
     first: Histogram<f64>,
     losses: Gauge<u64>,
+    under_way: Gauge<u64>,
 }
 
 impl Instruments {
@@ -48,6 +49,10 @@
                 .u64_gauge("pumicelatch.platform.losses")
                 .with_description("Parts of the platform's documents that could not be read")
                 .build(),
+            under_way: meter
+                .u64_gauge("pumicelatch.gateway.under_way")
+                .with_description("Attempts at replicas that have not ended")
+                .build(),
         }
     }
 
@@ -67,6 +72,11 @@
         self.losses.record(count, &[]);
     }
 
+    /// So many attempts have not ended.
+    pub fn under_way(&self, count: u32) {
+        self.under_way.record(u64::from(count), &[]);
+    }
+
     /// An attempt ended.
     pub fn attempt(&self, ended: &'static str) {
         self.attempts.add(1, &[KeyValue::new("ended", ended)]);
--- a/src/route/pool.rs
+++ b/src/route/pool.rs
@@ -587,6 +587,12 @@
         }
     }
 
+    /// Attempts of this entry that have not ended.
+    pub fn under_way(&self) -> u32 {
+        let replicas = self.replicas.values();
+        replicas.map(|replica| replica.under_way()).sum()
+    }
+
     /// Something was learned of a replica's health.
     pub fn note(&mut self, key: Key, sign: Sign, now: Time) {
         let Some(replica) = self.replicas.get(key) else {
--- a/src/route/replica.rs
+++ b/src/route/replica.rs
@@ -367,6 +367,11 @@
     }
 
     /// The process beside it reported.
+    /// This entry's attempts here that have not ended.
+    pub(super) fn under_way(&self) -> u32 {
+        self.own.len() as u32
+    }
+
     pub(super) fn report(&mut self, load: &Load, at: Time) {
         if self.load.as_ref().is_some_and(|(_, known)| *known > at) {
             return;
--- a/src/sidecar.rs
+++ b/src/sidecar.rs
@@ -14,6 +14,7 @@
 
 use actix_http::{Request, StatusCode};
 use actix_rt::task::JoinHandle;
+use opentelemetry::metrics::Gauge;
 use tokio::net::TcpListener;
 
 use crate::audit::{Deed, Trail};
@@ -112,6 +113,8 @@
     ledger: RefCell<Ledger>,
     told: Cell<u64>,
     turned: Cell<u64>,
+    /// Requests at the replica, whoever sent them.
+    requests: Gauge<u64>,
 }
 
 /// A running sidecar. Dropping it stops its loops.
@@ -243,6 +246,11 @@
         };
         let host = Rc::new(host);
         let now = knowledge.now();
+        let requests = metrics
+            .meter()
+            .u64_gauge("pumicelatch.agent.requests")
+            .with_description("Requests at the replica, running and waiting")
+            .build();
         let sidecar = Rc::new(Self {
             porter: Porter::new(knowledge.clock, &metrics.meter()),
             knowledge,
@@ -264,6 +272,7 @@
             ledger: RefCell::default(),
             told: Cell::new(0),
             turned: Cell::new(0),
+            requests,
             setting,
         });
         let tasks = vec![
--- a/src/sidecar/observe.rs
+++ b/src/sidecar/observe.rs
@@ -28,6 +28,9 @@
 /// How often the replica is asked.
 const LOOK: Duration = Duration::from_millis(100);
 
+/// Looks between two of which it is written down what the replica has to do.
+const LOOKS_LOGGED: u32 = 10;
+
 /// How long it may take to answer.
 const LOOK_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -62,7 +65,7 @@
 
 /// Asks the replica until dropped.
 pub async fn observe(sidecar: Rc<Sidecar>) {
-    loop {
+    for look in 1_u32.. {
         sidecar.knowledge.traffic.count(Purpose::Look, 0);
         let state = timeout(LOOK_TIMEOUT, sidecar.engine.state()).await;
         match state {
@@ -78,11 +81,31 @@
                 }
             }
         }
+        if look.is_multiple_of(LOOKS_LOGGED) {
+            sidecar.log_requests();
+        }
         sleep(LOOK).await;
     }
 }
 
 impl Sidecar {
+    /// Writes down what the replica has to do. What entries have under way together less than all
+    /// replicas is read by nobody.
+    fn log_requests(&self) {
+        let state = self.state.borrow();
+        let Some(state) = state.as_ref() else {
+            return;
+        };
+        let State {
+            running, queued, ..
+        } = *state;
+        self.requests.record(u64::from(running + queued), &[]);
+        if running + queued > 0 {
+            let leased = self.ledger.borrow().leased();
+            log::info!(running, queued, leased; "requests at the replica");
+        }
+    }
+
     fn take_state(&self, state: Option<State>) {
         if let Some(state) = &state {
             if state.born < self.born.get() {
