--- a/src/route/pool.rs
+++ b/src/route/pool.rs
@@ -587,6 +587,13 @@
         }
     }
 
+    /// Replicas that a report has come of.
+    pub fn reported(&self, now: Time) -> usize {
+        let replicas = self.replicas.values();
+        let reported = replicas.filter_map(|replica| replica.reported(now));
+        reported.count()
+    }
+
     /// Attempts of this entry that have not ended.
     pub fn under_way(&self) -> u32 {
         let replicas = self.replicas.values();
--- a/tests/repeat.rs
+++ b/tests/repeat.rs
@@ -1,5 +1,5 @@
-//! The budget of repeated requests under two loads that spend it: entries are killed and start again while
-//! replicas shed half of what they get, and streams break off by the hundred.
+//! The budget of repeated requests under loads that spend it: entries are killed and start again while
+//! replicas shed half of what they get, streams break off by the hundred, and links hold repeats up.
 
 use std::time::Duration;
 
@@ -99,3 +99,48 @@
     assert!(holds(&requests, &repeats));
     assert!(repeats.len() * 2 > wanted, "{} of {wanted}", repeats.len());
 }
+
+/// Incident: repeats piled up beyond what is allowed.
+///
+/// Seen: a service got more arrivals beyond the first of their requests in a window than its budget allows, while
+/// connections were silent. How it comes about: all entries spend all that they may, what they send is held up on its way,
+/// and a window later they spend as much again, which arrives at once. Cause: a repeat was counted when it was
+/// decided, and the bound is on when it arrives; nothing bounds what lies between. Shown by reading and by this model; days
+/// that broke the bound were not found.
+#[test]
+fn repeats_that_are_held_up_on_their_way_count_when_they_arrive() {
+    fn property(held_up: u8, later: u8) -> bool {
+        let held_up = Duration::from_millis(u64::from(held_up) * 12);
+        let mut budgets: Vec<Budget> = (0..ENTRIES)
+            .map(|_| Budget::new(SETTING, Time::default()))
+            .collect();
+        let first = Time::from_millis(62_000);
+        let second = first + SETTING.window + Duration::from_millis(300 + u64::from(later) * 4);
+        let (mut requests, mut repeats) = (Vec::new(), Vec::new());
+        for step in 0..2_600u64 {
+            let now = Time::from_millis(50_000 + step * 10);
+            budgets[step as usize % ENTRIES].request(SETTING, now);
+            requests.push(now);
+            let way = match now {
+                now if now == first => held_up,
+                now if now.since(second) < Duration::from_millis(10) && now >= second => {
+                    Duration::ZERO
+                }
+                _ => continue,
+            };
+            for budget in &mut budgets {
+                while repeat(budget, now, now + way) {
+                    repeats.push(now + way);
+                }
+            }
+        }
+        repeats.sort();
+        holds(&requests, &repeats)
+    }
+    quickcheck(property as fn(u8, u8) -> bool);
+}
+
+/// Takes a repeat that is decided at `now` and arrives at `arrives`, if there is one.
+fn repeat(budget: &mut Budget, now: Time, _arrives: Time) -> bool {
+    budget.spend(SETTING, ENTRIES, now)
+}
