A run is kept by the process beside its replica, and read on over another connection

Cause: a run lived and died with the connection that read it. A silent path carries no close, so replicas wrote the streams of before to their ends while those were read anew elsewhere: 304 requests at replicas for 198 attempts.

Change: an entry has the process beside the replica run a stream (run, sidecar/carry), once, under a key of its own. That keeps what comes; the entry (gateway/reader) reads it on from any byte over a new connection when one breaks, is silent, or is quiet for 0.3 s, 0.1 s while another connection is suspected. An unknown key is barred, so 'not run' is true. Nobody reads: the run ends at the replica after 0.25 s, or at once when told. Without such a process, or out of reach, as before. A stopping agent reads its runs to their ends.

--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -26,6 +26,7 @@
 use bytes::Bytes;
 use futures_util::future::{Either, select};
 use tokio::net::{TcpSocket, TcpStream};
+use tokio::sync::watch;
 
 use crate::clock::Time;
 use crate::silence::{self, Use};
@@ -404,6 +405,7 @@
             Either::Left((Err(_), new)) => new.await,
             Either::Right((answer, old)) => {
                 let answer = answer?;
+                self.paths.suspect();
                 let (paths, peer) = (self.paths.clone(), sending.peer);
                 actix_rt::spawn(async move {
                     // What holds a link up holds both up: the old one answers about then as well.
@@ -493,6 +495,12 @@
         })
     }
 
+    /// Counts how often a used connection brought nothing where a new one did: it may be silent, and others with
+    /// it.
+    pub fn suspicions(&self) -> watch::Receiver<u64> {
+        self.paths.suspicions()
+    }
+
     /// Closes connections that rested for longer than `idle_max`, or than their peers said.
     pub fn reap(&self, idle_max: Duration) {
         let now = self.paths.now();
--- a/src/exchange/path.rs
+++ b/src/exchange/path.rs
@@ -54,6 +54,7 @@
     findings: RefCell<Findings>,
     under_way: RefCell<Vec<Weak<Carrier>>>,
     ended: RefCell<VecDeque<Connection>>,
+    suspected: watch::Sender<u64>,
     found: watch::Sender<u64>,
     found_all: watch::Sender<u64>,
 }
@@ -65,6 +66,7 @@
             findings: RefCell::default(),
             under_way: RefCell::default(),
             ended: RefCell::default(),
+            suspected: watch::Sender::new(0),
             found: watch::Sender::new(0),
             found_all: watch::Sender::new(0),
         }
@@ -100,6 +102,16 @@
         self.findings.borrow().gives_up(connection).is_some()
     }
 
+    /// A new connection brought what a used one may yet bring.
+    pub(super) fn suspect(&self) {
+        self.suspected.send_modify(|count| *count += 1);
+    }
+
+    /// Counts how often that happened.
+    pub(super) fn suspicions(&self) -> watch::Receiver<u64> {
+        self.suspected.subscribe()
+    }
+
     /// Counts how often all open connections were found silent.
     pub fn all_silent(&self) -> watch::Receiver<u64> {
         self.found_all.subscribe()
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -4,6 +4,7 @@
 //! * [`dialect`] is how callers and replicas speak.
 //! * [`intake`] checks a request, [`call`] takes it through admission and attempts; [`attempt`] is one exchange with a
 //!   replica, [`relay`] passes a stream on.
+//! * [`reader`] reads an answer, wherever it is kept.
 //! * [`place`] finds a place for it.
 //! * [`trace`] is what is counted and written down of a request.
 //! * [`control`] answers other processes of the system, [`halls`] asks other halls.
@@ -38,7 +39,7 @@
 use crate::metric::{self, Metrics};
 use crate::policy::Policy;
 use crate::request::budget::{self, Budget};
-use crate::route::pool::Pool;
+use crate::route::pool::{Key, Pool};
 use crate::route::replica::Due;
 use crate::source::{Source, Topic};
 use crate::spread;
@@ -58,6 +59,7 @@
 pub mod intake;
 pub mod job;
 pub mod place;
+pub mod reader;
 pub mod relay;
 pub mod status;
 pub mod trace;
@@ -356,6 +358,17 @@
             .collect()
     }
 
+    /// Where the process beside the replica `key` listens; `None` if nobody there was heard of lately.
+    fn process_beside(&self, key: Key) -> Option<SocketAddr> {
+        let now = self.knowledge.now();
+        let pool = self.pool.borrow();
+        if !pool.gives_places(key, now) {
+            return None;
+        }
+        let host = pool.get(key)?.record.address.ip();
+        Some(SocketAddr::new(host, self.setting.sidecar_port))
+    }
+
     /// Takes part in the burst of the wanted version as a relay: this process's link is wide, and
     /// those of the boxes are narrow.
     async fn relay(self: Rc<Self>) {
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -2,21 +2,24 @@
 
 use std::cell::Cell;
 use std::future::Future;
+use std::net::SocketAddr;
 use std::pin::pin;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
-use actix_http::Response as HttpResponse;
 use actix_http::body::BoxBody;
+use actix_http::{RequestHead, Response as HttpResponse};
 use actix_rt::time::timeout;
 use bytes::Bytes;
 
 use super::dialect::{Forward, Reading};
 use super::job::Job;
+use super::reader::{self, Line, Reader};
 use super::{Gateway, IDLE_MAX};
 use crate::clock::Time;
-use crate::exchange::{self, Note, Options, Response, Reuse, Unframed};
+use crate::config::routing::Kind;
+use crate::exchange::{self, Note, Options, Reuse, Unframed};
 use crate::http::Answer;
 use crate::request::attempt::Ended;
 use crate::route::estimate::Demand;
@@ -92,7 +95,9 @@
     /// The replica's id.
     pub replica: Arc<str>,
     choice: Choice,
-    address: std::net::SocketAddr,
+    address: SocketAddr,
+    /// The process beside the replica, if that is to keep what comes.
+    keeper: Option<SocketAddr>,
     began: Time,
     demand: Demand,
     number: u64,
@@ -111,6 +116,7 @@
 impl Attempt {
     /// Begins an attempt at a chosen replica, unless that has gone.
     pub fn begin(gateway: &Rc<Gateway>, job: &Job, choice: Choice) -> Option<Self> {
+        let keeper = keeper(gateway, job, choice.key);
         let now = gateway.knowledge.now();
         let mut pool = gateway.pool.borrow_mut();
         let replica = pool.get(choice.key)?;
@@ -125,6 +131,7 @@
             replica: id,
             choice,
             address,
+            keeper,
             began: now,
             demand,
             number,
@@ -205,15 +212,7 @@
             version,
         };
         let head = self.gateway.dialect.forward(&job.head, forward);
-        let client = &self.gateway.client;
-        let body = job.body.clone();
-        let exchange = client.exchange_noting(
-            self.address,
-            head,
-            body,
-            options(job, moves_on),
-            &self.connection,
-        );
+        let exchange = self.exchange(job, head, moves_on);
         match self.within(job, exchange).await {
             None => Err(self.silent(job)),
             Some(Err(exchange::Error::NotSent { reason })) => {
@@ -225,6 +224,38 @@
         }
     }
 
+    /// Has the request run: by the process beside the replica, or else directly.
+    async fn exchange(
+        &self,
+        job: &Job,
+        head: RequestHead,
+        moves_on: bool,
+    ) -> Result<Reader, exchange::Error> {
+        if let Some(keeper) = self.keeper {
+            let line = Line::new(&self.gateway, keeper, &job.ask.id);
+            let (body, note) = (job.body.clone(), self.connection.clone());
+            match Reader::begin(line, copy(&head), body, note).await {
+                Ok(reader) => return Ok(reader),
+                Err(reader::Error::Exchange(error)) => return Err(error),
+                Err(error) => self.not_kept(job, &error),
+            }
+        }
+        let client = &self.gateway.client;
+        let body = job.body.clone();
+        let options = options(job, moves_on);
+        let exchange = client.exchange_noting(self.address, head, body, options, &self.connection);
+        exchange.await.map(Reader::of_replica)
+    }
+
+    /// Nothing has run, and the request goes to the replica itself.
+    fn not_kept(&self, job: &Job, error: &reader::Error) {
+        log::info!(request = job.ask.id.as_str(), replica = &*self.replica; "sent directly: {error}");
+        if matches!(error, reader::Error::OutOfReach { .. }) {
+            let now = self.now();
+            self.gateway.pool.borrow_mut().unheard(self.key, false, now);
+        }
+    }
+
     /// Awaits `step` for as long as this replica may be silent. While it has a queue, by the word of
     /// the process beside it, its silence says nothing: what was given up there would be carried
     /// all the same, and once more elsewhere.
@@ -284,7 +315,7 @@
         self.broken(job, detail.to_owned(), Sign::Broken)
     }
 
-    async fn read(self, job: &Job, versioned: bool, response: Response) -> Result<Begun, Failure> {
+    async fn read(self, job: &Job, versioned: bool, response: Reader) -> Result<Begun, Failure> {
         let status = response.status.as_u16();
         match self.gateway.dialect.read(&response, &job.ask.id) {
             Reading::Success { version } => Ok(Begun {
@@ -313,7 +344,7 @@
     }
 
     /// Gathers a failure of the replica's own, to be passed on if nothing better comes.
-    async fn own_failure(self, job: &Job, response: Response) -> Result<Begun, Failure> {
+    async fn own_failure(self, job: &Job, response: Reader) -> Result<Begun, Failure> {
         let detail = format!("the replica answered {}", response.status.as_u16());
         let begun = Begun {
             attempt: self,
@@ -335,6 +366,24 @@
     }
 }
 
+/// The process beside the replica `key`, if that is to keep what a request brings: a stream that may be sent again, so
+/// that a process that is killed with it costs no more than a replica that is.
+fn keeper(gateway: &Gateway, job: &Job, key: Key) -> Option<SocketAddr> {
+    let streams = job.route.kind == Kind::Streaming && job.route.repeatable();
+    if !streams || !gateway.setting.policy.kept {
+        return None;
+    }
+    gateway.process_beside(key)
+}
+
+fn copy(head: &RequestHead) -> RequestHead {
+    let mut copy = RequestHead::default();
+    copy.method = head.method.clone();
+    copy.uri = head.uri.clone();
+    copy.headers = head.headers.clone();
+    copy
+}
+
 fn options(job: &Job, moves_on: bool) -> Options {
     Options {
         // A connection that its replica closes just now would leave unknown whether the request
@@ -358,7 +407,7 @@
     /// The attempt.
     pub attempt: Attempt,
     /// The answer.
-    pub response: Response,
+    pub response: Reader,
     /// The version of the weights behind it, if it told one.
     pub version: Option<u64>,
 }
--- a/src/gateway/dialect.rs
+++ b/src/gateway/dialect.rs
@@ -8,7 +8,7 @@
 use actix_http::header::HeaderMap;
 use actix_http::{RequestHead, StatusCode};
 
-use crate::exchange::Response;
+use super::reader::Reader;
 use crate::http::Answer;
 use crate::request::Outcome;
 
@@ -210,7 +210,7 @@
     fn forward(&self, head: &RequestHead, forward: Forward<'_>) -> RequestHead;
 
     /// What the head of a replica's answer to the request `id` means.
-    fn read(&self, answer: &Response, id: &str) -> Reading;
+    fn read(&self, answer: &Reader, id: &str) -> Reading;
 
     /// Copies what a caller is to see of a replica's headers.
     fn pass_headers(&self, from: &HeaderMap, into: &mut HeaderMap);
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -232,15 +232,11 @@
     /// Where the process beside a replica is asked, and the limits that it is told; `None` if
     /// nobody there gives places, or did not answer lately.
     fn process_beside(&self, key: Key, limit: Duration) -> Option<(SocketAddr, Limits)> {
+        let process = self.gateway.process_beside(key)?;
         let now = self.gateway.knowledge.now();
         let pool = self.gateway.pool.borrow();
-        if !pool.gives_places(key, now) {
-            return None;
-        }
-        let host = pool.get(key)?.record.address.ip();
         let left = limit.saturating_sub(now.since(self.job.arrived));
         let limits = self.with_ask(&[], |ask| pool.limits(key, ask, left, now))?;
-        let process = SocketAddr::new(host, self.gateway.setting.sidecar_port);
         Some((process, limits))
     }
 }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -6,13 +6,13 @@
 use actix_http::body::{BodyStream, MessageBody};
 use actix_rt::time::timeout;
 use bytes::Bytes;
-use futures_util::{Stream, StreamExt, stream};
+use futures_util::{Stream, stream};
 
 use super::attempt::{self, Attempt, Begun};
 use super::course::Course;
 use super::event::Cutter;
+use super::reader::Reader;
 use crate::clock::Time;
-use crate::exchange::Response;
 use crate::http::Answer;
 use crate::route::health::Sign;
 
@@ -41,7 +41,7 @@
 pub struct Relay {
     course: Course,
     attempt: Attempt,
-    response: Response,
+    response: Reader,
     cutter: Cutter,
     head: Option<actix_http::Response<()>>,
     last_event_at: Option<Time>,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod policy;
 pub mod request;
 pub mod route;
+pub mod run;
 pub mod sidecar;
 pub mod silence;
 pub mod source;
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -51,6 +51,8 @@
     pub retries: bool,
     /// Whether a broken stream is taken up elsewhere.
     pub resume: bool,
+    /// Whether processes beside replicas keep what streams bring, so that whoever reads them may change the connection.
+    pub kept: bool,
     /// Hundredths of the limit within which the first event has to be expected.
     pub admit: u32,
     /// Whether the limit is the tightest objective of a service for all kinds of request.
@@ -80,6 +82,7 @@
             doubt: true,
             retries: true,
             resume: true,
+            kept: true,
             admit: 100,
             shared_limit: true,
             return_admit: 25,
@@ -114,7 +117,7 @@
 type Set = fn(&mut Policy, u32);
 
 /// The mechanisms by the names that `--policy` takes.
-const MECHANISMS: [(&str, Set); 19] = [
+const MECHANISMS: [(&str, Set); 20] = [
     ("relays", |set, to| set.relays = to > 0),
     ("asks", |set, to| set.asks = to),
     ("window-ms", |set, to| set.window = millis(to)),
@@ -130,6 +133,7 @@
     ("doubt", |set, to| set.doubt = to > 0),
     ("retries", |set, to| set.retries = to > 0),
     ("resume", |set, to| set.resume = to > 0),
+    ("kept", |set, to| set.kept = to > 0),
     ("admit", |set, to| set.admit = to),
     ("shared-limit", |set, to| set.shared_limit = to > 0),
     ("return-admit", |set, to| set.return_admit = to),
--- a/src/sidecar.rs
+++ b/src/sidecar.rs
@@ -5,6 +5,7 @@
 //! * [`engine`] is what a replica offers to the process beside it.
 //! * [`reconcile`] brings the replica to the wanted version.
 //! * [`observe`] asks the replica how it does, and tells the entries.
+//! * [`carry`] carries callers' requests out at the replica.
 //! * [`trip`] measures the box's link by that.
 
 use std::cell::{Cell, RefCell};
@@ -24,7 +25,7 @@
 use crate::clock::Time;
 use crate::config::belief::first_lacking;
 use crate::daemon;
-use crate::exchange::path::Paths;
+use crate::exchange::{self, path::Paths};
 use crate::gateway::control::message;
 use crate::http::{self, Answer, ClientSetting, Server};
 use crate::knowledge::{Identity, Knowledge, traffic};
@@ -32,6 +33,7 @@
 use crate::metric::{self, Metrics};
 use crate::place::{self, Ledger};
 use crate::policy::Policy;
+use crate::run::{Call, Shelf};
 use crate::source::Source;
 use crate::spread;
 use crate::stop::{self, Porter};
@@ -39,6 +41,7 @@
 use crate::weight::{Digest, Store};
 use crate::wire::sync::{SYNC_PATH, Sync};
 
+mod carry;
 pub mod engine;
 pub mod observe;
 pub mod reconcile;
@@ -46,9 +49,6 @@
 
 use engine::{Engine, State};
 
-/// A planned stop: nobody has to hear of it, and a chunk on its way has a second.
-const STOP: Duration = Duration::from_secs(1);
-
 /// Part of its machine's memory that a process gives to weights: two versions and what is on its way fit in.
 const MEMORY_PART: u64 = 4;
 
@@ -113,6 +113,11 @@
     ledger: RefCell<Ledger>,
     told: Cell<u64>,
     turned: Cell<u64>,
+    /// What callers' requests bring.
+    runs: RefCell<Shelf<Rc<carry::Run>>>,
+    /// Exchanges with the replica for callers.
+    client: exchange::Client,
+    began: Time,
     /// Requests at the replica, whoever sent them.
     requests: Gauge<u64>,
 }
@@ -136,8 +141,9 @@
 }
 
 impl Running {
-    /// Runs until a planned stop is over: peers get the chunks that are on their way to them.
-    pub async fn serve_until_stopped(self) -> Result<(), daemon::Error> {
+    /// Runs until a planned stop, which lasts `grace` at most, is over: what runs at the replica is read to its
+    /// end, and peers get the chunks that are on their way to them. Nobody has to hear of it before.
+    pub async fn serve_until_stopped(self, grace: Duration) -> Result<(), daemon::Error> {
         let identity = &self.sidecar.setting.identity;
         log::info!(
             name = &*identity.name, hall = &*identity.hall, address:% = identity.address,
@@ -148,8 +154,7 @@
         log::info!("planned stop begins");
         let setting = stop::Setting {
             hear: Duration::ZERO,
-            longest: STOP,
-            ..stop::Setting::default()
+            ..stop::Setting::within(grace)
         };
         self.sidecar.porter.stop(setting, &self.control).await;
         Ok(())
@@ -272,6 +277,9 @@
             ledger: RefCell::default(),
             told: Cell::new(0),
             turned: Cell::new(0),
+            runs: RefCell::default(),
+            client: exchange::Client::sharing(edges.paths.clone()),
+            began: now,
             requests,
             setting,
         });
@@ -327,6 +335,13 @@
 
 async fn answer(sidecar: Rc<Sidecar>, mut request: Request) -> Answer {
     let path = request.path().to_owned();
+    if let Some(call) = request
+        .uri()
+        .path_and_query()
+        .and_then(|path| Call::of(path.as_str()))
+    {
+        return sidecar.answer_run(call, request).await;
+    }
     if path == SYNC_PATH {
         return match message::<Sync>(&mut request).await {
             Ok(sync) => http::pack(StatusCode::OK, &sidecar.knowledge.news_for(&sync, false)),
--- /dev/null
+++ b/src/sidecar/carry.rs
@@ -0,0 +1,307 @@
+//! Carries requests out at the replica on this machine: sends each on once, keeps what comes, and hands it to
+//! whoever reads it.
+
+use std::cell::RefCell;
+use std::io;
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix_http::body::{BodyStream, MessageBody};
+use actix_http::header::{
+    CONNECTION, CONTENT_LENGTH, HeaderMap, HeaderName, HeaderValue, TRANSFER_ENCODING,
+};
+use actix_http::{Request, RequestHead, StatusCode};
+use actix_rt::task::JoinHandle;
+use bytes::Bytes;
+use futures_util::{Stream, StreamExt, stream};
+use tokio::sync::watch;
+
+use super::Sidecar;
+use crate::exchange::{self, Options, Reuse, Unframed};
+use crate::gateway;
+use crate::http::{self, Answer};
+use crate::run::{Call, Ended, Key, Part, Tape, Told, Verdict};
+use crate::stop;
+
+/// Longest body of a request: far more than the longest prompt.
+const BODY_MAX: usize = 16 << 20;
+
+/// How long a connection to the replica, on the same machine, may take to open.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
+
+/// Headers that concern one connection only, and that the codec writes anew.
+const HOP: [HeaderName; 3] = [CONNECTION, CONTENT_LENGTH, TRANSFER_ENCODING];
+
+/// What came before a run's body.
+#[derive(Debug, Clone)]
+enum Head {
+    /// The replica's answer began.
+    Answer(StatusCode, HeaderMap),
+    /// There is none.
+    None(Told),
+}
+
+/// A run at the replica.
+#[derive(Debug, Default)]
+pub(super) struct Run {
+    tape: Rc<RefCell<Tape>>,
+    head: RefCell<Option<Head>>,
+    /// Counts what changes.
+    changed: watch::Sender<u64>,
+    task: RefCell<Option<JoinHandle<()>>>,
+}
+
+impl Run {
+    fn change(&self) {
+        self.changed.send_modify(|count| *count += 1);
+    }
+
+    fn begin(&self, head: Head) {
+        self.head.replace(Some(head));
+        self.change();
+    }
+
+    /// Ends it at the replica.
+    fn abort(&self) {
+        if let Some(task) = self.task.take() {
+            task.abort();
+        }
+    }
+}
+
+/// Who reads a run. Dropped, nobody does.
+struct Reader {
+    sidecar: Rc<Sidecar>,
+    run: Rc<Run>,
+    number: u64,
+    changed: watch::Receiver<u64>,
+}
+
+impl Drop for Reader {
+    fn drop(&mut self) {
+        let now = self.sidecar.knowledge.now();
+        self.run.tape.borrow_mut().close(self.number, now);
+    }
+}
+
+impl Reader {
+    /// Begins to read from the byte `from`, unless that cannot be had.
+    fn open(sidecar: &Rc<Sidecar>, run: Rc<Run>, from: u64) -> Option<Self> {
+        let number = run.tape.borrow_mut().open(from)?;
+        // Whoever read it before is done.
+        run.change();
+        Some(Self {
+            sidecar: sidecar.clone(),
+            changed: run.changed.subscribe(),
+            run,
+            number,
+        })
+    }
+
+    /// Waits for a change.
+    async fn change(&mut self) {
+        // The sender lives as long as the run, which is held here.
+        let _ = self.changed.changed().await;
+    }
+
+    async fn answer(mut self) -> Answer {
+        let head = loop {
+            let head = self.run.head.borrow().clone();
+            match head {
+                Some(head) => break head,
+                None => self.change().await,
+            }
+        };
+        match head {
+            Head::None(told) => own(told),
+            Head::Answer(status, headers) => {
+                let body = BodyStream::new(Box::pin(self.into_stream()));
+                let mut answer = Answer::with_body(status, body.boxed());
+                pass(&headers, answer.headers_mut());
+                tell(&mut answer, Told::Replica);
+                answer
+            }
+        }
+    }
+
+    fn into_stream(self) -> impl Stream<Item = io::Result<Bytes>> {
+        stream::unfold(Some(self), |reader| async move {
+            let mut reader = reader?;
+            loop {
+                let (part, was_full) = {
+                    let mut tape = reader.run.tape.borrow_mut();
+                    let was_full = !tape.takes();
+                    (tape.next(reader.number), was_full)
+                };
+                match part {
+                    Part::Bytes(bytes) => {
+                        if was_full {
+                            reader.run.change();
+                        }
+                        return Some((Ok(bytes), Some(reader)));
+                    }
+                    Part::Wait => reader.change().await,
+                    Part::End(Ended::Whole) => return None,
+                    // The connection breaks, so that the reader sees that this is not the whole.
+                    Part::End(Ended::Broken) | Part::Gone => {
+                        return Some((Err(io::ErrorKind::ConnectionAborted.into()), None));
+                    }
+                }
+            }
+        })
+    }
+}
+
+fn pass(from: &HeaderMap, into: &mut HeaderMap) {
+    for (name, value) in from.iter().filter(|(name, _)| !HOP.contains(name)) {
+        into.append(name.clone(), value.clone());
+    }
+}
+
+fn tell(answer: &mut Answer, told: Told) {
+    let name = HeaderName::from_static(crate::run::TOLD);
+    let value = HeaderValue::from_str(&told.to_string());
+    answer
+        .headers_mut()
+        .insert(name, value.unwrap_or(HeaderValue::from_static("")));
+}
+
+/// An answer of the process's own.
+fn own(told: Told) -> Answer {
+    let mut answer = http::status(StatusCode::BAD_GATEWAY);
+    tell(&mut answer, told);
+    answer
+}
+
+impl Sidecar {
+    /// Answers a call for a run.
+    pub(super) async fn answer_run(self: Rc<Self>, call: Call, request: Request) -> Answer {
+        match call {
+            Call::Start { key, target } => self.start_run(key, &target, request).await,
+            Call::Read { key, from } => self.read_run(key, from).await,
+            Call::End { key } => {
+                let now = self.knowledge.now();
+                let run = self.runs.borrow_mut().end(key, now);
+                if let Some(run) = run {
+                    run.abort();
+                }
+                http::status(StatusCode::OK)
+            }
+        }
+    }
+
+    async fn start_run(self: Rc<Self>, key: Key, target: &str, mut request: Request) -> Answer {
+        let ticket = self.porter.enter(stop::Kind::New);
+        if ticket.refused() {
+            return ticket.hold(own(Told::NotSent));
+        }
+        let body = http::read_request(&mut request, BODY_MAX).await;
+        let Ok((head, body)) = body.and_then(|body| Ok((head(&request, target)?, body))) else {
+            return ticket.hold(own(Told::NotSent));
+        };
+        let run = Rc::new(Run::default());
+        let tape = run.tape.clone();
+        let verdict = self.runs.borrow_mut().start(key, tape, run.clone());
+        match verdict {
+            Verdict::Run => {}
+            Verdict::NotRun => return ticket.hold(own(Told::NotSent)),
+            Verdict::Known => return ticket.hold(own(Told::Broken)),
+        }
+        let body = (!body.is_empty()).then_some(body);
+        let carried = actix_rt::spawn(carry(self.clone(), run.clone(), key, head, body));
+        run.task.replace(Some(carried));
+        match Reader::open(&self, run, 0) {
+            Some(reader) => ticket.hold(reader.answer().await),
+            None => ticket.hold(own(Told::Broken)),
+        }
+    }
+
+    async fn read_run(self: Rc<Self>, key: Key, from: u64) -> Answer {
+        let ticket = self.porter.enter(stop::Kind::Continued);
+        let now = self.knowledge.now();
+        let run = self.runs.borrow_mut().get(key, now);
+        let Some(run) = run else {
+            let up = now.since(self.began);
+            return ticket.hold(own(Told::Unknown { up }));
+        };
+        match Reader::open(&self, run, from) {
+            Some(reader) if !ticket.refused() => ticket.hold(reader.answer().await),
+            _ => ticket.hold(own(Told::Broken)),
+        }
+    }
+
+    /// Ends what goes on for nobody.
+    pub(super) fn sweep_runs(&self) {
+        let now = self.knowledge.now();
+        let abandoned = self.runs.borrow_mut().sweep(now);
+        for (key, run) in abandoned {
+            log::info!(run:% = key; "a run that nobody reads any more is ended");
+            run.abort();
+        }
+        self.client.reap(gateway::IDLE_MAX);
+    }
+}
+
+/// The head that the replica gets.
+fn head(request: &Request, target: &str) -> Result<RequestHead, http::Error> {
+    let mut head = RequestHead::default();
+    head.method = request.method().clone();
+    head.uri = target.parse().map_err(|_| http::Error::Decode {
+        reason: "the path is none".to_owned(),
+    })?;
+    pass(&request.head().headers, &mut head.headers);
+    Ok(head)
+}
+
+async fn carry(
+    sidecar: Rc<Sidecar>,
+    run: Rc<Run>,
+    key: Key,
+    head: RequestHead,
+    body: Option<Bytes>,
+) {
+    let options = Options {
+        reuse: Reuse::Allowed,
+        idle_max: gateway::IDLE_MAX,
+        connect_timeout: CONNECT_TIMEOUT,
+        unframed: Unframed::EndsWithConnection,
+        ..Options::default()
+    };
+    let replica = sidecar.engine.address();
+    let ended = match sidecar.client.exchange(replica, head, body, options).await {
+        Ok(mut response) => {
+            let headers = std::mem::take(&mut response.headers);
+            run.begin(Head::Answer(response.status, headers));
+            keep(&run, &mut response).await
+        }
+        Err(error) => {
+            let told = match error {
+                exchange::Error::NotSent { .. } => Told::NotSent,
+                _ => Told::Broken,
+            };
+            run.begin(Head::None(told));
+            Err(error)
+        }
+    };
+    if let Err(error) = &ended {
+        log::warn!(run:% = key, replica:% = replica; "a run broke: {error}");
+    }
+    let now = sidecar.knowledge.now();
+    let ended = ended.map_or(Ended::Broken, |()| Ended::Whole);
+    run.tape.borrow_mut().end(ended, now);
+    run.change();
+}
+
+/// Keeps what comes of a run's body.
+async fn keep(run: &Run, response: &mut exchange::Response) -> Result<(), exchange::Error> {
+    let mut changed = run.changed.subscribe();
+    while let Some(part) = response.next().await {
+        run.tape.borrow_mut().push(&part?);
+        run.change();
+        while !run.tape.borrow().takes() {
+            // The run, which is borrowed here, has the sender.
+            let _ = changed.changed().await;
+        }
+    }
+    Ok(())
+}
--- a/src/sidecar/engine.rs
+++ b/src/sidecar/engine.rs
@@ -1,5 +1,7 @@
 //! What a replica offers to the process beside it.
 
+use std::net::SocketAddr;
+
 use bytes::Bytes;
 use futures_util::future::LocalBoxFuture;
 
@@ -65,6 +67,9 @@
 
 /// A replica, asked from its own machine.
 pub trait Engine {
+    /// Where it takes requests from its own machine.
+    fn address(&self) -> SocketAddr;
+
     /// How it does.
     fn state(&self) -> LocalBoxFuture<'_, Result<State, Error>>;
 
--- a/src/sidecar/observe.rs
+++ b/src/sidecar/observe.rs
@@ -81,6 +81,7 @@
                 }
             }
         }
+        sidecar.sweep_runs();
         if look.is_multiple_of(LOOKS_LOGGED) {
             sidecar.log_requests();
         }
@@ -142,6 +143,7 @@
         log::info!(born; "a life of the replica began");
         self.state.replace(None);
         self.ledger.borrow_mut().lost();
+        self.client.forget(self.engine.address());
         self.staged.replace(Staged::default());
         self.set_noticed(None);
     }
