A repeat counts until it has arrived for sure; what was not sent is given back

Cause: a repeat was counted when it was decided; the bound is on arrivals. Red before, green now: repeats_that_are_held_up_on_their_way_count_when_they_arrive (two budgets in one window from 312 ms between decision and arrival); new: a_repeat_counts_until_it_is_known_what_became_of_it.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -6,6 +6,7 @@
 //!   replica, [`relay`] passes a stream on.
 //! * [`reader`] reads an answer, wherever it is kept.
 //! * [`place`] finds a place for it.
+//! * [`repeat`] is one of a budget that was taken.
 //! * [`trace`] is what is counted and written down of a request.
 //! * [`control`] answers other processes of the system, [`halls`] asks other halls.
 
@@ -61,6 +62,7 @@
 pub mod place;
 pub mod reader;
 pub mod relay;
+pub mod repeat;
 pub mod status;
 pub mod trace;
 
@@ -545,12 +547,4 @@
         let mut refusals = self.refusals.borrow_mut();
         refusals.refused(job.fingerprint, first, job.deadline);
     }
-
-    /// Takes one repeat from the service's budget, if there is one.
-    fn spend_repeat(&self, service: &Arc<str>) -> bool {
-        let now = self.knowledge.now();
-        let entries = self.knowledge.peers.borrow().bound();
-        let mut budget = self.budget(service);
-        budget.spend(self.setting.budget, entries, now)
-    }
 }
--- a/src/gateway/course.rs
+++ b/src/gateway/course.rs
@@ -10,6 +10,7 @@
 use super::attempt::{Attempt, Begun, Failure, Send};
 use super::dialect::{Code, Refusal};
 use super::job::Job;
+use super::repeat::Repeat;
 use super::trace::{Expected, Trace};
 use crate::clock::Time;
 use crate::http::Answer;
@@ -70,6 +71,8 @@
     unreached: u32,
     tainted: bool,
     failure: Option<Answer>,
+    /// What the next attempt takes of the budget.
+    repeat: Option<Repeat>,
     /// When its caller tried first, if it was refused before and came back.
     pub(super) first_try: Option<Time>,
     /// The only version that will do, once an answer of it has begun.
@@ -89,6 +92,7 @@
             unreached: 0,
             tainted: false,
             failure: None,
+            repeat: None,
             only: None,
         }
     }
@@ -132,7 +136,7 @@
                 Err(self.refusal_after(ended, detail))
             }
             Next::Elsewhere { charged } => {
-                if !charged || self.gateway.spend_repeat(&self.job.service) {
+                if !charged || self.take_repeat() {
                     return Ok(());
                 }
                 let detail = format!("{detail}; no repeat is left in the budget");
@@ -142,6 +146,12 @@
         }
     }
 
+    /// Takes a repeat for the next attempt, if there is one.
+    fn take_repeat(&mut self) -> bool {
+        self.repeat = Repeat::take(&self.gateway, &self.job.service);
+        self.repeat.is_some()
+    }
+
     /// Takes what is to be kept of a failed attempt.
     fn take_failure(&mut self, failure: Failure) -> (Ended, String) {
         let Failure {
@@ -404,15 +414,16 @@
             version: self.only,
             moves_on: self.may_move_after_one_more(),
         };
+        let mut repeat = self.repeat.take();
+        if let Some(repeat) = &mut repeat {
+            repeat.send();
+        }
         let result = attempt.send(&self.job, send).await;
-        let sent = !matches!(
-            &result,
-            Err(Failure {
-                ended: Ended::NotSent,
-                ..
-            })
-        );
-        self.trace.sent += u32::from(sent);
+        let ended = result.as_ref().err().map(|failure| failure.ended);
+        if let Some(repeat) = repeat {
+            repeat.ended(ended);
+        }
+        self.trace.sent += u32::from(ended != Some(Ended::NotSent));
         result
     }
 
@@ -426,7 +437,7 @@
         }
         let next = next::after(ended, self.situation());
         match next {
-            Next::Elsewhere { charged } => !charged || self.gateway.spend_repeat(&self.job.service),
+            Next::Elsewhere { charged } => !charged || self.take_repeat(),
             Next::PassOn | Next::GiveUp(_) => false,
         }
     }
--- a/src/request/budget.rs
+++ b/src/request/budget.rs
@@ -3,8 +3,11 @@
 //! Over every window of the given length, what a service receives beyond the first of each request
 //! may not exceed a ratio of its requests and a fixed slack. Each entry spends the ratio of its own
 //! requests and its part of the slack, so that the sum holds however the requests are spread.
+//!
+//! The bound is on arrivals. A repeat that was decided may wait for a place, or be held up on a link, while a window passes and
+//! another budget is spent. So it counts from its decision on, until a window after it has arrived for sure.
 
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
 use crate::clock::Time;
@@ -12,7 +15,7 @@
 /// Part of the ratio that is spent, in hundredths: windows at the judge begin elsewhere.
 const RATIO_SPENT: f64 = 0.8;
 
-/// Length of a count.
+/// Length of a count of requests.
 const BUCKET: Duration = Duration::from_millis(250);
 
 /// The bounds.
@@ -44,13 +47,19 @@
 struct Bucket {
     began: Time,
     requests: u32,
-    repeats: u32,
 }
 
+/// Names a repeat that was taken from a budget.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Key(u64);
+
 /// One service's budget at one entry.
 #[derive(Debug)]
 pub struct Budget {
     buckets: VecDeque<Bucket>,
+    /// The repeats that count, with when each has arrived; none for one that may be on its way.
+    repeats: BTreeMap<Key, Option<Time>>,
+    spent: u64,
     slack_from: Time,
 }
 
@@ -64,17 +73,17 @@
         };
         Self {
             buckets: VecDeque::new(),
+            repeats: BTreeMap::new(),
+            spent: 0,
             slack_from: began + without,
         }
     }
 
     fn bucket(&mut self, setting: Setting, now: Time) -> &mut Bucket {
-        // A repeat counts for a bucket longer than the window, a request for one less.
-        let kept = setting.window + BUCKET;
         while self
             .buckets
             .front()
-            .is_some_and(|bucket| now.since(bucket.began) > kept)
+            .is_some_and(|bucket| now.since(bucket.began) > setting.window)
         {
             self.buckets.pop_front();
         }
@@ -86,7 +95,6 @@
             self.buckets.push_back(Bucket {
                 began: now,
                 requests: 0,
-                repeats: 0,
             });
         }
         let last = self.buckets.len() - 1;
@@ -98,27 +106,42 @@
         self.bucket(setting, now).requests += 1;
     }
 
-    /// Takes one repeat if there is one for this of `entries` entries.
-    pub fn spend(&mut self, setting: Setting, entries: usize, now: Time) -> bool {
+    /// Takes one repeat if there is one for this of `entries` entries. It counts until it is told what became of it.
+    pub fn spend(&mut self, setting: Setting, entries: usize, now: Time) -> Option<Key> {
         self.bucket(setting, now);
+        // A request counts for a bucket less than the window, a repeat for one longer.
         let requests: u32 = self
             .buckets
             .iter()
             .filter(|bucket| now.since(bucket.began) + BUCKET <= setting.window)
             .map(|bucket| bucket.requests)
             .sum();
-        let repeats: u32 = self.buckets.iter().map(|bucket| bucket.repeats).sum();
+        let counts = |arrived: Time| now.since(arrived) <= setting.window + BUCKET;
+        self.repeats.retain(|_, arrived| arrived.is_none_or(counts));
         let own = setting.ratio * RATIO_SPENT * f64::from(requests);
         let slack = if now < self.slack_from {
             0.0
         } else {
             setting.slack / entries.max(1) as f64
         };
-        let allowed = own + slack;
-        if f64::from(repeats + 1) > allowed {
-            return false;
+        if (self.repeats.len() + 1) as f64 > own + slack {
+            return None;
         }
-        self.bucket(setting, now).repeats += 1;
-        true
+        self.spent += 1;
+        let key = Key(self.spent);
+        self.repeats.insert(key, None);
+        Some(key)
+    }
+
+    /// The repeat has arrived by `at`, which may lie ahead.
+    pub fn arrived(&mut self, repeat: Key, at: Time) {
+        if let Some(arrived) = self.repeats.get_mut(&repeat) {
+            arrived.get_or_insert(at);
+        }
+    }
+
+    /// The repeat was not sent, and will not be.
+    pub fn unsent(&mut self, repeat: Key) {
+        self.repeats.remove(&repeat);
     }
 }
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -637,7 +637,9 @@
             let budget = &mut budgets[usize::from(*pick) % entries];
             budget.request(setting, now);
             requests.push(now);
-            if *repeat && budget.spend(setting, entries, now) {
+            let spent = repeat.then(|| budget.spend(setting, entries, now));
+            if let Some(repeat) = spent.flatten() {
+                budget.arrived(repeat, now);
                 repeats.push(now);
             }
         }
--- a/tests/repeat.rs
+++ b/tests/repeat.rs
@@ -53,7 +53,7 @@
             budget.request(SETTING, now);
             requests.push(now);
             for _ in 0..2 {
-                if budget.spend(SETTING, ENTRIES, now) {
+                if repeat(budget, now, now) {
                     repeats.push(now);
                 }
             }
@@ -91,7 +91,8 @@
         requests.push(now);
         if step % 5 < 2 {
             wanted += 1;
-            if budget.spend(SETTING, 1, now) {
+            if let Some(repeat) = budget.spend(SETTING, 1, now) {
+                budget.arrived(repeat, now);
                 repeats.push(now);
             }
         }
@@ -141,6 +142,30 @@
 }
 
 /// Takes a repeat that is decided at `now` and arrives at `arrives`, if there is one.
-fn repeat(budget: &mut Budget, now: Time, _arrives: Time) -> bool {
-    budget.spend(SETTING, ENTRIES, now)
+fn repeat(budget: &mut Budget, now: Time, arrives: Time) -> bool {
+    let repeat = budget.spend(SETTING, ENTRIES, now);
+    if let Some(repeat) = repeat {
+        budget.arrived(repeat, arrives);
+    }
+    repeat.is_some()
+}
+
+/// A repeat that turns out not to have been sent is another's, and one that may still be on its way is nobody's, however long that
+/// takes.
+#[test]
+fn a_repeat_counts_until_it_is_known_what_became_of_it() {
+    let setting = Setting {
+        slack: 1.0,
+        ..SETTING
+    };
+    let mut budget = Budget::new(setting, Time::default());
+    let at = |seconds: u64| Time::from_millis(50_000 + seconds * 1_000);
+    let unsent = budget.spend(setting, 1, at(0)).unwrap();
+    assert_eq!(budget.spend(setting, 1, at(0)), None);
+    budget.unsent(unsent);
+    let sent = budget.spend(setting, 1, at(0)).unwrap();
+    assert_eq!(budget.spend(setting, 1, at(60)), None);
+    budget.arrived(sent, at(60));
+    assert_eq!(budget.spend(setting, 1, at(70)), None);
+    assert!(budget.spend(setting, 1, at(71)).is_some());
 }
