Incident, red: entries that start again spend the ratio of half a window once more

The model's test fails on this code: killed after calm seconds, entries spend 0.16 of a window's requests, the slack, and 0.16 of what follows.

--- a/tests/repeat.rs
+++ b/tests/repeat.rs
@@ -169,3 +169,48 @@
     assert_eq!(budget.spend(setting, 1, at(70)), None);
     assert!(budget.spend(setting, 1, at(71)).is_some());
 }
+
+/// Incident: repeats piled up beyond what is allowed, the second way.
+///
+/// Seen: 549 arrivals beyond the first of their requests in 10 s for 2,244 requests, one more than allowed. How it came about: replicas shed
+/// half of what they got, entries had calm seconds behind them and spent what those allowed, were killed, and began again.
+/// Cause: a life that begins knows of no repeat of the one before, and what that had spent of the ratio was allowed by
+/// requests older than the window. Proved by the sums: 0.16 of a window's requests and the slack before, and
+/// 0.16 of half a window's after; and by this model.
+#[test]
+fn entries_that_spend_what_calm_seconds_allow_and_start_again_keep_the_budget() {
+    fn property(lives: u8, apart: u8) -> bool {
+        let mut budgets: Vec<Budget> = (0..ENTRIES)
+            .map(|_| Budget::new(SETTING, Time::default()))
+            .collect();
+        let first = Time::from_millis(62_000);
+        let apart = Duration::from_millis(300 + u64::from(apart) * 30);
+        let mut deaths: Vec<Time> = (0..1 + u32::from(lives % 3))
+            .map(|life| first + apart * life)
+            .collect();
+        let (mut requests, mut repeats) = (Vec::new(), Vec::new());
+        for step in 0..3_600u64 {
+            let now = Time::from_millis(50_000 + step * 10);
+            budgets[step as usize % ENTRIES].request(SETTING, now);
+            requests.push(now);
+            if now + Duration::from_millis(200) < first {
+                continue;
+            }
+            if deaths.first().is_some_and(|death| now >= *death) {
+                deaths.remove(0);
+                let setting = Setting {
+                    slack_at_once: false,
+                    ..SETTING
+                };
+                budgets.fill_with(|| Budget::new(setting, now));
+            }
+            for budget in &mut budgets {
+                while repeat(budget, now, now) {
+                    repeats.push(now);
+                }
+            }
+        }
+        holds(&requests, &repeats)
+    }
+    quickcheck(property as fn(u8, u8) -> bool);
+}
