An entry that starts again leaves the ratio to the life before for a window, but for what lives leave over

Cause: a new life knows nothing of the repeats of the one before. Change: for a window, and 1.5 s for what is held up, it spends a fifth of the ratio, which no life spends, and none of the slack.

--- a/src/request/budget.rs
+++ b/src/request/budget.rs
@@ -11,8 +11,10 @@
 use std::time::Duration;
 
 use crate::clock::Time;
+use crate::exchange::LOST;
 
-/// Part of the ratio that is spent, in hundredths: windows at the judge begin elsewhere.
+/// Part of the ratio that is spent: windows at the judge begin elsewhere. An entry that is started again has the rest
+/// for as long as repeats of the life before may count.
 const RATIO_SPENT: f64 = 0.8;
 
 /// Length of a count of requests.
@@ -27,9 +29,9 @@
     pub slack: f64,
     /// The length of every window.
     pub window: Duration,
-    /// Whether an entry that starts may spend its part of the slack at once. One that is started again may
-    /// not: what it replaces may have spent it just before.
-    pub slack_at_once: bool,
+    /// Whether an entry that starts may spend all of its part at once. One that is started again may not: the
+    /// life before may have spent it just now, and what is left of the window's budget is what lives leave over.
+    pub all_at_once: bool,
 }
 
 impl Default for Setting {
@@ -38,7 +40,7 @@
             ratio: 0.1,
             slack: 20.0,
             window: Duration::from_secs(10),
-            slack_at_once: true,
+            all_at_once: true,
         }
     }
 }
@@ -60,22 +62,23 @@
     /// The repeats that count, with when each has arrived; none for one that may be on its way.
     repeats: BTreeMap<Key, Option<Time>>,
     spent: u64,
-    slack_from: Time,
+    /// From when on no life before counts.
+    alone_from: Time,
 }
 
 impl Budget {
     /// The budget of an entry that started at `began`.
     pub fn new(setting: Setting, began: Time) -> Self {
-        let without = if setting.slack_at_once {
+        let counts_before = if setting.all_at_once {
             Duration::ZERO
         } else {
-            setting.window
+            setting.window + LOST
         };
         Self {
             buckets: VecDeque::new(),
             repeats: BTreeMap::new(),
             spent: 0,
-            slack_from: began + without,
+            alone_from: began + counts_before,
         }
     }
 
@@ -118,12 +121,12 @@
             .sum();
         let counts = |arrived: Time| now.since(arrived) <= setting.window + BUCKET;
         self.repeats.retain(|_, arrived| arrived.is_none_or(counts));
-        let own = setting.ratio * RATIO_SPENT * f64::from(requests);
-        let slack = if now < self.slack_from {
-            0.0
+        let (part, slack) = if now < self.alone_from {
+            (1.0 - RATIO_SPENT, 0.0)
         } else {
-            setting.slack / entries.max(1) as f64
+            (RATIO_SPENT, setting.slack / entries.max(1) as f64)
         };
+        let own = setting.ratio * part * f64::from(requests);
         if (self.repeats.len() + 1) as f64 > own + slack {
             return None;
         }
--- a/tests/repeat.rs
+++ b/tests/repeat.rs
@@ -13,7 +13,7 @@
     ratio: 0.2,
     slack: 100.0,
     window: Duration::from_secs(10),
-    slack_at_once: true,
+    all_at_once: true,
 };
 
 const ENTRIES: usize = 7;
@@ -44,7 +44,7 @@
             if now >= killed && !again {
                 again = true;
                 let setting = Setting {
-                    slack_at_once: false,
+                    all_at_once: false,
                     ..SETTING
                 };
                 budgets[..ENTRIES - 1].fill_with(|| Budget::new(setting, now));
@@ -199,7 +199,7 @@
             if deaths.first().is_some_and(|death| now >= *death) {
                 deaths.remove(0);
                 let setting = Setting {
-                    slack_at_once: false,
+                    all_at_once: false,
                     ..SETTING
                 };
                 budgets.fill_with(|| Budget::new(setting, now));
