A suspicion of all connections is raised once a second, and by one peer only where few streams would ask again

Cause, by reading: each question for a place that a busy link holds up had all quiet streams of the entry ask over new connections; with the target's 2,000 streams and 870 questions a second an entry would open hundreds each time.

--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -405,7 +405,7 @@
             Either::Left((Err(_), new)) => new.await,
             Either::Right((answer, old)) => {
                 let answer = answer?;
-                self.paths.suspect();
+                self.paths.suspect(sending.peer);
                 let (paths, peer) = (self.paths.clone(), sending.peer);
                 actix_rt::spawn(async move {
                     // What holds a link up holds both up: the old one answers about then as well.
@@ -495,8 +495,7 @@
         })
     }
 
-    /// Counts how often a used connection brought nothing where a new one did: it may be silent, and others with
-    /// it.
+    /// Counts how often used connections brought nothing where new ones did, so that all may be silent.
     pub fn suspicions(&self) -> watch::Receiver<u64> {
         self.paths.suspicions()
     }
--- a/src/exchange/path.rs
+++ b/src/exchange/path.rs
@@ -14,7 +14,7 @@
 use tokio::sync::watch;
 
 use crate::clock::{Clock, Time};
-use crate::silence::{Connection, Extent, Findings, Others, Use};
+use crate::silence::{Connection, Extent, Findings, Others, Suspicion, Use};
 
 /// How much later than a silence began bytes may come that were on their way: a few milliseconds
 /// between halls.
@@ -54,6 +54,7 @@
     findings: RefCell<Findings>,
     under_way: RefCell<Vec<Weak<Carrier>>>,
     ended: RefCell<VecDeque<Connection>>,
+    suspicion: RefCell<Suspicion>,
     suspected: watch::Sender<u64>,
     found: watch::Sender<u64>,
     found_all: watch::Sender<u64>,
@@ -66,6 +67,7 @@
             findings: RefCell::default(),
             under_way: RefCell::default(),
             ended: RefCell::default(),
+            suspicion: RefCell::default(),
             suspected: watch::Sender::new(0),
             found: watch::Sender::new(0),
             found_all: watch::Sender::new(0),
@@ -102,12 +104,19 @@
         self.findings.borrow().gives_up(connection).is_some()
     }
 
-    /// A new connection brought what a used one may yet bring.
-    pub(super) fn suspect(&self) {
-        self.suspected.send_modify(|count| *count += 1);
+    /// A new connection to `peer` brought what a used one may yet bring.
+    pub(super) fn suspect(&self, peer: SocketAddr) {
+        let under_way = self.under_way.borrow();
+        let under_way = under_way
+            .iter()
+            .filter(|carrier| carrier.strong_count() > 0);
+        let (under_way, now) = (under_way.count(), self.now());
+        if self.suspicion.borrow_mut().raise(peer, under_way, now) {
+            self.suspected.send_modify(|count| *count += 1);
+        }
     }
 
-    /// Counts how often that happened.
+    /// Counts how often all connections were suspected by that.
     pub(super) fn suspicions(&self) -> watch::Receiver<u64> {
         self.suspected.subscribe()
     }
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -234,7 +234,7 @@
         if let Some(keeper) = self.keeper {
             let line = Line::new(&self.gateway, keeper, &job.ask.id);
             let (body, note) = (job.body.clone(), self.connection.clone());
-            match Reader::begin(line, copy(&head), body, note).await {
+            match Reader::begin(line, head.clone(), body, note).await {
                 Ok(reader) => return Ok(reader),
                 Err(reader::Error::Exchange(error)) => return Err(error),
                 Err(error) => self.not_kept(job, &error),
@@ -376,14 +376,6 @@
     gateway.process_beside(key)
 }
 
-fn copy(head: &RequestHead) -> RequestHead {
-    let mut copy = RequestHead::default();
-    copy.method = head.method.clone();
-    copy.uri = head.uri.clone();
-    copy.headers = head.headers.clone();
-    copy
-}
-
 fn options(job: &Job, moves_on: bool) -> Options {
     Options {
         // A connection that its replica closes just now would leave unknown whether the request
--- a/src/gateway/reader.rs
+++ b/src/gateway/reader.rs
@@ -16,6 +16,7 @@
 use futures_util::future::{Either, LocalBoxFuture, select};
 use futures_util::stream::FuturesUnordered;
 use futures_util::{FutureExt, StreamExt};
+use rand::RngExt;
 use tokio::sync::watch;
 
 use super::{Gateway, IDLE_MAX};
@@ -27,8 +28,8 @@
 /// a pause of 0.4 s makes a stream late; a new connection brings what has come meanwhile within a few milliseconds.
 const QUIET: Duration = Duration::from_millis(300);
 
-/// How long it may while another connection is suspected to be silent: about the time between two events. Whoever finds that
-/// out, it holds for most connections at once.
+/// How long it may while others are suspected to be silent: about the time between two events. Whoever finds that out, it
+/// holds for most connections at once.
 const QUIET_SUSPECTED: Duration = Duration::from_millis(100);
 
 /// How long a connection to the process beside a replica may take to open.
@@ -37,6 +38,10 @@
 /// How long it may take to hear that nobody reads a run any more, over a used connection.
 const END_RENEWS: Duration = Duration::from_millis(60);
 
+/// Connections that are asked already, at which a suspicion has none asked besides: the one that carries the request, and one
+/// more.
+const WAYS_SUSPECTED: usize = 2;
+
 /// Connections in a row that may fail before an answer counts as broken.
 const FAILED_MAX: u32 = 2;
 
@@ -156,9 +161,7 @@
 impl Line {
     /// A run of `request` that `process` is to keep.
     pub fn new(gateway: &Rc<Gateway>, process: SocketAddr, request: &str) -> Self {
-        let key = Key(rand::RngExt::random(
-            &mut *gateway.knowledge.rng.borrow_mut(),
-        ));
+        let key = Key(gateway.knowledge.rng.borrow_mut().random());
         Self {
             gateway: gateway.clone(),
             process,
@@ -337,9 +340,12 @@
         self.ask_again();
     }
 
-    /// Other connections are suspected to be silent, so this one may bring nothing for less long.
+    /// Other connections are suspected to be silent, so this one may bring nothing for less long. One that is asked
+    /// for in its place already will show it.
     fn suspect(&mut self) {
-        self.quiet = self.quiet.min(QUIET_SUSPECTED);
+        if self.ways.len() < WAYS_SUSPECTED {
+            self.quiet = self.quiet.min(QUIET_SUSPECTED);
+        }
     }
 
     fn now(&self) -> Time {
--- a/src/silence.rs
+++ b/src/silence.rs
@@ -27,6 +27,18 @@
 /// is sent again after 200 ms, and then the next event is due.
 const GRACE_DIVIDED: Duration = Duration::from_millis(350);
 
+/// Suspicions of two peers within so long may have one cause: at 27 questions a second the second comes after some
+/// 40 ms.
+const SUSPECTED_TOGETHER: Duration = Duration::from_millis(250);
+
+/// Exchanges under way that may be asked for again on the word of one peer. With more, questions are as many more, and a second
+/// peer shows it soon.
+const FEW: usize = 100;
+
+/// Shortest time between two suspicions of all connections. Each has streams ask over new connections, and a busy link
+/// raises false ones.
+const SUSPECTED_AGAIN: Duration = Duration::from_millis(1_000);
+
 /// Findings about all connections that are remembered.
 const REMEMBERED: usize = 16;
 
@@ -165,3 +177,26 @@
         }
     }
 }
+
+/// Whether connections may have gone silent, before that is confirmed.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Suspicion {
+    lately: Option<(SocketAddr, Time)>,
+    told: Option<Time>,
+}
+
+impl Suspicion {
+    /// A new connection to `peer` brought something before a used one did, while so many exchanges were under way. Returns
+    /// whether all connections are suspected by that: because of a second peer, or because it costs little.
+    pub fn raise(&mut self, peer: SocketAddr, under_way: usize, now: Time) -> bool {
+        let before = self.lately.replace((peer, now));
+        let second =
+            before.is_some_and(|(other, at)| other != peer && now.since(at) < SUSPECTED_TOGETHER);
+        let again = self.told.is_none_or(|at| now.since(at) >= SUSPECTED_AGAIN);
+        let all = again && (second || under_way <= FEW);
+        if all {
+            self.told = Some(now);
+        }
+        all
+    }
+}
--- a/tests/silence.rs
+++ b/tests/silence.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use pumicelatch::clock::Time;
-use pumicelatch::silence::{Connection, Extent, Findings, Others, Use};
+use pumicelatch::silence::{Connection, Extent, Findings, Others, Suspicion, Use};
 use quickcheck::quickcheck;
 
 fn peer(last: u8) -> SocketAddr {
@@ -140,3 +140,22 @@
         (!given_up(heard) || given_up(earlier)) && !given_up(now)
     }
 }
+
+/// A burst of weights holds questions for places up at one link after the other; a silence of all connections shows at several peers at
+/// once. What a false suspicion costs grows with the streams under way.
+#[test]
+fn one_slow_peer_or_many_within_a_second_do_not_have_many_streams_ask_again() {
+    let peer = |number: u16| SocketAddr::from(([10, 0, 0, 1], number));
+    let at = |millis| Time::from_millis(50_000 + millis);
+    let mut suspicion = Suspicion::default();
+    let mut raise = |number, millis| suspicion.raise(peer(number), 2_000, at(millis));
+    assert!((0..100).all(|step| !raise(1, step * 10)));
+    assert!(raise(2, 1_010));
+    let more = (0..90).filter(|step| raise(step % 7, 1_020 + u64::from(*step) * 10));
+    assert_eq!(more.count(), 0);
+    assert!(!raise(3, 3_000), "the last one is long ago");
+    assert!(raise(4, 3_100));
+    let mut few = Suspicion::default();
+    assert!(few.raise(peer(1), 30, at(0)));
+    assert!(!few.raise(peer(2), 30, at(900)), "once a second at most");
+}
