A run that is ended tells whoever reads it

Cause: ending a run at the replica stopped what fills it, and a reader waits for that; on a silent connection nothing else ends it, so each left a task, a connection and a ticket that a planned stop waits for, 7.3 s long.

--- a/src/sidecar/carry.rs
+++ b/src/sidecar/carry.rs
@@ -17,6 +17,7 @@
 use tokio::sync::watch;
 
 use super::Sidecar;
+use crate::clock::Time;
 use crate::exchange::{self, Options, Reuse, Unframed};
 use crate::gateway;
 use crate::http::{self, Answer};
@@ -61,11 +62,16 @@
         self.change();
     }
 
-    /// Ends it at the replica.
-    fn abort(&self) {
+    /// Ends it at the replica, and for whoever reads it: a reader whose connection is silent would wait for ever.
+    fn abort(&self, now: Time) {
         if let Some(task) = self.task.take() {
             task.abort();
         }
+        self.tape.borrow_mut().end(Ended::Broken, now);
+        self.head
+            .borrow_mut()
+            .get_or_insert(Head::None(Told::Broken));
+        self.change();
     }
 }
 
@@ -183,7 +189,7 @@
                 let now = self.knowledge.now();
                 let run = self.runs.borrow_mut().end(key, now);
                 if let Some(run) = run {
-                    run.abort();
+                    run.abort(now);
                 }
                 http::status(StatusCode::OK)
             }
@@ -236,7 +242,7 @@
         let abandoned = self.runs.borrow_mut().sweep(now);
         for (key, run) in abandoned {
             log::info!(run:% = key; "a run that nobody reads any more is ended");
-            run.abort();
+            run.abort(now);
         }
         self.client.reap(gateway::IDLE_MAX);
     }
