What was a run here is never told to be unknown; what says who kept an answer goes no further

Cause: the shelf forgot a run that was ended or long over, or kept it as barred, and 'unknown' of a process older than the request counts as 'has not run': an entry that stood still, or whose connection was reset while it waited, repeated without a charge and could refuse with 'not run' what had run. Change: run::Place::Over is remembered for 10 s beside what is barred, and Told::not_run holds no longer than that. The header of who answered is taken off, and headers that a replica's connection names as its own are not passed on (http::named_by_connection, which the adapter had).

--- a/src/exchange/answer.rs
+++ b/src/exchange/answer.rs
@@ -120,17 +120,7 @@
 
     /// Reads the whole body of at most `limit` bytes, and notes when bytes come.
     pub async fn read_noting(&mut self, limit: usize, progress: &Progress) -> Result<Bytes, Error> {
-        let mut all = BytesMut::new();
-        progress.came();
-        while let Some(part) = self.next().await {
-            let part = part?;
-            progress.came();
-            if all.len() + part.len() > limit {
-                return Err(Error::TooLong { limit });
-            }
-            all.extend_from_slice(&part);
-        }
-        Ok(all.freeze())
+        gather(self, limit, progress).await
     }
 
     fn keep(&self, connection: Connection) {
@@ -186,6 +176,25 @@
     }
 }
 
+/// Reads all of `parts`, of at most `limit` bytes, and notes when bytes come.
+pub async fn gather(
+    parts: &mut (impl Stream<Item = Result<Bytes, Error>> + Unpin),
+    limit: usize,
+    progress: &Progress,
+) -> Result<Bytes, Error> {
+    let mut all = BytesMut::new();
+    progress.came();
+    while let Some(part) = parts.next().await {
+        let part = part?;
+        progress.came();
+        if all.len() + part.len() > limit {
+            return Err(Error::TooLong { limit });
+        }
+        all.extend_from_slice(&part);
+    }
+    Ok(all.freeze())
+}
+
 /// Whether an answer has a body whose length it does not tell.
 fn without_length(head: &ResponseHead) -> bool {
     let bodiless = head.status.is_informational()
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -75,6 +75,9 @@
 /// Longest rest of a connection to a replica that is used again.
 pub const IDLE_MAX: Duration = Duration::from_millis(2_000);
 
+/// How long a connection to a replica, or to the process beside it, may take to open.
+pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
+
 /// Part of a version's bound, before its end, in which what has not started on an older one is
 /// ended.
 const START_MARGIN: Duration = Duration::from_millis(600);
@@ -418,14 +421,20 @@
         self.joined.join(&target, oldest, crew);
     }
 
+    fn log_under_way(&self) {
+        let under_way = self.pool.borrow().under_way();
+        self.instruments.under_way(under_way);
+        if under_way > 0 {
+            log::info!(under_way; "attempts under way");
+        }
+    }
+
     async fn tick(self: Rc<Self>) {
         for look in 1_u32.. {
             sleep(TICK).await;
             let now = self.knowledge.now();
-            let under_way = self.pool.borrow().under_way();
-            self.instruments.under_way(under_way);
-            if look.is_multiple_of(LOOKS_LOGGED) && under_way > 0 {
-                log::info!(under_way; "attempts under way");
+            if look.is_multiple_of(LOOKS_LOGGED) {
+                self.log_under_way();
             }
             let swept = self.knowledge.belief.borrow_mut().sweep(now);
             if swept {
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -16,7 +16,7 @@
 use super::dialect::{Forward, Reading};
 use super::job::Job;
 use super::reader::{self, Line, Reader};
-use super::{Gateway, IDLE_MAX};
+use super::{CONNECT_TIMEOUT, Gateway, IDLE_MAX};
 use crate::clock::Time;
 use crate::config::routing::Kind;
 use crate::exchange::{self, Note, Options, Reuse, Unframed};
@@ -26,9 +26,6 @@
 use crate::route::health::Sign;
 use crate::route::pool::{Choice, Key};
 
-/// How long a connection to a replica may take to open.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
-
 /// Objectives that a replica may be silent before a request that may be repeated goes elsewhere.
 const SILENCE_FACTOR: u32 = 3;
 
--- a/src/gateway/reader.rs
+++ b/src/gateway/reader.rs
@@ -1,7 +1,6 @@
 //! Reads the answer of an attempt. One that the process beside its replica keeps ([`crate::run`]) is read on over a
 //! new connection when the one that brought it breaks, goes silent, or brings nothing for a while.
 
-use std::cell::Cell;
 use std::fmt;
 use std::future::pending;
 use std::net::SocketAddr;
@@ -12,16 +11,17 @@
 use actix_http::header::HeaderMap;
 use actix_http::{Method, RequestHead, StatusCode};
 use actix_rt::time::sleep;
-use bytes::{Buf, Bytes, BytesMut};
+use bytes::{Buf, Bytes};
 use futures_util::future::{Either, LocalBoxFuture, select};
 use futures_util::stream::FuturesUnordered;
-use futures_util::{FutureExt, StreamExt};
+use futures_util::{FutureExt, StreamExt, stream};
 use rand::RngExt;
 use tokio::sync::watch;
 
-use super::{Gateway, IDLE_MAX};
+use super::{CONNECT_TIMEOUT, Gateway, IDLE_MAX};
 use crate::clock::Time;
-use crate::exchange::{self, Client, Note, Options, Request, Response, Reuse};
+use crate::exchange::{self, Client, Note, Options, Request, Response, Reuse, answer};
+use crate::patience::Progress;
 use crate::run::{Call, Key, TOLD, Told};
 
 /// How long a connection may bring nothing before the answer is asked for over a new one as well. Events come every 0.1 s, and
@@ -32,9 +32,6 @@
 /// holds for most connections at once.
 const QUIET_SUSPECTED: Duration = Duration::from_millis(100);
 
-/// How long a connection to the process beside a replica may take to open.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
-
 /// How long it may take to hear that nobody reads a run any more, over a used connection.
 const END_RENEWS: Duration = Duration::from_millis(60);
 
@@ -103,7 +100,9 @@
     ) -> Result<Self, Error> {
         let mut kept = Kept::begin(line, head, body, note)?;
         let mut response = kept.head().await?;
-        let headers = std::mem::take(&mut response.headers);
+        let mut headers = std::mem::take(&mut response.headers);
+        // It is for this process alone.
+        headers.remove(TOLD);
         let status = response.status;
         kept.current = Some(response);
         Ok(Self {
@@ -130,15 +129,11 @@
 
     /// Reads the whole body of at most `limit` bytes.
     pub async fn read(&mut self, limit: usize) -> Result<Bytes, exchange::Error> {
-        let mut all = BytesMut::new();
-        while let Some(part) = self.next().await {
-            let part = part?;
-            if all.len() + part.len() > limit {
-                return Err(exchange::Error::TooLong { limit });
-            }
-            all.extend_from_slice(&part);
-        }
-        Ok(all.freeze())
+        let parts = stream::unfold(self, |reader| async move {
+            let part = reader.next().await?;
+            Some((part, reader))
+        });
+        answer::gather(&mut pin!(parts), limit, &Progress::default()).await
     }
 }
 
@@ -243,12 +238,12 @@
     suspicions: watch::Receiver<u64>,
     failed: u32,
     /// Whether nothing more is to be had of the run.
-    over: Cell<bool>,
+    over: bool,
 }
 
 impl Drop for Kept {
     fn drop(&mut self) {
-        if !self.over.get() {
+        if !self.over {
             actix_rt::spawn(self.line.clone().end());
         }
     }
@@ -300,7 +295,7 @@
             quiet: QUIET,
             suspicions: line.client().suspicions(),
             failed: 0,
-            over: Cell::new(false),
+            over: false,
             line,
         })
     }
@@ -357,10 +352,9 @@
         let response = match way.response {
             Ok(response) => response,
             Err(exchange::Error::NotSent { reason }) if way.first => {
-                self.over.set(true);
-                return Err(Error::OutOfReach { reason });
+                return Err(self.ended(Error::OutOfReach { reason }));
             }
-            Err(error) => return self.failed(error),
+            Err(error) => return self.failed(error).map(|()| None),
         };
         match Told::of(response.header(TOLD)) {
             Some(Told::Replica) => {
@@ -368,47 +362,46 @@
                 self.failed = 0;
                 Ok(Some(response))
             }
-            Some(Told::NotSent) => Err(self.ended(Error::NotSent)),
-            Some(Told::Unknown { up }) if self.came == 0 && up > self.line.age() => {
+            Some(told) if self.came == 0 && told.not_run(self.line.age()) => {
                 Err(self.ended(Error::NotSent))
             }
             // A process of an earlier release keeps no runs.
             None if way.first && response.status == StatusCode::NOT_FOUND => {
                 Err(self.ended(Error::NotSent))
             }
-            Some(Told::Broken | Told::Unknown { .. }) | None => {
+            Some(_) | None => {
                 let reason = "the process beside the replica has no more of it";
                 Err(self.ended(broken(reason).into()))
             }
         }
     }
 
-    fn ended(&self, error: Error) -> Error {
-        self.over.set(true);
+    fn ended(&mut self, error: Error) -> Error {
+        self.over = true;
         error
     }
 
     /// A connection failed. If it was the last, another is tried.
-    fn failed(&mut self, error: exchange::Error) -> Result<Option<Box<Response>>, Error> {
+    fn failed(&mut self, error: exchange::Error) -> Result<(), Error> {
         if self.current.is_some() || !self.ways.is_empty() {
-            return Ok(None);
+            return Ok(());
         }
         self.failed += 1;
         if self.failed > FAILED_MAX {
             return Err(broken(error).into());
         }
         self.ask_again();
-        Ok(None)
+        Ok(())
     }
 
     async fn next(&mut self) -> Option<Result<Bytes, exchange::Error>> {
-        if self.over.get() {
+        if self.over {
             return None;
         }
         loop {
             match self.turn().await {
                 Turn::Part(None) => {
-                    self.over.set(true);
+                    self.over = true;
                     return None;
                 }
                 Turn::Part(Some(Ok(bytes))) => {
@@ -423,9 +416,8 @@
                     self.current = None;
                     let request = &*self.line.request;
                     log::info!(request, came = self.came; "its connection ended: {error}");
-                    match self.failed(error) {
-                        Ok(_) => {}
-                        Err(error) => return Some(Err(told(error))),
+                    if let Err(error) = self.failed(error) {
+                        return Some(Err(told(error)));
                     }
                 }
                 Turn::Quiet => self.ask_when_quiet(),
--- a/src/gateway/repeat.rs
+++ b/src/gateway/repeat.rs
@@ -44,7 +44,6 @@
             Some(Ended::Refused | Ended::Misdirected | Ended::Failed) | None => {
                 let now = self.gateway.knowledge.now();
                 self.gateway.budget(&self.service).arrived(self.key, now);
-                self.sent = true;
             }
         }
     }
--- a/src/http.rs
+++ b/src/http.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use actix_http::body::{BodyStream, BoxBody, MessageBody};
-use actix_http::header::{CONTENT_TYPE, HeaderValue};
+use actix_http::header::{CONNECTION, CONTENT_TYPE, HeaderMap, HeaderValue};
 use actix_http::{Request, Response, StatusCode};
 use bytes::{Bytes, BytesMut};
 use futures_util::{Stream, StreamExt};
@@ -201,6 +201,16 @@
     answer
 }
 
+/// Headers that the connection's own header names as its own.
+pub fn named_by_connection(headers: &HeaderMap) -> Vec<String> {
+    headers
+        .get_all(CONNECTION)
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .map(|name| name.trim().to_ascii_lowercase())
+        .collect()
+}
+
 /// Reads a request's body of at most `limit` bytes.
 pub async fn read_request(request: &mut Request, limit: usize) -> Result<Bytes, Error> {
     let mut payload = request.take_payload();
--- a/src/run.rs
+++ b/src/run.rs
@@ -26,9 +26,9 @@
 /// before it asks again, a few times.
 const KEPT: Duration = Duration::from_secs(3);
 
-/// How long a run that was asked for in vain may not begin any more: longer than a link holds bytes up, and than
-/// callers wait.
-const BARRED: Duration = Duration::from_secs(10);
+/// How long it is remembered of a run that it was here, or was asked for in vain and may not begin any more: longer
+/// than a link holds bytes up, and than callers wait.
+const REMEMBERED: Duration = Duration::from_secs(10);
 
 /// Bytes kept behind what was handed over: as many may lie in the buffers of a connection that is lost.
 const BEHIND: usize = 256 << 10;
@@ -36,7 +36,7 @@
 /// Bytes that are taken from a replica before they are read.
 const AHEAD: usize = 256 << 10;
 
-/// Runs that are kept at most, more than a replica takes at once and finishes in [`KEPT`].
+/// Runs that are kept or remembered at most, more than a replica finishes in [`REMEMBERED`].
 const RUNS_MAX: usize = 4_096;
 
 /// The header by which the process beside a replica tells whose an answer is, as [`Told`].
@@ -146,6 +146,18 @@
     }
 }
 
+impl Told {
+    /// Whether a request that was sent `age` ago has not run, and will not: a process that was there all that time, and
+    /// would remember it, does not know it.
+    pub fn not_run(self, age: Duration) -> bool {
+        match self {
+            Self::NotSent => true,
+            Self::Unknown { up } => age < up && age < REMEMBERED,
+            Self::Replica | Self::Broken => false,
+        }
+    }
+}
+
 impl fmt::Display for Told {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
@@ -290,10 +302,23 @@
 #[derive(Debug)]
 enum Place<T> {
     Kept(Kept<T>),
-    /// It may not begin any more: somebody was told that it is not known here.
+    /// It was here until then, and may have run.
+    Over(Time),
+    /// It may not begin any more: somebody was told then that it is not known here.
     Barred(Time),
 }
 
+/// What is known of a run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Found<T> {
+    /// It is kept.
+    Kept(T),
+    /// It was, and may have run.
+    Over,
+    /// It never was.
+    Unknown,
+}
+
 /// The runs of one process, each with what carries it out. A run's name is good for one run only.
 #[derive(Debug)]
 pub struct Shelf<T> {
@@ -312,7 +337,7 @@
     /// A request to start the run `key` came.
     pub fn start(&mut self, key: Key, tape: Rc<RefCell<Tape>>, carrier: T) -> Verdict {
         match self.places.get(&key) {
-            Some(Place::Kept(_)) => return Verdict::Known,
+            Some(Place::Kept(_) | Place::Over(_)) => return Verdict::Known,
             Some(Place::Barred(_)) => return Verdict::NotRun,
             None if self.places.len() >= RUNS_MAX => return Verdict::NotRun,
             None => {}
@@ -322,36 +347,42 @@
         Verdict::Run
     }
 
-    /// What carries the run `key` out. One that is not known may not begin any more.
-    pub fn get(&mut self, key: Key, now: Time) -> Option<T> {
+    /// What is known of the run `key`. One that is not may not begin any more.
+    pub fn get(&mut self, key: Key, now: Time) -> Found<T> {
         match self.places.entry(key).or_insert(Place::Barred(now)) {
-            Place::Kept(kept) => Some(kept.carrier.clone()),
-            Place::Barred(_) => None,
+            Place::Kept(kept) => Found::Kept(kept.carrier.clone()),
+            Place::Over(_) => Found::Over,
+            Place::Barred(_) => Found::Unknown,
         }
     }
 
     /// Takes the run `key` away, which nobody reads any more. It may not begin again.
     pub fn end(&mut self, key: Key, now: Time) -> Option<T> {
-        match self.places.insert(key, Place::Barred(now))? {
-            Place::Kept(kept) => Some(kept.carrier),
-            Place::Barred(_) => None,
-        }
+        let place = self.places.entry(key).or_insert(Place::Barred(now));
+        let Place::Kept(kept) = place else {
+            return None;
+        };
+        let carrier = kept.carrier.clone();
+        *place = Place::Over(now);
+        Some(carrier)
     }
 
     /// Forgets what nobody will ask for any more, and takes away what goes on for nobody.
     pub fn sweep(&mut self, now: Time) -> Vec<(Key, T)> {
         self.places.retain(|_, place| match place {
-            Place::Kept(kept) => !kept.tape.borrow().forgotten(now),
-            Place::Barred(since) => now.since(*since) < BARRED,
+            Place::Over(since) | Place::Barred(since) => now.since(*since) < REMEMBERED,
+            Place::Kept(_) => true,
         });
-        let abandoned = self.places.iter().filter_map(|(key, place)| match place {
-            Place::Kept(kept) if kept.tape.borrow().abandoned(now) => Some(*key),
-            _ => None,
-        });
-        let abandoned: Vec<Key> = abandoned.collect();
-        let ended = abandoned.into_iter();
-        ended
-            .filter_map(|key| Some((key, self.end(key, now)?)))
-            .collect()
+        let mut abandoned = Vec::new();
+        for (key, place) in &mut self.places {
+            let Place::Kept(kept) = place else { continue };
+            if kept.tape.borrow().abandoned(now) {
+                abandoned.push((*key, kept.carrier.clone()));
+            } else if !kept.tape.borrow().forgotten(now) {
+                continue;
+            }
+            *place = Place::Over(now);
+        }
+        abandoned
     }
 }
--- a/src/sidecar/carry.rs
+++ b/src/sidecar/carry.rs
@@ -4,7 +4,6 @@
 use std::cell::RefCell;
 use std::io;
 use std::rc::Rc;
-use std::time::Duration;
 
 use actix_http::body::{BodyStream, MessageBody};
 use actix_http::header::{
@@ -21,15 +20,12 @@
 use crate::exchange::{self, Options, Reuse, Unframed};
 use crate::gateway;
 use crate::http::{self, Answer};
-use crate::run::{Call, Ended, Key, Part, Tape, Told, Verdict};
+use crate::run::{Call, Ended, Found, Key, Part, Tape, Told, Verdict};
 use crate::stop;
 
 /// Longest body of a request: far more than the longest prompt.
 const BODY_MAX: usize = 16 << 20;
 
-/// How long a connection to the replica, on the same machine, may take to open.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
-
 /// Headers that concern one connection only, and that the codec writes anew.
 const HOP: [HeaderName; 3] = [CONNECTION, CONTENT_LENGTH, TRANSFER_ENCODING];
 
@@ -159,8 +155,11 @@
 }
 
 fn pass(from: &HeaderMap, into: &mut HeaderMap) {
-    for (name, value) in from.iter().filter(|(name, _)| !HOP.contains(name)) {
-        into.append(name.clone(), value.clone());
+    let named = http::named_by_connection(from);
+    for (name, value) in from.iter() {
+        if !HOP.contains(name) && !named.iter().any(|known| known == name.as_str()) {
+            into.append(name.clone(), value.clone());
+        }
     }
 }
 
@@ -225,10 +224,14 @@
     async fn read_run(self: Rc<Self>, key: Key, from: u64) -> Answer {
         let ticket = self.porter.enter(stop::Kind::Continued);
         let now = self.knowledge.now();
-        let run = self.runs.borrow_mut().get(key, now);
-        let Some(run) = run else {
-            let up = now.since(self.began);
-            return ticket.hold(own(Told::Unknown { up }));
+        let found = self.runs.borrow_mut().get(key, now);
+        let run = match found {
+            Found::Kept(run) => run,
+            Found::Over => return ticket.hold(own(Told::Broken)),
+            Found::Unknown => {
+                let up = now.since(self.began);
+                return ticket.hold(own(Told::Unknown { up }));
+            }
         };
         match Reader::open(&self, run, from) {
             Some(reader) if !ticket.refused() => ticket.hold(reader.answer().await),
@@ -269,7 +272,7 @@
     let options = Options {
         reuse: Reuse::Allowed,
         idle_max: gateway::IDLE_MAX,
-        connect_timeout: CONNECT_TIMEOUT,
+        connect_timeout: gateway::CONNECT_TIMEOUT,
         unframed: Unframed::EndsWithConnection,
         ..Options::default()
     };
--- a/src/sidecar/observe.rs
+++ b/src/sidecar/observe.rs
@@ -90,8 +90,8 @@
 }
 
 impl Sidecar {
-    /// Writes down what the replica has to do. What entries have under way together less than all
-    /// replicas is read by nobody.
+    /// Writes down what the replica has to do. What all replicas have beyond what all entries have under way is read by
+    /// nobody.
     fn log_requests(&self) {
         let state = self.state.borrow();
         let Some(state) = state.as_ref() else {
--- a/tests/run.rs
+++ b/tests/run.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use pumicelatch::clock::Time;
-use pumicelatch::run::{Call, Ended, Key, Part, Shelf, Tape, Told, UNREAD, Verdict};
+use pumicelatch::run::{Call, Ended, Found, Key, Part, Shelf, Tape, Told, UNREAD, Verdict};
 use quickcheck::quickcheck;
 
 fn at(millis: u64) -> Time {
@@ -109,14 +109,14 @@
     let soon = at(10_000) + UNREAD;
     assert_eq!(shelf.sweep(soon - Duration::from_millis(1)), []);
     assert_eq!(shelf.sweep(soon), [(Key(1), "run")]);
-    assert_eq!(shelf.get(Key(1), soon), None);
+    assert_eq!(shelf.get(Key(1), soon), Found::Over);
 }
 
 /// An entry that is told that a run is not known tries elsewhere: what it had sent may come later.
 #[test]
 fn a_run_that_was_said_not_to_be_known_never_begins() {
     let mut shelf: Shelf<&str> = Shelf::default();
-    assert_eq!(shelf.get(Key(1), at(0)), None);
+    assert_eq!(shelf.get(Key(1), at(0)), Found::Unknown);
     assert_eq!(shelf.start(Key(1), tape(), "late"), Verdict::NotRun);
     assert_eq!(shelf.end(Key(2), at(0)), None);
     assert_eq!(shelf.start(Key(2), tape(), "late"), Verdict::NotRun);
@@ -124,6 +124,32 @@
     assert_eq!(shelf.start(Key(3), tape(), "again"), Verdict::Known);
 }
 
+/// An entry that stood still asks for its run when that was ended, or is long over and not kept any more.
+#[test]
+fn a_run_that_was_here_is_never_said_not_to_have_run() {
+    let mut shelf = Shelf::default();
+    let (ended, over) = (tape(), tape());
+    shelf.start(Key(1), ended, "ended");
+    shelf.start(Key(2), over.clone(), "over");
+    over.borrow_mut().end(Ended::Whole, at(0));
+    assert_eq!(shelf.end(Key(1), at(0)), Some("ended"));
+    for second in 0..13 {
+        let now = at(second * 1_000);
+        shelf.sweep(now);
+        for key in [Key(1), Key(2)] {
+            let age = now.since(at(0));
+            let told = match shelf.get(key, now) {
+                Found::Kept(_) | Found::Over => Told::Broken,
+                Found::Unknown => Told::Unknown { up: age * 2 },
+            };
+            assert!(!told.not_run(age), "{key} after {second} s");
+        }
+    }
+    let up = Duration::from_secs(2);
+    assert!(Told::Unknown { up }.not_run(Duration::from_secs(1)));
+    assert!(!Told::Unknown { up }.not_run(Duration::from_secs(3)));
+}
+
 #[test]
 fn calls_are_read_as_they_were_written_and_leave_the_path_as_it_is() {
     fn property(key: u64, from: u64) -> bool {
