Sight: what stays the same of a request stands in its lines

No line named what a caller asks for again under a new id, so the logs could not tell whether one request stands behind many ends of replicas. Its name is a hash of path, caller and body; `request ended` and `attempt ended` bear it.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -172,6 +172,7 @@
         self.gateway.instruments.attempt(name(ended));
         log::warn!(
             request = job.ask.id.as_str(),
+            name:% = job.name,
             replica = &*self.replica,
             ended = name(ended),
             known_requests = self.choice.requests,
--- a/src/gateway/intake.rs
+++ b/src/gateway/intake.rs
@@ -14,6 +14,7 @@
 use crate::config::routing::{Access, Limits, Routing};
 use crate::http::{self, Error};
 use crate::limit::returning::Fingerprint;
+use crate::request::poison;
 
 /// When a caller should come back to a process that knows no configuration yet.
 const NOT_READY_RETRY: Duration = Duration::from_millis(300);
@@ -77,6 +78,8 @@
     let arrived = trace.arrived;
     let body = read_body(request, limits, longest).await?;
     let fingerprint = fingerprint(&ask, body.as_deref());
+    let name = poison_name(request.head(), &ask, customer.as_deref(), body.as_deref());
+    trace.name = Some(name);
     Ok(Job {
         head: copy_head(request.head()),
         ask,
@@ -90,6 +93,7 @@
         arrived,
         deadline: arrived + longest,
         fingerprint,
+        name,
     })
 }
 
@@ -117,6 +121,21 @@
     ])
 }
 
+/// What stays the same whenever the request comes. A customer may have several keys.
+fn poison_name(
+    head: &RequestHead,
+    ask: &Ask,
+    customer: Option<&str>,
+    body: Option<&[u8]>,
+) -> poison::Name {
+    let path = head
+        .uri
+        .path_and_query()
+        .map_or(&*ask.path, |path| path.as_str());
+    let caller = customer.or(ask.key.as_deref()).unwrap_or_default();
+    poison::Name::of(&ask.host, path, caller, body.unwrap_or_default())
+}
+
 /// A part of the configuration could not be read, and this request may need it: nobody may tell its
 /// caller that it is not allowed.
 fn not_understood(part: &str) -> Refusal {
--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -12,6 +12,7 @@
 use crate::config::residency::Residency;
 use crate::config::routing::{Route, Routing};
 use crate::limit::returning::Fingerprint;
+use crate::request::poison;
 use crate::route::estimate::Demand;
 
 /// A request that was checked.
@@ -40,6 +41,8 @@
     pub deadline: Time,
     /// What stays the same of it when its caller tries again.
     pub fingerprint: Fingerprint,
+    /// What stays the same of it whenever it comes.
+    pub name: poison::Name,
 }
 
 impl Job {
--- a/src/gateway/trace.rs
+++ b/src/gateway/trace.rs
@@ -6,6 +6,7 @@
 
 use super::Gateway;
 use crate::clock::Time;
+use crate::request::poison;
 
 /// What was expected of a replica when it was chosen for a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -23,6 +24,8 @@
     gateway: Rc<Gateway>,
     /// Its id.
     pub id: String,
+    /// What stays the same of it whenever it comes, once that is known.
+    pub name: Option<poison::Name>,
     /// Its route.
     pub route: Arc<str>,
     /// The replica that answers, or the last that was tried.
@@ -54,6 +57,7 @@
         Self {
             gateway: gateway.clone(),
             id: String::new(),
+            name: None,
             route: "".into(),
             replica: None,
             expected: None,
@@ -95,6 +99,7 @@
             .map_or(0, |routing| routing.document.version);
         log::info!(
             request = self.id.as_str(),
+            name = self.name.map(|name| name.to_string()).unwrap_or_default(),
             route = &*self.route,
             outcome = self.outcome,
             replica = self.replica.as_deref().unwrap_or_default(),
--- a/src/request.rs
+++ b/src/request.rs
@@ -3,6 +3,7 @@
 
 pub mod attempt;
 pub mod budget;
+pub mod poison;
 
 use std::collections::{BTreeMap, VecDeque};
 use std::fmt;
