A request under which three replicas ended is sent to no more of them

What callers saw: in three storms of ten seconds, replica after replica ended in the middle of its answers; up to six in ten requests were refused. Cause: what a request does was known to the one try that saw it. It came again under a new id, at any entry, and each try ended two replicas, for a broken stream is taken up at once.

Change: entries name a request by path, caller and body. When an attempt breaks, one look at the replica's address tells whether that has ended (all that broke there share it); lives that ended under a name are told to all entries at once and compared by heartbeats. Three ends bar it, a whole answer takes them back, and one try over all entries, after 2 s, 20 s, then every ten minutes, finds out whether it has become good. Its caller gets 422 without a time to return.

Why it holds: ends are sets of lives, so it does not matter who saw them, in which order they are told, or how often.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -6,6 +6,7 @@
 //!   replica, [`relay`] passes a stream on.
 //! * [`reader`] reads an answer, wherever it is kept.
 //! * [`place`] finds a place for it.
+//! * `poison` keeps requests from replicas under which others ended.
 //! * [`repeat`] is one of a budget that was taken.
 //! * [`trace`] is what is counted and written down of a request.
 //! * [`control`] answers other processes of the system, [`halls`] asks other halls.
@@ -31,6 +32,7 @@
 use crate::daemon;
 use crate::exchange::{self, path::Paths};
 use crate::http::{self, ClientSetting, Server, Timing};
+use crate::knowledge;
 use crate::knowledge::halls::Halls;
 use crate::knowledge::hub::Hub;
 use crate::knowledge::{Identity, Knowledge, gossip, store, traffic};
@@ -60,6 +62,7 @@
 pub mod intake;
 pub mod job;
 pub mod place;
+mod poison;
 pub mod reader;
 pub mod relay;
 pub mod repeat;
@@ -154,6 +157,7 @@
     hub: RefCell<Hub>,
     /// Requests that were refused lately, here or as others told.
     refusals: RefCell<Refusals>,
+    suspects: RefCell<poison::Suspects>,
 }
 
 /// What a gateway works with.
@@ -264,6 +268,7 @@
             client: exchange::Client::sharing(paths),
             pool: RefCell::new(Pool::new(setting.identity.hall.clone(), setting.policy)),
             refusals: RefCell::default(),
+            suspects: RefCell::default(),
             pool_at: Cell::new(0),
             budgets: RefCell::default(),
             began: knowledge.now(),
@@ -286,6 +291,7 @@
             actix_rt::spawn(store::follow(knowledge.clone(), source, Topic::Replicas)),
             actix_rt::spawn(gossip::tell_news(knowledge.clone())),
             actix_rt::spawn(traffic::log(knowledge.clone())),
+            actix_rt::spawn(knowledge::poison::run(knowledge.clone())),
             actix_rt::spawn(gossip::run(knowledge, move || others.sidecars())),
             actix_rt::spawn(gateway.clone().tick()),
             actix_rt::spawn(gateway.clone().relay()),
@@ -444,6 +450,9 @@
             self.knowledge.client.reap(gossip::IDLE_MAX);
             let losses = self.knowledge.losses.borrow().count;
             self.instruments.losses(losses);
+            let mut register = self.knowledge.poison.borrow_mut();
+            register.sweep(now);
+            self.instruments.barred(register.barred());
         }
     }
 
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -22,6 +22,7 @@
 use crate::exchange::{self, Note, Options, Reuse, Unframed};
 use crate::http::Answer;
 use crate::request::attempt::Ended;
+use crate::request::poison::Life;
 use crate::route::estimate::Demand;
 use crate::route::health::Sign;
 use crate::route::pool::{Choice, Key};
@@ -91,6 +92,8 @@
     key: Key,
     /// The replica's id.
     pub replica: Arc<str>,
+    /// When it started, as [`Life::born`].
+    born: u64,
     choice: Choice,
     address: SocketAddr,
     /// The process beside the replica, if that is to keep what comes.
@@ -118,6 +121,7 @@
         let mut pool = gateway.pool.borrow_mut();
         let replica = pool.get(choice.key)?;
         let (id, address) = (replica.record.id.clone(), replica.record.address);
+        let born = replica.record.born;
         let demand = job.demand();
         let model = job.ask.work.as_ref().map(|work| &*work.model);
         let start_bound = model.and_then(|model| pool.start_bound(choice.key, model, now));
@@ -126,6 +130,7 @@
             gateway: gateway.clone(),
             key: choice.key,
             replica: id,
+            born,
             choice,
             address,
             keeper,
@@ -186,9 +191,28 @@
 
     /// A failure after bytes left, because the answer is none or broke.
     pub fn broken(&self, job: &Job, detail: String, sign: Sign) -> Failure {
+        if sign == Sign::Broken {
+            self.suspect(job);
+        }
         self.fail(job, Ended::Broken, sign, detail)
     }
 
+    /// The replica may have ended under the request. One that leaves ends as planned, with whatever runs there.
+    fn suspect(&self, job: &Job) {
+        let leaves = {
+            let pool = self.gateway.pool.borrow();
+            pool.get(self.key)
+                .is_some_and(|replica| replica.record.leaving)
+        };
+        if !leaves {
+            let life = Life {
+                id: self.replica.clone(),
+                born: self.born,
+            };
+            self.gateway.suspect(job.name, life, self.address);
+        }
+    }
+
     fn failed(&self, job: &Job, error: &exchange::Error) -> Failure {
         self.broken(job, error.to_string(), sign(error))
     }
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -38,12 +38,18 @@
 /// Takes a request through its attempts until one is answered or none may follow.
 async fn run(mut course: Course) -> Answer {
     let porter = course.gateway.porter.clone();
+    if let Err(refusal) = course.unless_barred() {
+        return course.give_up(&refusal);
+    }
     loop {
         let choice = match porter.unless_given_up(course.admit()).await {
             Some(Ok(choice)) => choice,
             Some(Err(refusal)) => return course.give_up(&refusal),
             None => return course.give_up(&course.untold()),
         };
+        if let Err(refusal) = course.unless_poison().await {
+            return course.give_up(&refusal);
+        }
         let attempt = course.attempt(choice, course.job.ask.last_event);
         let failure = match porter.unless_given_up(attempt).await {
             Some(Ok(begun)) if course.job.route.kind == Kind::Streaming => {
@@ -51,6 +57,7 @@
             }
             Some(Ok(begun)) => match porter.unless_given_up(begun.gather(&course.job)).await {
                 Some(Ok(answer)) => {
+                    course.gateway.came_good(course.job.name);
                     course.trace.ended("whole");
                     return answer;
                 }
--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -11,7 +11,7 @@
 use super::Gateway;
 use crate::burst::serve;
 use crate::http::{self, Answer};
-use crate::knowledge::gossip;
+use crate::knowledge::{gossip, poison};
 use crate::wire::pack;
 use crate::wire::sync::{FRAME_PATH, Frame, HALL_PATH, REPORT_PATH, Report, SYNC_PATH, Sync};
 
@@ -72,6 +72,17 @@
             Ok(report) => take_report(&gateway, &report),
             Err(answer) => answer,
         },
+        poison::PATH => match message::<poison::Notice>(&mut request).await {
+            Ok(notice) => http::pack(StatusCode::OK, &poison::hear(&gateway.knowledge, &notice)),
+            Err(answer) => answer,
+        },
+        poison::TRY_PATH => match message::<poison::Ask>(&mut request).await {
+            Ok(ask) => http::pack(
+                StatusCode::OK,
+                &poison::answer_try(&gateway.knowledge, &ask),
+            ),
+            Err(answer) => answer,
+        },
         path => {
             let path = path.to_owned();
             serve::answer_path(&gateway.joined, &gateway.porter, &path).await
--- a/src/gateway/dialect.rs
+++ b/src/gateway/dialect.rs
@@ -120,6 +120,8 @@
     LateUnknown,
     /// Its answer broke; it may have run.
     Broken,
+    /// Replicas ended under it whenever it came.
+    Poison,
 }
 
 impl Code {
@@ -139,6 +141,8 @@
             | Self::LateNotRun => StatusCode::SERVICE_UNAVAILABLE,
             Self::LateUnknown => StatusCode::GATEWAY_TIMEOUT,
             Self::Broken => StatusCode::BAD_GATEWAY,
+            // Neither a promise nor an invitation to come again.
+            Self::Poison => StatusCode::UNPROCESSABLE_ENTITY,
         }
     }
 
@@ -167,6 +171,7 @@
             Self::LateNotRun => "late_not_run",
             Self::LateUnknown => "late_unknown",
             Self::Broken => "broken",
+            Self::Poison => "poison",
         }
     }
 }
--- /dev/null
+++ b/src/gateway/poison.rs
@@ -0,0 +1,156 @@
+//! Finds out whether a broken attempt was the end of its replica, and keeps requests from replicas under which others ended.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix_rt::time::sleep;
+
+use super::course::Course;
+use super::dialect::{Code, Refusal};
+use super::{CONNECT_TIMEOUT, Gateway};
+use crate::exchange::Reached;
+use crate::knowledge::poison;
+use crate::request::poison::{ENDS_MAX, Life, Name, Told, Verdict};
+
+/// When it is looked, after an attempt broke and again after each look, whether its replica is there. One that starts
+/// again within a moment takes connections as before; the process beside it tells of its new life a little later.
+const LOOKS: [Duration; 3] = [
+    Duration::ZERO,
+    Duration::from_millis(300),
+    Duration::from_millis(700),
+];
+
+/// An attempt that broke.
+#[derive(Debug)]
+struct Broken {
+    name: Name,
+    life: Life,
+}
+
+/// Attempts that broke, by the address of their replica, while it is looked whether that is there.
+#[derive(Debug, Default)]
+pub(super) struct Suspects(BTreeMap<SocketAddr, Vec<Broken>>);
+
+impl Gateway {
+    /// An attempt of `name` broke at the replica `life`. A network breaks it, or the replica does; only if that has ended does
+    /// it count against the request.
+    pub(super) fn suspect(self: &Rc<Self>, name: Name, life: Life, address: SocketAddr) {
+        let mut suspects = self.suspects.borrow_mut();
+        let known = suspects.0.entry(address).or_default();
+        known.push(Broken { name, life });
+        // All that ran there break together: one look serves them.
+        if known.len() == 1 {
+            actix_rt::spawn(self.clone().look(address));
+        }
+    }
+
+    async fn look(self: Rc<Self>, address: SocketAddr) {
+        for pause in LOOKS {
+            sleep(pause).await;
+            let reached = self.client.reach(address, CONNECT_TIMEOUT).await;
+            self.take_ended(address, reached == Reached::Refused);
+            if self.suspects.borrow().0[&address].is_empty() {
+                break;
+            }
+        }
+        self.suspects.borrow_mut().0.remove(&address);
+    }
+
+    /// Counts the attempts that broke with the end of a life at `address`; `refused` says that nobody listens there.
+    fn take_ended(&self, address: SocketAddr, refused: bool) {
+        let now = self.knowledge.now();
+        let mut suspects = self.suspects.borrow_mut();
+        let broken = suspects.0.entry(address).or_default();
+        let pool = self.pool.borrow();
+        let over = |broken: &mut Broken| refused || pool.outlived(address, broken.life.born, now);
+        let ended: Vec<Broken> = broken.extract_if(.., over).collect();
+        let Some(first) = ended.first() else {
+            return;
+        };
+        log::warn!(
+            replica = &*first.life.id, address:% = address, requests = ended.len();
+            "a replica ended, with all that ran there"
+        );
+        for Broken { name, life } in ended {
+            self.instruments.replica_ended();
+            self.knowledge.poison.borrow_mut().ended(name, life, now);
+            self.log_if_barred(name);
+        }
+        self.knowledge.poison_news.notify_one();
+    }
+
+    fn log_if_barred(&self, name: Name) {
+        let case = self
+            .knowledge
+            .poison
+            .borrow()
+            .case(name, self.knowledge.now());
+        if let Some(case) = case.filter(|case| case.ends.len() == ENDS_MAX) {
+            log::warn!(name:% = name; "barred: {}", describe(&case));
+        }
+    }
+
+    /// A replica answered `name` whole.
+    pub(super) fn came_good(&self, name: Name) {
+        let now = self.knowledge.now();
+        let news = self.knowledge.poison.borrow_mut().came_good(name, now);
+        if news {
+            log::info!(name:% = name; "came to an end after replicas had ended under it");
+            self.knowledge.poison_news.notify_one();
+        }
+    }
+}
+
+fn describe(case: &Told) -> String {
+    let ends = case.ends.iter();
+    let ends: Vec<String> = ends
+        .map(|end| format!("{} {} ms ago", end.life.id, end.age_ms))
+        .collect();
+    format!("replicas ended under it: {}", ends.join(", "))
+}
+
+impl Course {
+    fn verdict(&self) -> Verdict {
+        let knowledge = &self.gateway.knowledge;
+        let register = knowledge.poison.borrow();
+        register.verdict(self.job.name, knowledge.now())
+    }
+
+    /// Whether it may be sent to a replica like any other request.
+    pub(super) fn free(&self) -> bool {
+        self.verdict() == Verdict::Free
+    }
+
+    /// Refuses it if it is barred, and not due to be tried.
+    pub(super) fn unless_barred(&self) -> Result<(), Refusal> {
+        match self.verdict() {
+            Verdict::Free | Verdict::Due => Ok(()),
+            Verdict::Barred => Err(self.barred()),
+        }
+    }
+
+    /// Refuses it if it is barred, but for the single try that it may be due. Its verdict may have changed while it waited for a
+    /// place, or while an earlier attempt was under way.
+    pub(super) async fn unless_poison(&self) -> Result<(), Refusal> {
+        match self.verdict() {
+            Verdict::Free => Ok(()),
+            Verdict::Due if poison::take_try(&self.gateway.knowledge, self.job.name).await => {
+                Ok(())
+            }
+            Verdict::Due | Verdict::Barred => Err(self.barred()),
+        }
+    }
+
+    /// What its caller is told: to come again serves nobody.
+    pub(super) fn barred(&self) -> Refusal {
+        let knowledge = &self.gateway.knowledge;
+        let case = knowledge
+            .poison
+            .borrow()
+            .case(self.job.name, knowledge.now());
+        let detail = case.map_or_else(String::new, |case| describe(&case));
+        Refusal::new(Code::Poison, detail)
+    }
+}
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -99,6 +99,7 @@
                 }
                 Step::End => {
                     self.attempt.count_whole();
+                    self.course.gateway.came_good(self.course.job.name);
                     self.course.trace.ended("whole");
                     return None;
                 }
@@ -180,6 +181,10 @@
                     return false;
                 }
             };
+            if !self.course.free() {
+                self.course.trace.reason = self.course.barred().detail;
+                return false;
+            }
             let last = self.cutter.last();
             match self.course.attempt(choice, last).await {
                 Ok(begun) => {
--- a/src/gateway/status.rs
+++ b/src/gateway/status.rs
@@ -19,6 +19,8 @@
     first: Histogram<f64>,
     losses: Gauge<u64>,
     under_way: Gauge<u64>,
+    ends: Counter<u64>,
+    barred: Gauge<u64>,
 }
 
 impl Instruments {
@@ -53,6 +55,16 @@
                 .u64_gauge("pumicelatch.gateway.under_way")
                 .with_description("Attempts at replicas that have not ended")
                 .build(),
+            ends: meter
+                .u64_counter("pumicelatch.gateway.replica_ends")
+                .with_description("Attempts that broke with the end of their replica")
+                .build(),
+            barred: meter
+                .u64_gauge("pumicelatch.gateway.barred")
+                .with_description(
+                    "Requests that are sent nowhere because replicas ended under them",
+                )
+                .build(),
         }
     }
 
@@ -77,6 +89,16 @@
         self.under_way.record(u64::from(count), &[]);
     }
 
+    /// An attempt broke with the end of its replica.
+    pub fn replica_ended(&self) {
+        self.ends.add(1, &[]);
+    }
+
+    /// So many requests are barred.
+    pub fn barred(&self, count: usize) {
+        self.barred.record(count as u64, &[]);
+    }
+
     /// An attempt ended.
     pub fn attempt(&self, ended: &'static str) {
         self.attempts.add(1, &[KeyValue::new("ended", ended)]);
--- a/src/knowledge.rs
+++ b/src/knowledge.rs
@@ -5,6 +5,7 @@
 //! * [`readers`] decides who reads it for a whole hall.
 //! * [`draws`] decides from whom a configuration is drawn that others know.
 //! * [`hub`] decides who tells a whole hall how replicas do, [`halls`] when another is asked.
+//! * [`poison`] tells under which requests replicas ended.
 //! * [`traffic`] counts what is sent to other processes.
 //! * [`gossip`] exchanges what is newer with other processes of the system, so that one that the
 //!   store turns away, or that just began, knows what the others know.
@@ -31,6 +32,7 @@
 use crate::member::rank::rank;
 use crate::member::replica::Record;
 use crate::policy::Policy;
+use crate::request::poison::Register;
 use crate::source::{Batch, Damaged, Topic};
 use crate::version::rollout;
 use crate::wire::pack;
@@ -41,6 +43,7 @@
 pub mod halls;
 pub mod hub;
 pub mod pace;
+pub mod poison;
 pub mod readers;
 pub mod store;
 pub mod traffic;
@@ -119,6 +122,11 @@
     packed: RefCell<Option<DatedDocument>>,
     readers: RefCell<Readers>,
     answered: Cell<Option<Time>>,
+    /// Requests under which replicas ended.
+    pub poison: RefCell<Register>,
+    /// Wakes those who tell the other entries of them.
+    pub poison_news: Notify,
+    poison_comparing: Cell<bool>,
 }
 
 impl Knowledge {
@@ -153,6 +161,9 @@
             packed: RefCell::default(),
             readers: RefCell::new(Readers::new(Clock::default().now())),
             answered: Cell::new(None),
+            poison: RefCell::default(),
+            poison_news: Notify::new(),
+            poison_comparing: Cell::new(false),
             identity,
         })
     }
@@ -483,6 +494,7 @@
             wants_peers: names_entries,
             wants_routing: false,
             takes_changes: true,
+            poison: self.poison.borrow().digest(now),
         }
     }
 
@@ -532,6 +544,7 @@
             replicas: (newer_list && changes.is_none()).then(|| list(&belief, self.shaky())),
             changes,
             brief: (newer_routing && brief).then(|| self.brief()).flatten(),
+            poison: self.poison.borrow().digest(now),
         }
     }
 
--- a/src/knowledge/gossip.rs
+++ b/src/knowledge/gossip.rs
@@ -12,6 +12,7 @@
 use serde::de::DeserializeOwned;
 
 use super::Knowledge;
+use super::poison;
 use super::readers::Readers;
 use super::traffic::Purpose;
 use crate::config::belief::Marks;
@@ -103,10 +104,15 @@
 /// Takes what `peer` answered, and draws the configuration from it if that is newer there.
 pub fn take(knowledge: &Rc<Knowledge>, peer: SocketAddr, news: News) {
     let (hall, marks, entry) = (news.hall.clone(), news.marks, news.entry);
+    let digest = news.poison;
     knowledge.take_news(peer, news);
     if entry {
         draw(knowledge, peer, &hall, marks);
     }
+    let both = entry && knowledge.identity.entry;
+    if both && digest != knowledge.poison.borrow().digest(knowledge.now()) {
+        actix_rt::spawn(poison::compare(knowledge.clone(), peer));
+    }
 }
 
 /// Sends `message` to another process of the system and reads its answer.
@@ -207,6 +213,7 @@
         HALL_PATH => Purpose::Hall,
         FRAME_PATH => Purpose::PassOn,
         place::PATH => Purpose::Place,
+        poison::PATH | poison::TRY_PATH => Purpose::Poison,
         _ => Purpose::Heartbeat,
     }
 }
--- a/src/knowledge/traffic.rs
+++ b/src/knowledge/traffic.rs
@@ -34,10 +34,12 @@
     Look,
     /// The platform's store is asked.
     Store,
+    /// Entries tell each other under which requests replicas ended.
+    Poison,
 }
 
 /// All purposes.
-const PURPOSES: [Purpose; 7] = [
+const PURPOSES: [Purpose; 8] = [
     Purpose::Heartbeat,
     Purpose::Report,
     Purpose::Hall,
@@ -45,6 +47,7 @@
     Purpose::Place,
     Purpose::Look,
     Purpose::Store,
+    Purpose::Poison,
 ];
 
 impl Purpose {
@@ -58,6 +61,7 @@
             Self::Place => "place",
             Self::Look => "look",
             Self::Store => "store",
+            Self::Poison => "poison",
         }
     }
 }
--- a/src/request/poison.rs
+++ b/src/request/poison.rs
@@ -1,10 +1,57 @@
 //! Poison requests: those under which replica after replica ends.
+//!
+//! Such a request comes again under a new id, at any entry, so no single one of them can tell. Entries name requests by
+//! what stays the same of them, and tell each other which life of which replica ended while one ran there. Lives are counted once,
+//! whoever tells of them, so that what entries know can be put together in any order, any number of times.
+//!
+//! Other requests that ran beside it are cut as well. They come to an end elsewhere, which a poison request never does: a whole
+//! answer takes back all ends before it. Whether a request that is barred has become good is found out by one try at a time.
 
+use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
+use std::hash::{DefaultHasher, Hash, Hasher};
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::clock::Time;
+
+/// Replicas that end under a request before it is sent to no other.
+pub const ENDS_MAX: usize = 3;
+
+/// Pauses before a request that is barred is tried once more: after the last end, and after each further try. The first is
+/// short, for a popular request that ran beside a poison one; each that fails costs a replica and all that runs there.
+const TRY_PAUSES: [Duration; 3] = [
+    Duration::from_secs(2),
+    Duration::from_secs(20),
+    Duration::from_secs(600),
+];
+
+/// How long a request is remembered after the last that was learned of it: longer than the longest pause between two tries.
+const REMEMBERED: Duration = Duration::from_secs(900);
+
+/// How much later than a whole answer an end may be dated that came before it: what others tell comes with its age, which grows on
+/// its way.
+const DATED_WITHIN: Duration = Duration::from_millis(250);
+
+/// How long others are told again that a request came to an end.
+const TOLD_GOOD: Duration = Duration::from_secs(60);
+
+/// Requests that are remembered. Ends of replicas are rare; each leaves as many as ran there.
+const CASES_MAX: usize = 1_024;
+
+/// Ends that are remembered of one request.
+const LIVES_MAX: usize = 8;
+
+/// Requests that others are told of at a time, those with the most ends first.
+const TOLD_MAX: usize = 64;
 
 /// What stays the same of a request whenever it comes, under whatever id and at whichever entry: its path, its caller and
 /// its body.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize,
+)]
 pub struct Name(u64);
 
 impl Name {
@@ -26,3 +73,280 @@
         write!(formatter, "{:016x}", self.0)
     }
 }
+
+/// One life of a replica.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Life {
+    /// The replica's id.
+    pub id: Arc<str>,
+    /// When it started, in milliseconds since the Unix epoch; 0 if it does not tell.
+    #[serde(default)]
+    pub born: u64,
+}
+
+/// An end of a replica, as one process tells another.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct End {
+    /// What ended.
+    pub life: Life,
+    /// Milliseconds since.
+    pub age_ms: u64,
+}
+
+/// What is known of one request, as one process tells another.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Told {
+    /// The request.
+    pub name: Name,
+    /// The ends of replicas under it.
+    #[serde(default)]
+    pub ends: Vec<End>,
+    /// Milliseconds since it was answered whole, if it was.
+    #[serde(default)]
+    pub good_ms: Option<u64>,
+    /// Times that it was tried since it is barred.
+    #[serde(default)]
+    pub tries: u32,
+    /// Milliseconds since the last of them.
+    #[serde(default)]
+    pub tried_ms: Option<u64>,
+}
+
+/// Whether a request may be sent to a replica.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Verdict {
+    /// It may.
+    Free,
+    /// It may not.
+    Barred,
+    /// It may not, but for a single try over all entries.
+    Due,
+}
+
+/// What is known of one request.
+#[derive(Debug, Clone, Default)]
+struct Case {
+    ends: BTreeMap<Life, Time>,
+    /// When it was answered whole last.
+    good: Option<Time>,
+    tries: u32,
+    tried: Option<Time>,
+}
+
+impl Case {
+    /// A replica ended under it. Returns whether that is news.
+    fn end(&mut self, life: Life, at: Time) -> bool {
+        let taken_back = self.good.is_some_and(|good| at <= good + DATED_WITHIN);
+        let full = self.ends.len() >= LIVES_MAX;
+        if taken_back || full || self.ends.contains_key(&life) {
+            return false;
+        }
+        self.ends.insert(life, at);
+        true
+    }
+
+    /// It was answered whole, which takes back what was before. Returns whether that is news.
+    fn come_good(&mut self, at: Time) -> bool {
+        if self.good.is_some_and(|good| at <= good + DATED_WITHIN) {
+            return false;
+        }
+        self.good = Some(at);
+        self.ends.retain(|_, end| *end > at + DATED_WITHIN);
+        self.tries = 0;
+        self.tried = None;
+        true
+    }
+
+    /// It was tried so many times, the last of them at `at`. Returns whether that is news.
+    fn tried(&mut self, tries: u32, at: Time) -> bool {
+        let taken_back = self.good.is_some_and(|good| at <= good + DATED_WITHIN);
+        if taken_back || tries <= self.tries {
+            return false;
+        }
+        self.tries = tries;
+        self.tried = Some(at);
+        true
+    }
+
+    /// When something was learned of it last.
+    fn last(&self) -> Time {
+        let ends = self.ends.values().copied();
+        let last = ends.chain(self.good).chain(self.tried).max();
+        last.unwrap_or_default()
+    }
+
+    fn verdict(&self, now: Time) -> Verdict {
+        if self.ends.len() < ENDS_MAX {
+            return Verdict::Free;
+        }
+        let pause = TRY_PAUSES[(self.tries as usize).min(TRY_PAUSES.len() - 1)];
+        if now.since(self.last()) < pause {
+            Verdict::Barred
+        } else {
+            Verdict::Due
+        }
+    }
+
+    /// Whether entries tell each other of it again and again: one end alone is told once.
+    fn matters(&self, now: Time) -> bool {
+        let good_lately = self.good.is_some_and(|good| now.since(good) < TOLD_GOOD);
+        self.ends.len() > 1 || good_lately
+    }
+
+    fn tell(&self, name: Name, now: Time) -> Told {
+        let age_ms = |at: Time| now.since(at).as_millis() as u64;
+        let ends = self.ends.iter().map(|(life, at)| End {
+            life: life.clone(),
+            age_ms: age_ms(*at),
+        });
+        Told {
+            name,
+            ends: ends.collect(),
+            good_ms: self.good.map(age_ms),
+            tries: self.tries,
+            tried_ms: self.tried.map(age_ms),
+        }
+    }
+
+    fn hear(&mut self, told: &Told, now: Time) -> bool {
+        let at = |age_ms: u64| now - Duration::from_millis(age_ms);
+        let good = told.good_ms.is_some_and(|age| self.come_good(at(age)));
+        let mut news = good;
+        for end in &told.ends {
+            news |= self.end(end.life.clone(), at(end.age_ms));
+        }
+        if let Some(age) = told.tried_ms {
+            news |= self.tried(told.tries, at(age));
+        }
+        news
+    }
+}
+
+/// The requests under which replicas ended, as one entry knows them.
+#[derive(Debug, Default)]
+pub struct Register {
+    cases: BTreeMap<Name, Case>,
+    /// Of which others are to be told.
+    news: BTreeSet<Name>,
+}
+
+impl Register {
+    /// The replica's life `life` ended at `at` while `name` ran there.
+    pub fn ended(&mut self, name: Name, life: Life, at: Time) {
+        self.make_room(name);
+        if self.cases.entry(name).or_default().end(life, at) {
+            self.news.insert(name);
+        }
+    }
+
+    /// A replica answered `name` whole. Returns whether others are to be told: not of the many that ran beside
+    /// one that ends a replica, and come to an end at the next.
+    pub fn came_good(&mut self, name: Name, now: Time) -> bool {
+        let Some(case) = self.cases.get_mut(&name) else {
+            return false;
+        };
+        if case.ends.len() == 1 {
+            self.cases.remove(&name);
+            return false;
+        }
+        let news = !case.ends.is_empty() && case.come_good(now);
+        if news {
+            self.news.insert(name);
+        }
+        news
+    }
+
+    /// Whether `name` may be sent to a replica.
+    pub fn verdict(&self, name: Name, now: Time) -> Verdict {
+        let case = self.cases.get(&name);
+        case.map_or(Verdict::Free, |case| case.verdict(now))
+    }
+
+    /// Takes the single try of `name` that is due, if it is.
+    pub fn take_try(&mut self, name: Name, now: Time) -> bool {
+        let due = self.verdict(name, now) == Verdict::Due;
+        let case = self.cases.get_mut(&name).filter(|_| due);
+        let taken = case.is_some_and(|case| case.tried(case.tries + 1, now));
+        if taken {
+            self.news.insert(name);
+        }
+        taken
+    }
+
+    /// What is known of `name`.
+    pub fn case(&self, name: Name, now: Time) -> Option<Told> {
+        let case = self.cases.get(&name)?;
+        Some(case.tell(name, now))
+    }
+
+    /// What was learned here since the last call.
+    pub fn take_news(&mut self, now: Time) -> Vec<Told> {
+        let news = std::mem::take(&mut self.news);
+        let cases = news.into_iter();
+        cases.filter_map(|name| self.case(name, now)).collect()
+    }
+
+    /// Takes what another entry tells. Returns what of it is news, as it stands here now.
+    pub fn hear(&mut self, told: &[Told], now: Time) -> Vec<Told> {
+        let mut news = Vec::new();
+        for told in told {
+            self.make_room(told.name);
+            let case = self.cases.entry(told.name).or_default();
+            if case.hear(told, now) {
+                news.push(case.tell(told.name, now));
+            }
+        }
+        news
+    }
+
+    /// What entries have to know alike, those with the most ends first.
+    pub fn tell(&self, now: Time) -> Vec<Told> {
+        let cases = self.cases.iter();
+        let mut matter: Vec<(&Name, &Case)> = cases.filter(|(_, case)| case.matters(now)).collect();
+        matter.sort_by_key(|(name, case)| (std::cmp::Reverse(case.ends.len()), **name));
+        let told = matter.into_iter().take(TOLD_MAX);
+        told.map(|(name, case)| case.tell(*name, now)).collect()
+    }
+
+    /// Two entries that know alike have the same; 0 if there is nothing to know.
+    pub fn digest(&self, now: Time) -> u64 {
+        let mut digest = 0;
+        for told in self.tell(now) {
+            // A fixed function over the fields: processes of one release compare it.
+            let mut hasher = DefaultHasher::new();
+            told.name.hash(&mut hasher);
+            told.tries.hash(&mut hasher);
+            told.good_ms.is_some().hash(&mut hasher);
+            // Which ones they are matters as long as two entries might know different ones of too few.
+            if told.ends.len() <= ENDS_MAX {
+                told.ends.iter().for_each(|end| end.life.hash(&mut hasher));
+            }
+            digest ^= hasher.finish();
+        }
+        digest
+    }
+
+    /// Requests that are barred now.
+    pub fn barred(&self) -> usize {
+        let cases = self.cases.values();
+        cases.filter(|case| case.ends.len() >= ENDS_MAX).count()
+    }
+
+    /// Forgets what was learned long ago.
+    pub fn sweep(&mut self, now: Time) {
+        self.cases
+            .retain(|_, case| now.since(case.last()) < REMEMBERED);
+    }
+
+    /// Forgets the oldest of those with the fewest ends, if there is no room for `name`.
+    fn make_room(&mut self, name: Name) {
+        if self.cases.len() < CASES_MAX || self.cases.contains_key(&name) {
+            return;
+        }
+        let least = |(_, case): &(&Name, &Case)| (case.ends.len(), case.last());
+        let least = self.cases.iter().min_by_key(least).map(|(name, _)| *name);
+        if let Some(least) = least {
+            self.cases.remove(&least);
+        }
+    }
+}
--- a/src/route/pool/life.rs
+++ b/src/route/pool/life.rs
@@ -78,6 +78,14 @@
         std::mem::take(&mut self.reborn)
     }
 
+    /// Whether a later life than that of `born` is known at `address`, or the process beside it finds nobody there.
+    pub fn outlived(&self, address: SocketAddr, born: u64, now: Time) -> bool {
+        let here = self.addresses.get(&address).into_iter().flatten();
+        let mut lives = here.filter_map(|&key| self.replicas.get(key));
+        let later = |replica: &Replica| born > 0 && replica.record.born > born;
+        lives.any(|replica| later(replica) || replica.dead(now))
+    }
+
     fn index(&mut self) {
         self.services.clear();
         self.addresses.clear();
--- a/src/wire/sync.rs
+++ b/src/wire/sync.rs
@@ -47,6 +47,9 @@
     /// Whether it understands [`News::changes`].
     #[serde(default)]
     pub takes_changes: bool,
+    /// Digest of the poison requests that it knows.
+    #[serde(default)]
+    pub poison: u64,
 }
 
 /// The report of a process beside a replica.
@@ -213,4 +216,7 @@
     /// The newer configuration in brief.
     #[serde(default)]
     pub brief: Option<Brief>,
+    /// Digest of the poison requests that it knows.
+    #[serde(default)]
+    pub poison: u64,
 }
--- /dev/null
+++ b/tests/poison.rs
@@ -0,0 +1,160 @@
+//! Requests under which replicas ended: what entries know alike, and when they send one again.
+
+use std::time::Duration;
+
+use pumicelatch::clock::Time;
+use pumicelatch::request::poison::{ENDS_MAX, Life, Name, Register, Verdict};
+use quickcheck::quickcheck;
+
+const NOW: Time = Time::from_millis(3_600_000);
+
+fn name() -> Name {
+    Name::of("test.example", "/stream/x", "escola", b"body")
+}
+
+fn life(number: u8) -> Life {
+    Life {
+        id: format!("i-{number}").into(),
+        born: 1,
+    }
+}
+
+fn after(millis: u64) -> Time {
+    NOW + Duration::from_millis(millis)
+}
+
+/// An entry that knows of so many ends, the last of them at `NOW`.
+fn knowing(ends: usize) -> Register {
+    let mut register = Register::default();
+    for number in 0..ends as u8 {
+        register.ended(name(), life(number), NOW);
+    }
+    register
+}
+
+#[test]
+fn path_caller_and_body_name_a_request() {
+    let other = [
+        Name::of("other.example", "/stream/x", "escola", b"body"),
+        Name::of("test.example", "/stream/y", "escola", b"body"),
+        Name::of("test.example", "/stream/x", "outra", b"body"),
+        Name::of("test.example", "/stream/x", "escola", b"bode"),
+        // What one part ends with does not begin the next.
+        Name::of("test.example", "/stream/xe", "scola", b"body"),
+    ];
+    assert!(other.iter().all(|other| *other != name()));
+}
+
+#[test]
+fn a_request_is_barred_by_the_third_end() {
+    assert_eq!(knowing(ENDS_MAX - 1).verdict(name(), NOW), Verdict::Free);
+    assert_eq!(knowing(ENDS_MAX).verdict(name(), NOW), Verdict::Barred);
+    let other = Name::of("test.example", "/stream/x", "escola", b"other");
+    assert_eq!(knowing(ENDS_MAX).verdict(other, NOW), Verdict::Free);
+}
+
+#[test]
+fn one_life_ends_once_whoever_tells_of_it() {
+    let mut register = knowing(1);
+    for seen_by in 1..5 {
+        let mut other = Register::default();
+        other.ended(name(), life(0), after(seen_by * 10));
+        register.hear(&other.take_news(after(100)), after(100));
+    }
+    assert_eq!(register.verdict(name(), after(100)), Verdict::Free);
+    assert_eq!(register.case(name(), after(100)).unwrap().ends.len(), 1);
+}
+
+#[test]
+fn a_replica_that_starts_again_under_its_id_is_another_life() {
+    let mut register = knowing(ENDS_MAX - 1);
+    let again = Life { born: 2, ..life(0) };
+    register.ended(name(), again, NOW);
+    assert_eq!(register.verdict(name(), NOW), Verdict::Barred);
+}
+
+#[test]
+fn a_whole_answer_takes_all_ends_before_it_back_at_all_entries() {
+    let (mut one, mut other) = (knowing(ENDS_MAX), Register::default());
+    other.hear(&one.tell(NOW), NOW);
+    assert!(one.came_good(name(), after(500)));
+    let told = one.take_news(after(500));
+    assert!(!other.hear(&told, after(520)).is_empty());
+    assert_eq!(other.verdict(name(), after(520)), Verdict::Free);
+    // Who has not heard it yet tells of the ends once more.
+    let late = knowing(ENDS_MAX).tell(after(600));
+    assert!(one.hear(&late, after(600)).is_empty());
+    assert_eq!(one.verdict(name(), after(600)), Verdict::Free);
+}
+
+#[test]
+fn a_barred_request_is_tried_by_one_at_a_time_and_less_and_less_often() {
+    let mut register = knowing(ENDS_MAX);
+    let mut tries = Vec::new();
+    for second in 0..120 {
+        let now = after(second * 1_000);
+        // All others ask at the same moment.
+        let given = (0..5).filter(|_| register.take_try(name(), now)).count();
+        assert!(given <= 1);
+        if given == 1 {
+            tries.push(second);
+            register.ended(name(), life(100 + tries.len() as u8), now);
+        }
+    }
+    assert_eq!(tries, [2, 22]);
+}
+
+#[test]
+fn what_was_learned_long_ago_is_forgotten() {
+    let mut register = knowing(ENDS_MAX);
+    register.sweep(after(600_000));
+    assert_eq!(register.verdict(name(), after(600_000)), Verdict::Due);
+    register.sweep(after(1_000_000));
+    assert!(register.case(name(), after(1_000_000)).is_none());
+}
+
+#[test]
+fn many_requests_with_one_end_each_leave_those_with_more() {
+    let mut register = knowing(2);
+    for number in 0..5_000_u32 {
+        let other = Name::of("test.example", "/", "escola", &number.to_le_bytes());
+        register.ended(other, life(9), after(number.into()));
+    }
+    assert_eq!(register.case(name(), NOW).unwrap().ends.len(), 2);
+    // A single end is told once; heartbeats bring what matters.
+    assert_eq!(register.tell(after(5_000)).len(), 1);
+}
+
+/// What one entry saw: the end of a life, or a whole answer.
+fn saw(register: &mut Register, (number, at): (u8, u16)) {
+    let at = after(u64::from(at % 64) * 1_000);
+    if number % 8 == 7 {
+        register.came_good(name(), at);
+    } else {
+        register.ended(name(), life(number % 8), at);
+    }
+}
+
+quickcheck! {
+    /// Whatever two entries saw, and in whatever order each hears it, they come to know alike.
+    fn entries_that_tell_each_other_know_alike(one: Vec<(u8, u16)>, other: Vec<(u8, u16)>) -> bool {
+        let (mut first, mut second) = (Register::default(), Register::default());
+        one.into_iter().for_each(|event| saw(&mut first, event));
+        other.into_iter().for_each(|event| saw(&mut second, event));
+        let now = after(64_000);
+        for _ in 0..2 {
+            second.hear(&first.tell(now), now);
+            first.hear(&second.tell(now), now);
+        }
+        first.digest(now) == second.digest(now)
+    }
+
+    /// Telling the same once more changes nothing, so that news die out.
+    fn what_is_told_twice_is_no_news(events: Vec<(u8, u16)>) -> bool {
+        let (mut first, mut second) = (Register::default(), Register::default());
+        events.into_iter().for_each(|event| saw(&mut first, event));
+        let now = after(64_000);
+        second.hear(&first.tell(now), now);
+        second.hear(&first.tell(now), now).is_empty()
+    }
+}
