The clock counts the time for which a machine was suspended

The steady clock stands still meanwhile: beliefs, rests, leases and budgets would look younger than they are. Time is read from CLOCK_BOOTTIME, by nix. Timers of the runtime still go by the steady clock and fire late together; what they lead to looks at the clock.

--- a/src/clock.rs
+++ b/src/clock.rs
@@ -3,8 +3,9 @@
 //! Decisions never read a clock of their own, so that a recorded trace replays to the same outcome.
 
 use std::ops::{Add, Sub};
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
+use nix::time::{ClockId, clock_gettime};
 use serde::{Deserialize, Serialize};
 
 /// A monotonic instant, in microseconds since an hour before the process (or since a trace) began.
@@ -45,16 +46,23 @@
 /// that matters is older than this.
 const BEGINNING: Duration = Duration::from_secs(3_600);
 
-/// The clock at a process's edge: turns the system's monotonic clock into [`Time`].
+/// Time since the machine was booted. It never goes back, and unlike the steady clock's it counts the time for which the machine
+/// was suspended: what was believed before is older than that clock says.
+pub fn since_boot() -> Duration {
+    // The kernel has this clock wherever it has the steady one.
+    clock_gettime(ClockId::CLOCK_BOOTTIME).map_or(Duration::ZERO, Duration::from)
+}
+
+/// The clock at a process's edge: turns the time since the machine was booted into [`Time`].
 #[derive(Debug, Clone, Copy)]
 pub struct Clock {
-    origin: Instant,
+    origin: Duration,
 }
 
 impl Default for Clock {
     fn default() -> Self {
         Self {
-            origin: Instant::now(),
+            origin: since_boot(),
         }
     }
 }
@@ -62,7 +70,7 @@
 impl Clock {
     /// The present instant.
     pub fn now(&self) -> Time {
-        Time::default() + BEGINNING + self.origin.elapsed()
+        Time::default() + BEGINNING + since_boot().saturating_sub(self.origin)
     }
 }
 
