--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -339,6 +339,7 @@
 
     async fn read(self, job: &Job, versioned: bool, response: Reader) -> Result<Begun, Failure> {
         let status = response.status.as_u16();
+        self.take_notice(job, &response);
         match self.gateway.dialect.read(&response, &job.ask.id) {
             Reading::Success { version } => Ok(Begun {
                 attempt: self,
@@ -365,6 +366,22 @@
         }
     }
 
+    /// Takes what the head of an answer tells of what its replica wants.
+    fn take_notice(&self, job: &Job, response: &Reader) {
+        let dialect = &self.gateway.dialect;
+        let notice = dialect.notice(response.status, &response.headers);
+        if notice.is_empty() {
+            return;
+        }
+        log::info!(
+            request = job.ask.id.as_str(),
+            replica = &*self.replica,
+            leaving = notice.leaving,
+            rest_ms = notice.rest.map_or(0, |rest| rest.as_millis() as u64);
+            "a replica told what it wants"
+        );
+    }
+
     /// Gathers a failure of the replica's own, to be passed on if nothing better comes.
     async fn own_failure(self, job: &Job, response: Reader) -> Result<Begun, Failure> {
         let detail = format!("the replica answered {}", response.status.as_u16());
--- a/src/gateway/dialect.rs
+++ b/src/gateway/dialect.rs
@@ -11,6 +11,7 @@
 use super::reader::Reader;
 use crate::http::Answer;
 use crate::request::Outcome;
+use crate::route::notice::Notice;
 
 /// What a request asks of a model engine.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -217,6 +218,9 @@
     /// What the head of a replica's answer to the request `id` means.
     fn read(&self, answer: &Reader, id: &str) -> Reading;
 
+    /// What an answer of `status` and `headers` tells of what its replica wants.
+    fn notice(&self, status: StatusCode, headers: &HeaderMap) -> Notice;
+
     /// Copies what a caller is to see of a replica's headers.
     fn pass_headers(&self, from: &HeaderMap, into: &mut HeaderMap);
 
--- a/src/route.rs
+++ b/src/route.rs
@@ -7,6 +7,7 @@
 pub mod correction;
 pub mod estimate;
 pub mod health;
+pub mod notice;
 pub mod pool;
 pub mod replica;
 pub mod search;
--- a/src/sidecar/carry.rs
+++ b/src/sidecar/carry.rs
@@ -239,6 +239,19 @@
         }
     }
 
+    /// Takes what the head of an answer tells of what the replica wants.
+    fn take_notice(&self, status: StatusCode, headers: &HeaderMap) {
+        let notice = self.engine.notice(status, headers);
+        if notice.is_empty() {
+            return;
+        }
+        log::info!(
+            leaving = notice.leaving,
+            rest_ms = notice.rest.map_or(0, |rest| rest.as_millis() as u64);
+            "the replica told what it wants"
+        );
+    }
+
     /// Ends what goes on for nobody.
     pub(super) fn sweep_runs(&self) {
         let now = self.knowledge.now();
@@ -280,6 +293,7 @@
     let ended = match sidecar.client.exchange(replica, head, body, options).await {
         Ok(mut response) => {
             let headers = std::mem::take(&mut response.headers);
+            sidecar.take_notice(response.status, &headers);
             run.begin(Head::Answer(response.status, headers));
             keep(&run, &mut response).await
         }
--- a/src/sidecar/engine.rs
+++ b/src/sidecar/engine.rs
@@ -2,10 +2,13 @@
 
 use std::net::SocketAddr;
 
+use actix_http::StatusCode;
+use actix_http::header::HeaderMap;
 use bytes::Bytes;
 use futures_util::future::LocalBoxFuture;
 
 use crate::member::replica::{self, Held};
+use crate::route::notice::Notice;
 
 /// What a replica reports of itself.
 #[derive(Debug, Clone, PartialEq, Default)]
@@ -70,6 +73,9 @@
     /// Where it takes requests from its own machine.
     fn address(&self) -> SocketAddr;
 
+    /// What an answer of `status` and `headers` tells of what it wants.
+    fn notice(&self, status: StatusCode, headers: &HeaderMap) -> Notice;
+
     /// How it does.
     fn state(&self) -> LocalBoxFuture<'_, Result<State, Error>>;
 
