What a replica says it wants is kept to, by whoever it said it to

What callers saw: requests went to a replica that had said it leaves (35 of 83 after the bound, own test) and back to one that had asked for rest (60 of 95, 61 of 115), where they were turned away; callers were told to return after 0.15 s while all replicas rested for two more.

Cause: what decided was what others tell of a replica (the list, reports, rates of failures), never what it says itself with each answer. Nobody read the words: the record's sends go on as before; with lines that tell them, each word is followed by sends.

Change: heads of answers are read at the edge (`Server-Leaving: 1`, `Retry-After` of a 503 or 429), by the entry and by the process beside the replica. Each keeps to what it was told: leaving until the end of that life, rest until its time. The process beside the replica refuses runs meanwhile, gives no places, and tells the entries with its reports; so what one way heard, the other knows. What a life wanted outlasts its entry in the list. A rest is no ill health. Callers are told when the first rest is over.

Why it holds: wishes belong to (id, born), are joined by or and by the later time, and are looked at last just before a send.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -21,10 +21,11 @@
 use crate::config::routing::Kind;
 use crate::exchange::{self, Note, Options, Reuse, Unframed};
 use crate::http::Answer;
+use crate::member::replica::Life;
 use crate::request::attempt::Ended;
-use crate::request::poison::Life;
 use crate::route::estimate::Demand;
 use crate::route::health::Sign;
+use crate::route::notice::Notice;
 use crate::route::pool::{Choice, Key};
 
 /// Objectives that a replica may be silent before a request that may be repeated goes elsewhere.
@@ -92,8 +93,7 @@
     key: Key,
     /// The replica's id.
     pub replica: Arc<str>,
-    /// When it started, as [`Life::born`].
-    born: u64,
+    life: Life,
     choice: Choice,
     address: SocketAddr,
     /// The process beside the replica, if that is to keep what comes.
@@ -114,14 +114,15 @@
 }
 
 impl Attempt {
-    /// Begins an attempt at a chosen replica, unless that has gone.
+    /// Begins an attempt at a chosen replica, unless that has gone, or has told since that it wants nothing.
     pub fn begin(gateway: &Rc<Gateway>, job: &Job, choice: Choice) -> Option<Self> {
         let keeper = keeper(gateway, job, choice.key);
         let now = gateway.knowledge.now();
         let mut pool = gateway.pool.borrow_mut();
-        let replica = pool.get(choice.key)?;
-        let (id, address) = (replica.record.id.clone(), replica.record.address);
-        let born = replica.record.born;
+        let replica = pool
+            .get(choice.key)
+            .filter(|replica| !replica.wish().refuses(now))?;
+        let (life, address) = (replica.record.life(), replica.record.address);
         let demand = job.demand();
         let model = job.ask.work.as_ref().map(|work| &*work.model);
         let start_bound = model.and_then(|model| pool.start_bound(choice.key, model, now));
@@ -129,8 +130,8 @@
         Some(Self {
             gateway: gateway.clone(),
             key: choice.key,
-            replica: id,
-            born,
+            replica: life.id.clone(),
+            life,
             choice,
             address,
             keeper,
@@ -202,13 +203,10 @@
         let leaves = {
             let pool = self.gateway.pool.borrow();
             pool.get(self.key)
-                .is_some_and(|replica| replica.record.leaving)
+                .is_some_and(|replica| replica.record.leaving || replica.wish().leaving())
         };
         if !leaves {
-            let life = Life {
-                id: self.replica.clone(),
-                born: self.born,
-            };
+            let life = self.life.clone();
             self.gateway.suspect(job.name, life, self.address);
         }
     }
@@ -237,11 +235,17 @@
         let exchange = self.exchange(job, head, moves_on);
         match self.within(job, exchange).await {
             None => Err(self.silent(job)),
-            Some(Err(exchange::Error::NotSent { reason })) => {
+            Some(Err(reader::Error::TurnedAway { notice })) => {
+                self.wants(job, notice);
+                let detail = format!("not sent: {}", reader::Error::TurnedAway { notice });
+                Err(self.fail(job, Ended::NotSent, Sign::None, detail))
+            }
+            Some(Err(reader::Error::Exchange(exchange::Error::NotSent { reason }))) => {
                 let detail = format!("not sent: {reason}");
                 Err(self.fail(job, Ended::NotSent, Sign::Unreachable, detail))
             }
-            Some(Err(error)) => Err(self.failed(job, &error)),
+            Some(Err(reader::Error::Exchange(error))) => Err(self.failed(job, &error)),
+            Some(Err(error)) => Err(self.broken(job, error.to_string(), Sign::Broken)),
             Some(Ok(response)) => self.read(job, version.is_some(), response).await,
         }
     }
@@ -252,21 +256,23 @@
         job: &Job,
         head: RequestHead,
         moves_on: bool,
-    ) -> Result<Reader, exchange::Error> {
+    ) -> Result<Reader, reader::Error> {
         if let Some(keeper) = self.keeper {
             let line = Line::new(&self.gateway, keeper, &job.ask.id);
             let (body, note) = (job.body.clone(), self.connection.clone());
             match Reader::begin(line, head.clone(), body, note).await {
                 Ok(reader) => return Ok(reader),
-                Err(reader::Error::Exchange(error)) => return Err(error),
-                Err(error) => self.not_kept(job, &error),
+                Err(error @ (reader::Error::OutOfReach { .. } | reader::Error::NotSent)) => {
+                    self.not_kept(job, &error);
+                }
+                Err(error) => return Err(error),
             }
         }
         let client = &self.gateway.client;
         let body = job.body.clone();
         let options = options(job, moves_on);
         let exchange = client.exchange_noting(self.address, head, body, options, &self.connection);
-        exchange.await.map(Reader::of_replica)
+        Ok(Reader::of_replica(exchange.await?))
     }
 
     /// Nothing has run, and the request goes to the replica itself.
@@ -339,7 +345,9 @@
 
     async fn read(self, job: &Job, versioned: bool, response: Reader) -> Result<Begun, Failure> {
         let status = response.status.as_u16();
-        self.take_notice(job, &response);
+        let dialect = &self.gateway.dialect;
+        let notice = dialect.notice(response.status, &response.headers);
+        self.wants(job, notice);
         match self.gateway.dialect.read(&response, &job.ask.id) {
             Reading::Success { version } => Ok(Begun {
                 attempt: self,
@@ -348,7 +356,13 @@
             }),
             Reading::NotRun => {
                 let detail = format!("the replica answered {status}, not run");
-                Err(self.fail(job, Ended::Refused, Sign::Refused, detail))
+                // One that asks for rest is as well as it says.
+                let sign = if notice.rest.is_some() {
+                    Sign::None
+                } else {
+                    Sign::Refused
+                };
+                Err(self.fail(job, Ended::Refused, sign, detail))
             }
             Reading::Misdirected => {
                 // Without a version in the request, it can only mean that the replica is another.
@@ -366,20 +380,18 @@
         }
     }
 
-    /// Takes what the head of an answer tells of what its replica wants.
-    fn take_notice(&self, job: &Job, response: &Reader) {
-        let dialect = &self.gateway.dialect;
-        let notice = dialect.notice(response.status, &response.headers);
-        if notice.is_empty() {
-            return;
+    /// The replica told what it wants. The list may say otherwise for long.
+    fn wants(&self, job: &Job, notice: Notice) {
+        let now = self.now();
+        let mut pool = self.gateway.pool.borrow_mut();
+        if pool.take_notice(self.key, &self.life, notice, now) {
+            log::info!(
+                request = job.ask.id.as_str(),
+                replica = &*self.replica,
+                notice:% = notice;
+                "a replica told what it wants"
+            );
         }
-        log::info!(
-            request = job.ask.id.as_str(),
-            replica = &*self.replica,
-            leaving = notice.leaving,
-            rest_ms = notice.rest.map_or(0, |rest| rest.as_millis() as u64);
-            "a replica told what it wants"
-        );
     }
 
     /// Gathers a failure of the replica's own, to be passed on if nothing better comes.
--- a/src/gateway/course.rs
+++ b/src/gateway/course.rs
@@ -28,6 +28,9 @@
 /// When a caller should come back after a replica refused its request.
 const REFUSED_RETRY: Duration = Duration::from_millis(150);
 
+/// Time over which those who come back after the rest of a replica are spread.
+const RETURN_SPREAD: Duration = Duration::from_millis(400);
+
 /// Connections to a replica that an entry may always have.
 const CONNECTIONS_MIN: u32 = 3;
 
@@ -197,13 +200,20 @@
             return Refusal::new(Code::LateNotRun, detail);
         }
         let now = self.gateway.knowledge.now();
+        let refusal = Refusal::new(Code::NoReplica, detail);
+        let rest = {
+            let pool = self.gateway.pool.borrow();
+            self.with_ask(&[], |ask| pool.rest(ask, now))
+        };
+        if let Some(rest) = rest {
+            return refusal.retry_after(self.after_rest(rest));
+        }
         let outage = self.gateway.pool.borrow().mostly_denied(&self.job.service);
-        let retry_after = if outage {
+        refusal.retry_after(if outage {
             self.arrival(self.job.remaining(now))
         } else {
             REFUSED_RETRY
-        };
-        Refusal::new(Code::NoReplica, detail).retry_after(retry_after)
+        })
     }
 
     /// Finds a place, waits for one, or refuses.
@@ -269,7 +279,22 @@
     fn shortage(&self, shortage: Shortage) -> Refusal {
         let remaining = self.job.remaining(self.gateway.knowledge.now());
         let refusal = Refusal::new(Code::NoReplica, shortage.to_string());
-        refusal.retry_after(self.arrival(remaining))
+        refusal.retry_after(match shortage {
+            Shortage::Resting { rest } => self.after_rest(rest),
+            _ => self.arrival(remaining),
+        })
+    }
+
+    /// When a caller should come back to replicas of which the first has so much of its rest left: no sooner, and not all callers at
+    /// once.
+    fn after_rest(&self, rest: Duration) -> Duration {
+        let apart = self
+            .gateway
+            .knowledge
+            .rng
+            .borrow_mut()
+            .random_range(0.0..1.0);
+        rest + RETURN_SPREAD.mul_f64(apart)
     }
 
     /// The limit on its first event, counted from its arrival.
@@ -400,7 +425,8 @@
         last_event: Option<u64>,
     ) -> Result<Begun, Failure> {
         let Some(attempt) = Attempt::begin(&self.gateway, &self.job, choice) else {
-            return Err(Failure::new(Ended::NotSent, "the replica has gone"));
+            let detail = "the replica has gone, or wants nothing now";
+            return Err(Failure::new(Ended::NotSent, detail));
         };
         self.tried.push(choice.key);
         self.trace.replica = Some(attempt.replica.clone());
--- a/src/gateway/poison.rs
+++ b/src/gateway/poison.rs
@@ -12,7 +12,8 @@
 use super::{CONNECT_TIMEOUT, Gateway};
 use crate::exchange::Reached;
 use crate::knowledge::poison;
-use crate::request::poison::{ENDS_MAX, Life, Name, Told, Verdict};
+use crate::member::replica::Life;
+use crate::request::poison::{ENDS_MAX, Name, Told, Verdict};
 
 /// When it is looked, after an attempt broke and again after each look, whether its replica is there. One that starts
 /// again within a moment takes connections as before; the process beside it tells of its new life a little later.
--- a/src/gateway/reader.rs
+++ b/src/gateway/reader.rs
@@ -22,6 +22,7 @@
 use crate::clock::Time;
 use crate::exchange::{self, Client, Note, Options, Request, Response, Reuse, answer};
 use crate::patience::Progress;
+use crate::route::notice::{self, Notice};
 use crate::run::{Call, Key, TOLD, Told};
 
 /// How long a connection may bring nothing before the answer is asked for over a new one as well. Events come every 0.1 s, and
@@ -51,6 +52,12 @@
         /// What happened.
         reason: String,
     },
+    /// That process did not send the request on, because its replica wants nothing now.
+    #[error("the replica wants nothing now ({notice})")]
+    TurnedAway {
+        /// What it told.
+        notice: Notice,
+    },
     /// That process says that it did not send the request on, and will not.
     #[error("the process beside the replica did not send it on")]
     NotSent,
@@ -363,7 +370,13 @@
                 Ok(Some(response))
             }
             Some(told) if self.came == 0 && told.not_run(self.line.age()) => {
-                Err(self.ended(Error::NotSent))
+                let notice = Notice::of(response.header(notice::HEADER));
+                let error = if notice.is_empty() {
+                    Error::NotSent
+                } else {
+                    Error::TurnedAway { notice }
+                };
+                Err(self.ended(error))
             }
             // A process of an earlier release keeps no runs.
             None if way.first && response.status == StatusCode::NOT_FOUND => {
--- a/src/member/replica.rs
+++ b/src/member/replica.rs
@@ -20,6 +20,16 @@
     held.map(|held| held.version)
 }
 
+/// One life of a replica.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Life {
+    /// The replica's id.
+    pub id: Arc<str>,
+    /// When it started, in milliseconds since the Unix epoch; 0 if it does not tell.
+    #[serde(default)]
+    pub born: u64,
+}
+
 /// A replica's entry in the list.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Record {
@@ -60,6 +70,14 @@
         }
     }
 
+    /// The life that it is about.
+    pub fn life(&self) -> Life {
+        Life {
+            id: self.id.clone(),
+            born: self.born,
+        }
+    }
+
     /// The version of `model` that it holds.
     pub fn version(&self, model: &str) -> Option<u64> {
         version_of(&self.models, model)
--- a/src/place.rs
+++ b/src/place.rs
@@ -233,6 +233,7 @@
         };
         let expected = engine.map(|engine| self.expected(ask, &load, engine, now));
         let takes = load.alive && !load.switching && !load.models.is_empty();
+        let takes = takes && load.notice().is_empty();
         let takes = takes && expected.is_none_or(|expected| expected <= limit);
         self.hear_cold(ask.cold, now);
         let given = takes && self.bears(now);
--- a/src/request/poison.rs
+++ b/src/request/poison.rs
@@ -10,12 +10,12 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
 use std::hash::{DefaultHasher, Hash, Hasher};
-use std::sync::Arc;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
 use crate::clock::Time;
+use crate::member::replica::Life;
 
 /// Replicas that end under a request before it is sent to no other.
 pub const ENDS_MAX: usize = 3;
@@ -74,16 +74,6 @@
     }
 }
 
-/// One life of a replica.
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-pub struct Life {
-    /// The replica's id.
-    pub id: Arc<str>,
-    /// When it started, in milliseconds since the Unix epoch; 0 if it does not tell.
-    #[serde(default)]
-    pub born: u64,
-}
-
 /// An end of a replica, as one process tells another.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct End {
--- a/src/route/notice.rs
+++ b/src/route/notice.rs
@@ -1,10 +1,24 @@
 //! What a replica tells, with any answer, of what it wants from whoever sent it the request.
+//!
+//! It binds whoever got the answer: an entry, and the process beside the replica for all entries that send by way of it. It holds
+//! for the life of the replica that told it, whatever the list says meanwhile.
 
+use std::collections::BTreeMap;
+use std::fmt;
 use std::time::Duration;
 
+use crate::clock::Time;
+use crate::member::replica::Life;
+
 /// Longest rest that a replica is believed to mean.
 const REST_MAX: Duration = Duration::from_secs(600);
 
+/// How long it is remembered what a life wanted that is not listed any more: its entry may lapse and come back.
+const REMEMBERED: Duration = Duration::from_secs(900);
+
+/// The header by which the process beside a replica tells why it did not send a request on, as [`Notice`].
+pub const HEADER: &str = "pumicelatch-run-notice";
+
 /// What the head of a replica's answer tells.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct Notice {
@@ -26,8 +40,83 @@
         }
     }
 
+    /// The value of [`HEADER`], read; empty if it is none.
+    pub fn of(value: &str) -> Self {
+        let (leaving, rest) = value.split_once(';').unwrap_or_default();
+        let millis = rest
+            .strip_prefix("rest-ms=")
+            .and_then(|rest| rest.parse().ok());
+        Self::new(
+            leaving == "leaving",
+            millis.map(|millis: u32| f64::from(millis) / 1_000.0),
+        )
+    }
+
     /// Whether it tells nothing.
     pub fn is_empty(self) -> bool {
         self == Self::default()
     }
 }
+
+impl fmt::Display for Notice {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let leaving = if self.leaving { "leaving" } else { "" };
+        let rest = self.rest.unwrap_or_default();
+        write!(formatter, "{leaving};rest-ms={}", rest.as_millis())
+    }
+}
+
+/// What one life of a replica wants, by all that it told.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Wish {
+    leaving: bool,
+    rests_until: Time,
+}
+
+impl Wish {
+    /// It told `notice` at `now`. A shorter rest does not end a longer one. Returns whether that is news.
+    pub fn take(&mut self, notice: Notice, now: Time) -> bool {
+        let before = *self;
+        self.leaving |= notice.leaving;
+        let until = notice.rest.map_or(self.rests_until, |rest| now + rest);
+        self.rests_until = self.rests_until.max(until);
+        *self != before
+    }
+
+    /// Whether it wants nothing more in this life.
+    pub fn leaving(&self) -> bool {
+        self.leaving
+    }
+
+    /// For how long it still wants nothing.
+    pub fn rest(&self, now: Time) -> Duration {
+        self.rests_until.since(now)
+    }
+
+    /// Whether it is to get nothing now.
+    pub fn refuses(&self, now: Time) -> bool {
+        self.leaving || !self.rest(now).is_zero()
+    }
+
+    /// What others are told of it now.
+    pub fn notice(&self, now: Time) -> Notice {
+        Notice::new(self.leaving, Some(self.rest(now).as_secs_f64()))
+    }
+}
+
+/// What lives of replicas want, listed or not.
+#[derive(Debug, Default)]
+pub struct Wishes(BTreeMap<Life, (Wish, Time)>);
+
+impl Wishes {
+    /// The life `life` wants so now.
+    pub fn remember(&mut self, life: Life, wish: Wish, now: Time) {
+        self.0.retain(|_, (_, at)| now.since(*at) < REMEMBERED);
+        self.0.insert(life, (wish, now));
+    }
+
+    /// What the life `life` wants, as far as is remembered.
+    pub fn of(&self, life: &Life) -> Wish {
+        self.0.get(life).map(|(wish, _)| *wish).unwrap_or_default()
+    }
+}
--- a/src/route/pool.rs
+++ b/src/route/pool.rs
@@ -15,10 +15,12 @@
 use super::correction::Correction;
 use super::estimate::{self, Demand, Work};
 use super::health::Sign;
+use super::notice::{Notice, Wishes};
 use super::replica::Replica;
 use crate::clock::Time;
 use crate::config::residency::{Regions, Residency};
 use crate::config::routing::Engine;
+use crate::member::replica::Life;
 use crate::policy::Policy;
 use crate::wire::sync::Reported;
 
@@ -125,6 +127,12 @@
     /// All that are fit are cold, and bear no more at the moment.
     #[error("all replicas are cold and bear no more")]
     Cold,
+    /// All that are fit asked for rest.
+    #[error("all replicas asked for rest, the first for {} ms more", rest.as_millis())]
+    Resting {
+        /// Until the first of them takes requests again.
+        rest: Duration,
+    },
     /// All that are fit were tried.
     #[error("all replicas were tried")]
     AllTried,
@@ -155,6 +163,7 @@
     corrections: BTreeMap<Arc<str>, Correction>,
     evacuated: BTreeSet<Arc<str>>,
     reborn: Vec<SocketAddr>,
+    wishes: Wishes,
     begun: u64,
 }
 
@@ -289,6 +298,28 @@
         }
     }
 
+    /// The replica `key` told `notice`, in its life `life`. Returns whether that is news.
+    pub fn take_notice(&mut self, key: Key, life: &Life, notice: Notice, now: Time) -> bool {
+        if notice.is_empty() {
+            return false;
+        }
+        let mut wish = self.wishes.of(life);
+        let news = wish.take(notice, now);
+        self.wishes.remember(life.clone(), wish, now);
+        if let Some(replica) = self.replicas.get_mut(key) {
+            replica.wish.take(notice, now);
+        }
+        news
+    }
+
+    /// For how long nothing can be served because all replicas that are fit asked for rest, if they did.
+    pub fn rest(&self, ask: Ask<'_>, now: Time) -> Option<Duration> {
+        let able = self.of(ask.service).iter().map(|&key| &self.replicas[key]);
+        let able = able.filter(|replica| self.there(replica, ask) && self.able(replica, ask, now));
+        let rest = able.map(|replica| replica.wish.rest(now)).min()?;
+        (!rest.is_zero()).then_some(rest)
+    }
+
     /// Chooses a replica.
     pub fn choose(&self, ask: Ask<'_>, now: Time, rng: &mut impl Rng) -> Result<Choice, Shortage> {
         let listed = self.of(ask.service);
@@ -317,6 +348,18 @@
         if fit.is_empty() {
             return Err(Shortage::Cold);
         }
+        let first = fit
+            .iter()
+            .map(|&key| self.replicas[key].wish.rest(now))
+            .min();
+        let fit: Vec<Key> = fit
+            .into_iter()
+            .filter(|&key| !self.replicas[key].wish.refuses(now))
+            .collect();
+        if fit.is_empty() {
+            let rest = first.unwrap_or_default();
+            return Err(Shortage::Resting { rest });
+        }
         let untried: Vec<Key> = fit
             .into_iter()
             .filter(|key| !ask.tried.contains(key))
@@ -356,12 +399,14 @@
     }
 
     fn fit(&self, replica: &Replica, ask: Ask<'_>, now: Time) -> bool {
-        self.there(replica, ask) && self.able(replica, ask, now)
+        let rests = replica.wish.refuses(now);
+        !rests && self.there(replica, ask) && self.able(replica, ask, now)
     }
 
     /// Whether a replica takes the request, wherever it stands.
     fn able(&self, replica: &Replica, ask: Ask<'_>, now: Time) -> bool {
-        if replica.record.leaving || replica.denied || replica.dead(now) {
+        let leaving = replica.record.leaving || replica.wish.leaving();
+        if leaving || replica.denied || replica.dead(now) {
             return false;
         }
         let Some(need) = ask.model else {
--- a/src/route/pool/life.rs
+++ b/src/route/pool/life.rs
@@ -47,7 +47,10 @@
                 Some((key, born)) if born >= listed.record.born => key,
                 Some((key, _)) => self.begin_life(key, listed.record.clone()),
                 None => {
-                    let key = self.replicas.insert(Replica::new(listed.record.clone()));
+                    let mut replica = Replica::new(listed.record.clone());
+                    // The entry of a life may lapse and come back, and what it wants holds all the same.
+                    replica.wish = self.wishes.of(&listed.record.life());
+                    let key = self.replicas.insert(replica);
                     self.ids.insert(id.clone(), key);
                     key
                 }
@@ -109,6 +112,8 @@
         for key in here {
             let record = &self.replicas[key].record;
             if load.born == 0 || load.born == record.born {
+                let life = record.life();
+                self.take_notice(key, &life, load.notice(), at);
                 self.replicas[key].report(load, at);
             } else if !known && record.born < load.born {
                 // The list does not tell of this life yet.
--- a/src/route/replica.rs
+++ b/src/route/replica.rs
@@ -7,6 +7,7 @@
 use super::cold::{Allowance, Cold};
 use super::estimate::Demand;
 use super::health::Health;
+use super::notice::{Notice, Wish};
 use crate::clock::Time;
 use crate::config::belief::{self, Wanted};
 use crate::member::replica::{self, Held, Record};
@@ -62,6 +63,10 @@
     pub chunks_held: u32,
     /// All chunks of them; 0 if it lacks none, or they are not known yet.
     pub chunks: u32,
+    /// Whether it told that it leaves.
+    pub leaving: bool,
+    /// Milliseconds for which it told that it wants nothing.
+    pub rest_ms: u32,
 }
 
 impl Load {
@@ -70,10 +75,17 @@
         self.running + self.queued
     }
 
+    /// What the replica wants, as its process told it.
+    pub fn notice(&self) -> Notice {
+        Notice::new(self.leaving, Some(f64::from(self.rest_ms) / 1_000.0))
+    }
+
     /// Whether it takes requests of the same versions as by `other`.
     pub fn takes_like(&self, other: &Self) -> bool {
         let same_state = self.switching == other.switching && self.alive == other.alive;
-        same_state && self.models == other.models
+        let rests = |load: &Self| load.rest_ms > 0;
+        let same_wish = self.leaving == other.leaving && rests(self) == rests(other);
+        same_state && same_wish && self.models == other.models
     }
 }
 
@@ -99,6 +111,7 @@
     dealt_out: Time,
     pub(super) due: Option<Due>,
     pub(super) denied: bool,
+    pub(super) wish: Wish,
 }
 
 /// Own requests that have had no event yet.
@@ -225,9 +238,15 @@
             due: None,
             health: Health::default(),
             denied: false,
+            wish: Wish::default(),
         }
     }
 
+    /// What it wants, by its own words.
+    pub fn wish(&self) -> Wish {
+        self.wish
+    }
+
     /// The last report and its time, unless it says nothing any more.
     pub(super) fn reported(&self, now: Time) -> Option<(&Load, Time)> {
         let (load, at) = self.load.as_ref()?;
@@ -366,12 +385,12 @@
         self.fresh(now).is_some_and(|load| !load.alive)
     }
 
-    /// The process beside it reported.
     /// This entry's attempts here that have not ended.
     pub(super) fn under_way(&self) -> u32 {
         self.own.len() as u32
     }
 
+    /// The process beside it reported.
     pub(super) fn report(&mut self, load: &Load, at: Time) {
         if self.load.as_ref().is_some_and(|(_, known)| *known > at) {
             return;
--- a/src/sidecar.rs
+++ b/src/sidecar.rs
@@ -33,6 +33,7 @@
 use crate::metric::{self, Metrics};
 use crate::place::{self, Ledger};
 use crate::policy::Policy;
+use crate::route::notice::Wish;
 use crate::run::{Call, Shelf};
 use crate::source::Source;
 use crate::spread;
@@ -101,6 +102,8 @@
     misses: Cell<u32>,
     /// The replica's life, as [`State::born`].
     born: Cell<u64>,
+    /// What it wants in this life.
+    wish: Cell<Wish>,
     noticed: Cell<Option<Time>>,
     staged: RefCell<reconcile::Staged>,
     /// An older version that the replica takes while the newest cannot be had.
@@ -267,6 +270,7 @@
             state,
             misses: Cell::new(0),
             born: Cell::new(0),
+            wish: Cell::default(),
             noticed: Cell::new(None),
             staged: RefCell::default(),
             stopgap: RefCell::default(),
--- a/src/sidecar/carry.rs
+++ b/src/sidecar/carry.rs
@@ -20,6 +20,7 @@
 use crate::exchange::{self, Options, Reuse, Unframed};
 use crate::gateway;
 use crate::http::{self, Answer};
+use crate::route::notice::{self, Notice};
 use crate::run::{Call, Ended, Found, Key, Part, Tape, Told, Verdict};
 use crate::stop;
 
@@ -178,6 +179,16 @@
     answer
 }
 
+/// The answer to a call for a run that is not sent on, because the replica wants nothing now.
+fn turned_away(notice: Notice) -> Answer {
+    let mut answer = own(Told::NotSent);
+    let name = HeaderName::from_static(notice::HEADER);
+    let value = HeaderValue::from_str(&notice.to_string());
+    let value = value.unwrap_or(HeaderValue::from_static(""));
+    answer.headers_mut().insert(name, value);
+    answer
+}
+
 impl Sidecar {
     /// Answers a call for a run.
     pub(super) async fn answer_run(self: Rc<Self>, call: Call, request: Request) -> Answer {
@@ -204,6 +215,11 @@
         let Ok((head, body)) = body.and_then(|body| Ok((head(&request, target)?, body))) else {
             return ticket.hold(own(Told::NotSent));
         };
+        let now = self.knowledge.now();
+        let wish = self.wish.get();
+        if wish.refuses(now) {
+            return ticket.hold(turned_away(wish.notice(now)));
+        }
         let run = Rc::new(Run::default());
         let tape = run.tape.clone();
         let verdict = self.runs.borrow_mut().start(key, tape, run.clone());
@@ -239,19 +255,6 @@
         }
     }
 
-    /// Takes what the head of an answer tells of what the replica wants.
-    fn take_notice(&self, status: StatusCode, headers: &HeaderMap) {
-        let notice = self.engine.notice(status, headers);
-        if notice.is_empty() {
-            return;
-        }
-        log::info!(
-            leaving = notice.leaving,
-            rest_ms = notice.rest.map_or(0, |rest| rest.as_millis() as u64);
-            "the replica told what it wants"
-        );
-    }
-
     /// Ends what goes on for nobody.
     pub(super) fn sweep_runs(&self) {
         let now = self.knowledge.now();
@@ -293,7 +296,7 @@
     let ended = match sidecar.client.exchange(replica, head, body, options).await {
         Ok(mut response) => {
             let headers = std::mem::take(&mut response.headers);
-            sidecar.take_notice(response.status, &headers);
+            sidecar.wants(sidecar.engine.notice(response.status, &headers));
             run.begin(Head::Answer(response.status, headers));
             keep(&run, &mut response).await
         }
--- a/src/sidecar/engine.rs
+++ b/src/sidecar/engine.rs
@@ -1,6 +1,7 @@
 //! What a replica offers to the process beside it.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use actix_http::StatusCode;
 use actix_http::header::HeaderMap;
@@ -25,6 +26,8 @@
     pub queued: u32,
     /// Factor on its times; above 1 it is slow.
     pub pace: f64,
+    /// Whether it said with its answer that it leaves.
+    pub leaving: bool,
 }
 
 impl State {
@@ -54,6 +57,12 @@
         /// What happened.
         reason: String,
     },
+    /// It turned the question away, and wants nothing for so long.
+    #[error("replica wants rest for {} ms", rest.as_millis())]
+    TurnedAway {
+        /// How long.
+        rest: Duration,
+    },
     /// It answered with an unexpected status.
     #[error("replica answered {status}")]
     Status {
--- a/src/sidecar/observe.rs
+++ b/src/sidecar/observe.rs
@@ -10,7 +10,7 @@
 use rand::RngExt;
 
 use super::Sidecar;
-use super::engine::State;
+use super::engine::{Error, State};
 use super::reconcile::Staged;
 use crate::backoff::Backoff;
 use crate::clock::Time;
@@ -21,6 +21,7 @@
 use crate::knowledge::traffic::Purpose;
 use crate::patience::{self, Progress};
 use crate::place;
+use crate::route::notice::{Notice, Wish};
 use crate::route::replica::Load;
 use crate::source::Topic;
 use crate::wire::sync::{REPORT_PATH, Report};
@@ -73,6 +74,15 @@
                 sidecar.misses.set(0);
                 sidecar.take_state(Some(state));
             }
+            // It is there, and wants no questions meanwhile.
+            Ok(Err(Error::TurnedAway { rest })) => {
+                let notice = Notice {
+                    rest: Some(rest),
+                    ..Notice::default()
+                };
+                sidecar.wants(notice);
+                sleep(rest).await;
+            }
             failed => {
                 sidecar.misses.set(sidecar.misses.get() + 1);
                 if sidecar.misses.get() == MISSES_MAX {
@@ -117,6 +127,12 @@
                 self.begin_life(state.born);
             }
         }
+        match &state {
+            Some(state) => self.wants(Notice::new(state.leaving, None)),
+            // Without the start of its life, only its absence shows that another may follow.
+            None if self.born.get() == 0 => self.wish.set(Wish::default()),
+            None => {}
+        }
         let before = self.state.replace(state);
         let now = self.state.borrow();
         let mut ledger = self.ledger.borrow_mut();
@@ -141,6 +157,7 @@
     /// earlier life. What lies there all the same is read back before it is used.
     fn begin_life(&self, born: u64) {
         log::info!(born; "a life of the replica began");
+        self.wish.set(Wish::default());
         self.state.replace(None);
         self.ledger.borrow_mut().lost();
         self.client.forget(self.engine.address());
@@ -148,6 +165,16 @@
         self.set_noticed(None);
     }
 
+    /// The replica told what it wants, which binds this process for all entries.
+    pub(super) fn wants(&self, notice: Notice) {
+        let mut wish = self.wish.get();
+        if wish.take(notice, self.knowledge.now()) {
+            log::info!(notice:% = notice; "the replica told what it wants");
+            self.wish.set(wish);
+            self.turned.set(self.turned.get() + 1);
+        }
+    }
+
     /// Tells that the replica will change, or that it has.
     pub(super) fn set_noticed(&self, noticed: Option<Time>) {
         if self.noticed.replace(noticed) != noticed {
@@ -165,6 +192,16 @@
     }
 
     fn load(&self) -> Load {
+        let notice = self.wish.get().notice(self.knowledge.now());
+        Load {
+            leaving: notice.leaving,
+            rest_ms: notice.rest.map_or(0, |rest| rest.as_millis() as u32),
+            ..self.seen()
+        }
+    }
+
+    /// What was seen of the replica.
+    fn seen(&self) -> Load {
         let trip = self.trips.borrow_mut().shortest(self.knowledge.now());
         let round_trip_ms = trip.as_millis() as u64;
         let (chunks_held, chunks) = self.arriving();
@@ -191,6 +228,7 @@
             round_trip_ms,
             chunks_held,
             chunks,
+            ..Load::default()
         }
     }
 
--- a/tests/poison.rs
+++ b/tests/poison.rs
@@ -3,7 +3,8 @@
 use std::time::Duration;
 
 use pumicelatch::clock::Time;
-use pumicelatch::request::poison::{ENDS_MAX, Life, Name, Register, Verdict};
+use pumicelatch::member::replica::Life;
+use pumicelatch::request::poison::{ENDS_MAX, Name, Register, Verdict};
 use quickcheck::quickcheck;
 
 const NOW: Time = Time::from_millis(3_600_000);
