A broken attempt has its replica looked at once a second at most; what is silent is no end; words of another life bind nobody

Read again from the start: a replica that breaks many answers was connected to three times a second by each entry; a request whose time was over counted as a broken attempt; a process beside a replica that had not seen its new life yet could have that taken for one that leaves.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -235,9 +235,9 @@
         let exchange = self.exchange(job, head, moves_on);
         match self.within(job, exchange).await {
             None => Err(self.silent(job)),
-            Some(Err(reader::Error::TurnedAway { notice })) => {
-                self.wants(job, notice);
-                let detail = format!("not sent: {}", reader::Error::TurnedAway { notice });
+            // Its process may speak of another life than this one. What this one wants comes with reports.
+            Some(Err(error @ reader::Error::TurnedAway { .. })) => {
+                let detail = format!("not sent: {error}");
                 Err(self.fail(job, Ended::NotSent, Sign::None, detail))
             }
             Some(Err(reader::Error::Exchange(exchange::Error::NotSent { reason }))) => {
@@ -340,15 +340,18 @@
         } else {
             "the replica is silent"
         };
-        self.broken(job, detail.to_owned(), Sign::Broken)
+        self.broken(job, detail.to_owned(), Sign::Silent)
     }
 
     async fn read(self, job: &Job, versioned: bool, response: Reader) -> Result<Begun, Failure> {
         let status = response.status.as_u16();
         let dialect = &self.gateway.dialect;
+        let reading = dialect.read(&response, &job.ask.id);
         let notice = dialect.notice(response.status, &response.headers);
-        self.wants(job, notice);
-        match self.gateway.dialect.read(&response, &job.ask.id) {
+        if reading != Reading::Misdirected {
+            self.wants(job, notice);
+        }
+        match reading {
             Reading::Success { version } => Ok(Begun {
                 attempt: self,
                 response,
--- a/src/gateway/poison.rs
+++ b/src/gateway/poison.rs
@@ -10,37 +10,49 @@
 use super::course::Course;
 use super::dialect::{Code, Refusal};
 use super::{CONNECT_TIMEOUT, Gateway};
+use crate::clock::Time;
 use crate::exchange::Reached;
 use crate::knowledge::poison;
 use crate::member::replica::Life;
 use crate::request::poison::{ENDS_MAX, Name, Told, Verdict};
 
-/// When it is looked, after an attempt broke and again after each look, whether its replica is there. One that starts
-/// again within a moment takes connections as before; the process beside it tells of its new life a little later.
-const LOOKS: [Duration; 3] = [
-    Duration::ZERO,
-    Duration::from_millis(300),
-    Duration::from_millis(700),
-];
+/// When it is looked, after a replica took a connection, whether the process beside it tells of a new life: one that starts again
+/// within a moment takes connections as before. Until the last look it is not connected to again.
+const LOOKS: [Duration; 2] = [Duration::from_millis(300), Duration::from_millis(700)];
 
 /// An attempt that broke.
 #[derive(Debug)]
 struct Broken {
     name: Name,
     life: Life,
+    at: Time,
 }
 
 /// Attempts that broke, by the address of their replica, while it is looked whether that is there.
 #[derive(Debug, Default)]
 pub(super) struct Suspects(BTreeMap<SocketAddr, Vec<Broken>>);
 
+impl Suspects {
+    /// Drops the attempts at `address` that broke before it was looked there at `looked`. Returns whether some are left.
+    fn left(&mut self, address: SocketAddr, looked: Time) -> bool {
+        let broken = self.0.entry(address).or_default();
+        broken.retain(|broken| broken.at >= looked);
+        let left = !broken.is_empty();
+        if !left {
+            self.0.remove(&address);
+        }
+        left
+    }
+}
+
 impl Gateway {
     /// An attempt of `name` broke at the replica `life`. A network breaks it, or the replica does; only if that has ended does
     /// it count against the request.
     pub(super) fn suspect(self: &Rc<Self>, name: Name, life: Life, address: SocketAddr) {
         let mut suspects = self.suspects.borrow_mut();
         let known = suspects.0.entry(address).or_default();
-        known.push(Broken { name, life });
+        let at = self.knowledge.now();
+        known.push(Broken { name, life, at });
         // All that ran there break together: one look serves them.
         if known.len() == 1 {
             actix_rt::spawn(self.clone().look(address));
@@ -48,15 +60,19 @@
     }
 
     async fn look(self: Rc<Self>, address: SocketAddr) {
-        for pause in LOOKS {
-            sleep(pause).await;
+        let mut looked = Time::default();
+        while self.suspects.borrow_mut().left(address, looked) {
+            looked = self.knowledge.now();
             let reached = self.client.reach(address, CONNECT_TIMEOUT).await;
             self.take_ended(address, reached == Reached::Refused);
-            if self.suspects.borrow().0[&address].is_empty() {
-                break;
+            for pause in LOOKS {
+                if self.suspects.borrow().0[&address].is_empty() {
+                    break;
+                }
+                sleep(pause).await;
+                self.take_ended(address, false);
             }
         }
-        self.suspects.borrow_mut().0.remove(&address);
     }
 
     /// Counts the attempts that broke with the end of a life at `address`; `refused` says that nobody listens there.
@@ -74,7 +90,7 @@
             replica = &*first.life.id, address:% = address, requests = ended.len();
             "a replica ended, with all that ran there"
         );
-        for Broken { name, life } in ended {
+        for Broken { name, life, .. } in ended {
             self.instruments.replica_ended();
             self.knowledge.poison.borrow_mut().ended(name, life, now);
             self.log_if_barred(name);
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -160,7 +160,7 @@
             Ok(None) if self.cutter.midway() => broken("it ended inside an event"),
             Ok(None) => Step::End,
             Err(_) if patience == remaining => Step::Late,
-            Err(_) => broken("the replica is silent"),
+            Err(_) => Step::Broken("the replica is silent".to_owned(), Sign::Silent),
         }
     }
 
--- a/src/route/health.rs
+++ b/src/route/health.rs
@@ -33,8 +33,10 @@
     Whole(Duration),
     /// The replica answered with a failure of its own.
     Failed,
-    /// The answer broke, was none, or did not come.
+    /// The answer broke, or was none.
     Broken,
+    /// Nothing came for longer than it may be silent.
+    Silent,
     /// No connection could be opened.
     Unreachable,
     /// It refused, without having run the request.
@@ -68,7 +70,7 @@
                 });
             }
             Sign::Unreachable => self.pause(now),
-            Sign::Failed | Sign::Broken | Sign::Refused => {
+            Sign::Failed | Sign::Broken | Sign::Silent | Sign::Refused => {
                 self.count(false);
                 let judged = self.good + self.bad >= SAMPLES_MIN;
                 if judged && self.rate() > fellows + RATE_OVER {
--- a/src/sidecar/observe.rs
+++ b/src/sidecar/observe.rs
@@ -32,6 +32,9 @@
 /// Looks between two of which it is written down what the replica has to do.
 const LOOKS_LOGGED: u32 = 10;
 
+/// How often it is asked while it wants rest from questions: only so is it known that it is still there.
+const LOOK_AT_REST: Duration = Duration::from_secs(1);
+
 /// How long it may take to answer.
 const LOOK_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -74,14 +77,15 @@
                 sidecar.misses.set(0);
                 sidecar.take_state(Some(state));
             }
-            // It is there, and wants no questions meanwhile.
+            // It is there, and wants to be asked less often.
             Ok(Err(Error::TurnedAway { rest })) => {
+                sidecar.misses.set(0);
                 let notice = Notice {
                     rest: Some(rest),
                     ..Notice::default()
                 };
                 sidecar.wants(notice);
-                sleep(rest).await;
+                sleep(rest.min(LOOK_AT_REST)).await;
             }
             failed => {
                 sidecar.misses.set(sidecar.misses.get() + 1);
