--- a/src/gateway/poison.rs
+++ b/src/gateway/poison.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use actix_rt::time::sleep;
@@ -16,9 +17,13 @@
 use crate::member::replica::Life;
 use crate::request::poison::{ENDS_MAX, Name, Told, Verdict};
 
-/// When it is looked, after a replica took a connection, whether the process beside it tells of a new life: one that starts again
-/// within a moment takes connections as before. Until the last look it is not connected to again.
-const LOOKS: [Duration; 2] = [Duration::from_millis(300), Duration::from_millis(700)];
+/// When it is looked, after a replica took a connection, whether the list or the process beside it tells of a new life: one that
+/// starts again within a moment takes connections as before. Until the last look it is not connected to again.
+const LOOKS: [Duration; 3] = [
+    Duration::from_millis(300),
+    Duration::from_millis(700),
+    Duration::from_millis(1_000),
+];
 
 /// An attempt that broke.
 #[derive(Debug)]
@@ -26,6 +31,8 @@
     name: Name,
     life: Life,
     at: Time,
+    /// The replicas that were known at the address then.
+    known: Vec<Arc<str>>,
 }
 
 /// Attempts that broke, by the address of their replica, while it is looked whether that is there.
@@ -50,11 +57,15 @@
     /// it count against the request.
     pub(super) fn suspect(self: &Rc<Self>, name: Name, life: Life, address: SocketAddr) {
         let mut suspects = self.suspects.borrow_mut();
-        let known = suspects.0.entry(address).or_default();
-        let at = self.knowledge.now();
-        known.push(Broken { name, life, at });
+        let broken = suspects.0.entry(address).or_default();
+        broken.push(Broken {
+            name,
+            life,
+            at: self.knowledge.now(),
+            known: self.pool.borrow().ids_at(address),
+        });
         // All that ran there break together: one look serves them.
-        if known.len() == 1 {
+        if broken.len() == 1 {
             actix_rt::spawn(self.clone().look(address));
         }
     }
@@ -77,11 +88,14 @@
 
     /// Counts the attempts that broke with the end of a life at `address`; `refused` says that nobody listens there.
     fn take_ended(&self, address: SocketAddr, refused: bool) {
+        self.refresh_pool();
         let now = self.knowledge.now();
         let mut suspects = self.suspects.borrow_mut();
         let broken = suspects.0.entry(address).or_default();
         let pool = self.pool.borrow();
-        let over = |broken: &mut Broken| refused || pool.outlived(address, broken.life.born, now);
+        let over = |broken: &mut Broken| {
+            refused || pool.outlived(address, broken.life.born, &broken.known, now)
+        };
         let ended: Vec<Broken> = broken.extract_if(.., over).collect();
         let Some(first) = ended.first() else {
             return;
--- a/src/route/pool/life.rs
+++ b/src/route/pool/life.rs
@@ -81,12 +81,26 @@
         std::mem::take(&mut self.reborn)
     }
 
-    /// Whether a later life than that of `born` is known at `address`, or the process beside it finds nobody there.
-    pub fn outlived(&self, address: SocketAddr, born: u64, now: Time) -> bool {
+    fn at(&self, address: SocketAddr) -> impl Iterator<Item = &Replica> {
         let here = self.addresses.get(&address).into_iter().flatten();
-        let mut lives = here.filter_map(|&key| self.replicas.get(key));
-        let later = |replica: &Replica| born > 0 && replica.record.born > born;
-        lives.any(|replica| later(replica) || replica.dead(now))
+        here.filter_map(|&key| self.replicas.get(key))
+    }
+
+    /// The ids of the replicas that are known at `address`.
+    pub fn ids_at(&self, address: SocketAddr) -> Vec<Arc<str>> {
+        let here = self.at(address);
+        here.map(|replica| replica.record.id.clone()).collect()
+    }
+
+    /// Whether the life that started at `born` at `address` is over, where only the replicas of the ids `known` were: a later one is
+    /// known there, or the process beside it finds nobody.
+    pub fn outlived(&self, address: SocketAddr, born: u64, known: &[Arc<str>], now: Time) -> bool {
+        let later = |replica: &Replica| {
+            let reborn = born > 0 && replica.record.born > born;
+            reborn || !known.contains(&replica.record.id)
+        };
+        self.at(address)
+            .any(|replica| later(replica) || replica.dead(now))
     }
 
     fn index(&mut self) {
--- a/tests/life.rs
+++ b/tests/life.rs
@@ -327,3 +327,35 @@
     };
     assert_eq!((holds("i-1"), holds("i-2")), (Some(1), Some(2)));
 }
+
+/// What shows, beside a connection that is refused, that a run broke with its replica and not with its connection.
+#[test]
+fn a_life_is_over_when_a_later_one_is_known_or_nobody_is_found_there() {
+    let mut entry = Entry::new();
+    entry.learn(10, record(FIRST, holding(1)));
+    let address = "10.0.0.1:80".parse().unwrap();
+    let known = entry.pool.ids_at(address);
+    let over = |entry: &Entry| entry.pool.outlived(address, FIRST, &known, NOW);
+    entry.pool.report(address, &load(FIRST, holding(1)), NOW);
+    assert!(!over(&entry), "it is there");
+
+    let mut reborn = Entry::new();
+    reborn.learn(12, record(SECOND, holding(1)));
+    assert!(over(&reborn), "it started again under its id");
+
+    let other = Record {
+        id: "i-2".into(),
+        ..record(SECOND, Vec::new())
+    };
+    entry.learn(13, other);
+    assert!(over(&entry), "another took its address");
+
+    let mut dead = Entry::new();
+    dead.learn(10, record(FIRST, holding(1)));
+    let nobody = Load {
+        alive: false,
+        ..load(FIRST, Vec::new())
+    };
+    dead.pool.report(address, &nobody, NOW);
+    assert!(over(&dead), "the process beside it finds nobody");
+}
