Limits of seconds are over by the clock that counts suspended time

The runtime's timers stand still while a machine is suspended, so what a request waits for (an answer, the next event, a body) was waited for as much longer as the suspension had lasted, beyond its deadline. Those waits look at the clock each 0.4 s. Shorter waits are left to the timers.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -10,7 +10,6 @@
 
 use actix_http::body::BoxBody;
 use actix_http::{RequestHead, Response as HttpResponse};
-use actix_rt::time::timeout;
 use bytes::Bytes;
 
 use super::dialect::{Forward, Reading};
@@ -22,6 +21,7 @@
 use crate::exchange::{self, Note, Options, Reuse, Unframed};
 use crate::http::Answer;
 use crate::member::replica::Life;
+use crate::patience;
 use crate::request::attempt::Ended;
 use crate::route::estimate::Demand;
 use crate::route::health::Sign;
@@ -302,7 +302,8 @@
                 .start_bound(job)
                 .map_or(remaining, |bound| bound.since(now));
             let longest = remaining.min(start);
-            if let Ok(done) = timeout(silence.min(longest), &mut step).await {
+            let wait = patience::within(|| self.now(), silence.min(longest), &mut step);
+            if let Some(done) = wait.await {
                 return Some(done);
             }
             if silence >= longest || !self.gateway.pool.borrow().queues(self.key, self.now()) {
--- a/src/gateway/intake.rs
+++ b/src/gateway/intake.rs
@@ -3,7 +3,6 @@
 use std::time::Duration;
 
 use actix_http::{Request, RequestHead};
-use actix_rt::time::timeout;
 use bytes::Bytes;
 use rand::RngExt;
 
@@ -11,9 +10,11 @@
 use super::dialect::{Ask, Code, Refusal, Work};
 use super::job::Job;
 use super::trace::Trace;
+use crate::clock::Time;
 use crate::config::routing::{Access, Limits, Routing};
 use crate::http::{self, Error};
 use crate::limit::returning::Fingerprint;
+use crate::patience;
 use crate::request::poison;
 
 /// When a caller should come back to a process that knows no configuration yet.
@@ -76,7 +77,7 @@
     let held = Duration::from_millis(route.timeout_ms);
     let longest = ask.deadline.map_or(held, |deadline| deadline.min(held));
     let arrived = trace.arrived;
-    let body = read_body(request, limits, longest).await?;
+    let body = read_body(request, limits, longest, || gateway.knowledge.now()).await?;
     let fingerprint = fingerprint(&ask, body.as_deref());
     let name = poison_name(request.head(), &ask, customer.as_deref(), body.as_deref());
     trace.name = Some(name);
@@ -185,21 +186,23 @@
     request: &mut Request,
     limits: Limits,
     longest: Duration,
+    now: impl Fn() -> Time,
 ) -> Result<Option<Bytes>, Refusal> {
     let none = matches!(request.payload(), actix_http::Payload::None);
     if none {
         return Ok(None);
     }
-    match timeout(longest, http::read_request(request, limits.body_bytes)).await {
-        Err(_) => Err(Refusal::new(
+    let body = http::read_request(request, limits.body_bytes);
+    match patience::within(now, longest, body).await {
+        None => Err(Refusal::new(
             Code::BodyTooSlow,
             "the body did not come in time",
         )),
-        Ok(Err(Error::TooLong { limit })) => {
+        Some(Err(Error::TooLong { limit })) => {
             let text = format!("the body is longer than {limit} bytes");
             Err(Refusal::new(Code::BodyTooLong, text))
         }
-        Ok(Err(error)) => Err(Refusal::new(Code::Malformed, error.to_string())),
-        Ok(Ok(body)) => Ok(Some(body)),
+        Some(Err(error)) => Err(Refusal::new(Code::Malformed, error.to_string())),
+        Some(Ok(body)) => Ok(Some(body)),
     }
 }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 
 use actix_http::body::{BodyStream, MessageBody};
-use actix_rt::time::timeout;
 use bytes::Bytes;
 use futures_util::{Stream, stream};
 
@@ -14,6 +13,7 @@
 use super::reader::Reader;
 use crate::clock::Time;
 use crate::http::Answer;
+use crate::patience;
 use crate::route::health::Sign;
 
 /// A stream without an event for so long is taken up elsewhere, if it may be.
@@ -150,17 +150,18 @@
         };
         // What nobody else may take up is waited for.
         self.response.set_guarded(may_move);
-        match timeout(patience, self.response.next()).await {
-            Ok(Some(Ok(bytes))) => match self.cutter.push(bytes) {
+        let clock = self.course.gateway.knowledge.clock;
+        match patience::within(|| clock.now(), patience, self.response.next()).await {
+            Some(Some(Ok(bytes))) => match self.cutter.push(bytes) {
                 Ok(events) if events.is_empty() => Step::Part,
                 Ok(events) => Step::Events(events),
                 Err(error) => Step::Broken(error.to_string(), Sign::Broken),
             },
-            Ok(Some(Err(error))) => Step::Broken(error.to_string(), attempt::sign(&error)),
-            Ok(None) if self.cutter.midway() => broken("it ended inside an event"),
-            Ok(None) => Step::End,
-            Err(_) if patience == remaining => Step::Late,
-            Err(_) => Step::Broken("the replica is silent".to_owned(), Sign::Silent),
+            Some(Some(Err(error))) => Step::Broken(error.to_string(), attempt::sign(&error)),
+            Some(None) if self.cutter.midway() => broken("it ended inside an event"),
+            Some(None) => Step::End,
+            None if patience == remaining => Step::Late,
+            None => Step::Broken("the replica is silent".to_owned(), Sign::Silent),
         }
     }
 
--- a/src/patience.rs
+++ b/src/patience.rs
@@ -9,9 +9,10 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use actix_rt::time::sleep;
+use actix_rt::time::{sleep, timeout};
 use futures_util::future::{Either, select};
 
+use crate::clock::Time;
 use crate::exchange;
 
 /// How often it is looked whether bytes came: silence is noticed so much later at most.
@@ -133,6 +134,29 @@
     }
 }
 
+/// How late it may be noticed that a limit is over because the machine was suspended.
+const SUSPENDED_LOOK: Duration = Duration::from_millis(400);
+
+/// Waits for `step` for as long as `limit`, by the clock that `now` reads. The runtime's timers stand still while the
+/// machine is suspended: whoever waits for seconds looks at the clock meanwhile.
+pub async fn within<T>(
+    now: impl Fn() -> Time,
+    limit: Duration,
+    step: impl Future<Output = T>,
+) -> Option<T> {
+    let mut step = pin!(step);
+    let end = now() + limit;
+    loop {
+        let left = end.since(now()).min(SUSPENDED_LOOK);
+        if let Ok(done) = timeout(left, &mut step).await {
+            return Some(done);
+        }
+        if now() >= end {
+            return None;
+        }
+    }
+}
+
 fn given_up(setting: Setting, began: Instant, last: Option<Instant>) -> Option<Error> {
     let Setting {
         first,
