--- a/src/request/poison.rs
+++ b/src/request/poison.rs
@@ -128,11 +128,7 @@
     fn end(&mut self, life: Life, at: Time) -> bool {
         let taken_back = self.good.is_some_and(|good| at <= good + DATED_WITHIN);
         let full = self.ends.len() >= LIVES_MAX;
-        let life = Life {
-            born: self.ends.len() as u64,
-            ..life
-        };
-        if taken_back || full {
+        if taken_back || full || self.ends.contains_key(&life) {
             return false;
         }
         self.ends.insert(life, at);
