One hash names a request by its parts

Fingerprints of refused requests and names of poison requests were hashed by two copies of one loop. request::hash_of serves both; a fingerprint is its lower half, as before. Nothing else changes.

--- a/src/limit/returning.rs
+++ b/src/limit/returning.rs
@@ -13,6 +13,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::clock::Time;
+use crate::request;
 
 /// Refused requests that are remembered, the newest of them: 2,000 a second for two seconds each.
 const REMEMBERED_MAX: usize = 4_096;
@@ -32,14 +33,7 @@
 impl Fingerprint {
     /// The fingerprint of `parts`.
     pub fn of<'a>(parts: impl IntoIterator<Item = &'a [u8]>) -> Self {
-        let mut hasher = blake3::Hasher::new();
-        for part in parts {
-            hasher.update(&(part.len() as u64).to_le_bytes());
-            hasher.update(part);
-        }
-        let mut word = [0; 4];
-        word.copy_from_slice(&hasher.finalize().as_bytes()[..4]);
-        Self(u32::from_le_bytes(word))
+        Self(request::hash_of(parts) as u32)
     }
 }
 
--- a/src/request/poison.rs
+++ b/src/request/poison.rs
@@ -57,14 +57,8 @@
 impl Name {
     /// The name of what `caller` asks for at `path` of `host` with `body`.
     pub fn of(host: &str, path: &str, caller: &str, body: &[u8]) -> Self {
-        let mut hasher = blake3::Hasher::new();
-        for part in [host.as_bytes(), path.as_bytes(), caller.as_bytes(), body] {
-            hasher.update(&(part.len() as u64).to_le_bytes());
-            hasher.update(part);
-        }
-        let mut word = [0; 8];
-        word.copy_from_slice(&hasher.finalize().as_bytes()[..8]);
-        Self(u64::from_le_bytes(word))
+        let parts = [host.as_bytes(), path.as_bytes(), caller.as_bytes(), body];
+        Self(super::hash_of(parts))
     }
 }
 
