--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -88,17 +88,6 @@
     }
 }
 
-/// What became of a connection that was opened to see who is there.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Reached {
-    /// Somebody listens.
-    Open,
-    /// The machine is there, and nobody listens.
-    Refused,
-    /// Nothing came back in time, or the connection failed otherwise.
-    Unknown,
-}
-
 /// Whether a connection that was used before will do.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Reuse {
@@ -506,13 +495,11 @@
         })
     }
 
-    /// Opens a connection to `peer` and closes it, to see whether somebody listens there.
-    pub async fn reach(&self, peer: SocketAddr, within: Duration) -> Reached {
-        match timeout(within, self.connect(peer)).await {
-            Ok(Ok(_)) => Reached::Open,
-            Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused => Reached::Refused,
-            Ok(Err(_)) | Err(_) => Reached::Unknown,
-        }
+    /// Opens a connection to `peer` and closes it. Returns whether its machine answers `within` so long that nobody
+    /// listens there.
+    pub async fn refuses(&self, peer: SocketAddr, within: Duration) -> bool {
+        let opened = timeout(within, self.connect(peer)).await;
+        matches!(opened, Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused)
     }
 
     /// Counts how often used connections brought nothing where new ones did, so that all may be silent.
--- a/src/gateway/poison.rs
+++ b/src/gateway/poison.rs
@@ -12,7 +12,6 @@
 use super::dialect::{Code, Refusal};
 use super::{CONNECT_TIMEOUT, Gateway};
 use crate::clock::Time;
-use crate::exchange::Reached;
 use crate::knowledge::poison;
 use crate::member::replica::Life;
 use crate::request::poison::{ENDS_MAX, Name, Told, Verdict};
@@ -74,8 +73,8 @@
         let mut looked = Time::default();
         while self.suspects.borrow_mut().left(address, looked) {
             looked = self.knowledge.now();
-            let reached = self.client.reach(address, CONNECT_TIMEOUT).await;
-            self.take_ended(address, reached == Reached::Refused);
+            let refused = self.client.refuses(address, CONNECT_TIMEOUT).await;
+            self.take_ended(address, refused);
             for pause in LOOKS {
                 if self.suspects.borrow().0[&address].is_empty() {
                     break;
