--- a/src/sidecar/carry.rs
+++ b/src/sidecar/carry.rs
@@ -2,6 +2,7 @@
 //! whoever reads it.
 
 use std::cell::RefCell;
+use std::fmt::Display;
 use std::io;
 use std::rc::Rc;
 
@@ -21,7 +22,7 @@
 use crate::gateway;
 use crate::http::{self, Answer};
 use crate::route::notice::{self, Notice};
-use crate::run::{Call, Ended, Found, Key, Part, Tape, Told, Verdict};
+use crate::run::{Call, Ended, Found, Key, Part, TOLD, Tape, Told, Verdict};
 use crate::stop;
 
 /// Longest body of a request: far more than the longest prompt.
@@ -121,7 +122,7 @@
                 let body = BodyStream::new(Box::pin(self.into_stream()));
                 let mut answer = Answer::with_body(status, body.boxed());
                 pass(&headers, answer.headers_mut());
-                tell(&mut answer, Told::Replica);
+                tell(&mut answer, TOLD, Told::Replica);
                 answer
             }
         }
@@ -164,28 +165,25 @@
     }
 }
 
-fn tell(answer: &mut Answer, told: Told) {
-    let name = HeaderName::from_static(crate::run::TOLD);
+fn tell(answer: &mut Answer, name: &'static str, told: impl Display) {
     let value = HeaderValue::from_str(&told.to_string());
+    let value = value.unwrap_or(HeaderValue::from_static(""));
     answer
         .headers_mut()
-        .insert(name, value.unwrap_or(HeaderValue::from_static("")));
+        .insert(HeaderName::from_static(name), value);
 }
 
 /// An answer of the process's own.
 fn own(told: Told) -> Answer {
     let mut answer = http::status(StatusCode::BAD_GATEWAY);
-    tell(&mut answer, told);
+    tell(&mut answer, TOLD, told);
     answer
 }
 
 /// The answer to a call for a run that is not sent on, because the replica wants nothing now.
 fn turned_away(notice: Notice) -> Answer {
     let mut answer = own(Told::NotSent);
-    let name = HeaderName::from_static(notice::HEADER);
-    let value = HeaderValue::from_str(&notice.to_string());
-    let value = value.unwrap_or(HeaderValue::from_static(""));
-    answer.headers_mut().insert(name, value);
+    tell(&mut answer, notice::HEADER, notice);
     answer
 }
 
