An attempt that is given up is suspected as well: its replica may end under it a moment later

Cause: only an attempt whose answer broke was suspected.

Mended where every attempt ends: one that was not settled by an answer, a refusal or a break counts as given up when it is dropped, and is looked after for two seconds like one that broke. Callers leave often, so it is not connected to at once: the reports of the process beside the replica tell of an end, and where none is heard of it is connected to once in two seconds. What came to an end elsewhere takes its ends back as before.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -14,6 +14,7 @@
 
 use super::dialect::{Forward, Reading};
 use super::job::Job;
+use super::poison::Sight;
 use super::reader::{self, Line, Reader};
 use super::{CONNECT_TIMEOUT, Gateway, IDLE_MAX};
 use crate::clock::Time;
@@ -23,6 +24,7 @@
 use crate::member::replica::Life;
 use crate::patience;
 use crate::request::attempt::Ended;
+use crate::request::poison::Name;
 use crate::route::estimate::Demand;
 use crate::route::health::Sign;
 use crate::route::notice::Notice;
@@ -94,6 +96,8 @@
     /// The replica's id.
     pub replica: Arc<str>,
     life: Life,
+    /// What it is an attempt of.
+    request: Name,
     choice: Choice,
     address: SocketAddr,
     /// The process beside the replica, if that is to keep what comes.
@@ -103,6 +107,8 @@
     number: u64,
     start_bound: Option<Time>,
     started: Cell<bool>,
+    /// Whether it was seen how its replica came through it.
+    settled: Cell<bool>,
     connection: Note,
 }
 
@@ -110,6 +116,8 @@
     fn drop(&mut self) {
         self.count_start(false);
         self.gateway.pool.borrow_mut().end(self.key, self.number);
+        // Its caller has left, or the replica was silent: that may end under it all the same.
+        self.suspect(Sight::GivenUp);
     }
 }
 
@@ -132,6 +140,7 @@
             key: choice.key,
             replica: life.id.clone(),
             life,
+            request: job.name,
             choice,
             address,
             keeper,
@@ -140,6 +149,7 @@
             number,
             start_bound,
             started: Cell::new(false),
+            settled: Cell::new(false),
             connection: Note::default(),
         })
     }
@@ -170,11 +180,15 @@
 
     /// Counts a whole answer.
     pub fn count_whole(&self) {
+        self.settled.set(true);
         self.gateway.instruments.attempt("whole");
     }
 
     fn fail(&self, job: &Job, ended: Ended, sign: Sign, detail: String) -> Failure {
         self.note(sign);
+        if ended != Ended::Broken {
+            self.settled.set(true);
+        }
         self.gateway.instruments.attempt(name(ended));
         log::warn!(
             request = job.ask.id.as_str(),
@@ -193,13 +207,16 @@
     /// A failure after bytes left, because the answer is none or broke.
     pub fn broken(&self, job: &Job, detail: String, sign: Sign) -> Failure {
         if sign == Sign::Broken {
-            self.suspect(job);
+            self.suspect(Sight::Broke);
         }
         self.fail(job, Ended::Broken, sign, detail)
     }
 
-    /// The replica may have ended under the request. One that leaves ends as planned, with whatever runs there.
-    fn suspect(&self, job: &Job) {
+    /// The replica may have ended under the request, or end soon. One that leaves ends as planned, with whatever runs there.
+    fn suspect(&self, sight: Sight) {
+        if self.settled.replace(true) {
+            return;
+        }
         let leaves = {
             let pool = self.gateway.pool.borrow();
             pool.get(self.key)
@@ -207,7 +224,8 @@
         };
         if !leaves {
             let life = self.life.clone();
-            self.gateway.suspect(job.name, life, self.address);
+            self.gateway
+                .suspect(self.request, life, self.address, sight);
         }
     }
 
--- a/src/gateway/poison.rs
+++ b/src/gateway/poison.rs
@@ -1,4 +1,4 @@
-//! Finds out whether a broken attempt was the end of its replica, and keeps requests from replicas under which others ended.
+//! Finds out whether an attempt without an answer was the end of its replica, and keeps requests from replicas under which others ended.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -16,34 +16,45 @@
 use crate::member::replica::Life;
 use crate::request::poison::{ENDS_MAX, Name, Told, Verdict};
 
-/// When it is looked, after a replica took a connection, whether the list or the process beside it tells of a new life: one that
-/// starts again within a moment takes connections as before. Until the last look it is not connected to again.
+/// When it is looked whether the list or the process beside a replica tells of its end or of a new life: one that starts again within a
+/// moment takes connections as before, and one may end a moment after an attempt was given up. Until the last look it is not
+/// connected to again.
 const LOOKS: [Duration; 3] = [
     Duration::from_millis(300),
     Duration::from_millis(700),
     Duration::from_millis(1_000),
 ];
 
-/// An attempt that broke.
+/// What its entry saw of the end of an attempt.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Sight {
+    /// It broke: if its replica ended, it is not there now.
+    Broke,
+    /// Nothing: it was given up before its replica was through with it.
+    GivenUp,
+}
+
+/// An attempt under which its replica may have ended.
 #[derive(Debug)]
-struct Broken {
+struct Suspect {
     name: Name,
     life: Life,
+    sight: Sight,
     at: Time,
     /// The replicas that were known at the address then.
     known: Vec<Arc<str>>,
 }
 
-/// Attempts that broke, by the address of their replica, while it is looked whether that is there.
+/// Attempts under which a replica may have ended, by its address, while it is looked whether that is there.
 #[derive(Debug, Default)]
-pub(super) struct Suspects(BTreeMap<SocketAddr, Vec<Broken>>);
+pub(super) struct Suspects(BTreeMap<SocketAddr, Vec<Suspect>>);
 
 impl Suspects {
-    /// Drops the attempts at `address` that broke before it was looked there at `looked`. Returns whether some are left.
+    /// Drops the attempts at `address` that were over before it was looked there at `looked`. Returns whether some are left.
     fn left(&mut self, address: SocketAddr, looked: Time) -> bool {
-        let broken = self.0.entry(address).or_default();
-        broken.retain(|broken| broken.at >= looked);
-        let left = !broken.is_empty();
+        let suspects = self.0.entry(address).or_default();
+        suspects.retain(|suspect| suspect.at >= looked);
+        let left = !suspects.is_empty();
         if !left {
             self.0.remove(&address);
         }
@@ -52,19 +63,26 @@
 }
 
 impl Gateway {
-    /// An attempt of `name` broke at the replica `life`. A network breaks it, or the replica does; only if that has ended does
-    /// it count against the request.
-    pub(super) fn suspect(self: &Rc<Self>, name: Name, life: Life, address: SocketAddr) {
+    /// An attempt of `name` at the replica `life` is over without an answer of that. A network breaks it, or a caller, or the replica does;
+    /// only if that has ended does it count against the request.
+    pub(super) fn suspect(
+        self: &Rc<Self>,
+        name: Name,
+        life: Life,
+        address: SocketAddr,
+        sight: Sight,
+    ) {
         let mut suspects = self.suspects.borrow_mut();
-        let broken = suspects.0.entry(address).or_default();
-        broken.push(Broken {
+        let here = suspects.0.entry(address).or_default();
+        here.push(Suspect {
             name,
             life,
+            sight,
             at: self.knowledge.now(),
             known: self.pool.borrow().ids_at(address),
         });
         // All that ran there break together: one look serves them.
-        if broken.len() == 1 {
+        if here.len() == 1 {
             actix_rt::spawn(self.clone().look(address));
         }
     }
@@ -73,29 +91,49 @@
         let mut looked = Time::default();
         while self.suspects.borrow_mut().left(address, looked) {
             looked = self.knowledge.now();
-            let refused = self.client.refuses(address, CONNECT_TIMEOUT).await;
-            self.take_ended(address, refused);
+            let mut connected = false;
+            let broke = self.suspected(address, |suspect| suspect.sight == Sight::Broke);
+            if broke {
+                connected = true;
+                self.connect(address).await;
+            }
             for pause in LOOKS {
-                if self.suspects.borrow().0[&address].is_empty() {
+                if !self.suspected(address, |_| true) {
                     break;
                 }
                 sleep(pause).await;
                 self.take_ended(address, false);
+                // Callers may leave often, and the process beside a replica knows without asking.
+                if !connected && !self.pool.borrow().heard_of(address, self.knowledge.now()) {
+                    connected = true;
+                    self.connect(address).await;
+                }
             }
         }
     }
 
-    /// Counts the attempts that broke with the end of a life at `address`; `refused` says that nobody listens there.
+    fn suspected(&self, address: SocketAddr, which: impl Fn(&Suspect) -> bool) -> bool {
+        let suspects = self.suspects.borrow();
+        suspects.0[&address].iter().any(which)
+    }
+
+    /// Connects to `address`, and counts what ran there if nobody listens.
+    async fn connect(&self, address: SocketAddr) {
+        let refused = self.client.refuses(address, CONNECT_TIMEOUT).await;
+        self.take_ended(address, refused);
+    }
+
+    /// Counts the attempts that were over with the end of a life at `address`; `refused` says that nobody listens there.
     fn take_ended(&self, address: SocketAddr, refused: bool) {
         self.refresh_pool();
         let now = self.knowledge.now();
         let mut suspects = self.suspects.borrow_mut();
-        let broken = suspects.0.entry(address).or_default();
+        let here = suspects.0.entry(address).or_default();
         let pool = self.pool.borrow();
-        let over = |broken: &mut Broken| {
-            refused || pool.outlived(address, broken.life.born, &broken.known, now)
+        let over = |suspect: &mut Suspect| {
+            refused || pool.outlived(address, suspect.life.born, &suspect.known, now)
         };
-        let ended: Vec<Broken> = broken.extract_if(.., over).collect();
+        let ended: Vec<Suspect> = here.extract_if(.., over).collect();
         let Some(first) = ended.first() else {
             return;
         };
@@ -103,7 +141,7 @@
             replica = &*first.life.id, address:% = address, requests = ended.len();
             "a replica ended, with all that ran there"
         );
-        for Broken { name, life, .. } in ended {
+        for Suspect { name, life, .. } in ended {
             self.instruments.replica_ended();
             self.knowledge.poison.borrow_mut().ended(name, life, now);
             self.log_if_barred(name);
--- a/src/route/pool/life.rs
+++ b/src/route/pool/life.rs
@@ -92,6 +92,12 @@
         here.map(|replica| replica.record.id.clone()).collect()
     }
 
+    /// Whether the process beside a replica at `address` was heard of lately.
+    pub fn heard_of(&self, address: SocketAddr, now: Time) -> bool {
+        self.at(address)
+            .any(|replica| replica.reported(now).is_some())
+    }
+
     /// Whether the life that started at `born` at `address` is over, where only the replicas of the ids `known` were: a later one is
     /// known there, or the process beside it finds nobody.
     pub fn outlived(&self, address: SocketAddr, born: u64, known: &[Arc<str>], now: Time) -> bool {
