What another entry tells that is no news takes no room; a barred request is logged once

`Register::hear` made room, forgetting the case with the fewest ends, and kept an empty case for whatever it was told, news or not; and `barred: replicas ended under it` was written again for each further word of an end that was known. No behaviour that callers see changes.

--- a/src/gateway/poison.rs
+++ b/src/gateway/poison.rs
@@ -143,8 +143,10 @@
         );
         for Suspect { name, life, .. } in ended {
             self.instruments.replica_ended();
-            self.knowledge.poison.borrow_mut().ended(name, life, now);
-            self.log_if_barred(name);
+            let news = self.knowledge.poison.borrow_mut().ended(name, life, now);
+            if news {
+                self.log_if_barred(name);
+            }
         }
         self.knowledge.poison_news.notify_one();
     }
--- a/src/request/poison.rs
+++ b/src/request/poison.rs
@@ -215,12 +215,14 @@
 }
 
 impl Register {
-    /// The replica's life `life` ended at `at` while `name` ran there.
-    pub fn ended(&mut self, name: Name, life: Life, at: Time) {
+    /// The replica's life `life` ended at `at` while `name` ran there. Returns whether that is news.
+    pub fn ended(&mut self, name: Name, life: Life, at: Time) -> bool {
         self.make_room(name);
-        if self.cases.entry(name).or_default().end(life, at) {
+        let news = self.cases.entry(name).or_default().end(life, at);
+        if news {
             self.news.insert(name);
         }
+        news
     }
 
     /// A replica answered `name` whole. Returns whether others are to be told: not of the many that ran beside
@@ -274,10 +276,13 @@
     pub fn hear(&mut self, told: &[Told], now: Time) -> Vec<Told> {
         let mut news = Vec::new();
         for told in told {
-            self.make_room(told.name);
-            let case = self.cases.entry(told.name).or_default();
+            let known = self.cases.get(&told.name).cloned();
+            let mut case = known.unwrap_or_default();
+            // What is no news takes no room.
             if case.hear(told, now) {
                 news.push(case.tell(told.name, now));
+                self.make_room(told.name);
+                self.cases.insert(told.name, case);
             }
         }
         news
