A barred request is tried three times at most, and remembered for an hour

What would be seen: a request that ends each replica that begins it would go on ending one every ten minutes for as long as anybody asks, and after a quarter of an hour without asking it was forgotten, and might end three more.

Cause: the last of the pauses between tries was repeated for ever. Three sends may find out whether it has become good; a fourth tells nothing that they have not. Whoever mends what was wrong waits for an hour at most.

The line of a replica that ended says how many of the attempts had been given up.

--- a/src/gateway/poison.rs
+++ b/src/gateway/poison.rs
@@ -137,8 +137,10 @@
         let Some(first) = ended.first() else {
             return;
         };
+        let given_up = |suspect: &&Suspect| suspect.sight == Sight::GivenUp;
         log::warn!(
-            replica = &*first.life.id, address:% = address, requests = ended.len();
+            replica = &*first.life.id, address:% = address, requests = ended.len(),
+            given_up = ended.iter().filter(given_up).count();
             "a replica ended, with all that ran there"
         );
         for Suspect { name, life, .. } in ended {
--- a/src/request/poison.rs
+++ b/src/request/poison.rs
@@ -21,16 +21,20 @@
 pub const ENDS_MAX: usize = 3;
 
 /// Pauses before a request that is barred is tried once more: after the last end, and after each further try. The first is
-/// short, for a popular request that ran beside a poison one; each that fails costs a replica and all that runs there.
+/// short, for a popular request that ran beside a poison one; each that fails costs a replica and all that runs there, so there
+/// are no more of them.
 const TRY_PAUSES: [Duration; 3] = [
     Duration::from_secs(2),
     Duration::from_secs(20),
     Duration::from_secs(600),
 ];
 
-/// How long a request is remembered after the last that was learned of it: longer than the longest pause between two tries.
+/// How long a request is remembered after the last that was learned of it.
 const REMEMBERED: Duration = Duration::from_secs(900);
 
+/// How long one that is barred is: then it may end as many replicas again, unless what was wrong with it is mended.
+const BARRED_REMEMBERED: Duration = Duration::from_secs(3_600);
+
 /// How much later than a whole answer an end may be dated that came before it: what others tell comes with its age, which grows on
 /// its way.
 const DATED_WITHIN: Duration = Duration::from_millis(250);
@@ -160,17 +164,31 @@
     }
 
     fn verdict(&self, now: Time) -> Verdict {
-        if self.ends.len() < ENDS_MAX {
+        if !self.barred() {
             return Verdict::Free;
         }
-        let pause = TRY_PAUSES[(self.tries as usize).min(TRY_PAUSES.len() - 1)];
-        if now.since(self.last()) < pause {
-            Verdict::Barred
-        } else {
+        let pause = TRY_PAUSES.get(self.tries as usize);
+        if pause.is_some_and(|pause| now.since(self.last()) >= *pause) {
             Verdict::Due
+        } else {
+            Verdict::Barred
         }
     }
 
+    fn barred(&self) -> bool {
+        self.ends.len() >= ENDS_MAX
+    }
+
+    /// Whether it is not remembered any more.
+    fn forgotten(&self, now: Time) -> bool {
+        let remembered = if self.barred() {
+            BARRED_REMEMBERED
+        } else {
+            REMEMBERED
+        };
+        now.since(self.last()) >= remembered
+    }
+
     /// Whether entries tell each other of it again and again: one end alone is told once.
     fn matters(&self, now: Time) -> bool {
         let good_lately = self.good.is_some_and(|good| now.since(good) < TOLD_GOOD);
@@ -318,13 +336,12 @@
     /// Requests that are barred now.
     pub fn barred(&self) -> usize {
         let cases = self.cases.values();
-        cases.filter(|case| case.ends.len() >= ENDS_MAX).count()
+        cases.filter(|case| case.barred()).count()
     }
 
     /// Forgets what was learned long ago.
     pub fn sweep(&mut self, now: Time) {
-        self.cases
-            .retain(|_, case| now.since(case.last()) < REMEMBERED);
+        self.cases.retain(|_, case| !case.forgotten(now));
     }
 
     /// Forgets the oldest of those with the fewest ends, if there is no room for `name`.
