A replica is connected to when an attempt breaks there, also while it is watched for those who left

What callers saw: none yet; on the way to landing. Cause: a replica under watch was connected to at the beginning of a round alone, and since attempts that are given up begin rounds too, a break in the midst of one waited up to two seconds, by when the replica may be back.

Mended: the first break of a round connects at once, whatever began the round; so at most one connection a round for breaks, one for those who left.

--- a/src/gateway/poison.rs
+++ b/src/gateway/poison.rs
@@ -17,8 +17,7 @@
 use crate::request::poison::{ENDS_MAX, Name, Told, Verdict};
 
 /// When it is looked whether the list or the process beside a replica tells of its end or of a new life: one that starts again within a
-/// moment takes connections as before, and one may end a moment after an attempt was given up. Until the last look it is not
-/// connected to again.
+/// moment takes connections as before, and one may end a moment after an attempt was given up. Together they are a round.
 const LOOKS: [Duration; 3] = [
     Duration::from_millis(300),
     Duration::from_millis(700),
@@ -45,16 +44,34 @@
     known: Vec<Arc<str>>,
 }
 
-/// Attempts under which a replica may have ended, by its address, while it is looked whether that is there.
+/// The attempts under which the replica at one address may have ended, while it is looked whether that is there.
 #[derive(Debug, Default)]
-pub(super) struct Suspects(BTreeMap<SocketAddr, Vec<Suspect>>);
+struct Watch {
+    suspects: Vec<Suspect>,
+    /// Whether it was connected to in this round because an attempt broke there.
+    connected: bool,
+}
+
+impl Watch {
+    /// Whether it is to be connected to now because an attempt broke there: once a round.
+    fn connects(&self) -> bool {
+        let broke = |suspect: &Suspect| suspect.sight == Sight::Broke;
+        !self.connected && self.suspects.iter().any(broke)
+    }
+}
+
+/// What is watched, by address.
+#[derive(Debug, Default)]
+pub(super) struct Suspects(BTreeMap<SocketAddr, Watch>);
 
 impl Suspects {
-    /// Drops the attempts at `address` that were over before it was looked there at `looked`. Returns whether some are left.
-    fn left(&mut self, address: SocketAddr, looked: Time) -> bool {
-        let suspects = self.0.entry(address).or_default();
-        suspects.retain(|suspect| suspect.at >= looked);
-        let left = !suspects.is_empty();
+    /// Begins a round at `address`: drops the attempts that were over before the last one, which began at `last`. Returns whether
+    /// some are left.
+    fn begin_round(&mut self, address: SocketAddr, last: Time) -> bool {
+        let watch = self.0.entry(address).or_default();
+        watch.suspects.retain(|suspect| suspect.at >= last);
+        watch.connected = false;
+        let left = !watch.suspects.is_empty();
         if !left {
             self.0.remove(&address);
         }
@@ -63,8 +80,8 @@
 }
 
 impl Gateway {
-    /// An attempt of `name` at the replica `life` is over without an answer of that. A network breaks it, or a caller, or the replica does;
-    /// only if that has ended does it count against the request.
+    /// An attempt of `name` ended without an answer of the replica `life`. A network may have broken it, or its caller have left: only if
+    /// the replica ended does it count against the request.
     pub(super) fn suspect(
         self: &Rc<Self>,
         name: Name,
@@ -73,52 +90,65 @@
         sight: Sight,
     ) {
         let mut suspects = self.suspects.borrow_mut();
-        let here = suspects.0.entry(address).or_default();
-        here.push(Suspect {
+        let watched = suspects.0.contains_key(&address);
+        let watch = suspects.0.entry(address).or_default();
+        watch.suspects.push(Suspect {
             name,
             life,
             sight,
             at: self.knowledge.now(),
             known: self.pool.borrow().ids_at(address),
         });
-        // All that ran there break together: one look serves them.
-        if here.len() == 1 {
-            actix_rt::spawn(self.clone().look(address));
+        if !watched {
+            actix_rt::spawn(self.clone().watch(address));
+        } else if watch.connects() {
+            // Callers who left may have it watched already, and it may be back at the next round.
+            watch.connected = true;
+            actix_rt::spawn(self.clone().connect(address));
         }
     }
 
-    async fn look(self: Rc<Self>, address: SocketAddr) {
-        let mut looked = Time::default();
-        while self.suspects.borrow_mut().left(address, looked) {
-            looked = self.knowledge.now();
-            let mut connected = false;
-            let broke = self.suspected(address, |suspect| suspect.sight == Sight::Broke);
-            if broke {
-                connected = true;
-                self.connect(address).await;
+    /// Watches the replica at `address` round by round, while attempts ended there without an answer.
+    async fn watch(self: Rc<Self>, address: SocketAddr) {
+        let mut last = Time::default();
+        while self.suspects.borrow_mut().begin_round(address, last) {
+            last = self.knowledge.now();
+            // All that ran there break together: one connection serves them.
+            if self.take_connects(address) {
+                self.clone().connect(address).await;
             }
+            let mut asked = false;
             for pause in LOOKS {
-                if !self.suspected(address, |_| true) {
+                if !self.suspected(address) {
                     break;
                 }
                 sleep(pause).await;
                 self.take_ended(address, false);
-                // Callers may leave often, and the process beside a replica knows without asking.
-                if !connected && !self.pool.borrow().heard_of(address, self.knowledge.now()) {
-                    connected = true;
-                    self.connect(address).await;
+                // Callers may leave often, and the process beside a replica knows without a connection.
+                if !asked && !self.pool.borrow().heard_of(address, self.knowledge.now()) {
+                    asked = true;
+                    self.clone().connect(address).await;
                 }
             }
         }
     }
 
-    fn suspected(&self, address: SocketAddr, which: impl Fn(&Suspect) -> bool) -> bool {
+    fn take_connects(&self, address: SocketAddr) -> bool {
+        let mut suspects = self.suspects.borrow_mut();
+        let watch = suspects.0.entry(address).or_default();
+        let connects = watch.connects();
+        watch.connected |= connects;
+        connects
+    }
+
+    fn suspected(&self, address: SocketAddr) -> bool {
         let suspects = self.suspects.borrow();
-        suspects.0[&address].iter().any(which)
+        let watch = suspects.0.get(&address);
+        watch.is_some_and(|watch| !watch.suspects.is_empty())
     }
 
     /// Connects to `address`, and counts what ran there if nobody listens.
-    async fn connect(&self, address: SocketAddr) {
+    async fn connect(self: Rc<Self>, address: SocketAddr) {
         let refused = self.client.refuses(address, CONNECT_TIMEOUT).await;
         self.take_ended(address, refused);
     }
@@ -128,12 +158,14 @@
         self.refresh_pool();
         let now = self.knowledge.now();
         let mut suspects = self.suspects.borrow_mut();
-        let here = suspects.0.entry(address).or_default();
+        let Some(watch) = suspects.0.get_mut(&address) else {
+            return;
+        };
         let pool = self.pool.borrow();
         let over = |suspect: &mut Suspect| {
             refused || pool.outlived(address, suspect.life.born, &suspect.known, now)
         };
-        let ended: Vec<Suspect> = here.extract_if(.., over).collect();
+        let ended: Vec<Suspect> = watch.suspects.extract_if(.., over).collect();
         let Some(first) = ended.first() else {
             return;
         };
