Tries of a barred request that came to nothing are followed by others

A try whose caller leaves, or that is refused, has ended no replica and shows nothing. Counted as one of three it left the request barred for an hour: a popular request whose impatient callers had used its three tries. Tries that fail are counted by the ends that followed now; others may follow every ten minutes.

--- a/src/request/poison.rs
+++ b/src/request/poison.rs
@@ -21,8 +21,8 @@
 pub const ENDS_MAX: usize = 3;
 
 /// Pauses before a request that is barred is tried once more: after the last end, and after each further try. The first is
-/// short, for a popular request that ran beside a poison one; each that fails costs a replica and all that runs there, so there
-/// are no more of them.
+/// short, for a popular request that ran beside a poison one; each that fails costs a replica and all that runs there, and after so
+/// many of them there are no more.
 const TRY_PAUSES: [Duration; 3] = [
     Duration::from_secs(2),
     Duration::from_secs(20),
@@ -167,8 +167,10 @@
         if !self.barred() {
             return Verdict::Free;
         }
-        let pause = TRY_PAUSES.get(self.tries as usize);
-        if pause.is_some_and(|pause| now.since(self.last()) >= *pause) {
+        // A try that its caller left costs nothing and shows nothing: others may follow, as seldom as the last.
+        let failed = self.ends.len() - ENDS_MAX;
+        let pause = TRY_PAUSES[(self.tries as usize).min(TRY_PAUSES.len() - 1)];
+        if failed < TRY_PAUSES.len() && now.since(self.last()) >= pause {
             Verdict::Due
         } else {
             Verdict::Barred
--- a/tests/poison.rs
+++ b/tests/poison.rs
@@ -121,6 +121,14 @@
     assert_eq!(tries, [2, 22, 622]);
 }
 
+/// A caller who leaves before its try has come to an end leaves open whether it has become good.
+#[test]
+fn tries_that_came_to_nothing_are_followed_by_others() {
+    let mut register = knowing(ENDS_MAX);
+    let tried = (0..2_000).filter(|second| register.take_try(name(), after(second * 1_000)));
+    assert_eq!(tried.collect::<Vec<_>>(), [2, 22, 622, 1_222, 1_822]);
+}
+
 #[test]
 fn what_was_learned_long_ago_is_forgotten() {
     let mut register = knowing(ENDS_MAX - 1);
