--- a/src/bench/caller.rs
+++ b/src/bench/caller.rs
@@ -8,8 +8,8 @@
 use serde_json::Value;
 
 use super::sample;
-use crate::entry::call::Issued;
 use crate::entry::caller::{Body, Failure, KEY};
+use crate::entry::key::Issued;
 use crate::http::{self, ClientSetting};
 use crate::request::Outcome;
 use crate::standin::engine;
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -17,10 +17,13 @@
 use crate::route::{Policy, Table};
 use crate::stop::{self, Porter};
 
+mod attempt;
 pub mod call;
 pub mod caller;
 pub mod daemon;
 pub mod event;
+pub mod key;
+mod relay;
 pub mod report;
 pub mod serve;
 pub mod status;
--- /dev/null
+++ b/src/entry/attempt.rs
@@ -0,0 +1,211 @@
+//! An attempt of a request at a target: its choice, what is sent, and how it broke.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix_http::Method;
+
+use super::Entry;
+use super::call::Job;
+use super::caller::{Code, Failure};
+use crate::agent::door::{PROVEN, Reason, Turned};
+use crate::clock::{Time, unix_millis};
+use crate::exchange::{self, Response, Reuse};
+use crate::request::Break;
+use crate::route::{Ask, End, Need, ReplicaKey};
+use crate::template::fleet::Priority;
+use crate::wire::header;
+
+/// When a caller without a replica should come back.
+const NO_REPLICA_RETRY: Duration = Duration::from_millis(500);
+
+/// How long a target may take to take up a broken answer.
+const RESUME_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Longest refusal of an agent.
+pub(super) const TURNED_MAX: usize = 4 << 10;
+
+/// Adds the proof over what the request carries so far.
+pub(super) fn prove(entry: &Entry, request: &mut exchange::Request) {
+    let proof = {
+        let parts: Vec<&str> = std::iter::once(request.path.as_str())
+            .chain(PROVEN.map(|name| request.header(name)))
+            .collect();
+        entry.setting.keyring.prove(unix_millis(), &parts)
+    };
+    request.headers.push((header::PROOF, proof));
+}
+
+pub(super) fn choose(entry: &Entry, job: &Job, tried: &[ReplicaKey]) -> Option<ReplicaKey> {
+    let mut table = entry.table.borrow_mut();
+    if let Some(key) = &job.key {
+        return table
+            .by_name(&key.name)
+            .filter(|replica| !tried.contains(replica));
+    }
+    let ask = Ask {
+        need: &job.need,
+        halls: &job.halls,
+        prefix: job.prefix,
+        tried,
+    };
+    let now = entry.node.clock.now();
+    let mut rng = entry.rng.borrow_mut();
+    let choice = table.choose(ask, entry.setting.policy, now, &mut *rng)?;
+    log::debug!(request = job.id.as_str(), reason:? = choice.reason; "target chosen");
+    Some(choice.replica)
+}
+
+pub(super) fn no_replica(entry: &Entry) -> Failure {
+    let known = entry.table.borrow().names().count();
+    let message = format!("no replica may take this request now ({known} targets known)");
+    Failure::not_run(Code::NoReplica, message).retry_after(NO_REPLICA_RETRY)
+}
+
+/// An attempt at a target, counted in the table until it ends.
+pub(super) struct Attempt {
+    entry: Rc<Entry>,
+    pub(super) replica: ReplicaKey,
+    began: Time,
+    end: End,
+}
+
+impl Attempt {
+    pub(super) fn begin(entry: &Rc<Entry>, replica: ReplicaKey) -> Self {
+        entry.table.borrow_mut().begin(replica);
+        Self {
+            entry: entry.clone(),
+            replica,
+            began: entry.node.clock.now(),
+            end: End::Neutral,
+        }
+    }
+
+    pub(super) fn whole(&mut self) {
+        let took = self.entry.node.clock.now().since(self.began);
+        self.end = End::Whole(took);
+    }
+
+    pub(super) fn failed(&mut self) {
+        self.end = End::Failed;
+    }
+}
+
+impl Drop for Attempt {
+    fn drop(&mut self) {
+        let now = self.entry.node.clock.now();
+        self.entry
+            .table
+            .borrow_mut()
+            .end(self.replica, self.end, now);
+    }
+}
+
+/// How an attempt that got no answer broke.
+pub(super) struct Broken {
+    pub(super) found: Break,
+    pub(super) reason: Option<Turned>,
+}
+
+impl Broken {
+    pub(super) fn of(found: Break) -> Self {
+        Self {
+            found,
+            reason: None,
+        }
+    }
+}
+
+/// The job as an agent takes it.
+fn inner_request(entry: &Entry, job: &Job, resume_at: Option<u32>) -> exchange::Request {
+    let mut request = exchange::Request::new(Method::POST, "/v1/run");
+    let remaining = job.remaining(entry).as_millis().to_string();
+    let headers = &mut request.headers;
+    headers.push((header::REQUEST, job.id.clone()));
+    headers.push((header::CUSTOMER, job.customer.to_string()));
+    headers.push((header::DEADLINE, remaining));
+    headers.push((header::PRIORITY, priority_name(job.priority).to_owned()));
+    headers.push((header::REPEATABLE, yes_no(job.repeatable).to_owned()));
+    match &job.need {
+        Need::Version(digest) => headers.push((header::VERSION, digest.to_string())),
+        Need::Service(name) => {
+            headers.push((header::SERVICE, name.to_string()));
+            headers.push((header::PATH, job.path.clone()));
+        }
+    }
+    headers.extend(job.key.iter().map(|key| (header::KEY, key.to_string())));
+    headers.extend(resume_at.map(|token| (header::FROM, token.to_string())));
+    request.body = job.body.clone();
+    if !job.repeatable {
+        request.reuse = Reuse::Never;
+    }
+    prove(entry, &mut request);
+    request
+}
+
+/// Sends the job to a target and returns the head of an admitted answer.
+pub(super) async fn send(
+    entry: &Entry,
+    job: &Job,
+    replica: ReplicaKey,
+    resume_at: Option<u32>,
+) -> Result<Response, Broken> {
+    let address = match entry.table.borrow().get(replica) {
+        Some(known) => known.address,
+        None => return Err(Broken::of(Break::NotReached)),
+    };
+    let request = inner_request(entry, job, resume_at);
+    let remaining = job.remaining(entry);
+    let limit = if resume_at.is_some() {
+        remaining.min(RESUME_TIMEOUT)
+    } else {
+        remaining
+    };
+    let sent = entry.node.exchange.send(address, &request);
+    match actix_rt::time::timeout(limit, sent).await {
+        Ok(Ok(response)) => admitted(response).await,
+        Ok(Err(exchange::Error::NotSent { .. })) => Err(Broken::of(Break::NotReached)),
+        Ok(Err(_)) | Err(_) => Err(Broken::of(Break::NoAnswer)),
+    }
+}
+
+fn priority_name(priority: Priority) -> &'static str {
+    match priority {
+        Priority::Low => "low",
+        Priority::Normal => "normal",
+        Priority::High => "high",
+    }
+}
+
+fn yes_no(flag: bool) -> &'static str {
+    if flag { "yes" } else { "no" }
+}
+
+/// Tells an admitted answer from a refusal by the agent's own header, never by the status, which
+/// may be the target's.
+async fn admitted(mut response: Response) -> Result<Response, Broken> {
+    let found = match response.header(header::ADMITTED) {
+        "yes" => return Ok(response),
+        "no" => Break::NotAdmitted,
+        _ => Break::Lost,
+    };
+    let bytes = response.read(TURNED_MAX).await;
+    let reason = bytes
+        .ok()
+        .and_then(|bytes| serde_json::from_slice(&bytes).ok());
+    Err(Broken { found, reason })
+}
+
+/// Whether a refusal tells that the target is in a bad way.
+pub(super) fn blames_target(broken: &Broken) -> bool {
+    match broken.found {
+        Break::NotReached | Break::NoAnswer | Break::Lost | Break::MidAnswer => true,
+        Break::NotAdmitted => matches!(
+            broken.reason,
+            Some(Turned {
+                reason: Reason::TargetDown,
+                ..
+            })
+        ),
+    }
+}
--- /dev/null
+++ b/src/entry/key.rs
@@ -0,0 +1,106 @@
+//! Keys that callers take beforehand, for requests that must run at most once.
+
+use std::rc::Rc;
+
+use actix_http::{Method, Request, StatusCode};
+use serde::{Deserialize, Serialize};
+
+use super::Entry;
+use super::attempt::{TURNED_MAX, choose, no_replica, prove};
+use super::call::{Job, SHORT_TIMEOUT, customer_of, draw};
+use super::caller::{self, Code, Failure, Head};
+use crate::config::InForce;
+use crate::exchange;
+use crate::http::{self, Answer};
+use crate::route::{Need, ReplicaKey};
+use crate::wire::header;
+
+/// The body of a request for a key.
+#[derive(Debug, Deserialize)]
+struct KeyRequest {
+    #[serde(default)]
+    model: Option<String>,
+    #[serde(default)]
+    service: Option<String>,
+}
+
+/// The answer to a request for a key.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct Issued {
+    /// The key, to be sent as `Idempotency-Key`.
+    pub key: String,
+}
+
+/// `POST /v1/keys`: has a target's agent issue a key.
+pub async fn key(entry: Rc<Entry>, mut request: Request) -> Answer {
+    match issue(&entry, &mut request).await {
+        Ok(key) => http::json(StatusCode::OK, &Issued { key }),
+        Err(failure) => failure.answer(),
+    }
+}
+
+async fn issue(entry: &Rc<Entry>, request: &mut Request) -> Result<String, Failure> {
+    let head = Head::read(request)?;
+    let in_force = customer_of(entry, &head)?;
+    let body = caller::read_body(&entry.porter, request).await?;
+    let wanted: KeyRequest = serde_json::from_slice(&body)
+        .map_err(|error| Failure::not_run(Code::BadBody, error.to_string()))?;
+    let need = key_need(&in_force, &head, &wanted)?;
+    let mut job = Job::common(entry, &head, &in_force.fleet.limits, need);
+    if matches!(job.need, Need::Version(_)) {
+        let stable = head.session.as_deref().unwrap_or_default();
+        let draw = draw(&head.customer, stable);
+        job.halls = in_force.fleet.serving_halls(draw).to_vec();
+    }
+    let mut tried = Vec::new();
+    while let Some(replica) = choose(entry, &job, &tried) {
+        if let Some(key) = issue_at(entry, &job, replica).await {
+            return Ok(key);
+        }
+        tried.push(replica);
+    }
+    Err(no_replica(entry))
+}
+
+fn key_need(in_force: &InForce, head: &Head, wanted: &KeyRequest) -> Result<Need, Failure> {
+    let fleet = &in_force.fleet;
+    if let Some(name) = &wanted.service {
+        if fleet.services.iter().any(|service| service.name == *name) {
+            return Ok(Need::Service(name.as_str().into()));
+        }
+        let message = format!("the customer has no service `{name}`");
+        return Err(Failure::not_run(Code::UnknownService, message));
+    }
+    let name = wanted.model.as_deref().unwrap_or_default();
+    let model = fleet.models.iter().find(|model| model.name == name);
+    let stable = head.session.as_deref().unwrap_or_default();
+    let draw = draw(&head.customer, stable);
+    match model.and_then(|model| model.version_for(draw)) {
+        Some(version) => Ok(Need::Version(version.digest)),
+        None => {
+            let message = format!("the customer has no model `{name}`");
+            Err(Failure::not_run(Code::UnknownModel, message))
+        }
+    }
+}
+
+async fn issue_at(entry: &Rc<Entry>, job: &Job, replica: ReplicaKey) -> Option<String> {
+    let address = entry.table.borrow().get(replica)?.address;
+    let mut request = exchange::Request::new(Method::POST, "/v1/keys");
+    request
+        .headers
+        .push((header::CUSTOMER, job.customer.to_string()));
+    prove(entry, &mut request);
+    let exchange = async {
+        let mut response = entry.node.exchange.send(address, &request).await.ok()?;
+        if response.status != StatusCode::OK {
+            return None;
+        }
+        let bytes = response.read(TURNED_MAX).await.ok()?;
+        String::from_utf8(bytes.to_vec()).ok()
+    };
+    actix_rt::time::timeout(SHORT_TIMEOUT, exchange)
+        .await
+        .ok()
+        .flatten()
+}
--- /dev/null
+++ b/src/entry/relay.rs
@@ -0,0 +1,235 @@
+//! An answer of tokens on its way to the caller, taken up where it broke.
+
+use std::io;
+use std::sync::Arc;
+
+use actix_http::header::{HeaderName, HeaderValue};
+use actix_http::{Method, StatusCode};
+use bytes::{Bytes, BytesMut};
+use futures_util::{Stream, StreamExt, stream};
+
+use super::attempt::{Attempt, choose, prove, send};
+use super::call::{Course, GATHERED_MAX, SHORT_TIMEOUT};
+use super::caller::{Body, Code, Failure};
+use super::event::Reader;
+use crate::exchange::{self, Response};
+use crate::http::{self, Answer};
+use crate::request::{Break, Next, Outcome};
+use crate::route::{Need, ReplicaKey};
+
+/// An answer of tokens on its way to the caller.
+pub(super) struct Relay {
+    course: Course,
+    response: Response,
+    attempt: Option<Attempt>,
+    reader: Reader,
+    served_by: Arc<str>,
+    finished: bool,
+    stopped: bool,
+}
+
+/// How a relayed answer stopped short.
+struct Stopped;
+
+impl Relay {
+    pub(super) fn new(course: Course, response: Response, attempt: Attempt) -> Self {
+        let served_by = course
+            .entry
+            .table
+            .borrow()
+            .get(attempt.replica)
+            .map_or_else(|| "".into(), |replica| replica.name.clone());
+        Self {
+            course,
+            response,
+            attempt: Some(attempt),
+            reader: Reader::default(),
+            served_by,
+            finished: false,
+            stopped: false,
+        }
+    }
+
+    /// The next events that are due; `None` after the last.
+    async fn step(&mut self) -> Option<Result<Bytes, Stopped>> {
+        loop {
+            if self.reader.done() {
+                self.finish();
+                return None;
+            }
+            let remaining = self.course.job.remaining(&self.course.entry);
+            let part = actix_rt::time::timeout(remaining, self.response.next()).await;
+            let pushed = match part {
+                Ok(Some(Ok(part))) => self.reader.push(&part).ok(),
+                _ => None,
+            };
+            match pushed {
+                Some(events) if events.is_empty() => {}
+                Some(events) => return Some(Ok(events)),
+                None if self.take_up().await => {}
+                None => {
+                    self.course.flight.ended(Outcome::Unknown);
+                    return Some(Err(Stopped));
+                }
+            }
+        }
+    }
+
+    fn finish(&mut self) {
+        if let Some(attempt) = &mut self.attempt {
+            attempt.whole();
+        }
+        self.course.flight.ended(Outcome::Ran);
+        self.finished = true;
+    }
+
+    /// Takes a broken answer up after its last whole token: at the same target, or, if the request
+    /// is repeatable, by another run of the same version elsewhere.
+    async fn take_up(&mut self) -> bool {
+        self.reader.restart();
+        let begun = self.reader.next() > 0;
+        let mut replica = match &mut self.attempt {
+            Some(attempt) => {
+                attempt.failed();
+                Some(attempt.replica)
+            }
+            None => None,
+        };
+        loop {
+            if self.course.decide(Break::MidAnswer, begun) != Next::Resume {
+                return false;
+            }
+            self.course.attempts += 1;
+            let elsewhere = replica.is_none();
+            let Some(target) = replica.take().or_else(|| self.other_target()) else {
+                return false;
+            };
+            let attempt = Attempt::begin(&self.course.entry, target);
+            let job = &self.course.job;
+            // At the same target the stream goes on; elsewhere the engine begins anew and the
+            // reader drops what came before.
+            let resume_at = (!elsewhere).then(|| self.reader.next());
+            if let Ok(response) = send(&self.course.entry, job, target, resume_at).await {
+                self.response = response;
+                self.attempt = Some(attempt);
+                return true;
+            }
+            self.course.tried.push(target);
+        }
+    }
+
+    fn other_target(&self) -> Option<ReplicaKey> {
+        if !self.course.job.repeatable {
+            return None;
+        }
+        choose(&self.course.entry, &self.course.job, &self.course.tried)
+    }
+
+    fn head(&self, mut answer: Answer) -> Answer {
+        if let Ok(value) = HeaderValue::from_str(&self.served_by) {
+            let name = HeaderName::from_static("x-pumicelatch-box");
+            answer.headers_mut().insert(name, value);
+        }
+        if let Need::Version(digest) = &self.course.job.need
+            && let Ok(value) = HeaderValue::from_str(&digest.to_string())
+        {
+            answer
+                .headers_mut()
+                .insert(HeaderName::from_static("x-pumicelatch-version"), value);
+        }
+        answer
+    }
+
+    pub(super) fn streamed(self) -> Answer {
+        let mut answer = self.head(http::status(StatusCode::OK));
+        let body = http::stream(StatusCode::OK, "text/event-stream", self.into_stream());
+        let headers = std::mem::replace(answer.headers_mut(), body.headers().clone());
+        let mut answer = body;
+        for (name, value) in headers {
+            answer.headers_mut().insert(name, value);
+        }
+        answer
+    }
+
+    fn into_stream(self) -> impl Stream<Item = Result<Bytes, io::Error>> {
+        stream::unfold(Some(self), |relay| async move {
+            let mut relay = relay?;
+            if relay.stopped {
+                return Some((Err(io::ErrorKind::ConnectionAborted.into()), None));
+            }
+            match relay.step().await? {
+                Ok(events) => Some((Ok(events), Some(relay))),
+                // The caller must see that this is not the whole: an event says so, and then the
+                // connection breaks instead of ending.
+                Err(Stopped) => {
+                    relay.stopped = true;
+                    Some((Ok(broken_event()), Some(relay)))
+                }
+            }
+        })
+    }
+
+    pub(super) async fn gathered(mut self) -> Answer {
+        let mut all = BytesMut::new();
+        while let Some(step) = self.step().await {
+            match step {
+                Ok(events) if all.len() + events.len() <= GATHERED_MAX => {
+                    all.extend_from_slice(&events);
+                }
+                _ => {
+                    return broken().answer();
+                }
+            }
+        }
+        let tokens: Vec<serde_json::Value> = events_json(&all);
+        let body = serde_json::json!({ "tokens": tokens });
+        self.head(http::json(StatusCode::OK, &body))
+    }
+}
+
+pub(super) fn broken() -> Failure {
+    Failure::not_run(Code::AnswerBroken, "the answer broke off").with_outcome(Outcome::Unknown)
+}
+
+/// The event that tells a caller that its answer is not whole.
+fn broken_event() -> Bytes {
+    let body = Body { error: broken() };
+    let text = serde_json::to_string(&body).unwrap_or_default();
+    format!("event: error\ndata: {text}\n\n").into()
+}
+
+/// The data of all events but the last.
+fn events_json(events: &[u8]) -> Vec<serde_json::Value> {
+    String::from_utf8_lossy(events)
+        .lines()
+        .filter_map(|line| serde_json::from_str(line.strip_prefix("data:")?.trim()).ok())
+        .collect()
+}
+
+impl Drop for Relay {
+    /// The caller went away: the engine need not go on.
+    fn drop(&mut self) {
+        if self.finished {
+            return;
+        }
+        let Some(attempt) = &self.attempt else {
+            return;
+        };
+        let entry = self.course.entry.clone();
+        let Some(address) = entry
+            .table
+            .borrow()
+            .get(attempt.replica)
+            .map(|replica| replica.address)
+        else {
+            return;
+        };
+        let path = format!("/v1/cancel/{}", self.course.job.id);
+        actix_rt::spawn(async move {
+            let mut request = exchange::Request::new(Method::POST, path);
+            prove(&entry, &mut request);
+            let sent = entry.node.exchange.send(address, &request);
+            let _ = actix_rt::time::timeout(SHORT_TIMEOUT, sent).await;
+        });
+    }
+}
--- a/src/entry/serve.rs
+++ b/src/entry/serve.rs
@@ -7,7 +7,7 @@
 use tokio::net::TcpListener;
 
 use super::caller::{Code, Failure};
-use super::{Entry, call, status};
+use super::{Entry, call, key, status};
 use crate::http::{self, Answer, Server, Wrap};
 use crate::stop::Kind;
 
@@ -53,7 +53,7 @@
             ["v1", "services", name, rest @ ..] => {
                 call::service(entry, request, name, &rest.join("/")).await
             }
-            ["v1", "keys"] => call::key(entry, request).await,
+            ["v1", "keys"] => key::key(entry, request).await,
             _ => no_such_path(),
         }
     };
