One piece of code hashes parts to a word

The hash of parts with their lengths stood in request.rs and, under a version, in spread/ring.rs; its first word was taken in four places. All of it is src/hash.rs, on the ground floor, so that limit/ and request/poison need not reach into request.rs. Values stay as they were: ring and rank are worked out by processes of several releases.

--- a/src/limit/returning.rs
+++ b/src/limit/returning.rs
@@ -13,7 +13,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::clock::Time;
-use crate::request;
+use crate::hash;
 
 /// Refused requests that are remembered, the newest of them: 2,000 a second for two seconds each.
 const REMEMBERED_MAX: usize = 4_096;
@@ -33,7 +33,7 @@
 impl Fingerprint {
     /// The fingerprint of `parts`.
     pub fn of<'a>(parts: impl IntoIterator<Item = &'a [u8]>) -> Self {
-        Self(request::hash_of(parts) as u32)
+        Self(hash::of(parts) as u32)
     }
 }
 
--- a/src/member/rank.rs
+++ b/src/member/rank.rs
@@ -2,6 +2,8 @@
 
 use std::net::SocketAddr;
 
+use crate::hash;
+
 /// How many of `others` come before `own` for the job that `subject` names, by rendezvous hashing:
 /// 0 for the one that does it. When it goes, the next one is first; nobody else's place changes.
 pub fn rank(own: SocketAddr, others: impl Iterator<Item = SocketAddr>, subject: &str) -> u32 {
@@ -15,7 +17,5 @@
     let mut hasher = blake3::Hasher::new();
     hasher.update(address.to_string().as_bytes());
     hasher.update(subject.as_bytes());
-    let mut word = [0; 8];
-    word.copy_from_slice(&hasher.finalize().as_bytes()[..8]);
-    (u64::from_le_bytes(word), address)
+    (hash::word(&hasher.finalize()), address)
 }
--- a/src/request.rs
+++ b/src/request.rs
@@ -13,18 +13,6 @@
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
-/// A hash of `parts` that tells where each of them ends, the same at every process.
-pub fn hash_of<'a>(parts: impl IntoIterator<Item = &'a [u8]>) -> u64 {
-    let mut hasher = blake3::Hasher::new();
-    for part in parts {
-        hasher.update(&(part.len() as u64).to_le_bytes());
-        hasher.update(part);
-    }
-    let mut word = [0; 8];
-    word.copy_from_slice(&hasher.finalize().as_bytes()[..8]);
-    u64::from_le_bytes(word)
-}
-
 /// Whether a request ran, as far as is known.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
--- a/src/request/poison.rs
+++ b/src/request/poison.rs
@@ -15,6 +15,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::clock::Time;
+use crate::hash;
 use crate::member::replica::Life;
 
 /// Replicas that end under a request before it is sent to no other.
@@ -62,7 +63,7 @@
     /// The name of what `caller` asks for at `path` of `host` with `body`.
     pub fn of(host: &str, path: &str, caller: &str, body: &[u8]) -> Self {
         let parts = [host.as_bytes(), path.as_bytes(), caller.as_bytes(), body];
-        Self(super::hash_of(parts))
+        Self(hash::of(parts))
     }
 }
 
--- a/src/route.rs
+++ b/src/route.rs
@@ -22,6 +22,7 @@
 use slotmap::SlotMap;
 
 use crate::clock::Time;
+use crate::hash;
 use crate::weight::Digest;
 
 slotmap::new_key_type! {
@@ -492,7 +493,5 @@
 
 /// A 64-bit hash of `bytes`, the same everywhere.
 pub fn hash_of(bytes: &[u8]) -> u64 {
-    let mut word = [0; 8];
-    word.copy_from_slice(&blake3::hash(bytes).as_bytes()[..8]);
-    u64::from_le_bytes(word)
+    hash::word(&blake3::hash(bytes))
 }
--- a/src/spread/ring.rs
+++ b/src/spread/ring.rs
@@ -7,6 +7,7 @@
 
 use std::sync::Arc;
 
+use crate::hash;
 use crate::weight::Digest;
 
 /// A box that takes part in a burst.
@@ -20,15 +21,7 @@
 
 /// A 64-bit weight of `parts`, the same on every box.
 pub fn weight(version: Digest, parts: &[&[u8]]) -> u64 {
-    let mut hasher = blake3::Hasher::new();
-    hasher.update(version.as_bytes());
-    for part in parts {
-        hasher.update(&(part.len() as u64).to_le_bytes());
-        hasher.update(part);
-    }
-    let mut word = [0; 8];
-    word.copy_from_slice(&hasher.finalize().as_bytes()[..8]);
-    u64::from_le_bytes(word)
+    hash::under(version.as_bytes(), parts.iter().copied())
 }
 
 /// The boxes at `count` offsets from `own` on the ring of `members`; fewer if the ring is short.
