The entries of other halls are gathered in one place

Which entries of each other hall were heard of lately was worked out in knowledge/halls.rs and again in knowledge/poison.rs; Peers::elsewhere serves both, in the same order.

--- a/src/knowledge/halls.rs
+++ b/src/knowledge/halls.rs
@@ -54,14 +54,8 @@
         now: Time,
         rng: &mut impl Rng,
     ) -> Vec<Ask> {
-        let mut halls: BTreeMap<Arc<str>, Vec<SocketAddr>> = BTreeMap::new();
-        for (address, hall) in peers.alive(now) {
-            if **hall != *own_hall {
-                halls.entry(hall.clone()).or_default().push(address);
-            }
-        }
         let mut asks = Vec::new();
-        for (hall, entries) in halls {
+        for (hall, entries) in peers.elsewhere(own_hall, now) {
             let asked = self.asked.entry(hall.clone()).or_default();
             if asked.waiting || asked.at.is_some_and(|at| now.since(at) < PERIOD) {
                 continue;
--- a/src/knowledge/poison.rs
+++ b/src/knowledge/poison.rs
@@ -3,7 +3,6 @@
 //! Whoever learns of an end tells the entries of its hall and two of each other hall at once, and those tell theirs: all know
 //! within a fraction of a second. What was lost on the way is found by heartbeats, which carry a digest.
 
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -80,12 +79,7 @@
 /// The entries of other halls to tell.
 fn far(knowledge: &Knowledge) -> Vec<SocketAddr> {
     let peers = knowledge.peers.borrow();
-    let mut halls: BTreeMap<&Arc<str>, Vec<SocketAddr>> = BTreeMap::new();
-    for (address, hall) in peers.alive(knowledge.now()) {
-        if *hall != knowledge.identity.hall {
-            halls.entry(hall).or_default().push(address);
-        }
-    }
+    let halls = peers.elsewhere(&knowledge.identity.hall, knowledge.now());
     let ranked = halls.into_values().map(|entries| Readers::ranked(&entries));
     ranked
         .flat_map(|entries| entries.into_iter().take(FAR))
--- a/src/member/peer.rs
+++ b/src/member/peer.rs
@@ -114,6 +114,17 @@
         heard.map(|(address, peer)| (*address, &peer.hall))
     }
 
+    /// The entries of each hall but `own_hall` that were heard of lately.
+    pub fn elsewhere(&self, own_hall: &str, now: Time) -> BTreeMap<Arc<str>, Vec<SocketAddr>> {
+        let mut halls: BTreeMap<Arc<str>, Vec<SocketAddr>> = BTreeMap::new();
+        for (address, hall) in self.alive(now) {
+            if **hall != *own_hall {
+                halls.entry(hall.clone()).or_default().push(address);
+            }
+        }
+        halls
+    }
+
     /// Upper bound of the entries that may be at work, this one included: all that are not
     /// forgotten, and some that were added without being known yet. What is shared among entries
     /// is divided by it.
