An attempt names its replica once; who takes a connection notes it

Attempt held its replica's id beside the life that has it. That a watched replica was connected to in a round was set by each of the two callers of Watch::connects; it is set there. Nothing behaves otherwise.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -5,7 +5,6 @@
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
 
 use actix_http::body::BoxBody;
@@ -93,9 +92,8 @@
 pub struct Attempt {
     gateway: Rc<Gateway>,
     key: Key,
-    /// The replica's id.
-    pub replica: Arc<str>,
-    life: Life,
+    /// The life of its replica.
+    pub life: Life,
     /// What it is an attempt of.
     request: Name,
     choice: Choice,
@@ -138,7 +136,6 @@
         Some(Self {
             gateway: gateway.clone(),
             key: choice.key,
-            replica: life.id.clone(),
             life,
             request: job.name,
             choice,
@@ -193,7 +190,7 @@
         log::warn!(
             request = job.ask.id.as_str(),
             name:% = job.name,
-            replica = &*self.replica,
+            replica = &*self.life.id,
             ended = name(ended),
             known_requests = self.choice.requests,
             expected_ms = self.choice.expected.as_millis() as u64,
@@ -242,7 +239,7 @@
         } = send;
         let now = self.gateway.knowledge.now();
         let forward = Forward {
-            replica: &self.replica,
+            replica: &self.life.id,
             remaining: job.remaining(now),
             customer: job.customer.as_deref(),
             urgency: job.priority.min(URGENCY_MAX),
@@ -295,7 +292,7 @@
 
     /// Nothing has run, and the request goes to the replica itself.
     fn not_kept(&self, job: &Job, error: &reader::Error) {
-        log::info!(request = job.ask.id.as_str(), replica = &*self.replica; "sent directly: {error}");
+        log::info!(request = job.ask.id.as_str(), replica = &*self.life.id; "sent directly: {error}");
         if matches!(error, reader::Error::OutOfReach { .. }) {
             let now = self.now();
             self.gateway.pool.borrow_mut().unheard(self.key, false, now);
@@ -409,7 +406,7 @@
         if pool.take_notice(self.key, &self.life, notice, now) {
             log::info!(
                 request = job.ask.id.as_str(),
-                replica = &*self.replica,
+                replica = &*self.life.id,
                 notice:% = notice;
                 "a replica told what it wants"
             );
--- a/src/gateway/poison.rs
+++ b/src/gateway/poison.rs
@@ -54,9 +54,11 @@
 
 impl Watch {
     /// Whether it is to be connected to now because an attempt broke there: once a round.
-    fn connects(&self) -> bool {
+    fn connects(&mut self) -> bool {
         let broke = |suspect: &Suspect| suspect.sight == Sight::Broke;
-        !self.connected && self.suspects.iter().any(broke)
+        let connects = !self.connected && self.suspects.iter().any(broke);
+        self.connected |= connects;
+        connects
     }
 }
 
@@ -103,7 +105,6 @@
             actix_rt::spawn(self.clone().watch(address));
         } else if watch.connects() {
             // Callers who left may have it watched already, and it may be back at the next round.
-            watch.connected = true;
             actix_rt::spawn(self.clone().connect(address));
         }
     }
@@ -114,7 +115,7 @@
         while self.suspects.borrow_mut().begin_round(address, last) {
             last = self.knowledge.now();
             // All that ran there break together: one connection serves them.
-            if self.take_connects(address) {
+            if self.connects(address) {
                 self.clone().connect(address).await;
             }
             let mut asked = false;
@@ -133,12 +134,9 @@
         }
     }
 
-    fn take_connects(&self, address: SocketAddr) -> bool {
+    fn connects(&self, address: SocketAddr) -> bool {
         let mut suspects = self.suspects.borrow_mut();
-        let watch = suspects.0.entry(address).or_default();
-        let connects = watch.connects();
-        watch.connected |= connects;
-        connects
+        suspects.0.get_mut(&address).is_some_and(Watch::connects)
     }
 
     fn suspected(&self, address: SocketAddr) -> bool {
--- a/src/gateway/status.rs
+++ b/src/gateway/status.rs
@@ -57,7 +57,7 @@
                 .build(),
             ends: meter
                 .u64_counter("pumicelatch.gateway.replica_ends")
-                .with_description("Attempts that broke with the end of their replica")
+                .with_description("Attempts that ended with their replica")
                 .build(),
             barred: meter
                 .u64_gauge("pumicelatch.gateway.barred")
@@ -89,7 +89,7 @@
         self.under_way.record(u64::from(count), &[]);
     }
 
-    /// An attempt broke with the end of its replica.
+    /// An attempt ended with its replica.
     pub fn replica_ended(&self) {
         self.ends.add(1, &[]);
     }
