Limit reads of the store when many entries start together

Cause: an entry that knows no other entry ranks itself first in its hall, and an entry that has not been told of any answer of the store reads the list of replicas whatever its rank. All entries that start at the same moment therefore read the store, and each reads the whole list and the operators' documents. In addition, an entry that sent requests to other processes while it lacked the list received the whole list, unpacked, from each of them.

Change: an entry that knows no other entry waits for a seed to answer: 500 ms, then up to 1 s more depending on its hash. Seeds themselves do not wait. An entry that has not been told of any answer leaves the list to the first entry of its hall for 500 ms, and 100 ms more for each rank, up to 12. An entry that begins draws the list in the same way as the configuration: packed, and from one process at a time; processes beside replicas ask for it in their reports. Entries of the previous release get it as before. In its first 20 rounds an entry sends heartbeats every 120 ms while it lacks the configuration or the list, and names all entries only in every third of them. Rounds are now planned in a separate module without I/O.

--- a/src/knowledge.rs
+++ b/src/knowledge.rs
@@ -6,6 +6,7 @@
 //! * [`draws`] decides from whom a configuration is drawn that others know.
 //! * [`hub`] decides who tells a whole hall how replicas do, [`halls`] when another is asked.
 //! * [`poison`] tells under which requests replicas ended.
+//! * [`rounds`] plans when heartbeats are sent and to which processes.
 //! * [`traffic`] counts what is sent to other processes.
 //! * [`gossip`] exchanges what is newer with other processes of the system, so that one that the
 //!   store turns away, or that just began, knows what the others know.
@@ -36,7 +37,7 @@
 use crate::source::{Batch, Damaged, Topic};
 use crate::version::rollout;
 use crate::wire::pack;
-use crate::wire::sync::{Brief, DatedDocument, List, Named, News, Sync};
+use crate::wire::sync::{Brief, DatedDocument, List, Named, News, PackedList, Sync};
 
 pub mod draws;
 pub mod gossip;
@@ -45,6 +46,7 @@
 pub mod pace;
 pub mod poison;
 pub mod readers;
+pub mod rounds;
 pub mod store;
 pub mod traffic;
 
@@ -120,6 +122,8 @@
     draws: RefCell<Draws>,
     /// The configuration as others draw it: it is packed once for all of them.
     packed: RefCell<Option<DatedDocument>>,
+    /// The packed list of replicas, kept for all processes that draw it when they begin.
+    packed_list: RefCell<Option<PackedList>>,
     readers: RefCell<Readers>,
     answered: Cell<Option<Time>>,
     /// Requests under which replicas ended.
@@ -159,6 +163,7 @@
             lost_heartbeats: Repeats::default(),
             draws: RefCell::default(),
             packed: RefCell::default(),
+            packed_list: RefCell::default(),
             readers: RefCell::new(Readers::new(Clock::default().now())),
             answered: Cell::new(None),
             poison: RefCell::default(),
@@ -176,9 +181,7 @@
     /// The other entries of the own hall.
     pub fn fellows(&self) -> Vec<SocketAddr> {
         let peers = self.peers.borrow();
-        let alive = peers.alive(self.now());
-        let of_hall = alive.filter(|(_, hall)| **hall == self.identity.hall);
-        of_hall.map(|(address, _)| address).collect()
+        peers.of_hall(&self.identity.hall, self.now())
     }
 
     /// Whether this entry reads `topic` from the store, or others of its hall do.
@@ -186,8 +189,24 @@
         if !self.policy.few_readers {
             return true;
         }
-        let readers = self.readers.borrow();
-        readers.reads(topic, self.identity.address, &self.fellows(), self.now())
+        let (readers, own, now) = (self.readers.borrow(), self.identity.address, self.now());
+        let knows_no_entry = self.peers.borrow().is_empty();
+        if knows_no_entry && readers.awaits_seeds(own, &self.seeds.borrow(), now) {
+            return false;
+        }
+        readers.reads(topic, own, &self.fellows(), now)
+    }
+
+    /// Whether this entry lacks the configuration or the list of replicas. It needs both to serve
+    /// requests.
+    pub fn lacks_initial_state(&self) -> bool {
+        let belief = self.belief.borrow();
+        belief.routing().is_none() || !belief.lists_replicas()
+    }
+
+    /// Whether this entry has never had the list of replicas and a process with `marks` has it.
+    fn lacks_list(&self, marks: Marks) -> bool {
+        marks.replicas > 0 && !self.belief.borrow().lists_replicas()
     }
 
     /// Bytes of an answer of the store came.
@@ -238,10 +257,11 @@
             || marks.evacuations > own.evacuations
     }
 
-    /// Whether this entry draws the configuration of `revision` from `peer` in `hall` now. If so,
-    /// [`Knowledge::drew`] has to follow.
-    fn begins_draw(&self, peer: SocketAddr, hall: &str, revision: u64) -> bool {
-        if !self.identity.entry || self.knows_routing(revision) {
+    /// Whether this entry draws the configuration or the list of replicas from `peer` in `hall`
+    /// now, given the peer's `marks`. If so, the caller has to call [`Knowledge::drew`] afterwards.
+    fn begins_draw(&self, peer: SocketAddr, hall: &str, marks: Marks) -> bool {
+        let needed = !self.knows_routing(marks.routing) || self.lacks_list(marks);
+        if !self.identity.entry || !needed {
             return false;
         }
         let place = if *hall == *self.identity.hall {
@@ -384,7 +404,11 @@
     fn take_list(&self, records: Vec<(u64, Record)>, at: u64, shaky: bool, origin: &str) -> Effect {
         let count = records.len();
         let now = self.now();
+        let first_list = !self.belief.borrow().lists_replicas();
         let effect = self.belief.borrow_mut().learn_list(records, at, now, shaky);
+        if first_list && !self.lacks_initial_state() {
+            self.draws.borrow_mut().learned();
+        }
         if effect != Effect::None {
             log::info!(revision = at, origin, replicas = count, shaky; "learned: list of replicas");
         }
@@ -418,6 +442,9 @@
             let shaky = list.shaky || self.shaky();
             self.take_list(records.collect(), list.at, shaky, &from.to_string());
         }
+        if let Some(packed) = news.list {
+            self.take_packed_list(from, &packed);
+        }
         if let Some(changes) = news.changes {
             self.take_changes(changes, &from.to_string());
         }
@@ -446,6 +473,21 @@
         self.tell(effect);
     }
 
+    fn take_packed_list(&self, from: SocketAddr, list: &PackedList) {
+        let revision = list.at;
+        match pack::unpack::<Vec<DatedRecord>>(&list.packed) {
+            Ok(records) => {
+                let records = records.into_iter();
+                let records = records.map(|dated| (dated.revision, dated.record));
+                let shaky = list.shaky || self.shaky();
+                self.take_list(records.collect(), revision, shaky, &from.to_string());
+            }
+            Err(error) => {
+                log::warn!(from:% = from, revision; "cannot unpack the list of replicas: {error}");
+            }
+        }
+    }
+
     fn take_document(&self, from: SocketAddr, dated: DatedDocument) {
         let revision = dated.revision;
         match pack::unpack(&dated.packed) {
@@ -493,6 +535,8 @@
             },
             wants_peers: names_entries,
             wants_routing: false,
+            wants_list: false,
+            draws_list: !self.belief.borrow().lists_replicas(),
             takes_changes: true,
             poison: self.poison.borrow().digest(now),
         }
@@ -522,6 +566,7 @@
             shaky: self.shaky(),
             ..changes
         });
+        let needs_whole_list = newer_list && changes.is_none();
         News {
             hall: self.identity.hall.clone(),
             entry: self.identity.entry,
@@ -541,7 +586,12 @@
             } else {
                 Vec::new()
             },
-            replicas: (newer_list && changes.is_none()).then(|| list(&belief, self.shaky())),
+            // A process that begins contacts several others, so it gets the list only from the one it
+            // draws it from.
+            replicas: (needs_whole_list && !sync.draws_list).then(|| list(&belief, self.shaky())),
+            list: (needs_whole_list && sync.draws_list && sync.wants_list)
+                .then(|| self.packed_list())
+                .flatten(),
             changes,
             brief: (newer_routing && brief).then(|| self.brief()).flatten(),
             poison: self.poison.borrow().digest(now),
@@ -566,6 +616,33 @@
         kept.clone()
     }
 
+    /// The packed list of replicas for processes that begin, packed once per revision.
+    fn packed_list(&self) -> Option<PackedList> {
+        let belief = self.belief.borrow();
+        let at = belief.marks().replicas;
+        let mut kept = self.packed_list.borrow_mut();
+        if kept.as_ref().is_none_or(|known| known.at != at) {
+            match pack::pack(&present_records(&belief)) {
+                Ok(packed) => {
+                    *kept = Some(PackedList {
+                        at,
+                        shaky: false,
+                        packed,
+                    });
+                }
+                Err(error) => {
+                    log::error!(revision = at; "cannot pack the list of replicas: {error}");
+                    return None;
+                }
+            }
+        }
+        let list = kept.clone()?;
+        Some(PackedList {
+            shaky: self.shaky(),
+            ..list
+        })
+    }
+
     fn named(&self, now: Time) -> Vec<Named> {
         let belief = self.belief.borrow();
         let versions = belief.versions();
@@ -619,20 +696,23 @@
 }
 
 fn list(belief: &Belief, shaky: bool) -> List {
-    let present = belief.replicas().values();
-    let present = present.filter(|listed| listed.gone.is_none());
     List {
         at: belief.marks().replicas,
         shaky,
-        records: present
-            .map(|listed| DatedRecord {
-                revision: listed.revision,
-                record: listed.record.clone(),
-            })
-            .collect(),
+        records: present_records(belief),
     }
 }
 
+fn present_records(belief: &Belief) -> Vec<DatedRecord> {
+    let present = belief.replicas().values();
+    let present = present.filter(|listed| listed.gone.is_none());
+    let dated = present.map(|listed| DatedRecord {
+        revision: listed.revision,
+        record: listed.record.clone(),
+    });
+    dated.collect()
+}
+
 fn describe(fact: &Fact) -> String {
     match fact {
         Fact::Routing(document) => format!("routing version {}", document.version),
--- a/src/knowledge/gossip.rs
+++ b/src/knowledge/gossip.rs
@@ -14,6 +14,7 @@
 use super::Knowledge;
 use super::poison;
 use super::readers::Readers;
+use super::rounds::{Round, RoundInput, RoundPlanner};
 use super::traffic::Purpose;
 use crate::config::belief::Marks;
 use crate::exchange::{Note, Options, Request};
@@ -22,21 +23,6 @@
 use crate::source::Topic;
 use crate::wire::sync::{FRAME_PATH, HALL_PATH, News, REPORT_PATH, SYNC_PATH, Sync};
 
-/// How often an entry asks the readers of its hall, which tell it twice as often by themselves.
-const EVERY: Duration = Duration::from_millis(1_000);
-
-/// How often an entry asks others while it knows none: it has just begun, perhaps with all others.
-const EVERY_ALONE: Duration = Duration::from_millis(120);
-
-/// Processes beside replicas that are asked at a time.
-const ASKED: usize = 2;
-
-/// First rounds that follow each other soon while no other entry of the hall is known.
-const ALONE_ROUNDS: u32 = 20;
-
-/// Rounds between two in which the seeds and an entry of any hall are asked as well.
-const SEED_ROUNDS: u32 = 3;
-
 /// Shortest time between two rounds of telling that there is news.
 const NEWS_GAP: Duration = Duration::from_millis(150);
 
@@ -218,10 +204,10 @@
     }
 }
 
-/// Draws the configuration from `peer` in `hall`, whose marks tell that it knows a newer one, if it
-/// is its turn.
+/// Draws the configuration, and the list of replicas if this entry has none yet, from `peer` in
+/// `hall` if `marks` show that the peer has them and [`Knowledge::begins_draw`] selects it.
 fn draw(knowledge: &Rc<Knowledge>, peer: SocketAddr, hall: &str, marks: Marks) {
-    if !knowledge.begins_draw(peer, hall, marks.routing) {
+    if !knowledge.begins_draw(peer, hall, marks) {
         return;
     }
     let far = *hall != *knowledge.identity.hall;
@@ -229,17 +215,19 @@
     actix_rt::spawn(async move {
         let sync = Sync {
             wants_routing: true,
+            wants_list: true,
             ..knowledge.sync(false)
         };
         let began = knowledge.now();
-        let needed = || !knowledge.knows_routing(marks.routing);
+        let needed = || !knowledge.knows_routing(marks.routing) || knowledge.lacks_list(marks);
         let drawn = draw_while(&knowledge, peer, &sync, needed).await;
         knowledge.drew(peer);
         let ms = knowledge.now().since(began).as_millis() as u64;
         match drawn {
             Ok(news) => {
                 let bytes = news.routing.as_ref().map_or(0, |dated| dated.packed.len());
-                log::info!(peer:% = peer, bytes, ms; "configuration drawn");
+                let list_bytes = news.list.as_ref().map_or(0, |list| list.packed.len());
+                log::info!(peer:% = peer, bytes, list_bytes, ms; "configuration drawn");
                 knowledge.take_news(peer, news);
                 if far {
                     // The hall's readers of the store may be cut off from it.
@@ -270,15 +258,13 @@
 /// Exchanges heartbeats with other entries until dropped. `others` names processes beside replicas,
 /// which know entries too: they are asked when no entry answers.
 pub async fn run(knowledge: Rc<Knowledge>, others: impl Fn() -> Vec<SocketAddr>) {
-    let mut round = 0;
+    let mut planner = RoundPlanner::default();
     loop {
-        let wide = asks_widely(&knowledge, round);
-        // The hall's entries are named in its frames.
-        let names_entries = wide || round <= ALONE_ROUNDS;
-        for peer in targets(&knowledge, wide, round, &others) {
+        let round = plan_round(&knowledge, &mut planner, &others);
+        for peer in round.targets {
             let knowledge = knowledge.clone();
             actix_rt::spawn(async move {
-                let sync = knowledge.sync(names_entries);
+                let sync = knowledge.sync(round.names_entries);
                 if let Err(error) = post(&knowledge, peer, SYNC_PATH, &sync).await {
                     knowledge.lost(peer);
                     if let Some(lost) = knowledge.lost_heartbeats.count() {
@@ -287,15 +273,28 @@
                 }
             });
         }
-        round += 1;
         knowledge.peers.borrow_mut().sweep(knowledge.now());
         let jitter = knowledge.rng.borrow_mut().random_range(0.8..1.2);
-        let alone = round <= ALONE_ROUNDS && knowledge.fellows().is_empty();
-        let pause = if alone { EVERY_ALONE } else { EVERY };
-        sleep(pause.mul_f64(jitter)).await;
+        sleep(round.pause.mul_f64(jitter)).await;
     }
 }
 
+fn plan_round(
+    knowledge: &Knowledge,
+    planner: &mut RoundPlanner,
+    others: impl Fn() -> Vec<SocketAddr>,
+) -> Round {
+    let input = RoundInput {
+        own: knowledge.identity.address,
+        hall: &knowledge.identity.hall,
+        peers: &knowledge.peers.borrow(),
+        seeds: &knowledge.seeds.borrow(),
+        lacks_initial_state: knowledge.lacks_initial_state(),
+    };
+    let mut rng = knowledge.rng.borrow_mut();
+    planner.plan(input, others, knowledge.now(), &mut *rng)
+}
+
 /// Tells the other entries of the hall at once that there is news, if this one reads the store for
 /// them, for good or in place of one that hears nothing. Runs until dropped.
 pub async fn tell_news(knowledge: Rc<Knowledge>) {
@@ -360,42 +359,3 @@
     }
     knowledge.fetching.set(false);
 }
-
-/// Whether an entry asks beyond its hall now: those do that tell the others, and one that knows none.
-fn asks_widely(knowledge: &Knowledge, round: u32) -> bool {
-    let fellows = knowledge.fellows();
-    let asks = fellows.is_empty() || Readers::is_reader(knowledge.identity.address, &fellows);
-    asks && round.is_multiple_of(SEED_ROUNDS)
-}
-
-fn targets(
-    knowledge: &Knowledge,
-    wide: bool,
-    round: u32,
-    others: impl Fn() -> Vec<SocketAddr>,
-) -> Vec<SocketAddr> {
-    let now = knowledge.now();
-    let mut rng = knowledge.rng.borrow_mut();
-    let mut chosen = Readers::asked(&knowledge.fellows());
-    let peers = knowledge.peers.borrow();
-    // Bytes between halls are dear.
-    if wide || chosen.is_empty() {
-        chosen.extend(peers.sample(1, now, &mut *rng));
-    }
-    let alone = chosen.is_empty();
-    if alone || wide {
-        let own = knowledge.identity.address;
-        let seeds = knowledge.seeds.borrow();
-        chosen.extend(seeds.iter().copied().filter(|seed| *seed != own));
-    }
-    if alone && round > SEED_ROUNDS {
-        let mut others = others();
-        for _ in 0..ASKED.min(others.len()) {
-            let index = rng.random_range(0..others.len());
-            chosen.push(others.swap_remove(index));
-        }
-    }
-    chosen.sort_unstable();
-    chosen.dedup();
-    chosen
-}
--- a/src/knowledge/readers.rs
+++ b/src/knowledge/readers.rs
@@ -25,9 +25,21 @@
 /// How long ago the store may have answered those before in rank.
 const MISSING: Duration = Duration::from_millis(1_600);
 
+/// Replaces [`MISSING`] for the list of replicas until an entry has been told of an answer. It is
+/// shorter because an entry cannot serve requests without the list.
+const MISSING_AT_START: Duration = Duration::from_millis(500);
+
 /// How much longer each further entry in rank waits.
 const STEP: Duration = Duration::from_millis(100);
 
+/// How long an entry that begins and knows no other entry waits for a seed to answer before it
+/// reads the store itself.
+const SEED_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Upper limit of the additional wait, which depends on the entry's hash, so that entries do not
+/// all read at the same time if no seed answers.
+const SEED_SPREAD: Duration = Duration::from_millis(1_000);
+
 /// Most steps that an entry waits longer for its rank. All at once they would share the hall's link
 /// to the store, and each document would come as many times; after 2.8 s the last one reads, before
 /// the three seconds are over that machines have to be in touch again.
@@ -76,18 +88,23 @@
             return true;
         }
         let answered = fellows.iter().filter_map(|entry| self.answered.get(entry));
-        let patience = MISSING + STEP * rank.min(STEPS_MAX);
-        let last = answered.max().copied().or(self.begins_with(topic));
-        last.is_none_or(|at| now.since(at) >= patience)
+        let (last, missing) = match answered.max() {
+            Some(at) => (*at, MISSING),
+            None => (self.began, missing_at_start(topic)),
+        };
+        now.since(last) >= missing + STEP * rank.min(STEPS_MAX)
     }
 
-    /// From when on a process that was told nothing waits for others. It does not for the list of
-    /// replicas, which is short and without which it serves nobody.
-    fn begins_with(&self, topic: Topic) -> Option<Time> {
-        match topic {
-            Topic::Operator => Some(self.began),
-            Topic::Replicas => None,
+    /// Whether an entry that knows no other entry still waits for one of `seeds` to answer. Without
+    /// this wait, all entries that begin together would rank themselves first in their hall, and
+    /// each would read the whole list. Seeds do not wait.
+    pub fn awaits_seeds(&self, own: SocketAddr, seeds: &[SocketAddr], now: Time) -> bool {
+        if seeds.is_empty() || seeds.contains(&own) {
+            return false;
         }
+        let (hash, _) = weight(own, SUBJECT);
+        let fraction = hash as f64 / u64::MAX as f64;
+        now.since(self.began) < SEED_TIMEOUT + SEED_SPREAD.mul_f64(fraction)
     }
 
     /// The place of the entry at `own` among those of its hall: 0 for the one that reads everything
@@ -116,6 +133,14 @@
     }
 }
 
+/// The limit that replaces [`MISSING`] for `topic` until an answer has been told.
+fn missing_at_start(topic: Topic) -> Duration {
+    match topic {
+        Topic::Operator => MISSING,
+        Topic::Replicas => MISSING_AT_START,
+    }
+}
+
 fn readers(topic: Topic) -> u32 {
     match topic {
         Topic::Operator => OPERATOR_READERS,
--- /dev/null
+++ b/src/knowledge/rounds.rs
@@ -0,0 +1,105 @@
+//! Plans the rounds of heartbeats of an entry: their targets and intervals. Does no I/O.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use rand::{Rng, RngExt};
+
+use super::readers::Readers;
+use crate::clock::Time;
+use crate::member::peer::Peers;
+
+/// How often an entry asks the readers of its hall, which tell it twice as often by themselves.
+const EVERY: Duration = Duration::from_millis(1_000);
+
+/// How often an entry asks others in its first rounds, while it knows no other entry of its hall or
+/// lacks the state that it needs to serve requests.
+const EVERY_AT_START: Duration = Duration::from_millis(120);
+
+/// Number of first rounds that may be [`EVERY_AT_START`] apart.
+const START_ROUNDS: u32 = 20;
+
+/// Interval, in rounds, at which the seeds and an entry of any hall are asked as well and known
+/// entries are named.
+const SEED_ROUNDS: u32 = 3;
+
+/// Processes beside replicas that are asked at a time.
+const ASKED: usize = 2;
+
+/// The state of an entry from which a round is planned.
+#[derive(Debug, Clone, Copy)]
+pub struct RoundInput<'a> {
+    /// The entry's own address.
+    pub own: SocketAddr,
+    /// The entry's data hall.
+    pub hall: &'a str,
+    /// The other entries that it knows.
+    pub peers: &'a Peers,
+    /// Addresses of the seeds.
+    pub seeds: &'a [SocketAddr],
+    /// Whether the entry lacks the configuration or the list of replicas.
+    pub lacks_initial_state: bool,
+}
+
+/// One round of heartbeats.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Round {
+    /// The processes that are sent a heartbeat.
+    pub targets: Vec<SocketAddr>,
+    /// Whether the heartbeats name the known entries and ask for those that the targets know.
+    pub names_entries: bool,
+    /// Time until the next round, before jitter.
+    pub pause: Duration,
+}
+
+/// Plans the consecutive rounds of an entry.
+#[derive(Debug, Default)]
+pub struct RoundPlanner {
+    next_number: u32,
+}
+
+impl RoundPlanner {
+    /// Plans the next round. `others` names processes beside replicas, which know entries too: they
+    /// are asked when no entry answers.
+    pub fn plan(
+        &mut self,
+        input: RoundInput<'_>,
+        others: impl Fn() -> Vec<SocketAddr>,
+        now: Time,
+        rng: &mut impl Rng,
+    ) -> Round {
+        let number = self.next_number;
+        self.next_number = number.saturating_add(1);
+        let fellows = input.peers.of_hall(input.hall, now);
+        let is_seed_round = number.is_multiple_of(SEED_ROUNDS);
+        let may_be_wide = fellows.is_empty() || Readers::is_reader(input.own, &fellows);
+        let wide = may_be_wide && is_seed_round;
+        let mut targets = Readers::asked(&fellows);
+        // Limits traffic between halls, which is expensive.
+        if wide || targets.is_empty() {
+            targets.extend(input.peers.sample(1, now, rng));
+        }
+        let alone = targets.is_empty();
+        if alone || wide {
+            let seeds = input.seeds.iter().copied();
+            targets.extend(seeds.filter(|seed| *seed != input.own));
+        }
+        if alone && number > SEED_ROUNDS {
+            let mut others = others();
+            for _ in 0..ASKED.min(others.len()) {
+                let index = rng.random_range(0..others.len());
+                targets.push(others.swap_remove(index));
+            }
+        }
+        targets.sort_unstable();
+        targets.dedup();
+        let is_start_round = number < START_ROUNDS;
+        let is_fast = is_start_round && (fellows.is_empty() || input.lacks_initial_state);
+        Round {
+            targets,
+            // After the first rounds, frames name the entries of the hall.
+            names_entries: alone || wide || (is_start_round && is_seed_round),
+            pause: if is_fast { EVERY_AT_START } else { EVERY },
+        }
+    }
+}
--- a/src/member/peer.rs
+++ b/src/member/peer.rs
@@ -114,6 +114,19 @@
         heard.map(|(address, peer)| (*address, &peer.hall))
     }
 
+    /// The entries of `hall` that were heard of lately.
+    pub fn of_hall(&self, hall: &str, now: Time) -> Vec<SocketAddr> {
+        let alive = self
+            .alive(now)
+            .filter(|(_, peer_hall)| ***peer_hall == *hall);
+        alive.map(|(address, _)| address).collect()
+    }
+
+    /// Whether no entry is known at all.
+    pub fn is_empty(&self) -> bool {
+        self.peers.is_empty()
+    }
+
     /// The entries of each hall but `own_hall` that were heard of lately.
     pub fn elsewhere(&self, own_hall: &str, now: Time) -> BTreeMap<Arc<str>, Vec<SocketAddr>> {
         let mut halls: BTreeMap<Arc<str>, Vec<SocketAddr>> = BTreeMap::new();
--- a/src/sidecar/observe.rs
+++ b/src/sidecar/observe.rs
@@ -24,7 +24,7 @@
 use crate::route::notice::{Notice, Wish};
 use crate::route::replica::Load;
 use crate::source::Topic;
-use crate::wire::sync::{REPORT_PATH, Report};
+use crate::wire::sync::{REPORT_PATH, Report, Sync};
 
 /// How often the replica is asked.
 const LOOK: Duration = Duration::from_millis(100);
@@ -356,7 +356,10 @@
     let report = Report {
         address: sidecar.setting.replica,
         load: sidecar.load(),
-        sync: sidecar.knowledge.sync(asks),
+        sync: Sync {
+            wants_list: !sidecar.knowledge.belief.borrow().lists_replicas(),
+            ..sidecar.knowledge.sync(asks)
+        },
     };
     let (began, note) = (sidecar.knowledge.now(), Note::default());
     match post_noting(&sidecar.knowledge, entry, REPORT_PATH, &report, &note).await {
--- a/src/wire/sync.rs
+++ b/src/wire/sync.rs
@@ -44,6 +44,13 @@
     /// Whether it draws the configuration with this message, if it lacks it.
     #[serde(default)]
     pub wants_routing: bool,
+    /// Whether it draws the list of replicas with this message, if it never had the list.
+    #[serde(default)]
+    pub wants_list: bool,
+    /// Whether it has never had the list of replicas and draws it as [`News::list`], by setting
+    /// `wants_list` in one message at a time.
+    #[serde(default)]
+    pub draws_list: bool,
     /// Whether it understands [`News::changes`].
     #[serde(default)]
     pub takes_changes: bool,
@@ -149,6 +156,19 @@
     pub records: Vec<DatedRecord>,
 }
 
+/// A list of replicas in packed form.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PackedList {
+    /// The revision up to which it is known.
+    pub at: u64,
+    /// Whether the store was out of reach shortly before.
+    #[serde(default)]
+    pub shaky: bool,
+    /// The packed sequence of [`DatedRecord`]s.
+    #[serde(with = "serde_bytes")]
+    pub packed: Vec<u8>,
+}
+
 /// What a process beside a replica needs of the configuration.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Brief {
@@ -210,6 +230,9 @@
     /// A newer list, where its changes alone can't be told.
     #[serde(default)]
     pub replicas: Option<List>,
+    /// The packed list, for a process that begins and draws it with this message.
+    #[serde(default)]
+    pub list: Option<PackedList>,
     /// What changed in the list.
     #[serde(default)]
     pub changes: Option<Changes>,
