Bound the number of entries sent to each sidecar

Cause: each sidecar requested the full entry list every 1.5 s, at 50 bytes per entry, for all halls. Its traffic grew with the number of entries in the fleet (with 327 entries: 11 KB/s of a budget of 23 KB/s), although a sidecar reports only to the first two entries of its own hall that answer.

Change: a sidecar receives the first four entries of its hall by rank, eight others of its hall selected by a hash with the sidecar's own address (entries relay weights, so different boxes use different relays), and one entry of each other hall. With `digests` off, where sidecars report to all entries, they receive all.

Test: the encoded size of the entry list with 200 entries in each of three halls is asserted to be at most a tenth larger than with 20. The test fails without the change.

--- a/src/knowledge.rs
+++ b/src/knowledge.rs
@@ -29,7 +29,7 @@
 use crate::config::residency::Regions;
 use crate::exchange::{self, path::Paths};
 use crate::log::Repeats;
-use crate::member::peer::Peers;
+use crate::member::peer::{Peers, Told};
 use crate::member::rank::rank;
 use crate::member::replica::Record;
 use crate::policy::Policy;
@@ -553,7 +553,7 @@
         let belief = self.belief.borrow();
         let marks = belief.marks();
         let told = if sync.wants_peers {
-            self.peers.borrow().tell(now)
+            self.entries_to_send(sync, now)
         } else {
             Vec::new()
         };
@@ -598,6 +598,17 @@
         }
     }
 
+    /// The entries that the reply to `sync` lists: all known ones if the sender is an entry, a
+    /// bounded subset if it is a sidecar, unless sidecars report to all entries.
+    fn entries_to_send(&self, sync: &Sync, now: Time) -> Vec<Told> {
+        let peers = self.peers.borrow();
+        if sync.entry || !self.policy.digests {
+            return peers.tell(now);
+        }
+        let selected = Readers::entries_for_sidecar(sync.from, &sync.hall, &peers, now);
+        peers.tell_filtered(now, |entry| selected.contains(&entry))
+    }
+
     /// The configuration as others draw it.
     fn document(&self) -> Option<DatedDocument> {
         let belief = self.belief.borrow();
--- a/src/knowledge/readers.rs
+++ b/src/knowledge/readers.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use crate::clock::Time;
+use crate::member::peer::Peers;
 use crate::member::rank::{rank, weight};
 use crate::source::Topic;
 
@@ -48,6 +49,13 @@
 /// Entries of a hall that are asked for news: its readers.
 pub const ASKED: usize = 2;
 
+/// Highest-ranked entries of its hall that a sidecar receives. It reports to the first of them.
+const SIDECAR_RANKED_ENTRIES: usize = 4;
+
+/// Further entries of its hall that a sidecar receives, selected by its address. They relay
+/// weights, so different sidecars use different relays.
+const SIDECAR_HASHED_ENTRIES: usize = 8;
+
 /// What the entries of the own hall told of the store.
 #[derive(Debug, Default)]
 pub struct Readers {
@@ -120,6 +128,29 @@
         ranked
     }
 
+    /// The entries that the sidecar at `sidecar` in `hall` receives: a bounded number of its own
+    /// hall, and one of each other hall as a fallback if its own has none left.
+    pub fn entries_for_sidecar(
+        sidecar: SocketAddr,
+        hall: &str,
+        peers: &Peers,
+        now: Time,
+    ) -> Vec<SocketAddr> {
+        let local = peers.of_hall(hall, now);
+        let mut selected = Self::ranked(&local);
+        selected.truncate(SIDECAR_RANKED_ENTRIES);
+        let subject = sidecar.to_string();
+        let mut others = local;
+        others.retain(|entry| !selected.contains(entry));
+        others.sort_by_cached_key(|entry| std::cmp::Reverse(weight(*entry, &subject)));
+        selected.extend(others.into_iter().take(SIDECAR_HASHED_ENTRIES));
+        let (hash, _) = weight(sidecar, SUBJECT);
+        for entries in peers.elsewhere(hall, now).into_values() {
+            selected.push(entries[hash as usize % entries.len()]);
+        }
+        selected
+    }
+
     /// Whether the entry at `own` is one of those whom the others ask.
     pub fn is_reader(own: SocketAddr, fellows: &[SocketAddr]) -> bool {
         Self::place(own, fellows) < ASKED as u32
--- a/src/member/peer.rs
+++ b/src/member/peer.rs
@@ -92,14 +92,19 @@
 
     /// What others are told.
     pub fn tell(&self, now: Time) -> Vec<Told> {
-        self.peers
-            .iter()
-            .map(|(address, peer)| Told {
-                address: *address,
-                hall: peer.hall.clone(),
-                age_ms: now.since(peer.heard).as_millis() as u64,
-            })
-            .collect()
+        self.tell_filtered(now, |_| true)
+    }
+
+    /// What others are told of the entries whose addresses satisfy `includes`.
+    pub fn tell_filtered(&self, now: Time, includes: impl Fn(SocketAddr) -> bool) -> Vec<Told> {
+        let peers = self.peers.iter();
+        let included = peers.filter(|(address, _)| includes(**address));
+        let told = included.map(|(address, peer)| Told {
+            address: *address,
+            hall: peer.hall.clone(),
+            age_ms: now.since(peer.heard).as_millis() as u64,
+        });
+        told.collect()
     }
 
     /// Forgets entries that were silent for long.
--- a/tests/knowledge.rs
+++ b/tests/knowledge.rs
@@ -538,3 +538,56 @@
     assert!(news.replicas.is_none() && news.list.is_none());
     assert_eq!(news.changes.unwrap().gone.len(), 1);
 }
+
+/// The reply of an entry that knows `each` entries in each of three halls to a heartbeat of the
+/// sidecar at `sidecar` in the first hall.
+fn news_for_sidecar(sidecar: &str, each: u8) -> News {
+    let sender = entry_knowing_nothing(1);
+    *sender.peers.borrow_mut() = peers(entry(1, 1), each, sender.now());
+    let sync = Sync {
+        from: sidecar.parse().unwrap(),
+        entry: false,
+        ..sender.sync(true)
+    };
+    let sync = Sync {
+        peers: Vec::new(),
+        ..sync
+    };
+    sender.news_for(&sync, true)
+}
+
+/// Guards against control traffic to each sidecar that grows with the number of entries.
+#[test]
+fn the_size_of_the_entry_list_for_a_sidecar_does_not_grow_with_the_fleet() {
+    let bytes = |each| {
+        let news = news_for_sidecar("10.1.0.250:8000", each);
+        rmp_serde::to_vec_named(&news.peers).unwrap().len()
+    };
+    assert!(bytes(200) <= bytes(20) + bytes(20) / 10);
+}
+
+/// Guards against a sidecar that lacks the entries it reports to, or a fallback in other halls.
+#[test]
+fn a_sidecar_receives_the_entries_that_it_reports_to_and_one_of_each_other_hall() {
+    let told = |sidecar| news_for_sidecar(sidecar, 40).peers;
+    let local = |sidecar| -> Vec<SocketAddr> {
+        let mut local = told(sidecar);
+        local.retain(|told| told.hall == hall(1));
+        local.into_iter().map(|told| told.address).collect()
+    };
+    let ranked = Readers::ranked(&fellows(1, 40));
+    for sidecar in ["10.1.0.250:8000", "10.1.0.251:8000"] {
+        assert!(
+            ranked[..4]
+                .iter()
+                .all(|entry| local(sidecar).contains(entry))
+        );
+        let others = told(sidecar)
+            .into_iter()
+            .filter(|told| told.hall != hall(1));
+        let others: Vec<Arc<str>> = others.map(|told| told.hall).collect();
+        assert_eq!(others, [hall(2), hall(3)]);
+    }
+    // Different sidecars receive different entries of their hall, so that the relays share the load.
+    assert_ne!(local("10.1.0.250:8000"), local("10.1.0.251:8000"));
+}
