Distribute frames and news within a hall through its entries

Cause: The entry that reports replica status to a hall sent each frame, with all rows in full, to every other entry of the hall twice a second. In addition, each of the two readers of the store sent a heartbeat to all entries on every change, after which all of them fetched the change from it. The bytes sent by the busiest entry grew with replicas times entries.

Change: A message to a hall lists its remaining receivers.

Frames are forwarded on arrival and contain what was learned since the last frame but one, so that no entry has to fetch it. Frames that arrive after a later one are ignored. Notices of news are forwarded by entries that have fetched the news. Entries draw the configuration from the entry that sends frames only after 400 ms, unless they were notified by others before.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -20,6 +20,7 @@
 
 use actix_rt::task::JoinHandle;
 use actix_rt::time::sleep;
+use rand::RngExt;
 use tokio::net::TcpListener;
 use tokio::sync::Notify;
 
@@ -273,7 +274,10 @@
             budgets: RefCell::default(),
             began: knowledge.now(),
             halls: RefCell::default(),
-            hub: RefCell::new(Hub::new(knowledge.now())),
+            hub: RefCell::new(Hub::new(
+                knowledge.rng.borrow_mut().random(),
+                knowledge.now(),
+            )),
             instruments: status::Instruments::new(&metrics.meter()),
             porter: Porter::new(knowledge.clock, &metrics.meter()),
             metrics,
--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -11,6 +11,7 @@
 use super::Gateway;
 use crate::burst::serve;
 use crate::http::{self, Answer};
+use crate::knowledge::fanout::{self, FRAME_FORWARD_PATH, Message, SYNC_FORWARD_PATH};
 use crate::knowledge::{gossip, poison};
 use crate::wire::pack;
 use crate::wire::sync::{FRAME_PATH, Frame, HALL_PATH, REPORT_PATH, Report, SYNC_PATH, Sync};
@@ -54,17 +55,33 @@
 pub async fn answer(gateway: Rc<Gateway>, mut request: Request) -> Answer {
     match request.path() {
         SYNC_PATH => match message::<Sync>(&mut request).await {
-            Ok(sync) => take_sync(&gateway, &sync),
+            Ok(sync) => take_sync(&gateway, &sync, false),
             Err(answer) => answer,
         },
         HALL_PATH => match message::<Sync>(&mut request).await {
             Ok(sync) => http::pack(StatusCode::OK, &gateway.hall_news(&sync)),
             Err(answer) => answer,
         },
-        FRAME_PATH => match packed::<Frame>(&mut request).await {
-            Ok(frame) => {
-                gateway.take_frame(&frame);
-                take_sync(&gateway, &frame.sync)
+        FRAME_PATH => match body(&mut request).await {
+            Ok(frame) => take_frame(&gateway, &frame),
+            Err(answer) => answer,
+        },
+        FRAME_FORWARD_PATH => match message::<fanout::ForwardedFrame>(&mut request).await {
+            Ok(forwarded) => {
+                let frame = Bytes::from(forwarded.frame);
+                let answer = take_frame(&gateway, &frame);
+                let message = Message::Frame(frame);
+                fanout::send(&gateway.knowledge, &message, forwarded.receivers);
+                answer
+            }
+            Err(answer) => answer,
+        },
+        SYNC_FORWARD_PATH => match message::<fanout::ForwardedSync>(&mut request).await {
+            Ok(notice) => {
+                let knowledge = &gateway.knowledge;
+                let answer = http::pack(StatusCode::OK, &knowledge.news_for(&notice.sync, false));
+                actix_rt::spawn(fanout::forward_news(knowledge.clone(), notice));
+                answer
             }
             Err(answer) => answer,
         },
@@ -90,10 +107,23 @@
     }
 }
 
-fn take_sync(gateway: &Gateway, sync: &Sync) -> Answer {
+/// Applies a packed frame and answers the heartbeat in it.
+fn take_frame(gateway: &Gateway, packed: &[u8]) -> Answer {
+    match pack::unpack::<Frame>(packed) {
+        Ok(frame) => {
+            let sync = frame.sync.clone();
+            gateway.take_frame(frame);
+            take_sync(gateway, &sync, true)
+        }
+        Err(error) => not_understood(error),
+    }
+}
+
+/// Answers a heartbeat; `from_hub` says whether it came in a frame to the whole hall.
+fn take_sync(gateway: &Gateway, sync: &Sync, from_hub: bool) -> Answer {
     let knowledge = &gateway.knowledge;
     if sync.entry && sync.hall == knowledge.identity.hall && knowledge.lacks(sync.marks) {
-        let fetch = gossip::fetch_news(knowledge.clone(), sync.from, sync.marks);
+        let fetch = gossip::fetch_news(knowledge.clone(), sync.from, sync.marks, from_hub);
         actix_rt::spawn(fetch);
     }
     http::pack(StatusCode::OK, &knowledge.news_for(sync, !sync.entry))
@@ -118,12 +148,6 @@
     rmp_serde::from_slice(&body).map_err(not_understood)
 }
 
-/// Reads a packed message, or says what is wrong with it.
-async fn packed<T: DeserializeOwned>(request: &mut Request) -> Result<T, Answer> {
-    let body = body(request).await?;
-    pack::unpack(&body).map_err(not_understood)
-}
-
 async fn body(request: &mut Request) -> Result<Bytes, Answer> {
     let body = http::read_request(request, MESSAGE_MAX).await;
     body.map_err(|_| http::status(StatusCode::BAD_REQUEST))
--- a/src/gateway/halls.rs
+++ b/src/gateway/halls.rs
@@ -7,12 +7,13 @@
 
 use super::Gateway;
 use crate::clock::Time;
+use crate::knowledge::fanout::{self, Message};
 use crate::knowledge::gossip;
 use crate::knowledge::halls::Ask;
 use crate::knowledge::hub::Extent;
 use crate::knowledge::readers::Readers;
 use crate::wire::pack;
-use crate::wire::sync::{Digest, FRAME_PATH, Frame, HALL_PATH, HallNews, Reported, Sync};
+use crate::wire::sync::{Digest, Frame, HALL_PATH, HallNews, Reported, Sync};
 
 /// How often it is looked whether anyone is to be told or asked.
 const LOOK: Duration = Duration::from_millis(100);
@@ -78,12 +79,20 @@
     /// Sends one frame, written once, to each other entry of the hall.
     fn tell_hall(&self, extent: Extent, now: Time) {
         let knowledge = &self.knowledge;
+        let sync = knowledge.sync(extent == Extent::Whole { entries: true });
+        let header = self.hub.borrow_mut().next_header(sync.marks);
         let frame = Frame {
-            sync: knowledge.sync(extent == Extent::Whole { entries: true }),
             digests: self.digests(extent, now),
+            news: knowledge.news_since(header.baseline),
+            incarnation: header.incarnation,
+            number: header.number,
+            sync,
         };
         match pack::pack(&frame) {
-            Ok(packed) => gossip::tell_packed(knowledge, FRAME_PATH, packed.into()),
+            Ok(packed) => {
+                let message = Message::Frame(packed.into());
+                fanout::send(knowledge, &message, knowledge.fellows());
+            }
             Err(error) => log::error!("frame of the hall: {error}"),
         }
     }
@@ -130,11 +139,20 @@
     }
 
     /// Takes the frame of another entry of the hall.
-    pub(super) fn take_frame(&self, frame: &Frame) {
-        self.hub.borrow_mut().heard(self.knowledge.now());
+    pub(super) fn take_frame(&self, frame: Frame) {
+        let (from, now) = (frame.sync.from, self.knowledge.now());
+        let mut hub = self.hub.borrow_mut();
+        let accepted = hub.accept_frame(from, frame.incarnation, frame.number, now);
+        drop(hub);
+        if !accepted {
+            return;
+        }
         for digest in &frame.digests {
             self.take_digest(digest);
         }
+        if let Some(news) = frame.news {
+            self.knowledge.take_news(from, news);
+        }
     }
 
     /// Takes how the replicas of a hall do.
--- a/src/knowledge.rs
+++ b/src/knowledge.rs
@@ -4,6 +4,7 @@
 //! * [`pace`] says how long calls to it wait, and how long they pause.
 //! * [`readers`] decides who reads it for a whole hall.
 //! * [`draws`] decides from whom a configuration is drawn that others know.
+//! * [`fanout`] distributes a message to all entries of a hall.
 //! * [`hub`] decides who tells a whole hall how replicas do, [`halls`] when another is asked.
 //! * [`poison`] tells under which requests replicas ended.
 //! * [`rounds`] plans when heartbeats are sent and to which processes.
@@ -18,6 +19,7 @@
 use std::time::Duration;
 
 use draws::{Draws, Place};
+use fanout::UnresponsiveEntries;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use readers::Readers;
@@ -40,6 +42,7 @@
 use crate::wire::sync::{Brief, DatedDocument, List, Named, News, PackedList, Sync};
 
 pub mod draws;
+pub mod fanout;
 pub mod gossip;
 pub mod halls;
 pub mod hub;
@@ -118,6 +121,8 @@
     /// What could not be read of the platform's documents.
     pub losses: RefCell<Losses>,
     fetching: Cell<bool>,
+    /// Entries of the hall that recently failed to answer a message.
+    unresponsive: RefCell<UnresponsiveEntries>,
     lost_heartbeats: Repeats,
     draws: RefCell<Draws>,
     /// The configuration as others draw it: it is packed once for all of them.
@@ -160,6 +165,7 @@
             trouble: Cell::new(None),
             losses: RefCell::default(),
             fetching: Cell::new(false),
+            unresponsive: RefCell::default(),
             lost_heartbeats: Repeats::default(),
             draws: RefCell::default(),
             packed: RefCell::default(),
@@ -257,20 +263,34 @@
             || marks.evacuations > own.evacuations
     }
 
-    /// Whether this entry draws the configuration or the list of replicas from `peer` in `hall`
-    /// now, given the peer's `marks`. If so, the caller has to call [`Knowledge::drew`] afterwards.
-    fn begins_draw(&self, peer: SocketAddr, hall: &str, marks: Marks) -> bool {
-        let needed = !self.knows_routing(marks.routing) || self.lacks_list(marks);
-        if !self.identity.entry || !needed {
-            return false;
-        }
-        let place = if *hall == *self.identity.hall {
+    /// The place of a process in `hall` as a source of draws.
+    fn place_of(&self, hall: &str) -> Place {
+        if *hall == *self.identity.hall {
             Place::Near
         } else if rank(self.identity.address, self.fellows().into_iter(), hall) == 0 {
             Place::FarForAll
         } else {
             Place::Far
-        };
+        }
+    }
+
+    /// The place of an entry in the own hall; `is_hub` says whether it sends frames to all others.
+    /// Halls in which it reaches every entry directly make no distinction.
+    fn place_in_own_hall(&self, is_hub: bool) -> Place {
+        if is_hub && self.fellows().len() > fanout::DEGREE {
+            Place::NearHub
+        } else {
+            Place::Near
+        }
+    }
+
+    /// Whether this entry draws the configuration or the list of replicas from `peer` at `place`
+    /// now, given the peer's `marks`. If so, the caller has to call [`Knowledge::drew`] afterwards.
+    fn begins_draw(&self, peer: SocketAddr, place: Place, marks: Marks) -> bool {
+        let needed = !self.knows_routing(marks.routing) || self.lacks_list(marks);
+        if !self.identity.entry || !needed {
+            return false;
+        }
         self.draws.borrow_mut().begin(peer, place, self.now())
     }
 
@@ -542,6 +562,26 @@
         }
     }
 
+    /// The news since `marks` without the configuration, if there is any.
+    pub fn news_since(&self, marks: Marks) -> Option<News> {
+        let now = self.now();
+        let young = names_young(&self.belief.borrow(), now);
+        let sync = Sync {
+            entry: false,
+            marks,
+            ..self.sync(false)
+        };
+        (young || self.is_ahead_of(marks)).then(|| self.news_for(&sync, false))
+    }
+
+    /// Whether this process knows anything newer than `marks`, apart from the configuration.
+    fn is_ahead_of(&self, marks: Marks) -> bool {
+        let own = self.belief.borrow().marks();
+        own.versions > marks.versions
+            || own.replicas > marks.replicas
+            || own.evacuations > marks.evacuations
+    }
+
     /// The answer to a heartbeat: what its sender lacks. `brief` for one that does not keep the
     /// whole configuration.
     pub fn news_for(&self, sync: &Sync, brief: bool) -> News {
--- a/src/knowledge/draws.rs
+++ b/src/knowledge/draws.rs
@@ -17,6 +17,10 @@
 /// Processes that are drawn from at once.
 const AT_ONCE: usize = 2;
 
+/// How long to wait before drawing from the hall's hub: entries that forward its news can usually
+/// serve the configuration by then.
+const NEAR_HUB: Duration = Duration::from_millis(400);
+
 /// How long the entry that asks another hall for its own leaves a configuration to the store. The
 /// hall's readers have 450 KB of it by then; a longer one crosses the link between two regions once
 /// more, packed to a fifteenth.
@@ -30,6 +34,8 @@
 pub enum Place {
     /// In the own hall.
     Near,
+    /// In the own hall, and it is the entry that sends frames to all others.
+    NearHub,
     /// In another, and this entry is the one that asks there for its whole hall.
     FarForAll,
     /// In another.
@@ -50,6 +56,7 @@
         let lacking = *self.lacking.get_or_insert(now);
         let wait = match place {
             Place::Near => Duration::ZERO,
+            Place::NearHub => NEAR_HUB,
             Place::FarForAll => FAR,
             Place::Far => FAR_LAST,
         };
--- a/src/knowledge/gossip.rs
+++ b/src/knowledge/gossip.rs
@@ -12,6 +12,8 @@
 use serde::de::DeserializeOwned;
 
 use super::Knowledge;
+use super::draws::Place;
+use super::fanout::{self, FRAME_FORWARD_PATH, Message};
 use super::poison;
 use super::readers::Readers;
 use super::rounds::{Round, RoundInput, RoundPlanner};
@@ -93,7 +95,7 @@
     let digest = news.poison;
     knowledge.take_news(peer, news);
     if entry {
-        draw(knowledge, peer, &hall, marks);
+        draw(knowledge, peer, knowledge.place_of(&hall), marks);
     }
     let both = entry && knowledge.identity.entry;
     if both && digest != knowledge.poison.borrow().digest(knowledge.now()) {
@@ -132,6 +134,17 @@
     answer.unwrap_or(Err(patience::Error::NoAnswer { after }.into()))
 }
 
+/// Sends an already encoded message to another process of the system and reads its answer.
+pub async fn ask_packed(
+    knowledge: &Knowledge,
+    peer: SocketAddr,
+    path: &str,
+    packed: Bytes,
+) -> Result<News, Error> {
+    let call = Call::new(peer, path, packed);
+    call.exchange(knowledge, &Note::default(), || true).await
+}
+
 fn packed<T: Serialize>(message: &T) -> Result<Bytes, Error> {
     let body = rmp_serde::to_vec_named(message);
     body.map(Bytes::from).map_err(|error| Error::Codec {
@@ -197,20 +210,20 @@
     match path {
         REPORT_PATH => Purpose::Report,
         HALL_PATH => Purpose::Hall,
-        FRAME_PATH => Purpose::PassOn,
+        FRAME_PATH | FRAME_FORWARD_PATH => Purpose::PassOn,
         place::PATH => Purpose::Place,
         poison::PATH | poison::TRY_PATH => Purpose::Poison,
         _ => Purpose::Heartbeat,
     }
 }
 
-/// Draws the configuration, and the list of replicas if this entry has none yet, from `peer` in
-/// `hall` if `marks` show that the peer has them and [`Knowledge::begins_draw`] selects it.
-fn draw(knowledge: &Rc<Knowledge>, peer: SocketAddr, hall: &str, marks: Marks) {
-    if !knowledge.begins_draw(peer, hall, marks) {
+/// Draws the configuration, and the list of replicas if this entry has none yet, from `peer` at
+/// `place`, if `marks` show that the peer has them and [`Knowledge::begins_draw`] selects it.
+fn draw(knowledge: &Rc<Knowledge>, peer: SocketAddr, place: Place, marks: Marks) {
+    if !knowledge.begins_draw(peer, place, marks) {
         return;
     }
-    let far = *hall != *knowledge.identity.hall;
+    let far = matches!(place, Place::FarForAll | Place::Far);
     let knowledge = knowledge.clone();
     actix_rt::spawn(async move {
         let sync = Sync {
@@ -231,7 +244,7 @@
                 knowledge.take_news(peer, news);
                 if far {
                     // The hall's readers of the store may be cut off from it.
-                    tell(&knowledge, knowledge.fellows(), false);
+                    fanout::send(&knowledge, &Message::News, knowledge.fellows());
                 }
             }
             Err(Error::Patience(patience::Error::NotNeeded)) => {}
@@ -305,7 +318,7 @@
         if !reader && !knowledge.reads(Topic::Operator) {
             continue;
         }
-        tell(&knowledge, fellows, false);
+        fanout::send(&knowledge, &Message::News, fellows);
         sleep(NEWS_GAP).await;
     }
 }
@@ -324,23 +337,12 @@
     }
 }
 
-/// Sends one packed message to each other entry of the hall. They answer with what this one lacks.
-pub fn tell_packed(knowledge: &Rc<Knowledge>, path: &'static str, packed: Bytes) {
-    for fellow in knowledge.fellows() {
-        let (knowledge, packed) = (knowledge.clone(), packed.clone());
-        actix_rt::spawn(async move {
-            let call = Call::new(fellow, path, packed);
-            match call.exchange(&knowledge, &Note::default(), || true).await {
-                Ok(news) => take(&knowledge, fellow, news),
-                Err(error) => log::debug!(entry:% = fellow; "hall not told: {error}"),
-            }
-        });
-    }
-}
-
-/// Asks `peer` of the own hall, whose marks tell that it knows something newer, for its news.
-pub async fn fetch_news(knowledge: Rc<Knowledge>, peer: SocketAddr, marks: Marks) {
-    draw(&knowledge, peer, &knowledge.identity.hall, marks);
+/// Fetches news from `peer` of the own hall, whose `marks` are newer than those of this process.
+/// With `is_hub`, the peer sends frames to the whole hall, and the configuration is drawn from it
+/// only after a delay.
+pub async fn fetch_news(knowledge: Rc<Knowledge>, peer: SocketAddr, marks: Marks, is_hub: bool) {
+    let place = knowledge.place_in_own_hall(is_hub);
+    draw(&knowledge, peer, place, marks);
     // A draw brings all the rest too, but later.
     let rest = Marks {
         routing: 0,
--- a/src/knowledge/hub.rs
+++ b/src/knowledge/hub.rs
@@ -3,12 +3,13 @@
 //! If each process beside a replica told each entry, messages would grow with replicas times
 //! entries: 24 of them and 30 entries in a hall send 4,800 reports a second, more than callers send
 //! requests. So they tell the first entries of the hall, and the first of those tells all others in
-//! one frame. Messages then grow with replicas plus entries.
+//! one frame, which these forward to each other. Messages then grow with replicas plus entries.
 
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use crate::clock::Time;
+use crate::config::belief::Marks;
 
 /// Time between two frames that tell everything. Who gets a request is asked before it is sent
 /// there, so that a frame only has to say whom to ask.
@@ -46,9 +47,33 @@
     Since(Time),
 }
 
+/// Identifies a frame and the state that its news builds on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct FrameHeader {
+    /// Random identifier of the sending process.
+    pub incarnation: u64,
+    /// Sequence number of the frame within the incarnation.
+    pub number: u64,
+    /// Marks as of the frame before the previous one, so that missing one frame loses no news.
+    pub baseline: Marks,
+}
+
+/// The latest frame received.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct LastFrame {
+    from: SocketAddr,
+    incarnation: u64,
+    number: u64,
+}
+
 /// When this entry told the others of its hall, and when it was told.
 #[derive(Debug, Clone, Copy)]
 pub struct Hub {
+    incarnation: u64,
+    number: u64,
+    /// Marks of the last two frames sent, oldest first.
+    sent_marks: [Marks; 2],
+    last_frame: Option<LastFrame>,
     began: Time,
     told: Option<Time>,
     told_whole: Option<Time>,
@@ -57,9 +82,14 @@
 }
 
 impl Hub {
-    /// The part of an entry that begins at `began`.
-    pub fn new(began: Time) -> Self {
+    /// The part of an entry that begins at `began`; `incarnation` is a random identifier of its
+    /// process.
+    pub fn new(incarnation: u64, began: Time) -> Self {
         Self {
+            incarnation,
+            number: 0,
+            sent_marks: [Marks::default(); 2],
+            last_frame: None,
             began,
             told: None,
             told_whole: None,
@@ -73,6 +103,41 @@
         self.heard = Some(now);
     }
 
+    /// Records a frame that originates from `from` and returns whether to apply it. Frames older
+    /// than the latest one of the same incarnation are rejected.
+    pub fn accept_frame(
+        &mut self,
+        from: SocketAddr,
+        incarnation: u64,
+        number: u64,
+        now: Time,
+    ) -> bool {
+        self.heard(now);
+        let outdated = self.last_frame.is_some_and(|last| {
+            last.from == from && last.incarnation == incarnation && last.number > number
+        });
+        if !outdated {
+            self.last_frame = Some(LastFrame {
+                from,
+                incarnation,
+                number,
+            });
+        }
+        !outdated
+    }
+
+    /// Returns the header of the next frame to send; `marks` are the sender's current ones.
+    pub fn next_header(&mut self, marks: Marks) -> FrameHeader {
+        self.number += 1;
+        let baseline = self.sent_marks[0];
+        self.sent_marks = [self.sent_marks[1], marks];
+        FrameHeader {
+            incarnation: self.incarnation,
+            number: self.number,
+            baseline,
+        }
+    }
+
     /// Whether the entry that is so many places from the first tells the others.
     pub fn tells(&self, rank: u32, now: Time) -> bool {
         let Some(before) = rank.checked_sub(1) else {
--- a/src/wire/sync.rs
+++ b/src/wire/sync.rs
@@ -109,6 +109,16 @@
     /// How replicas do, by hall.
     #[serde(default)]
     pub digests: Vec<Digest>,
+    /// What was learned since the frame before the previous one, without the configuration.
+    #[serde(default)]
+    pub news: Option<News>,
+    /// Random identifier of the sending process.
+    #[serde(default, rename = "life")]
+    pub incarnation: u64,
+    /// Sequence number within the incarnation. Receivers ignore a frame that arrives after a later
+    /// one.
+    #[serde(default)]
+    pub number: u64,
 }
 
 /// An entry's answer about its hall.
--- a/tests/knowledge.rs
+++ b/tests/knowledge.rs
@@ -83,7 +83,7 @@
     let mut asking = 0;
     for index in 1..=4 {
         let own = entry(1, index);
-        let mut hub = Hub::new(NOW);
+        let mut hub = Hub::new(1, NOW);
         hub.heard(NOW);
         let now = NOW + hub::PERIOD;
         if !hub.tells(Readers::place(own, &fellows(index, 4)), now) {
@@ -104,7 +104,7 @@
 #[test]
 fn each_next_entry_tells_when_frames_are_missing_and_none_while_they_come() {
     let at = |ms| NOW + Duration::from_millis(ms);
-    let mut hub = Hub::new(NOW);
+    let mut hub = Hub::new(1, NOW);
     assert!(
         hub.tells(0, NOW) && !hub.tells(1, NOW),
         "the first one is not waited for"
@@ -119,7 +119,7 @@
 #[test]
 fn a_turn_is_told_at_once_and_everything_twice_a_second() {
     let at = |ms| NOW + Duration::from_millis(ms);
-    let mut hub = Hub::new(NOW);
+    let mut hub = Hub::new(1, NOW);
     assert_eq!(hub.due(0, None, NOW), Some(Extent::Whole { entries: true }));
     assert_eq!(hub.due(0, None, at(200)), None);
     assert_eq!(
@@ -591,3 +591,74 @@
     // Different sidecars receive different entries of their hall, so that the relays share the load.
     assert_ne!(local("10.1.0.250:8000"), local("10.1.0.251:8000"));
 }
+
+#[test]
+fn frames_older_than_the_latest_of_the_same_process_are_rejected() {
+    let mut hub = Hub::new(1, NOW);
+    let sender = entry(1, 1);
+    assert!(hub.accept_frame(sender, 7, 1, NOW));
+    assert!(hub.accept_frame(sender, 7, 3, NOW));
+    assert!(!hub.accept_frame(sender, 7, 2, NOW));
+    assert!(hub.accept_frame(sender, 7, 4, NOW));
+    // A restarted process or another sender numbers its frames from 1 again.
+    assert!(hub.accept_frame(sender, 8, 1, NOW));
+    assert!(hub.accept_frame(entry(1, 2), 9, 1, NOW));
+    assert!(!hub.tells(1, NOW + Duration::from_millis(1_100)));
+}
+
+#[test]
+fn frames_hold_the_news_since_the_last_frame_but_one() {
+    let mut hub = Hub::new(1, NOW);
+    let marks = |replicas| Marks {
+        replicas,
+        ..Marks::default()
+    };
+    let baselines: Vec<u64> = [4, 6, 6, 9, 9]
+        .into_iter()
+        .map(|replicas| hub.next_header(marks(replicas)).baseline.replicas)
+        .collect();
+    assert_eq!(baselines, [0, 0, 4, 6, 6]);
+}
+
+#[test]
+fn news_for_frames_omits_the_configuration() {
+    let (reader, other) = (entry_knowing_nothing(1), entry_knowing_nothing(2));
+    let batch = |at, fact| Batch {
+        facts: vec![Dated { revision: at, fact }],
+        at,
+        ..Batch::default()
+    };
+    reader.take_batch(
+        Topic::Replicas,
+        true,
+        Batch {
+            at: 3,
+            ..Batch::default()
+        },
+    );
+    other.take_batch(
+        Topic::Replicas,
+        true,
+        Batch {
+            at: 3,
+            ..Batch::default()
+        },
+    );
+    let before = reader.sync(false).marks;
+    assert!(reader.news_since(before).is_none());
+    let document = Arc::new(Document {
+        version: 1,
+        ..Document::default()
+    });
+    reader.take_batch(Topic::Operator, false, batch(4, Fact::Routing(document)));
+    assert!(reader.news_since(before).is_none());
+    let evacuation = Fact::Evacuation {
+        hall: hall(2),
+        asked: true,
+    };
+    reader.take_batch(Topic::Operator, false, batch(6, evacuation));
+    let news = reader.news_since(before).unwrap();
+    assert!(news.routing.is_none());
+    other.take_news(entry(1, 1), news);
+    assert_eq!(other.belief.borrow().evacuations().asked().count(), 1);
+}
