Send other halls at most 64 replicas, packed

Change: the answer contains only the best 64 replicas, and packs them for entries that support it, as indicated by a flag in the heartbeat. Replicas that take no requests now sort last, here and in what an entry forwards to its own hall: with more than 64 replicas, dead or empty ones sorted first because they have nothing in progress.

tests/knowledge.rs: 64 packed replicas take less than a quarter of the plain size.

--- a/src/gateway/halls.rs
+++ b/src/gateway/halls.rs
@@ -38,9 +38,18 @@
     let answer = gossip::ask::<_, HallNews>(knowledge, ask.entry, HALL_PATH, &sync).await;
     gateway.halls.borrow_mut().answered(&ask.hall);
     match answer {
-        Ok(HallNews { digest, news }) => {
-            gossip::take(knowledge, ask.entry, news);
-            gateway.take_digest(&digest);
+        Ok(answer) => {
+            let digest = answer.digest();
+            gossip::take(knowledge, ask.entry, answer.news);
+            match digest {
+                Ok(digest) => gateway.take_digest(&digest),
+                Err(error) => {
+                    log::warn!(
+                        entry:% = ask.entry, hall = &*ask.hall;
+                        "cannot unpack the replicas in the hall's answer: {error}"
+                    );
+                }
+            }
         }
         Err(error) => {
             log::debug!(entry:% = ask.entry, hall = &*ask.hall; "hall: {error}");
@@ -48,6 +57,15 @@
     }
 }
 
+/// Returns the [`FAR_MAX`] least loaded replicas. Those that take no requests sort last: they mostly
+/// have nothing in progress and would otherwise displace replicas that can serve.
+fn least_loaded(mut reports: Vec<Reported>) -> Vec<Reported> {
+    let key = |reported: &Reported| (!reported.load.takes_requests(), reported.load.present());
+    reports.sort_by_key(key);
+    reports.truncate(FAR_MAX);
+    reports
+}
+
 impl Gateway {
     fn look_at_halls(self: &Rc<Self>) {
         let knowledge = &self.knowledge;
@@ -117,25 +135,20 @@
 
     /// How the replicas of a hall do: all of the own hall's, the best of another's.
     fn reports(&self, hall: &str, now: Time) -> Vec<Reported> {
-        let mut reports = self.pool.borrow().reports(hall, now);
-        if *hall != *self.knowledge.identity.hall {
-            reports.sort_by_key(|reported| reported.load.present());
-            reports.truncate(FAR_MAX);
+        let reports = self.pool.borrow().reports(hall, now);
+        if *hall == *self.knowledge.identity.hall {
+            return reports;
         }
-        reports
+        least_loaded(reports)
     }
 
     /// Answers how this hall's replicas do.
     pub(super) fn hall_news(&self, sync: &Sync) -> HallNews {
         let now = self.knowledge.now();
         let hall = self.knowledge.identity.hall.clone();
-        HallNews {
-            digest: Digest {
-                replicas: self.pool.borrow().reports(&hall, now),
-                hall,
-            },
-            news: self.knowledge.news_for(sync, false),
-        }
+        let replicas = least_loaded(self.pool.borrow().reports(&hall, now));
+        let news = self.knowledge.news_for(sync, false);
+        HallNews::new(Digest { hall, replicas }, news, sync.takes_packed_digest)
     }
 
     /// Takes the frame of another entry of the hall.
--- a/src/knowledge.rs
+++ b/src/knowledge.rs
@@ -558,6 +558,7 @@
             wants_list: false,
             draws_list: !self.belief.borrow().lists_replicas(),
             takes_changes: true,
+            takes_packed_digest: true,
             poison: self.poison.borrow().digest(now),
         }
     }
--- a/src/route/replica.rs
+++ b/src/route/replica.rs
@@ -75,6 +75,11 @@
         self.running + self.queued
     }
 
+    /// Whether it takes requests for any model, according to the report of its process.
+    pub fn takes_requests(&self) -> bool {
+        self.alive && !self.switching && !self.leaving && !self.models.is_empty()
+    }
+
     /// What the replica wants, as its process told it.
     pub fn notice(&self) -> Notice {
         Notice::new(self.leaving, Some(f64::from(self.rest_ms) / 1_000.0))
--- a/src/wire/sync.rs
+++ b/src/wire/sync.rs
@@ -11,6 +11,7 @@
 use crate::config::routing::{Engine, over_link};
 use crate::member::peer::Told;
 use crate::route::replica::Load;
+use crate::wire::pack;
 
 /// Path of a [`Sync`].
 pub const SYNC_PATH: &str = "/v1/sync";
@@ -54,6 +55,9 @@
     /// Whether it understands [`News::changes`].
     #[serde(default)]
     pub takes_changes: bool,
+    /// Whether it understands [`HallNews::packed`].
+    #[serde(default)]
+    pub takes_packed_digest: bool,
     /// Digest of the poison requests that it knows.
     #[serde(default)]
     pub poison: u64,
@@ -124,12 +128,52 @@
 /// An entry's answer about its hall.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct HallNews {
-    /// How the hall's replicas do.
+    /// How the hall's replicas do. Its list of replicas is empty if `packed` is set.
     pub digest: Digest,
+    /// The packed list of [`Reported`] replicas, for askers that set [`Sync::takes_packed_digest`].
+    #[serde(default)]
+    pub packed: Option<serde_bytes::ByteBuf>,
     /// Whatever the asker lacks besides.
     pub news: News,
 }
 
+impl HallNews {
+    /// Creates an answer from `digest` and `news`. Packs the replicas if `pack_replicas` is set, and
+    /// falls back to the plain list if packing fails.
+    pub fn new(digest: Digest, news: News, pack_replicas: bool) -> Self {
+        let packed = pack_replicas
+            .then(|| pack::pack(&digest.replicas))
+            .transpose();
+        match packed.ok().flatten() {
+            Some(packed) => Self {
+                digest: Digest {
+                    replicas: Vec::new(),
+                    ..digest
+                },
+                packed: Some(packed.into()),
+                news,
+            },
+            None => Self {
+                digest,
+                packed: None,
+                news,
+            },
+        }
+    }
+
+    /// Returns the digest with its replicas, unpacked if they were sent packed.
+    pub fn digest(&self) -> Result<Digest, pack::Error> {
+        let replicas = match &self.packed {
+            Some(packed) => pack::unpack(packed)?,
+            None => self.digest.replicas.clone(),
+        };
+        Ok(Digest {
+            hall: self.digest.hall.clone(),
+            replicas,
+        })
+    }
+}
+
 /// A version that was named for a model.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Named {
--- a/tests/knowledge.rs
+++ b/tests/knowledge.rs
@@ -17,11 +17,12 @@
 use pumicelatch::knowledge::{Identity, Knowledge};
 use pumicelatch::member::peer::{ALIVE, Peers};
 use pumicelatch::member::rank::rank;
-use pumicelatch::member::replica::Record;
+use pumicelatch::member::replica::{Held, Record};
 use pumicelatch::metric::Metrics;
 use pumicelatch::policy::Policy;
+use pumicelatch::route::replica::Load;
 use pumicelatch::source::{Batch, Topic};
-use pumicelatch::wire::sync::{News, Sync};
+use pumicelatch::wire::sync::{Digest, HallNews, News, Reported, Sync};
 use quickcheck::quickcheck;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -662,3 +663,44 @@
     other.take_news(entry(1, 1), news);
     assert_eq!(other.belief.borrow().evacuations().asked().count(), 1);
 }
+
+/// Guards against answers to other halls that repeat the field names for each replica.
+#[test]
+fn packed_hall_answers_take_less_than_a_quarter_of_the_plain_size() {
+    let reported = |index: u8| Reported {
+        address: format!("10.2.0.{index}:80").parse().unwrap(),
+        load: Load {
+            born: 1_769_398_072_020 + u64::from(index),
+            running: u32::from(index % 8),
+            pace: 1.0,
+            models: vec![Held {
+                model: "tutor-model".into(),
+                version: 3,
+            }],
+            alive: true,
+            ..Load::default()
+        },
+        age_ms: 40 * u64::from(index),
+    };
+    let digest = Digest {
+        hall: hall(2),
+        replicas: (1..=64).map(reported).collect(),
+    };
+    let entry = entry_knowing_nothing(1);
+    let news = || entry.news_for(&entry.sync(false), false);
+    let answer = |pack_replicas| {
+        let answer = HallNews::new(digest.clone(), news(), pack_replicas);
+        rmp_serde::to_vec_named(&answer).unwrap()
+    };
+    let (plain, packed) = (answer(false), answer(true));
+    assert!(
+        packed.len() * 4 < plain.len(),
+        "{}, {}",
+        packed.len(),
+        plain.len()
+    );
+    for bytes in [plain, packed] {
+        let answer: HallNews = rmp_serde::from_slice(&bytes).unwrap();
+        assert_eq!(answer.digest().unwrap(), digest);
+    }
+}
