Limit entry lists between halls to their own entries, and pack them

Cause: every message that listed entries listed those of the whole fleet, at 50 bytes per entry and in both directions: 16 KB each way at 327 entries. The entry that polls the other halls exchanged this list with each of them every second (most of its 209 KB/s). In addition, two entries of each hall sent the full list to three seeds and one other entry every 3 s (43 KB/s each).

Change: halls that poll each other list only their own entries, as each hall polls all others. After its first rounds, an entry that sends heartbeats beyond its hall requests the known entries without sending its own list. Answers contain the list packed for processes that support it, as indicated by a flag in the heartbeat.

tests/knowledge.rs: the answer of a hall with 60 entries in a fleet of 180 lists 59. Packed, it takes less than a third of the plain size. An entry that knows others sends its own list in its first 20 rounds only.

--- a/src/gateway/halls.rs
+++ b/src/gateway/halls.rs
@@ -12,6 +12,7 @@
 use crate::knowledge::halls::Ask;
 use crate::knowledge::hub::Extent;
 use crate::knowledge::readers::Readers;
+use crate::knowledge::rounds::PeerExchange;
 use crate::wire::pack;
 use crate::wire::sync::{Digest, Frame, HALL_PATH, HallNews, Reported, Sync};
 
@@ -34,7 +35,14 @@
 
 async fn ask_hall(gateway: Rc<Gateway>, ask: Ask) {
     let knowledge = &gateway.knowledge;
-    let sync = knowledge.sync(ask.wants_peers);
+    let mut sync = knowledge.sync_exchanging(if ask.wants_peers {
+        PeerExchange::Pull
+    } else {
+        PeerExchange::Skip
+    });
+    if ask.wants_peers {
+        sync.peers = knowledge.hall_peers();
+    }
     let answer = gossip::ask::<_, HallNews>(knowledge, ask.entry, HALL_PATH, &sync).await;
     gateway.halls.borrow_mut().answered(&ask.hall);
     match answer {
@@ -147,7 +155,7 @@
         let now = self.knowledge.now();
         let hall = self.knowledge.identity.hall.clone();
         let replicas = least_loaded(self.pool.borrow().reports(&hall, now));
-        let news = self.knowledge.news_for(sync, false);
+        let news = self.knowledge.news_for_hall(sync);
         HallNews::new(Digest { hall, replicas }, news, sync.takes_packed_digest)
     }
 
--- a/src/knowledge.rs
+++ b/src/knowledge.rs
@@ -23,6 +23,8 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use readers::Readers;
+use rounds::PeerExchange;
+use serde_bytes::ByteBuf;
 use tokio::sync::Notify;
 use traffic::Traffic;
 
@@ -439,6 +441,14 @@
     /// Takes what another process answered.
     pub fn take_news(&self, from: SocketAddr, news: News) {
         self.update_peers(|peers| peers.learn(&news.peers, self.now()));
+        if let Some(packed) = &news.packed_peers {
+            match pack::unpack::<Vec<Told>>(packed) {
+                Ok(told) => self.update_peers(|peers| peers.learn(&told, self.now())),
+                Err(error) => {
+                    log::warn!(from:% = from; "cannot unpack the list of entries: {error}");
+                }
+            }
+        }
         if news.entry {
             self.hear(from, &news.hall, news.store_age_ms);
         }
@@ -541,6 +551,17 @@
     /// The heartbeat that this process sends. With `names_entries` it tells the entries that it
     /// knows, and wants to be told.
     pub fn sync(&self, names_entries: bool) -> Sync {
+        let exchange = if names_entries {
+            PeerExchange::PushPull
+        } else {
+            PeerExchange::Skip
+        };
+        self.sync_exchanging(exchange)
+    }
+
+    /// The heartbeat that this process sends. `exchange` selects whether it sends and requests known
+    /// entries.
+    pub fn sync_exchanging(&self, exchange: PeerExchange) -> Sync {
         let now = self.now();
         Sync {
             from: self.identity.address,
@@ -548,16 +569,17 @@
             entry: self.identity.entry,
             marks: self.belief.borrow().marks(),
             store_age_ms: self.store_age_ms(now),
-            peers: if self.identity.entry && names_entries {
+            peers: if self.identity.entry && exchange == PeerExchange::PushPull {
                 self.peers.borrow().tell(now)
             } else {
                 Vec::new()
             },
-            wants_peers: names_entries,
+            wants_peers: exchange != PeerExchange::Skip,
             wants_routing: false,
             wants_list: false,
             draws_list: !self.belief.borrow().lists_replicas(),
             takes_changes: true,
+            takes_packed_peers: true,
             takes_packed_digest: true,
             poison: self.poison.borrow().digest(now),
         }
@@ -583,6 +605,40 @@
             || own.evacuations > marks.evacuations
     }
 
+    /// The answer to an entry of another hall that polls this one: what its sender lacks. It lists
+    /// only entries of this hall, because the sender polls the other halls as well.
+    pub fn news_for_hall(&self, sync: &Sync) -> News {
+        let sync_without_peers = Sync {
+            wants_peers: false,
+            ..sync.clone()
+        };
+        let news = self.news_for(&sync_without_peers, false);
+        if !sync.wants_peers {
+            return news;
+        }
+        let hall_peers = self.hall_peers();
+        let packed_peers = sync
+            .takes_packed_peers
+            .then(|| pack_peers(&hall_peers))
+            .flatten();
+        News {
+            peers: if packed_peers.is_none() {
+                hall_peers
+            } else {
+                Vec::new()
+            },
+            packed_peers,
+            ..news
+        }
+    }
+
+    /// What others are told of the other entries of the own hall.
+    pub fn hall_peers(&self) -> Vec<Told> {
+        let fellows = self.fellows();
+        let peers = self.peers.borrow();
+        peers.tell_filtered(self.now(), |entry| fellows.contains(&entry))
+    }
+
     /// The answer to a heartbeat: what its sender lacks. `brief` for one that does not keep the
     /// whole configuration.
     pub fn news_for(&self, sync: &Sync, brief: bool) -> News {
@@ -607,13 +663,23 @@
             shaky: self.shaky(),
             ..changes
         });
+        let packed_peers = if sync.takes_packed_peers {
+            pack_peers(&told)
+        } else {
+            None
+        };
         let needs_whole_list = newer_list && changes.is_none();
         News {
             hall: self.identity.hall.clone(),
             entry: self.identity.entry,
             marks,
             store_age_ms: self.store_age_ms(now),
-            peers: told,
+            peers: if packed_peers.is_none() {
+                told
+            } else {
+                Vec::new()
+            },
+            packed_peers,
             routing: (newer_routing && sync.wants_routing)
                 .then(|| self.document())
                 .flatten(),
@@ -740,6 +806,20 @@
     }
 }
 
+/// Encodes `told` for [`News::packed_peers`]. Returns `None` if it is empty or cannot be packed.
+fn pack_peers(told: &[Told]) -> Option<ByteBuf> {
+    if told.is_empty() {
+        return None;
+    }
+    match pack::pack(&told) {
+        Ok(packed) => Some(packed.into()),
+        Err(error) => {
+            log::error!("cannot pack the list of entries: {error}");
+            None
+        }
+    }
+}
+
 /// Whether a version was named lately. Then a process that knows the newest may still lack the one before,
 /// which the store tells nobody any more, or have heard of them later than this one.
 fn names_young(belief: &Belief, now: Time) -> bool {
--- a/src/knowledge/gossip.rs
+++ b/src/knowledge/gossip.rs
@@ -277,7 +277,7 @@
         for peer in round.targets {
             let knowledge = knowledge.clone();
             actix_rt::spawn(async move {
-                let sync = knowledge.sync(round.names_entries);
+                let sync = knowledge.sync_exchanging(round.peer_exchange);
                 if let Err(error) = post(&knowledge, peer, SYNC_PATH, &sync).await {
                     knowledge.lost(peer);
                     if let Some(lost) = knowledge.lost_heartbeats.count() {
--- a/src/knowledge/rounds.rs
+++ b/src/knowledge/rounds.rs
@@ -41,13 +41,24 @@
     pub lacks_initial_state: bool,
 }
 
+/// Whether a heartbeat sends and requests known entries.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PeerExchange {
+    /// Neither sends nor requests entries.
+    Skip,
+    /// Requests the entries that the target knows.
+    Pull,
+    /// Sends the entries that the sender knows, and requests those that the target knows.
+    PushPull,
+}
+
 /// One round of heartbeats.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Round {
     /// The processes that are sent a heartbeat.
     pub targets: Vec<SocketAddr>,
-    /// Whether the heartbeats name the known entries and ask for those that the targets know.
-    pub names_entries: bool,
+    /// Whether the heartbeats send and request known entries.
+    pub peer_exchange: PeerExchange,
     /// Time until the next round, before jitter.
     pub pause: Duration,
 }
@@ -95,10 +106,18 @@
         targets.dedup();
         let is_start_round = number < START_ROUNDS;
         let is_fast = is_start_round && (fellows.is_empty() || input.lacks_initial_state);
+        let peer_exchange = if alone || (is_start_round && is_seed_round) {
+            PeerExchange::PushPull
+        } else if wide {
+            // Lets entries find each other through the seeds again after a network partition.
+            PeerExchange::Pull
+        } else {
+            // Frames already list the entries of the hall.
+            PeerExchange::Skip
+        };
         Round {
             targets,
-            // After the first rounds, frames name the entries of the hall.
-            names_entries: alone || wide || (is_start_round && is_seed_round),
+            peer_exchange,
             pause: if is_fast { EVERY_AT_START } else { EVERY },
         }
     }
--- a/src/wire/sync.rs
+++ b/src/wire/sync.rs
@@ -55,6 +55,9 @@
     /// Whether it understands [`News::changes`].
     #[serde(default)]
     pub takes_changes: bool,
+    /// Whether it understands [`News::packed_peers`].
+    #[serde(default)]
+    pub takes_packed_peers: bool,
     /// Whether it understands [`HallNews::packed`].
     #[serde(default)]
     pub takes_packed_digest: bool,
@@ -272,6 +275,9 @@
     /// The entries that it knows, if that was asked for.
     #[serde(default)]
     pub peers: Vec<Told>,
+    /// The entries in packed form, instead of `peers`, if the receiver supports it.
+    #[serde(default)]
+    pub packed_peers: Option<serde_bytes::ByteBuf>,
     /// Newer routing, if that was asked for.
     #[serde(default)]
     pub routing: Option<DatedDocument>,
--- a/tests/knowledge.rs
+++ b/tests/knowledge.rs
@@ -13,6 +13,7 @@
 use pumicelatch::knowledge::hub::{self, Extent, Hub};
 use pumicelatch::knowledge::pace::Pace;
 use pumicelatch::knowledge::readers::Readers;
+use pumicelatch::knowledge::rounds::{PeerExchange, RoundInput, RoundPlanner};
 use pumicelatch::knowledge::traffic::{Purpose, Traffic};
 use pumicelatch::knowledge::{Identity, Knowledge};
 use pumicelatch::member::peer::{ALIVE, Peers};
@@ -548,6 +549,7 @@
     let sync = Sync {
         from: sidecar.parse().unwrap(),
         entry: false,
+        takes_packed_peers: false,
         ..sender.sync(true)
     };
     let sync = Sync {
@@ -704,3 +706,63 @@
         assert_eq!(answer.digest().unwrap(), digest);
     }
 }
+
+/// Guards against answers between halls that list the entries of other halls or repeat the field
+/// names for each entry.
+#[test]
+fn hall_answers_list_only_own_entries_and_pack_them() {
+    let responder = entry_knowing_nothing(1);
+    *responder.peers.borrow_mut() = peers(entry(1, 1), 60, responder.now());
+    let answer = |takes_packed_peers| {
+        let sync = Sync {
+            from: entry(2, 1),
+            hall: hall(2),
+            takes_packed_peers,
+            ..responder.sync(true)
+        };
+        responder.news_for_hall(&Sync {
+            peers: Vec::new(),
+            ..sync
+        })
+    };
+    let plain = answer(false);
+    assert_eq!(plain.peers.len(), 59);
+    assert!(plain.peers.iter().all(|told| told.hall == hall(1)));
+    let packed = answer(true);
+    assert!(packed.peers.is_empty());
+    let size = |news: &News| rmp_serde::to_vec_named(news).unwrap().len();
+    assert!(
+        size(&packed) * 3 < size(&plain),
+        "packed: {} bytes, plain: {} bytes",
+        size(&packed),
+        size(&plain)
+    );
+    let receiver = entry_knowing_nothing(2);
+    receiver.take_news(entry(1, 1), packed);
+    assert_eq!(receiver.fellows().len(), 59);
+}
+
+/// Guards against entries that send their whole list of entries for as long as they run.
+#[test]
+fn entries_send_their_list_of_entries_in_their_first_rounds_only() {
+    let mut rng = SmallRng::seed_from_u64(7);
+    for index in 1..=6 {
+        let own = entry(1, index);
+        let known = peers(own, 6, NOW);
+        let input = RoundInput {
+            own,
+            hall: "hall-1",
+            peers: &known,
+            seeds: &[entry(2, 1)],
+            lacks_initial_state: false,
+        };
+        let mut planner = RoundPlanner::default();
+        let mut plan = || planner.plan(input, Vec::new, NOW, &mut rng).peer_exchange;
+        let first: Vec<PeerExchange> = (0..20).map(|_| plan()).collect();
+        assert!(first.contains(&PeerExchange::PushPull));
+        let later: Vec<PeerExchange> = (0..20).map(|_| plan()).collect();
+        assert!(!later.contains(&PeerExchange::PushPull));
+        let is_reader = Readers::is_reader(own, &fellows(index, 6));
+        assert_eq!(later.contains(&PeerExchange::Pull), is_reader);
+    }
+}
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -8,7 +8,7 @@
 
 use pumicelatch::clock::Time;
 use pumicelatch::knowledge::readers::Readers;
-use pumicelatch::knowledge::rounds::{RoundInput, RoundPlanner};
+use pumicelatch::knowledge::rounds::{PeerExchange, RoundInput, RoundPlanner};
 use pumicelatch::member::peer::Peers;
 use pumicelatch::source::Topic;
 use rand::rngs::SmallRng;
@@ -182,7 +182,7 @@
         let jitter = self.rng.random_range(0.8..1.2);
         entry.next_round = now + round.pause.mul_f64(jitter);
         for target in round.targets {
-            self.exchange(own, target, round.names_entries, now);
+            self.exchange(own, target, round.peer_exchange != PeerExchange::Skip, now);
         }
     }
 
