Read the store from the start while an entry has no configuration

Cause: an entry that starts to read the operators' documents watches the store from the newest revision that it knows. If it had received a version from another process but had no configuration yet, it watched from the revision of the version, and the store did not return the configuration written before it. The entry then received the configuration only from another hall, or with the next configuration; if no process knew it, not at all.

Change: while no configuration is known, the revision is 0, so that everything is read.

The new test in tests/knowledge.rs fails without the change.

--- a/src/knowledge.rs
+++ b/src/knowledge.rs
@@ -314,6 +314,12 @@
                 // An evacuation may be told while a configuration of before is still drawn: who watches
                 // from it on would miss that one. What is seen twice changes nothing.
                 let marks = belief.marks();
+                // Without a configuration, read from the start: a version received from another
+                // process may have a later revision than the configuration, and a watch from that
+                // revision would miss it.
+                if belief.routing().is_none() {
+                    return 0;
+                }
                 marks.routing.max(marks.versions)
             }
             Topic::Replicas => belief.listed_at(),
--- a/tests/knowledge.rs
+++ b/tests/knowledge.rs
@@ -766,3 +766,29 @@
         assert_eq!(later.contains(&PeerExchange::Pull), is_reader);
     }
 }
+
+/// Guards against watching the store from the revision of a version received from another process,
+/// which misses a configuration written before it.
+#[test]
+fn an_entry_that_receives_a_version_first_still_reads_the_configuration() {
+    let (sender, receiver) = (entry_knowing_nothing(1), entry_knowing_nothing(2));
+    let batch = |at, fact| Batch {
+        facts: vec![Dated { revision: at, fact }],
+        at,
+        ..Batch::default()
+    };
+    let version = Fact::Version {
+        model: "tutor-model".into(),
+        version: 2,
+    };
+    sender.take_batch(Topic::Operator, false, batch(9, version));
+    receiver.take_news(entry(1, 1), sender.news_for(&receiver.sync(false), false));
+    assert_eq!(receiver.belief.borrow().versions().count(), 1);
+    assert_eq!(receiver.revision(Topic::Operator), 0);
+    let document = Arc::new(Document {
+        version: 1,
+        ..Document::default()
+    });
+    receiver.take_batch(Topic::Operator, true, batch(4, Fact::Routing(document)));
+    assert_eq!(receiver.revision(Topic::Operator), 9);
+}
