Build heartbeats and their answers in one place

Behaviour is unchanged, except for two field names on the wire (below).

- The answer to a heartbeat and the answer to a poll by another hall use the same code to pack the entries that they list.
- What a poll sends is a new kind of `PeerExchange`; before, the `peers` field of the heartbeat was overwritten.
- `Marks` are compared by one method, which replaces two hand-written comparisons.
- The packed configuration and the packed list of replicas use the same cache type.
- Whole lists, plain or packed, are applied by one function.
- Whether an entry waits for seeds is decided in one function, which the simulation in tests/scale.rs uses as well.

Avoid unnecessary work: - The place of a peer was ranked for each answer from another process, even when there was nothing to draw. - The heartbeat in each frame was cloned with all the entries that it names. - A heartbeat was built for the news of each frame, even when there was no news.

Two fields that have not landed yet lose their serde renames: `rest` is now `receivers`, and `life` is now `incarnation`.

Assertions are unchanged; one replica in one test has a different address. What this saves in processor time was not measured.

--- a/src/config/belief.rs
+++ b/src/config/belief.rs
@@ -123,6 +123,21 @@
     pub evacuations: u64,
 }
 
+impl Marks {
+    /// Whether at least one of these revisions is higher than its counterpart in `other`.
+    pub fn any_newer_than(&self, other: Self) -> bool {
+        self.routing > other.routing
+            || self.versions > other.versions
+            || self.replicas > other.replicas
+            || self.evacuations > other.evacuations
+    }
+
+    /// These marks without the revision of the configuration, which is transferred separately.
+    pub fn without_routing(self) -> Self {
+        Self { routing: 0, ..self }
+    }
+}
+
 /// A replica's entry and its revision.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct DatedRecord {
--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -111,8 +111,7 @@
 fn take_frame(gateway: &Gateway, packed: &[u8]) -> Answer {
     match pack::unpack::<Frame>(packed) {
         Ok(frame) => {
-            let sync = frame.sync.clone();
-            gateway.take_frame(frame);
+            let sync = gateway.take_frame(frame);
             take_sync(gateway, &sync, true)
         }
         Err(error) => not_understood(error),
--- a/src/gateway/halls.rs
+++ b/src/gateway/halls.rs
@@ -35,14 +35,11 @@
 
 async fn ask_hall(gateway: Rc<Gateway>, ask: Ask) {
     let knowledge = &gateway.knowledge;
-    let mut sync = knowledge.sync_exchanging(if ask.wants_peers {
-        PeerExchange::Pull
+    let sync = knowledge.sync_exchanging(if ask.wants_peers {
+        PeerExchange::PushPullHall
     } else {
         PeerExchange::Skip
     });
-    if ask.wants_peers {
-        sync.peers = knowledge.hall_peers();
-    }
     let answer = gossip::ask::<_, HallNews>(knowledge, ask.entry, HALL_PATH, &sync).await;
     gateway.halls.borrow_mut().answered(&ask.hall);
     match answer {
@@ -159,21 +156,22 @@
         HallNews::new(Digest { hall, replicas }, news, sync.takes_packed_digest)
     }
 
-    /// Takes the frame of another entry of the hall.
-    pub(super) fn take_frame(&self, frame: Frame) {
+    /// Applies a frame from another entry of the hall unless it is outdated. Returns its heartbeat
+    /// in both cases.
+    pub(super) fn take_frame(&self, frame: Frame) -> Sync {
         let (from, now) = (frame.sync.from, self.knowledge.now());
         let mut hub = self.hub.borrow_mut();
         let accepted = hub.accept_frame(from, frame.incarnation, frame.number, now);
         drop(hub);
-        if !accepted {
-            return;
-        }
-        for digest in &frame.digests {
-            self.take_digest(digest);
-        }
-        if let Some(news) = frame.news {
-            self.knowledge.take_news(from, news);
+        if accepted {
+            for digest in &frame.digests {
+                self.take_digest(digest);
+            }
+            if let Some(news) = frame.news {
+                self.knowledge.take_news(from, news);
+            }
         }
+        frame.sync
     }
 
     /// Takes how the replicas of a hall do.
--- a/src/knowledge.rs
+++ b/src/knowledge.rs
@@ -128,9 +128,9 @@
     lost_heartbeats: Repeats,
     draws: RefCell<Draws>,
     /// The configuration as others draw it: it is packed once for all of them.
-    packed: RefCell<Option<DatedDocument>>,
+    packed: RefCell<pack::Cache>,
     /// The packed list of replicas, kept for all processes that draw it when they begin.
-    packed_list: RefCell<Option<PackedList>>,
+    packed_list: RefCell<pack::Cache>,
     readers: RefCell<Readers>,
     answered: Cell<Option<Time>>,
     /// Requests under which replicas ended.
@@ -198,8 +198,8 @@
             return true;
         }
         let (readers, own, now) = (self.readers.borrow(), self.identity.address, self.now());
-        let knows_no_entry = self.peers.borrow().is_empty();
-        if knows_no_entry && readers.awaits_seeds(own, &self.seeds.borrow(), now) {
+        let (peers, seeds) = (self.peers.borrow(), self.seeds.borrow());
+        if readers.awaits_seeds(own, &peers, &seeds, now) {
             return false;
         }
         readers.reads(topic, own, &self.fellows(), now)
@@ -258,11 +258,7 @@
 
     /// Whether another process with these marks knows something newer.
     pub fn lacks(&self, marks: Marks) -> bool {
-        let own = self.belief.borrow().marks();
-        marks.routing > own.routing
-            || marks.versions > own.versions
-            || marks.replicas > own.replicas
-            || marks.evacuations > own.evacuations
+        marks.any_newer_than(self.belief.borrow().marks())
     }
 
     /// The place of a process in `hall` as a source of draws.
@@ -286,13 +282,15 @@
         }
     }
 
-    /// Whether this entry draws the configuration or the list of replicas from `peer` at `place`
-    /// now, given the peer's `marks`. If so, the caller has to call [`Knowledge::drew`] afterwards.
-    fn begins_draw(&self, peer: SocketAddr, place: Place, marks: Marks) -> bool {
-        let needed = !self.knows_routing(marks.routing) || self.lacks_list(marks);
-        if !self.identity.entry || !needed {
-            return false;
-        }
+    /// Whether this process is an entry that lacks the configuration or the list of replicas of a
+    /// process with `marks`.
+    fn needs_draw(&self, marks: Marks) -> bool {
+        self.identity.entry && (!self.knows_routing(marks.routing) || self.lacks_list(marks))
+    }
+
+    /// Whether to start a draw from `peer` at `place` now. If so, the caller has to call
+    /// [`Knowledge::drew`] afterwards.
+    fn begins_draw(&self, peer: SocketAddr, place: Place) -> bool {
         self.draws.borrow_mut().begin(peer, place, self.now())
     }
 
@@ -473,13 +471,10 @@
             self.learn(Dated { revision, fact }, &from.to_string());
         }
         if let Some(list) = news.replicas {
-            let records = list.records.into_iter();
-            let records = records.map(|dated| (dated.revision, dated.record));
-            let shaky = list.shaky || self.shaky();
-            self.take_list(records.collect(), list.at, shaky, &from.to_string());
+            self.take_whole_list(from, list);
         }
         if let Some(packed) = news.list {
-            self.take_packed_list(from, &packed);
+            self.take_packed_list(from, packed);
         }
         if let Some(changes) = news.changes {
             self.take_changes(changes, &from.to_string());
@@ -509,17 +504,20 @@
         self.tell(effect);
     }
 
-    fn take_packed_list(&self, from: SocketAddr, list: &PackedList) {
-        let revision = list.at;
-        match pack::unpack::<Vec<DatedRecord>>(&list.packed) {
-            Ok(records) => {
-                let records = records.into_iter();
-                let records = records.map(|dated| (dated.revision, dated.record));
-                let shaky = list.shaky || self.shaky();
-                self.take_list(records.collect(), revision, shaky, &from.to_string());
-            }
+    /// Applies the whole list of replicas, received from `from`.
+    fn take_whole_list(&self, from: SocketAddr, list: List) {
+        let records = list.records.into_iter();
+        let records = records.map(|dated| (dated.revision, dated.record));
+        let shaky = list.shaky || self.shaky();
+        self.take_list(records.collect(), list.at, shaky, &from.to_string());
+    }
+
+    fn take_packed_list(&self, from: SocketAddr, list: PackedList) {
+        let PackedList { at, shaky, packed } = list;
+        match pack::unpack(&packed) {
+            Ok(records) => self.take_whole_list(from, List { at, shaky, records }),
             Err(error) => {
-                log::warn!(from:% = from, revision; "cannot unpack the list of replicas: {error}");
+                log::warn!(from:% = from, revision = at; "cannot unpack the list of replicas: {error}");
             }
         }
     }
@@ -575,10 +573,11 @@
             entry: self.identity.entry,
             marks: self.belief.borrow().marks(),
             store_age_ms: self.store_age_ms(now),
-            peers: if self.identity.entry && exchange == PeerExchange::PushPull {
-                self.peers.borrow().tell(now)
-            } else {
-                Vec::new()
+            peers: match exchange {
+                _ if !self.identity.entry => Vec::new(),
+                PeerExchange::PushPull => self.peers.borrow().tell(now),
+                PeerExchange::PushPullHall => self.hall_peers(now),
+                PeerExchange::Skip | PeerExchange::Pull => Vec::new(),
             },
             wants_peers: exchange != PeerExchange::Skip,
             wants_routing: false,
@@ -593,61 +592,47 @@
 
     /// The news since `marks` without the configuration, if there is any.
     pub fn news_since(&self, marks: Marks) -> Option<News> {
-        let now = self.now();
-        let young = names_young(&self.belief.borrow(), now);
-        let sync = Sync {
-            entry: false,
-            marks,
-            ..self.sync(false)
+        let has_news = {
+            let belief = self.belief.borrow();
+            let own = belief.marks().without_routing();
+            own.any_newer_than(marks) || names_young(&belief, self.now())
         };
-        (young || self.is_ahead_of(marks)).then(|| self.news_for(&sync, false))
-    }
-
-    /// Whether this process knows anything newer than `marks`, apart from the configuration.
-    fn is_ahead_of(&self, marks: Marks) -> bool {
-        let own = self.belief.borrow().marks();
-        own.versions > marks.versions
-            || own.replicas > marks.replicas
-            || own.evacuations > marks.evacuations
+        has_news.then(|| {
+            let sync = Sync {
+                entry: false,
+                marks,
+                ..self.sync(false)
+            };
+            self.news_for(&sync, false)
+        })
     }
 
     /// The answer to an entry of another hall that polls this one: what its sender lacks. It lists
     /// only entries of this hall, because the sender polls the other halls as well.
     pub fn news_for_hall(&self, sync: &Sync) -> News {
-        let sync_without_peers = Sync {
-            wants_peers: false,
-            ..sync.clone()
-        };
-        let news = self.news_for(&sync_without_peers, false);
-        if !sync.wants_peers {
-            return news;
-        }
-        let hall_peers = self.hall_peers();
-        let packed_peers = sync
-            .takes_packed_peers
-            .then(|| pack_peers(&hall_peers))
-            .flatten();
-        News {
-            peers: if packed_peers.is_none() {
-                hall_peers
-            } else {
-                Vec::new()
-            },
-            packed_peers,
-            ..news
-        }
+        self.news_with_entries(sync, false, |now| self.hall_peers(now))
     }
 
-    /// What others are told of the other entries of the own hall.
-    pub fn hall_peers(&self) -> Vec<Told> {
+    /// What this process tells others about the other entries of its own hall.
+    fn hall_peers(&self, now: Time) -> Vec<Told> {
         let fellows = self.fellows();
         let peers = self.peers.borrow();
-        peers.tell_filtered(self.now(), |entry| fellows.contains(&entry))
+        peers.tell_filtered(now, |entry| fellows.contains(&entry))
     }
 
     /// The answer to a heartbeat: what its sender lacks. `brief` for one that does not keep the
     /// whole configuration.
     pub fn news_for(&self, sync: &Sync, brief: bool) -> News {
+        self.news_with_entries(sync, brief, |now| self.entries_to_send(sync, now))
+    }
+
+    /// The answer to a heartbeat. It lists the result of `entries` if the sender requests entries.
+    fn news_with_entries(
+        &self,
+        sync: &Sync,
+        brief: bool,
+        entries: impl FnOnce(Time) -> Vec<Told>,
+    ) -> News {
         let now = self.now();
         self.update_peers(|peers| peers.learn(&sync.peers, now));
         if sync.entry {
@@ -656,7 +641,7 @@
         let belief = self.belief.borrow();
         let marks = belief.marks();
         let told = if sync.wants_peers {
-            self.entries_to_send(sync, now)
+            entries(now)
         } else {
             Vec::new()
         };
@@ -727,44 +712,32 @@
         let belief = self.belief.borrow();
         let routing = belief.routing()?;
         let revision = belief.marks().routing;
-        let mut kept = self.packed.borrow_mut();
-        if kept.as_ref().is_none_or(|known| known.revision != revision) {
-            match pack::pack(&*routing.document) {
-                Ok(packed) => *kept = Some(DatedDocument { revision, packed }),
-                Err(error) => {
-                    log::error!(revision; "configuration: {error}");
-                    return None;
-                }
+        let mut cache = self.packed.borrow_mut();
+        match cache.get_or_pack(revision, || &*routing.document) {
+            Ok(packed) => Some(DatedDocument { revision, packed }),
+            Err(error) => {
+                log::error!(revision; "configuration: {error}");
+                None
             }
         }
-        kept.clone()
     }
 
-    /// The packed list of replicas for processes that begin, packed once per revision.
+    /// The packed list of replicas, for processes that have none yet.
     fn packed_list(&self) -> Option<PackedList> {
         let belief = self.belief.borrow();
         let at = belief.marks().replicas;
-        let mut kept = self.packed_list.borrow_mut();
-        if kept.as_ref().is_none_or(|known| known.at != at) {
-            match pack::pack(&present_records(&belief)) {
-                Ok(packed) => {
-                    *kept = Some(PackedList {
-                        at,
-                        shaky: false,
-                        packed,
-                    });
-                }
-                Err(error) => {
-                    log::error!(revision = at; "cannot pack the list of replicas: {error}");
-                    return None;
-                }
+        let mut cache = self.packed_list.borrow_mut();
+        match cache.get_or_pack(at, || present_records(&belief)) {
+            Ok(packed) => Some(PackedList {
+                at,
+                shaky: self.shaky(),
+                packed,
+            }),
+            Err(error) => {
+                log::error!(revision = at; "cannot pack the list of replicas: {error}");
+                None
             }
         }
-        let list = kept.clone()?;
-        Some(PackedList {
-            shaky: self.shaky(),
-            ..list
-        })
     }
 
     fn named(&self, now: Time) -> Vec<Named> {
--- a/src/knowledge/fanout.rs
+++ b/src/knowledge/fanout.rs
@@ -43,7 +43,6 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ForwardedFrame {
     /// The remaining receivers.
-    #[serde(rename = "rest")]
     pub receivers: Vec<SocketAddr>,
     /// A packed [`crate::wire::sync::Frame`].
     #[serde(with = "serde_bytes")]
@@ -54,7 +53,6 @@
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct ForwardedSync {
     /// The remaining receivers.
-    #[serde(rename = "rest")]
     pub receivers: Vec<SocketAddr>,
     /// The heartbeat of the sender, whose marks identify the news.
     pub sync: Sync,
--- a/src/knowledge/gossip.rs
+++ b/src/knowledge/gossip.rs
@@ -95,7 +95,7 @@
     let digest = news.poison;
     knowledge.take_news(peer, news);
     if entry {
-        draw(knowledge, peer, knowledge.place_of(&hall), marks);
+        draw(knowledge, peer, marks, || knowledge.place_of(&hall));
     }
     let both = entry && knowledge.identity.entry;
     if both && digest != knowledge.poison.borrow().digest(knowledge.now()) {
@@ -217,10 +217,14 @@
     }
 }
 
-/// Draws the configuration, and the list of replicas if this entry has none yet, from `peer` at
-/// `place`, if `marks` show that the peer has them and [`Knowledge::begins_draw`] selects it.
-fn draw(knowledge: &Rc<Knowledge>, peer: SocketAddr, place: Place, marks: Marks) {
-    if !knowledge.begins_draw(peer, place, marks) {
+/// Draws the configuration, and the list of replicas if this entry has none yet, from `peer`, if
+/// `marks` show that the peer has them and [`Knowledge::begins_draw`] selects it at its `place`.
+fn draw(knowledge: &Rc<Knowledge>, peer: SocketAddr, marks: Marks, place: impl FnOnce() -> Place) {
+    if !knowledge.needs_draw(marks) {
+        return;
+    }
+    let place = place();
+    if !knowledge.begins_draw(peer, place) {
         return;
     }
     let far = matches!(place, Place::FarForAll | Place::Far);
@@ -232,7 +236,7 @@
             ..knowledge.sync(false)
         };
         let began = knowledge.now();
-        let needed = || !knowledge.knows_routing(marks.routing) || knowledge.lacks_list(marks);
+        let needed = || knowledge.needs_draw(marks);
         let drawn = draw_while(&knowledge, peer, &sync, needed).await;
         knowledge.drew(peer);
         let ms = knowledge.now().since(began).as_millis() as u64;
@@ -341,14 +345,11 @@
 /// With `is_hub`, the peer sends frames to the whole hall, and the configuration is drawn from it
 /// only after a delay.
 pub async fn fetch_news(knowledge: Rc<Knowledge>, peer: SocketAddr, marks: Marks, is_hub: bool) {
-    let place = knowledge.place_in_own_hall(is_hub);
-    draw(&knowledge, peer, place, marks);
+    draw(&knowledge, peer, marks, || {
+        knowledge.place_in_own_hall(is_hub)
+    });
     // A draw brings all the rest too, but later.
-    let rest = Marks {
-        routing: 0,
-        ..marks
-    };
-    if !knowledge.lacks(rest) {
+    if !knowledge.lacks(marks.without_routing()) {
         return;
     }
     // Several tell of the same news.
--- a/src/knowledge/readers.rs
+++ b/src/knowledge/readers.rs
@@ -106,8 +106,14 @@
     /// Whether an entry that knows no other entry still waits for one of `seeds` to answer. Without
     /// this wait, all entries that begin together would rank themselves first in their hall, and
     /// each would read the whole list. Seeds do not wait.
-    pub fn awaits_seeds(&self, own: SocketAddr, seeds: &[SocketAddr], now: Time) -> bool {
-        if seeds.is_empty() || seeds.contains(&own) {
+    pub fn awaits_seeds(
+        &self,
+        own: SocketAddr,
+        peers: &Peers,
+        seeds: &[SocketAddr],
+        now: Time,
+    ) -> bool {
+        if !peers.is_empty() || seeds.is_empty() || seeds.contains(&own) {
             return false;
         }
         let (hash, _) = weight(own, SUBJECT);
--- a/src/knowledge/rounds.rs
+++ b/src/knowledge/rounds.rs
@@ -50,6 +50,9 @@
     Pull,
     /// Sends the entries that the sender knows, and requests those that the target knows.
     PushPull,
+    /// For polls of other halls: sends only the entries of the sender's hall, and requests those of
+    /// the target's hall.
+    PushPullHall,
 }
 
 /// One round of heartbeats.
--- a/src/wire/pack.rs
+++ b/src/wire/pack.rs
@@ -28,6 +28,29 @@
     Unpack(#[from] std::io::Error),
 }
 
+/// Caches the packed form of the latest requested revision of a document.
+#[derive(Debug, Default)]
+pub struct Cache(Option<(u64, Vec<u8>)>);
+
+impl Cache {
+    /// Returns the packed form of the document at `revision`. `document` is called only if the
+    /// cache is empty or holds another revision.
+    pub fn get_or_pack<T: Serialize>(
+        &mut self,
+        revision: u64,
+        document: impl FnOnce() -> T,
+    ) -> Result<Vec<u8>, Error> {
+        match &self.0 {
+            Some((cached, packed)) if *cached == revision => Ok(packed.clone()),
+            _ => {
+                let packed = pack(&document())?;
+                self.0 = Some((revision, packed.clone()));
+                Ok(packed)
+            }
+        }
+    }
+}
+
 /// Packs `document`.
 pub fn pack<T: Serialize>(document: &T) -> Result<Vec<u8>, Error> {
     let plain = rmp_serde::to_vec_named(document).map_err(|error| Error::Codec {
--- a/src/wire/sync.rs
+++ b/src/wire/sync.rs
@@ -120,7 +120,7 @@
     #[serde(default)]
     pub news: Option<News>,
     /// Random identifier of the sending process.
-    #[serde(default, rename = "life")]
+    #[serde(default)]
     pub incarnation: u64,
     /// Sequence number within the incarnation. Receivers ignore a frame that arrives after a later
     /// one.
--- a/tests/knowledge.rs
+++ b/tests/knowledge.rs
@@ -378,23 +378,7 @@
         };
         let paths = Rc::default();
         let knowledge = Knowledge::new(identity, Vec::new(), 7, Policy::default(), paths);
-        let record = Record {
-            id: "i-1".into(),
-            born: 0,
-            service: "tutor".into(),
-            address: "10.1.0.9:80".parse().unwrap(),
-            hall: hall(1),
-            slots: 16,
-            leaving: false,
-            models: Vec::new(),
-            cold_ms: 0,
-        };
-        let batch = |at, fact| Batch {
-            facts: vec![Dated { revision: at, fact }],
-            at,
-            ..Batch::default()
-        };
-        knowledge.take_batch(Topic::Replicas, false, batch(5, Fact::Replica(record)));
+        knowledge.take_batch(Topic::Replicas, false, batch(5, Fact::Replica(record(1))));
         if answers_another {
             let mut sync = knowledge.sync(false);
             sync.from = entry(1, 2);
@@ -411,6 +395,29 @@
     assert!(!removal_is_doubted(true));
 }
 
+fn record(index: u8) -> Record {
+    Record {
+        id: format!("i-{index}").into(),
+        born: 0,
+        service: "tutor".into(),
+        address: format!("10.1.0.{index}:80").parse().unwrap(),
+        hall: hall(1),
+        slots: 16,
+        leaving: false,
+        models: Vec::new(),
+        cold_ms: 0,
+    }
+}
+
+/// A batch from the store that holds only `fact`, written at revision `at`.
+fn batch(at: u64, fact: Fact) -> Batch {
+    Batch {
+        facts: vec![Dated { revision: at, fact }],
+        at,
+        ..Batch::default()
+    }
+}
+
 fn entry_knowing_nothing(index: u8) -> Rc<Knowledge> {
     let identity = Identity {
         name: "entry".into(),
@@ -477,27 +484,16 @@
 #[test]
 fn an_entry_that_begins_gets_the_list_when_it_draws_it_and_not_with_each_heartbeat() {
     let (reader, other) = (entry_knowing_nothing(1), entry_knowing_nothing(2));
-    let record = |index: u8| Record {
-        id: format!("i-{index}").into(),
-        born: 0,
-        service: "tutor".into(),
-        address: format!("10.1.0.{index}:80").parse().unwrap(),
-        hall: hall(1),
-        slots: 16,
-        leaving: false,
-        models: Vec::new(),
-        cold_ms: 0,
-    };
     let facts = (1..=90).map(|index| Dated {
         revision: index.into(),
         fact: Fact::Replica(record(index)),
     });
-    let batch = Batch {
+    let whole_list = Batch {
         facts: facts.collect(),
         at: 90,
         ..Batch::default()
     };
-    reader.take_batch(Topic::Replicas, true, batch);
+    reader.take_batch(Topic::Replicas, true, whole_list);
     let size = |news: &News| rmp_serde::to_vec_named(news).unwrap().len();
     let heartbeat = reader.news_for(&other.sync(false), false);
     assert!(heartbeat.replicas.is_none() && heartbeat.list.is_none());
@@ -527,14 +523,7 @@
     early.take_news(entry(1, 1), reader.news_for(&early.sync(false), false));
     assert_eq!(early.belief.borrow().replicas().len(), 90);
     // After the first list, only changes are sent.
-    let gone = Batch {
-        facts: vec![Dated {
-            revision: 91,
-            fact: Fact::ReplicaGone("i-7".into()),
-        }],
-        at: 91,
-        ..Batch::default()
-    };
+    let gone = batch(91, Fact::ReplicaGone("i-7".into()));
     reader.take_batch(Topic::Replicas, false, gone);
     let news = reader.news_for(&other.sync(false), false);
     assert!(news.replicas.is_none() && news.list.is_none());
@@ -626,11 +615,6 @@
 #[test]
 fn news_for_frames_omits_the_configuration() {
     let (reader, other) = (entry_knowing_nothing(1), entry_knowing_nothing(2));
-    let batch = |at, fact| Batch {
-        facts: vec![Dated { revision: at, fact }],
-        at,
-        ..Batch::default()
-    };
     reader.take_batch(
         Topic::Replicas,
         true,
@@ -772,11 +756,6 @@
 #[test]
 fn an_entry_that_receives_a_version_first_still_reads_the_configuration() {
     let (sender, receiver) = (entry_knowing_nothing(1), entry_knowing_nothing(2));
-    let batch = |at, fact| Batch {
-        facts: vec![Dated { revision: at, fact }],
-        at,
-        ..Batch::default()
-    };
     let version = Fact::Version {
         model: "tutor-model".into(),
         version: 2,
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -148,7 +148,10 @@
                 continue;
             }
             let fellows = entry.peers.of_hall(&entry.hall, now);
-            let waits = entry.peers.is_empty() && entry.readers.awaits_seeds(own, &self.seeds, now);
+            let waits = {
+                let (peers, seeds) = (&entry.peers, &self.seeds);
+                entry.readers.awaits_seeds(own, peers, seeds, now)
+            };
             if waits || !entry.readers.reads(topic, own, &fellows, now) {
                 entry.next_check[index] = now + CHECK_INTERVAL;
                 continue;
