--- a/src/knowledge.rs
+++ b/src/knowledge.rs
@@ -1,6 +1,7 @@
 //! What a process knows of the platform and of the other processes, and how it keeps that fresh.
 //!
 //! * [`store`] reads and watches the platform's store.
+//! * [`news`] builds heartbeats and their answers, and applies the latter.
 //! * [`pace`] says how long calls to it wait, and how long they pause.
 //! * [`readers`] decides who reads it for a whole hall.
 //! * [`draws`] decides from whom a configuration is drawn that others know.
@@ -23,17 +24,15 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use readers::Readers;
-use rounds::PeerExchange;
-use serde_bytes::ByteBuf;
 use tokio::sync::Notify;
 use traffic::Traffic;
 
 use crate::clock::{Clock, Time};
-use crate::config::belief::{Belief, Changes, Dated, DatedRecord, Effect, Fact, Marks, Wanted};
+use crate::config::belief::{Belief, Dated, Effect, Fact, Marks};
 use crate::config::residency::Regions;
 use crate::exchange::{self, path::Paths};
 use crate::log::Repeats;
-use crate::member::peer::{Peers, Told};
+use crate::member::peer::Peers;
 use crate::member::rank::rank;
 use crate::member::replica::Record;
 use crate::policy::Policy;
@@ -41,13 +40,14 @@
 use crate::source::{Batch, Damaged, Topic};
 use crate::version::rollout;
 use crate::wire::pack;
-use crate::wire::sync::{Brief, DatedDocument, List, Named, News, PackedList, Sync};
+use crate::wire::sync::Brief;
 
 pub mod draws;
 pub mod fanout;
 pub mod gossip;
 pub mod halls;
 pub mod hub;
+pub mod news;
 pub mod pace;
 pub mod poison;
 pub mod readers;
@@ -62,10 +62,6 @@
 /// least each second, and tell so at least each half.
 const ANSWERS_OTHERS: Duration = Duration::from_millis(1_500);
 
-/// How long after its naming a version is told to those who know it, with its age: longer than any
-/// bound that is counted from there.
-const VERSIONS_TOLD: Duration = Duration::from_secs(20);
-
 /// Who a process is.
 #[derive(Debug, Clone)]
 pub struct Identity {
@@ -442,317 +438,6 @@
         effect
     }
 
-    /// Takes what another process answered.
-    pub fn take_news(&self, from: SocketAddr, news: News) {
-        self.update_peers(|peers| peers.learn(&news.peers, self.now()));
-        if let Some(packed) = &news.packed_peers {
-            match pack::unpack::<Vec<Told>>(packed) {
-                Ok(told) => self.update_peers(|peers| peers.learn(&told, self.now())),
-                Err(error) => {
-                    log::warn!(from:% = from; "cannot unpack the list of entries: {error}");
-                }
-            }
-        }
-        if news.entry {
-            self.hear(from, &news.hall, news.store_age_ms);
-        }
-        if let Some(dated) = news.routing {
-            self.take_document(from, dated);
-        }
-        for named in news.versions {
-            self.take_named(named);
-        }
-        for told in news.evacuations {
-            let revision = told.revision;
-            let fact = Fact::Evacuation {
-                hall: told.hall,
-                asked: told.asked,
-            };
-            self.learn(Dated { revision, fact }, &from.to_string());
-        }
-        if let Some(list) = news.replicas {
-            self.take_whole_list(from, list);
-        }
-        if let Some(packed) = news.list {
-            self.take_packed_list(from, packed);
-        }
-        if let Some(changes) = news.changes {
-            self.take_changes(changes, &from.to_string());
-        }
-        if let Some(brief) = news.brief {
-            let newer = self
-                .brief
-                .borrow()
-                .as_ref()
-                .is_none_or(|known| known.revision < brief.revision);
-            if newer {
-                self.brief.replace(Some(brief));
-                self.tell(Effect::Routing);
-            }
-        }
-    }
-
-    fn take_changes(&self, changes: Changes, origin: &str) {
-        let revision = changes.at;
-        let (written, removed) = (changes.records.len(), changes.gone.len());
-        let shaky = changes.shaky || self.shaky();
-        let now = self.now();
-        let effect = self.belief.borrow_mut().learn_changes(changes, now, shaky);
-        if effect != Effect::None {
-            log::info!(revision, origin, written, removed, shaky; "learned: changes of replicas");
-        }
-        self.tell(effect);
-    }
-
-    /// Applies the whole list of replicas, received from `from`.
-    fn take_whole_list(&self, from: SocketAddr, list: List) {
-        let records = list.records.into_iter();
-        let records = records.map(|dated| (dated.revision, dated.record));
-        let shaky = list.shaky || self.shaky();
-        self.take_list(records.collect(), list.at, shaky, &from.to_string());
-    }
-
-    fn take_packed_list(&self, from: SocketAddr, list: PackedList) {
-        let PackedList { at, shaky, packed } = list;
-        match pack::unpack(&packed) {
-            Ok(records) => self.take_whole_list(from, List { at, shaky, records }),
-            Err(error) => {
-                log::warn!(from:% = from, revision = at; "cannot unpack the list of replicas: {error}");
-            }
-        }
-    }
-
-    fn take_document(&self, from: SocketAddr, dated: DatedDocument) {
-        let revision = dated.revision;
-        match pack::unpack(&dated.packed) {
-            Ok(document) => {
-                let fact = Fact::Routing(Arc::new(document));
-                self.learn(Dated { revision, fact }, &from.to_string());
-            }
-            Err(error) => log::warn!(from:% = from, revision; "configuration: {error}"),
-        }
-    }
-
-    fn take_named(&self, named: Named) {
-        let now = self.now();
-        let age = Duration::from_millis(named.age_ms);
-        let wanted = Wanted {
-            version: named.version,
-            revision: named.revision,
-            since: now,
-        };
-        let model = named.model.clone();
-        let effect = self.belief.borrow_mut().learn_aged(model, wanted, age, now);
-        if effect != Effect::None {
-            log::info!(
-                model = &*named.model, version = named.version, age_ms = named.age_ms;
-                "learned: version named"
-            );
-        }
-        self.tell(effect);
-    }
-
-    /// The heartbeat that this process sends. With `names_entries` it tells the entries that it
-    /// knows, and wants to be told.
-    pub fn sync(&self, names_entries: bool) -> Sync {
-        let exchange = if names_entries {
-            PeerExchange::PushPull
-        } else {
-            PeerExchange::Skip
-        };
-        self.sync_exchanging(exchange)
-    }
-
-    /// The heartbeat that this process sends. `exchange` selects whether it sends and requests known
-    /// entries.
-    pub fn sync_exchanging(&self, exchange: PeerExchange) -> Sync {
-        let now = self.now();
-        Sync {
-            from: self.identity.address,
-            hall: self.identity.hall.clone(),
-            entry: self.identity.entry,
-            marks: self.belief.borrow().marks(),
-            store_age_ms: self.store_age_ms(now),
-            peers: match exchange {
-                _ if !self.identity.entry => Vec::new(),
-                PeerExchange::PushPull => self.peers.borrow().tell(now),
-                PeerExchange::PushPullHall => self.hall_peers(now),
-                PeerExchange::Skip | PeerExchange::Pull => Vec::new(),
-            },
-            wants_peers: exchange != PeerExchange::Skip,
-            wants_routing: false,
-            wants_list: false,
-            draws_list: !self.belief.borrow().lists_replicas(),
-            takes_changes: true,
-            takes_packed_peers: true,
-            takes_packed_digest: true,
-            poison: self.poison.borrow().digest(now),
-        }
-    }
-
-    /// The news since `marks` without the configuration, if there is any.
-    pub fn news_since(&self, marks: Marks) -> Option<News> {
-        let has_news = {
-            let belief = self.belief.borrow();
-            let own = belief.marks().without_routing();
-            own.any_newer_than(marks) || names_young(&belief, self.now())
-        };
-        has_news.then(|| {
-            let sync = Sync {
-                entry: false,
-                marks,
-                ..self.sync(false)
-            };
-            self.news_for(&sync, false)
-        })
-    }
-
-    /// The answer to an entry of another hall that polls this one: what its sender lacks. It lists
-    /// only entries of this hall, because the sender polls the other halls as well.
-    pub fn news_for_hall(&self, sync: &Sync) -> News {
-        self.news_with_entries(sync, false, |now| self.hall_peers(now))
-    }
-
-    /// What this process tells others about the other entries of its own hall.
-    fn hall_peers(&self, now: Time) -> Vec<Told> {
-        let fellows = self.fellows();
-        let peers = self.peers.borrow();
-        peers.tell_filtered(now, |entry| fellows.contains(&entry))
-    }
-
-    /// The answer to a heartbeat: what its sender lacks. `brief` for one that does not keep the
-    /// whole configuration.
-    pub fn news_for(&self, sync: &Sync, brief: bool) -> News {
-        self.news_with_entries(sync, brief, |now| self.entries_to_send(sync, now))
-    }
-
-    /// The answer to a heartbeat. It lists the result of `entries` if the sender requests entries.
-    fn news_with_entries(
-        &self,
-        sync: &Sync,
-        brief: bool,
-        entries: impl FnOnce(Time) -> Vec<Told>,
-    ) -> News {
-        let now = self.now();
-        self.update_peers(|peers| peers.learn(&sync.peers, now));
-        if sync.entry {
-            self.hear(sync.from, &sync.hall, sync.store_age_ms);
-        }
-        let belief = self.belief.borrow();
-        let marks = belief.marks();
-        let told = if sync.wants_peers {
-            entries(now)
-        } else {
-            Vec::new()
-        };
-        let newer_routing = marks.routing > sync.marks.routing;
-        let newer_list = marks.replicas > sync.marks.replicas;
-        let changes = (newer_list && sync.takes_changes)
-            .then(|| belief.changes_since(sync.marks.replicas))
-            .flatten();
-        let changes = changes.map(|changes| Changes {
-            shaky: self.shaky(),
-            ..changes
-        });
-        let packed_peers = if sync.takes_packed_peers {
-            pack_peers(&told)
-        } else {
-            None
-        };
-        let needs_whole_list = newer_list && changes.is_none();
-        News {
-            hall: self.identity.hall.clone(),
-            entry: self.identity.entry,
-            marks,
-            store_age_ms: self.store_age_ms(now),
-            peers: if packed_peers.is_none() {
-                told
-            } else {
-                Vec::new()
-            },
-            packed_peers,
-            routing: (newer_routing && sync.wants_routing)
-                .then(|| self.document())
-                .flatten(),
-            versions: if marks.versions > sync.marks.versions || names_young(&belief, now) {
-                self.named(now)
-            } else {
-                Vec::new()
-            },
-            evacuations: if marks.evacuations > sync.marks.evacuations {
-                belief.evacuations().tell()
-            } else {
-                Vec::new()
-            },
-            // A process that begins contacts several others, so it gets the list only from the one it
-            // draws it from.
-            replicas: (needs_whole_list && !sync.draws_list).then(|| list(&belief, self.shaky())),
-            list: (needs_whole_list && sync.draws_list && sync.wants_list)
-                .then(|| self.packed_list())
-                .flatten(),
-            changes,
-            brief: (newer_routing && brief).then(|| self.brief()).flatten(),
-            poison: self.poison.borrow().digest(now),
-        }
-    }
-
-    /// The entries that the reply to `sync` lists: all known ones if the sender is an entry, a
-    /// bounded subset if it is a sidecar, unless sidecars report to all entries.
-    fn entries_to_send(&self, sync: &Sync, now: Time) -> Vec<Told> {
-        let peers = self.peers.borrow();
-        if sync.entry || !self.policy.digests {
-            return peers.tell(now);
-        }
-        let selected = Readers::entries_for_sidecar(sync.from, &sync.hall, &peers, now);
-        peers.tell_filtered(now, |entry| selected.contains(&entry))
-    }
-
-    /// The configuration as others draw it.
-    fn document(&self) -> Option<DatedDocument> {
-        let belief = self.belief.borrow();
-        let routing = belief.routing()?;
-        let revision = belief.marks().routing;
-        let mut cache = self.packed.borrow_mut();
-        match cache.get_or_pack(revision, || &*routing.document) {
-            Ok(packed) => Some(DatedDocument { revision, packed }),
-            Err(error) => {
-                log::error!(revision; "configuration: {error}");
-                None
-            }
-        }
-    }
-
-    /// The packed list of replicas, for processes that have none yet.
-    fn packed_list(&self) -> Option<PackedList> {
-        let belief = self.belief.borrow();
-        let at = belief.marks().replicas;
-        let mut cache = self.packed_list.borrow_mut();
-        match cache.get_or_pack(at, || present_records(&belief)) {
-            Ok(packed) => Some(PackedList {
-                at,
-                shaky: self.shaky(),
-                packed,
-            }),
-            Err(error) => {
-                log::error!(revision = at; "cannot pack the list of replicas: {error}");
-                None
-            }
-        }
-    }
-
-    fn named(&self, now: Time) -> Vec<Named> {
-        let belief = self.belief.borrow();
-        let versions = belief.versions();
-        versions
-            .map(|(model, wanted)| Named {
-                model: model.clone(),
-                version: wanted.version,
-                revision: wanted.revision,
-                age_ms: now.since(wanted.since).as_millis() as u64,
-            })
-            .collect()
-    }
-
     /// The settings of the change of versions, planned as `setting`, for an origin like the present one.
     pub fn rollout(&self, setting: rollout::Setting) -> rollout::Setting {
         let copy = self.brief().and_then(|brief| brief.copy());
@@ -785,45 +470,6 @@
     }
 }
 
-/// Encodes `told` for [`News::packed_peers`]. Returns `None` if it is empty or cannot be packed.
-fn pack_peers(told: &[Told]) -> Option<ByteBuf> {
-    if told.is_empty() {
-        return None;
-    }
-    match pack::pack(&told) {
-        Ok(packed) => Some(packed.into()),
-        Err(error) => {
-            log::error!("cannot pack the list of entries: {error}");
-            None
-        }
-    }
-}
-
-/// Whether a version was named lately. Then a process that knows the newest may still lack the one before,
-/// which the store tells nobody any more, or have heard of them later than this one.
-fn names_young(belief: &Belief, now: Time) -> bool {
-    let mut named = belief.versions();
-    named.any(|(_, wanted)| now.since(wanted.since) < VERSIONS_TOLD)
-}
-
-fn list(belief: &Belief, shaky: bool) -> List {
-    List {
-        at: belief.marks().replicas,
-        shaky,
-        records: present_records(belief),
-    }
-}
-
-fn present_records(belief: &Belief) -> Vec<DatedRecord> {
-    let present = belief.replicas().values();
-    let present = present.filter(|listed| listed.gone.is_none());
-    let dated = present.map(|listed| DatedRecord {
-        revision: listed.revision,
-        record: listed.record.clone(),
-    });
-    dated.collect()
-}
-
 fn describe(fact: &Fact) -> String {
     match fact {
         Fact::Routing(document) => format!("routing version {}", document.version),
