Gateway: log a request's size and what admission compared, count outcomes by size class

The logs told of a refusal that the first event was expected too late, and neither how large the request was nor how much of the time was its own prefill, so that the three hypotheses of the incident could not be told apart. request ended now has prompt, output, output_max, size, judged_ms, prefill_ms and limit_ms; pumicelatch.gateway.requests_by_size counts outcomes by route and size class (largest tenth, fifth beneath, rest).

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -41,11 +41,13 @@
 use crate::knowledge::polls::Polls;
 use crate::knowledge::{Identity, Knowledge, gossip, store, traffic};
 use crate::limit::retry::{Rejection, Rejections};
+use crate::limit::size::{self, Sizes};
 use crate::member::Role;
 use crate::member::replica::Record;
 use crate::metric::{self, Metrics};
 use crate::policy::Policy;
 use crate::request::budget::{self, Budget};
+use crate::route::estimate;
 use crate::route::pool::{Key, Pool};
 use crate::route::replica::Schedule;
 use crate::source::{Source, Topic};
@@ -163,6 +165,7 @@
     hub: RefCell<Hub>,
     /// Recently rejected requests, here or at other entries.
     rejections: RefCell<Rejections>,
+    sizes: RefCell<Sizes>,
     suspects: RefCell<poison::Suspects>,
 }
 
@@ -274,6 +277,7 @@
             client: exchange::Client::sharing(paths),
             pool: RefCell::new(Pool::new(setting.identity.hall.clone(), setting.policy)),
             rejections: RefCell::default(),
+            sizes: RefCell::default(),
             suspects: RefCell::default(),
             pool_generation: Cell::new(0),
             budgets: RefCell::default(),
@@ -557,6 +561,14 @@
         })
     }
 
+    /// Size class of a request among the recent ones of its route, if it is for an engine.
+    fn size_class(&self, job: &Job) -> Option<size::Class> {
+        job.meta.inference.as_ref()?;
+        let service = job.routing.service(&job.service)?;
+        let work = estimate::work(service.engine.as_ref()?, job.demand());
+        Some(self.sizes.borrow_mut().classify(&job.route.name, work))
+    }
+
     /// When the caller first tried a request that was rejected before.
     fn first_try(&self, job: &Job) -> Option<Time> {
         let rejections = self.rejections.borrow();
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -12,7 +12,7 @@
 use super::dialect::{Code, Refusal};
 use super::job::Job;
 use super::retry::Retry;
-use super::trace::{Estimate, Trace};
+use super::trace::{Estimate, Judgement, Trace};
 use crate::clock::Time;
 use crate::http::Answer;
 use crate::lease::Throttle;
@@ -90,6 +90,10 @@
     pub(super) fn new(gateway: Rc<Gateway>, job: Rc<Job>, mut trace: Trace) -> Self {
         let first_try = gateway.first_try(&job);
         trace.returned = first_try.is_some();
+        trace.demand = job.demand();
+        let work = job.meta.inference.as_ref();
+        trace.output_max = work.map_or(0, |work| work.output_max);
+        trace.size = gateway.size_class(&job);
         Self {
             first_try,
             gateway,
@@ -248,6 +252,13 @@
             self.trace.asked += found.asked;
             self.trace.leased = found.leased;
             let (choice, idle) = (found.choice, found.idle);
+            if let Ok(choice) = &choice {
+                self.trace.judgement = Some(Judgement {
+                    expected: choice.expected,
+                    prefill: choice.prefill,
+                    limit,
+                });
+            }
             if chosen_before {
                 return choice
                     .and_then(|choice| self.check_cold(choice, found.leased))
--- a/src/gateway/status.rs
+++ b/src/gateway/status.rs
@@ -1,10 +1,13 @@
 //! The metrics of a gateway.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Gauge, Histogram, Meter};
 
+use crate::limit::size;
+
 /// Bucket boundaries of the latency histograms, in seconds.
 const LATENCY_BUCKETS: [f64; 14] = [
     0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.4, 0.5, 0.75, 1.0, 2.0, 4.0, 8.0,
@@ -14,6 +17,7 @@
 #[derive(Debug)]
 pub struct Instruments {
     requests: Counter<u64>,
+    sizes: Counter<u64>,
     attempts: Counter<u64>,
     duration: Histogram<f64>,
     first: Histogram<f64>,
@@ -31,6 +35,12 @@
                 .u64_counter("pumicelatch.gateway.requests")
                 .with_description("Callers' requests by outcome")
                 .build(),
+            sizes: meter
+                .u64_counter("pumicelatch.gateway.requests_by_size")
+                .with_description(
+                    "Requests to engines by outcome and size class among those of their route",
+                )
+                .build(),
             attempts: meter
                 .u64_counter("pumicelatch.gateway.attempts")
                 .with_description("Attempts at replicas by how they ended")
@@ -74,6 +84,16 @@
         self.duration.record(took.as_secs_f64(), &[]);
     }
 
+    /// Counts a request to an engine by its size class.
+    pub fn record_size(&self, route: &Arc<str>, size: size::Class, outcome: &'static str) {
+        let labels = [
+            KeyValue::new("route", route.clone()),
+            KeyValue::new("size", size.name()),
+            KeyValue::new("outcome", outcome),
+        ];
+        self.sizes.add(1, &labels);
+    }
+
     /// Records the latency of a stream's first event.
     pub fn record_first_event(&self, took: Duration) {
         self.first.record(took.as_secs_f64(), &[]);
--- a/src/gateway/trace.rs
+++ b/src/gateway/trace.rs
@@ -6,7 +6,9 @@
 
 use super::Gateway;
 use crate::clock::Time;
+use crate::limit::size;
 use crate::request::poison;
+use crate::route::estimate::Demand;
 
 /// What was expected of the replica when it was chosen.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -19,6 +21,17 @@
     pub requests: u32,
 }
 
+/// What admission last compared.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Judgement {
+    /// Expected time to the first event at the best replica.
+    pub expected: Duration,
+    /// Part of it that is the prefill of the request's own prompt.
+    pub prefill: Duration,
+    /// Limit on the expected time.
+    pub limit: Duration,
+}
+
 /// Collects what is known about a request; when dropped, logs it and updates the metrics.
 pub struct Trace {
     gateway: Rc<Gateway>,
@@ -32,6 +45,14 @@
     pub replica: Option<Arc<str>>,
     /// What was expected of that replica.
     pub expected: Option<Estimate>,
+    /// What admission last compared.
+    pub judgement: Option<Judgement>,
+    /// Its demand on an engine.
+    pub demand: Demand,
+    /// Maximum number of tokens to generate.
+    pub output_max: u32,
+    /// Its size class among the requests of its route, if it is for an engine.
+    pub size: Option<size::Class>,
     /// Number of replicas that received the request.
     pub sent: u32,
     /// Number of sidecars that were asked for a lease.
@@ -61,6 +82,10 @@
             route: "".into(),
             replica: None,
             expected: None,
+            judgement: None,
+            demand: Demand::default(),
+            output_max: 0,
+            size: None,
             sent: 0,
             asked: 0,
             leased: false,
@@ -93,6 +118,9 @@
         let gateway = &self.gateway;
         let took = self.elapsed();
         gateway.instruments.record_request(self.outcome, took);
+        if let Some(size) = self.size {
+            gateway.instruments.record_size(&self.route, size, self.outcome);
+        }
         let catalog = gateway.knowledge.catalog.borrow();
         let version = catalog
             .routing()
@@ -113,6 +141,13 @@
             first_ms = millis(self.first),
             gap_ms = self.gap.as_millis() as u64,
             returned = self.returned,
+            prompt = self.demand.prompt,
+            output = self.demand.output,
+            output_max = self.output_max,
+            size = self.size.map_or("", size::Class::name),
+            judged_ms = millis(self.judgement.map(|judgement| judgement.expected)),
+            prefill_ms = millis(self.judgement.map(|judgement| judgement.prefill)),
+            limit_ms = millis(self.judgement.map(|judgement| judgement.limit)),
             config = version,
             reason = self.reason.as_str();
             "request ended"
--- a/src/limit.rs
+++ b/src/limit.rs
@@ -3,6 +3,7 @@
 
 pub mod admission;
 pub mod retry;
+pub mod size;
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
--- a/src/route/estimate.rs
+++ b/src/route/estimate.rs
@@ -72,6 +72,14 @@
     millis((prefill_ms(engine, tokens) + attention_ms) * pace.max(1.0))
 }
 
+/// Engine time that a request takes: its prefill, and its share of the decode steps of a full
+/// engine.
+pub fn work(engine: &Engine, demand: Demand) -> Duration {
+    let slots = f64::from(engine.slots.max(1));
+    let decode_ms = f64::from(demand.output) * step_ms(engine, slots) / slots;
+    prefill(engine, demand.prompt, 1.0) + millis(decode_ms)
+}
+
 /// Time until a slot is free for a new request beside `requests` others. `queue_spread` is a factor
 /// on the mean queueing time, in percent.
 pub fn queue_wait(engine: &Engine, requests: u32, pace: f64, queue_spread: u32) -> Duration {
--- a/src/route/pool.rs
+++ b/src/route/pool.rs
@@ -108,6 +108,8 @@
     pub expected: Duration,
     /// Requests that the replica had already, as far as is known.
     pub requests: u32,
+    /// Part of `expected` that is the prefill of the request's own prompt.
+    pub prefill: Duration,
 }
 
 /// Limits within which a sidecar has to expect the first event.
@@ -489,6 +491,7 @@
             key,
             expected: self.expected(replica, query, now),
             requests: replica.requests(now),
+            prefill: self.own_prefill(replica, query, now),
         })
     }
 
@@ -500,6 +503,7 @@
             key,
             expected: self.expected(replica, query, now),
             requests: replica.requests(now),
+            prefill: self.own_prefill(replica, query, now),
         })
     }
 
@@ -620,6 +624,14 @@
         expected + estimate::completion_interval(engine, backlog.pace) * engine.slots / 2
     }
 
+    /// Time that the prefill of the request's own prompt takes at the replica.
+    fn own_prefill(&self, replica: &Replica, query: Query<'_>, now: Time) -> Duration {
+        query.engine.map_or(Duration::ZERO, |engine| {
+            let prefill = estimate::prefill(engine, query.demand.prompt, replica.pace(now));
+            self.corrected(query.service, engine, prefill)
+        })
+    }
+
     /// Corrects the estimate `first` if the engine's figures are guesses.
     fn corrected(&self, service: &str, engine: &Engine, first: Duration) -> Duration {
         let known = self.corrections.get(service).filter(|_| engine.incomplete);
