--- a/src/gateway/trace.rs
+++ b/src/gateway/trace.rs
@@ -119,7 +119,9 @@
         let took = self.elapsed();
         gateway.instruments.record_request(self.outcome, took);
         if let Some(size) = self.size {
-            gateway.instruments.record_size(&self.route, size, self.outcome);
+            gateway
+                .instruments
+                .record_size(&self.route, size, self.outcome);
         }
         let catalog = gateway.knowledge.catalog.borrow();
         let version = catalog
