Stand-in: a batching engine in a time that the caller keeps

The process test of large requests has it under a real clock; a model in simulated time is to use the same one.

--- a/src/standin.rs
+++ b/src/standin.rs
@@ -3,6 +3,7 @@
 //! Each speaks the protocol that docs/PLATFORM.md states, over loopback. Each box has an address
 //! of its own in 127/8, so that a [`link`] knows both ends of a connection.
 
+pub mod batch;
 pub mod engine;
 pub mod fleet;
 pub mod link;
