Pool: a request goes where its response can be complete before its deadline

Callers saw: streams that began in time and were cut off when the caller's deadline passed. Cause: nothing compared the length of the answer with the time that the caller has. A hint beyond the maximum that the caller set was also taken as it was (447 tokens of at most 250).

Replicas with free slots, and requests that an attempt has been made for, are as before.

The test fails without the comparison: left Ok(10.0.0.0:80), right Err(TooSlow).

--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -135,6 +135,11 @@
         }
     }
 
+    /// Whether an attempt was made.
+    pub(super) fn was_attempted(&self) -> bool {
+        self.trace.sent + self.connect_failures > 0
+    }
+
     /// Records that, according to a sidecar, the caller first tried `age` ago.
     pub(super) fn record_earlier_try(&mut self, age: Duration) {
         let first = self.gateway.knowledge.now() - age;
@@ -237,7 +242,7 @@
     pub(super) async fn admit(&mut self) -> Result<Choice, Refusal> {
         let mut lease_requests = self.gateway.setting.policy.lease_requests;
         loop {
-            let chosen_before = self.trace.sent + self.connect_failures > 0;
+            let chosen_before = self.was_attempted();
             let limit = if chosen_before {
                 // After an earlier attempt, only the deadline limits the wait for the first event.
                 self.job.deadline.since(self.job.arrived)
@@ -266,6 +271,9 @@
                         self.refusal_after(Ended::Refused, unavailable.to_string())
                     });
             }
+            if let Err(Unavailable::TooSlow) = choice {
+                return Err(self.unavailable(Unavailable::TooSlow));
+            }
             if found.leased {
                 return choice.map_err(|unavailable| self.unavailable(unavailable));
             }
@@ -304,7 +312,11 @@
 
     fn unavailable(&self, unavailable: Unavailable) -> Refusal {
         let remaining = self.job.remaining(self.gateway.knowledge.now());
-        let refusal = Refusal::new(Code::NoReplica, unavailable.to_string());
+        let code = match unavailable {
+            Unavailable::TooSlow => Code::Overload,
+            _ => Code::NoReplica,
+        };
+        let refusal = Refusal::new(code, unavailable.to_string());
         refusal.retry_after(match unavailable {
             Unavailable::BackingOff { remaining: backoff } => self.delay_after_backoff(backoff),
             _ => self.weights_retry_delay(remaining),
@@ -369,9 +381,15 @@
         self.with_query(full, |query| {
             let pool = gateway.pool.borrow();
             let mut rng = gateway.knowledge.rng.borrow_mut();
-            let choice = pool.choose(query, now, &mut *rng);
             let (taken, places) = pool.occupancy(query, now);
-            (choice, taken * 2 < places)
+            let idle = taken * 2 < places;
+            let may_be_refused = !idle && !self.was_attempted();
+            let query = pool::Query {
+                remaining: may_be_refused.then(|| self.job.remaining(now)),
+                ..query
+            };
+            let choice = pool.choose(query, now, &mut *rng);
+            (choice, idle)
         })
     }
 
@@ -401,6 +419,7 @@
             }),
             engine,
             demand: self.job.demand(),
+            remaining: None,
             tried: &self.tried,
             full,
             connections_max: (connections / entries.max(1)).max(CONNECTIONS_MIN),
--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -61,7 +61,10 @@
         let work = self.meta.inference.as_ref();
         Demand {
             prompt: work.map_or(0, |work| work.prompt),
-            output: work.map_or(0, |work| work.output_hint.unwrap_or(work.output_max)),
+            output: work.map_or(0, |work| {
+                work.output_hint
+                    .map_or(work.output_max, |hint| hint.min(work.output_max))
+            }),
         }
     }
 }
--- a/src/route/pool.rs
+++ b/src/route/pool.rs
@@ -60,6 +60,10 @@
 /// replaced replicas.
 const INVALIDATED_DIVISOR: u32 = 3;
 
+/// Share of the expected output that has to be possible before a request's deadline. Callers'
+/// estimates are often too high by half.
+const OUTPUT_SHARE_MIN: f64 = 0.7;
+
 /// Prompts of mean length that an engine with a free slot may still have to prefill.
 const IMMEDIATE_PROMPTS: f64 = 1.0;
 
@@ -85,6 +89,8 @@
     pub engine: Option<&'a Engine>,
     /// The request's size.
     pub demand: Demand,
+    /// Time until its deadline, if it may be refused because it takes longer.
+    pub remaining: Option<Duration>,
     /// Replicas that were already tried.
     pub tried: &'a [Key],
     /// Replicas that reported that they have no free slot.
@@ -145,6 +151,9 @@
     /// All eligible replicas were tried.
     #[error("all replicas were tried")]
     AllTried,
+    /// The response would not be complete before the deadline at any of them.
+    #[error("the response takes longer than the caller waits")]
+    TooSlow,
     /// This entry has the maximum number of connections to each of them.
     #[error("no connection is free")]
     Connections,
@@ -416,14 +425,25 @@
         } else {
             not_paused
         };
-        let with_free_slot: Vec<Key> = candidates
+        let completing = |share: f64| -> Vec<Key> {
+            let completes = |key: &&Key| self.completes(&self.replicas[**key], query, share, now);
+            candidates.iter().filter(completes).copied().collect()
+        };
+        let mut in_time = completing(1.0);
+        if in_time.is_empty() {
+            in_time = completing(OUTPUT_SHARE_MIN);
+        }
+        if in_time.is_empty() {
+            return Err(Unavailable::TooSlow);
+        }
+        let with_free_slot: Vec<Key> = in_time
             .iter()
             .copied()
             .filter(|key| !query.full.contains(key))
             .collect();
         // If none has a free slot, the cheapest is better than none.
         let candidates = if with_free_slot.is_empty() {
-            candidates
+            in_time
         } else {
             with_free_slot
         };
@@ -596,6 +616,18 @@
         ends.since(change.drain_at)
     }
 
+    /// Whether the request is expected to complete at the replica before its deadline, with `share` of
+    /// its expected output.
+    fn completes(&self, replica: &Replica, query: Query<'_>, share: f64, now: Time) -> bool {
+        let (Some(engine), Some(remaining)) = (query.engine, query.remaining) else {
+            return true;
+        };
+        let backlog = self.backlog(replica, engine, now);
+        let expected = self.expected(replica, query, now);
+        let decode = estimate::decode(engine, backlog, query.demand).mul_f64(share);
+        expected + self.corrected(query.service, engine, decode) <= remaining
+    }
+
     fn backlog(&self, replica: &Replica, engine: &Engine, now: Time) -> Backlog {
         Backlog {
             requests: replica.requests(now),
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -123,6 +123,7 @@
                 prompt: 979,
                 output: 92,
             },
+            remaining: None,
             tried: &self.tried,
             full: &[],
             connections_max: 20,
@@ -202,6 +203,36 @@
     assert_eq!(choices_of_100_entries(&loads)[7], 0);
 }
 
+/// Guards against responses that are cut off at their deadline by replicas that are too slow for them.
+#[test]
+fn a_request_that_outlasts_its_deadline_goes_to_a_faster_replica_or_is_refused_at_once() {
+    let choose = |paces: &[f64], output| {
+        let records = (0..paces.len()).map(|index| record(index as u8, 1));
+        let mut pool = pool_of(records.collect(), None);
+        for (index, pace) in paces.iter().enumerate() {
+            let load = Load {
+                pace: *pace,
+                ..report(0, 0, 1)
+            };
+            pool.report(address(index as u8), &load, NOW);
+        }
+        let request = Request::default();
+        let query = Query {
+            demand: Demand {
+                prompt: 500,
+                output,
+            },
+            remaining: Some(Duration::from_secs(6)),
+            ..request.query()
+        };
+        let choice = pool.choose(query, NOW, &mut SmallRng::seed_from_u64(7));
+        choice.map(|choice| pool.get(choice.key).unwrap().record.address)
+    };
+    assert_eq!(choose(&[4.0, 4.0], 250), Err(Unavailable::TooSlow));
+    assert!(choose(&[4.0, 4.0], 100).is_ok());
+    assert_eq!(choose(&[4.0, 1.0, 4.0], 250), Ok(address(1)));
+}
+
 #[test]
 fn a_replica_that_reported_no_place_is_chosen_only_if_no_other_is_left() {
     let mut pool = pool_of(vec![record(1, 1), record(2, 1)], None);
--- a/tests/life.rs
+++ b/tests/life.rs
@@ -100,6 +100,7 @@
                 prompt: 900,
                 output: 90,
             },
+            remaining: None,
             tried: &[],
             full: &[],
             connections_max: 64,
--- a/tests/notice.rs
+++ b/tests/notice.rs
@@ -82,6 +82,7 @@
             prompt: 0,
             output: 0,
         },
+        remaining: None,
         tried: &[],
         full: &[],
         connections_max: 20,
--- a/tests/where.rs
+++ b/tests/where.rs
@@ -111,6 +111,7 @@
                 prompt: 0,
                 output: 0,
             },
+            remaining: None,
             tried: &[],
             full: &[],
             connections_max: 64,
