Admission: the limit on the first event is one on the wait, alike for prompts of all lengths

Cause: the whole expected time to the first event, the request's own prefill included, was compared with one limit, the service's shortest objective. Under overload the wait settles just below what the shortest prompt may wait, so a long one is never admitted; at a slow replica its own prefill alone is over the limit.

Now the limit applies to the wait before the own prefill and leaves room for a long prompt (the ninth tenth of those seen), so that one that has waited as long as it may is in time. Replicas too slow for that keep the limit on the whole time while others have half of a hall's capacity, and take short prompts; if not, as many of them as it takes serve long prompts too.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -3,7 +3,7 @@
 //!
 //! * [`dialect`] translates between the gateway and the headers of callers and replicas.
 //! * [`intake`] validates a request and reads its body; [`handler`] takes it through admission and
-//!   attempts, with the state in [`dispatch`].
+//!   attempts, with the state in [`dispatch`] and the limits on the first event in `limit`.
 //! * [`attempt`] is one exchange with a replica; [`reader`] reads its response, from the replica or
 //!   from the buffer of the sidecar; [`event`] splits a stream into events; [`relay`] forwards
 //!   them.
@@ -67,6 +67,7 @@
 pub mod handler;
 pub mod intake;
 pub mod job;
+mod limit;
 pub mod place;
 mod poison;
 pub mod reader;
@@ -165,7 +166,7 @@
     hub: RefCell<Hub>,
     /// Recently rejected requests, here or at other entries.
     rejections: RefCell<Rejections>,
-    sizes: RefCell<Sizes>,
+    sizes: RefCell<BTreeMap<Arc<str>, Sizes>>,
     suspects: RefCell<poison::Suspects>,
 }
 
@@ -565,8 +566,17 @@
     fn size_class(&self, job: &Job) -> Option<size::Class> {
         job.meta.inference.as_ref()?;
         let service = job.routing.service(&job.service)?;
-        let work = estimate::work(service.engine.as_ref()?, job.demand());
-        Some(self.sizes.borrow_mut().classify(&job.route.name, work))
+        let engine = service.engine.as_ref()?;
+        let work = estimate::work(engine, job.demand());
+        let prefill = estimate::prefill(engine, job.demand().prompt, 1.0);
+        let mut sizes = self.sizes(&job.service);
+        Some(sizes.classify(&job.route.name, work, prefill))
+    }
+
+    fn sizes(&self, service: &Arc<str>) -> RefMut<'_, Sizes> {
+        RefMut::map(self.sizes.borrow_mut(), |sizes| {
+            sizes.entry(service.clone()).or_default()
+        })
     }
 
     /// When the caller first tried a request that was rejected before.
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -17,7 +17,6 @@
 use crate::http::Answer;
 use crate::lease::Throttle;
 use crate::limit::admission::{self, Bounds, Input, Verdict};
-use crate::limit::retry;
 use crate::request::Outcome;
 use crate::request::attempt::{self as next, Ended, Next, Situation};
 use crate::route::pool::{self, Choice, Key, ModelQuery, Unavailable};
@@ -253,7 +252,11 @@
             if let Some(age) = found.tried_before {
                 self.record_earlier_try(age);
             }
-            let limit = if chosen_before { limit } else { self.limit() };
+            let limit = match &found.choice {
+                _ if chosen_before => limit,
+                Ok(choice) => self.limit_at(choice.key, self.limit()),
+                Err(_) => self.limit(),
+            };
             self.trace.asked += found.asked;
             self.trace.leased = found.leased;
             let (choice, idle) = (found.choice, found.idle);
@@ -275,6 +278,7 @@
                 return Err(self.unavailable(Unavailable::TooSlow));
             }
             if found.leased {
+                self.record_admission(true);
                 return choice.map_err(|unavailable| self.unavailable(unavailable));
             }
             lease_requests = lease_requests.min(LEASE_REQUESTS_PER_RECHECK);
@@ -292,11 +296,13 @@
             };
             match (verdict, choice) {
                 (Verdict::Send, Ok(choice)) => {
+                    self.record_admission(true);
                     let choice = self.check_cold(choice, found.leased);
                     return choice.map_err(|unavailable| self.unavailable(unavailable));
                 }
                 (Verdict::Wait(pause), _) => sleep(pause).await,
                 (Verdict::Refuse { retry_after }, Ok(choice)) => {
+                    self.record_admission(false);
                     let detail = format!(
                         "first event expected in {} ms at the best replica with {} requests",
                         choice.expected.as_millis(),
@@ -335,30 +341,6 @@
         backoff + RETRY_JITTER.mul_f64(apart)
     }
 
-    /// The limit on the time from arrival to first event.
-    fn limit(&self) -> Duration {
-        let (whole, late) = self.limits();
-        let age = self.first_try.map(|first| self.job.arrived.since(first));
-        age.map_or(whole, |age| retry::remaining_limit(whole, late, age))
-    }
-
-    /// Two limits on the time to the first event: that of first tries, which the policy may share
-    /// among all requests of the service, and that of retries whose callers are already late.
-    pub(super) fn limits(&self) -> (Duration, Duration) {
-        let gateway = &self.gateway;
-        let own = self.job.objective();
-        let tightest = self.job.routing.min_objective_ms(&self.job.service);
-        let base = match tightest.filter(|_| gateway.setting.policy.shared_limit) {
-            Some(tightest) => own.min(Duration::from_millis(tightest)),
-            None => own,
-        };
-        let policy = &gateway.setting.policy;
-        (
-            base * policy.admit_percent / 100,
-            base * policy.retry_admit_percent / 100,
-        )
-    }
-
     /// Delay that the caller is asked for until replicas are expected to have received weights.
     fn weights_retry_delay(&self, remaining: Duration) -> Duration {
         let gateway = &self.gateway;
@@ -386,6 +368,7 @@
             let may_be_refused = !idle && !self.was_attempted();
             let query = pool::Query {
                 remaining: may_be_refused.then(|| self.job.remaining(now)),
+                terms: self.terms(),
                 ..query
             };
             let choice = pool.choose(query, now, &mut *rng);
@@ -420,6 +403,7 @@
             engine,
             demand: self.job.demand(),
             remaining: None,
+            terms: None,
             tried: &self.tried,
             full,
             connections_max: (connections / entries.max(1)).max(CONNECTIONS_MIN),
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -49,7 +49,7 @@
     /// Asks up to `lease_requests` sidecars for a lease with which the first event is expected
     /// within `limit`.
     pub(super) async fn find_replica(&self, lease_requests: u32, limit: Duration) -> Found {
-        let mut search = Search::new(lease_requests, limit);
+        let mut search = Search::new(lease_requests);
         let mut tried_before = None;
         loop {
             let (key, known) = match search.step() {
@@ -82,7 +82,7 @@
             };
             let request = self.build_lease_request(key, sidecar, at, limits.queued);
             let answer = self
-                .request_lease(&mut search, key, sidecar, &request)
+                .request_lease(&mut search, key, sidecar, &request, limits.whole)
                 .await;
             tried_before = tried_before.max(answer.tried_before);
             if let Some(choice) = answer.choice {
@@ -163,6 +163,7 @@
         key: Key,
         sidecar: SocketAddr,
         request: &lease::Request,
+        limit: Duration,
     ) -> Offer {
         let knowledge = &self.gateway.knowledge;
         let (within, recorder) = ((ANSWER_TIMEOUT, HEDGED_ANSWER_TIMEOUT), Recorder::default());
@@ -200,8 +201,10 @@
                         tried_before,
                     };
                 }
-                let reply =
-                    choice.map_or(Reply::Unavailable, |choice| Reply::Queued(choice.expected));
+                let reply = choice.map_or(Reply::Unavailable, |choice| Reply::Queued {
+                    expected: choice.expected,
+                    limit,
+                });
                 search.record(key, reply);
                 Offer {
                     choice: None,
@@ -260,6 +263,7 @@
     /// has recently failed to answer.
     fn sidecar_with_limits(&self, key: Key, limit: Duration) -> Option<(SocketAddr, Limits)> {
         let sidecar = self.gateway.sidecar_of(key)?;
+        let limit = self.limit_at(key, limit);
         let now = self.gateway.knowledge.now();
         let pool = self.gateway.pool.borrow();
         let left = limit.saturating_sub(now.since(self.job.arrived));
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -60,6 +60,8 @@
     pub shared_limit: bool,
     /// Share of the limit for a retry, in percent. It is lower, so that first tries go first.
     pub retry_admit_percent: u32,
+    /// Whether requests of all sizes of a kind are admitted alike.
+    pub fair_sizes: bool,
     /// Whether a refusal because of missing weights states when they are expected.
     pub retry_after_eta: bool,
 }
@@ -86,6 +88,7 @@
             admit_percent: 100,
             shared_limit: true,
             retry_admit_percent: 25,
+            fair_sizes: true,
             retry_after_eta: true,
         }
     }
@@ -117,7 +120,7 @@
 type Set = fn(&mut Policy, u32);
 
 /// Settings by their names for `--policy`.
-const SETTINGS: [(&str, Set); 20] = [
+const SETTINGS: [(&str, Set); 21] = [
     ("relays", |p, value| p.relays = value > 0),
     ("asks", |p, value| p.lease_requests = value),
     ("window-ms", |p, value| p.cost_tolerance = millis(value)),
@@ -137,6 +140,7 @@
     ("admit", |p, value| p.admit_percent = value),
     ("shared-limit", |p, value| p.shared_limit = value > 0),
     ("return-admit", |p, value| p.retry_admit_percent = value),
+    ("fair-sizes", |p, value| p.fair_sizes = value > 0),
     ("named-return", |p, value| p.retry_after_eta = value > 0),
 ];
 
--- a/src/route/pool.rs
+++ b/src/route/pool.rs
@@ -24,6 +24,7 @@
 use crate::policy::Policy;
 use crate::wire::sync::ReplicaStatus;
 
+pub mod admission;
 mod instance;
 
 slotmap::new_key_type! {
@@ -91,6 +92,8 @@
     pub demand: Demand,
     /// Time until its deadline, if it may be refused because it takes longer.
     pub remaining: Option<Duration>,
+    /// What limits its time to the first event, if it may be refused.
+    pub terms: Option<admission::Terms>,
     /// Replicas that were already tried.
     pub tried: &'a [Key],
     /// Replicas that reported that they have no free slot.
@@ -125,6 +128,8 @@
     pub immediate: Duration,
     /// Limit for a lease on a place in the queue.
     pub queued: Duration,
+    /// Limit on the first event as the caller sees it.
+    pub whole: Duration,
 }
 
 /// Why no replica can be chosen.
@@ -436,14 +441,15 @@
         if in_time.is_empty() {
             return Err(Unavailable::TooSlow);
         }
-        let with_free_slot: Vec<Key> = in_time
+        let candidates = self.admitting(in_time, query, now);
+        let with_free_slot: Vec<Key> = candidates
             .iter()
             .copied()
             .filter(|key| !query.full.contains(key))
             .collect();
         // If none has a free slot, the cheapest is better than none.
         let candidates = if with_free_slot.is_empty() {
-            in_time
+            candidates
         } else {
             with_free_slot
         };
@@ -545,6 +551,7 @@
         Some(Limits {
             immediate: immediate.min(queued),
             queued,
+            whole: limit,
         })
     }
 
--- a/src/route/replica.rs
+++ b/src/route/replica.rs
@@ -11,6 +11,7 @@
 use super::notice::{Notice, Suspension};
 use crate::clock::Time;
 use crate::config::catalog::{self, DesiredVersion};
+use crate::hash;
 use crate::member::replica::{self, LoadedModel, Record};
 use crate::version::ACTIVATION_TIME;
 
@@ -103,6 +104,8 @@
     /// Its entry in the replica list.
     pub record: Record,
     pub(super) health: Health,
+    /// Its place in an order of replicas that is the same at all entries.
+    pub(super) rank: u64,
     load: Option<(Load, Time)>,
     own_requests: Vec<Sent>,
     own_at_report: u32,
@@ -230,6 +233,7 @@
     /// Creates a replica of which only the list entry is known.
     pub fn new(record: Record) -> Self {
         Self {
+            rank: hash::of([record.id.as_bytes()]),
             record,
             load: None,
             own_requests: Vec::new(),
--- a/src/route/search.rs
+++ b/src/route/search.rs
@@ -23,8 +23,13 @@
 /// Answer of a sidecar that granted no lease.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Reply {
-    /// No lease within the immediate limit; the first event is expected after this time.
-    Queued(Duration),
+    /// No lease within the immediate limit.
+    Queued {
+        /// Expected time to the first event.
+        expected: Duration,
+        /// Limit on that time at this replica.
+        limit: Duration,
+    },
     /// The sidecar does not answer, or the replica takes no requests.
     Unavailable,
 }
@@ -32,19 +37,19 @@
 /// Search for a replica that takes one request.
 #[derive(Debug, Clone)]
 pub struct Search {
-    limit: Duration,
     probes_max: u32,
     probed: Vec<Key>,
     best: Option<(Duration, Key)>,
+    best_limit: Duration,
     retried: bool,
     timed_out: bool,
 }
 
 impl Search {
-    /// Creates a search that asks up to `probes_max` sidecars for a first event within `limit`.
-    pub fn new(probes_max: u32, limit: Duration) -> Self {
+    /// Creates a search that asks up to `probes_max` sidecars.
+    pub fn new(probes_max: u32) -> Self {
         Self {
-            limit,
+            best_limit: Duration::ZERO,
             probes_max,
             probed: Vec::new(),
             best: None,
@@ -75,7 +80,7 @@
             return Step::Probe;
         }
         match self.best {
-            Some((expected, key)) if expected <= self.limit => Step::Retry(key),
+            Some((expected, key)) if expected <= self.best_limit => Step::Retry(key),
             _ => Step::Decide,
         }
     }
@@ -93,10 +98,11 @@
             self.probed.push(key);
         }
         match reply {
-            Reply::Queued(expected) => {
+            Reply::Queued { expected, limit } => {
                 // The answer to a retry replaces the replica's first answer.
                 if self.retried || self.best.is_none_or(|(best, _)| expected < best) {
                     self.best = Some((expected, key));
+                    self.best_limit = limit;
                 }
             }
             Reply::Unavailable => {}
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -124,6 +124,7 @@
                 output: 92,
             },
             remaining: None,
+            terms: None,
             tried: &self.tried,
             full: &[],
             connections_max: 20,
--- a/tests/life.rs
+++ b/tests/life.rs
@@ -101,6 +101,7 @@
                 output: 90,
             },
             remaining: None,
+            terms: None,
             tried: &[],
             full: &[],
             connections_max: 64,
--- a/tests/notice.rs
+++ b/tests/notice.rs
@@ -83,6 +83,7 @@
             output: 0,
         },
         remaining: None,
+        terms: None,
         tried: &[],
         full: &[],
         connections_max: 20,
--- a/tests/place.rs
+++ b/tests/place.rs
@@ -284,16 +284,24 @@
     (0..count).map(|_| table.insert(())).collect()
 }
 
+/// A refusal where the first event is expected after `expected` ms and the limit is 500 ms.
+fn queued(expected: u64) -> Reply {
+    Reply::Queued {
+        expected: Duration::from_millis(expected),
+        limit: Duration::from_millis(500),
+    }
+}
+
 #[test]
 fn the_best_replica_is_asked_again_when_none_has_a_free_slot() {
     let keys = keys(3);
-    let mut search = Search::new(3, Duration::from_millis(500));
+    let mut search = Search::new(3);
     for (key, expected) in keys.iter().zip([420, 310, 450]) {
         assert_eq!(search.step(), Step::Probe);
-        search.record(*key, Reply::Queued(Duration::from_millis(expected)));
+        search.record(*key, queued(expected));
     }
     assert_eq!(search.step(), Step::Retry(keys[1]));
-    search.record(keys[1], Reply::Queued(Duration::from_millis(600)));
+    search.record(keys[1], queued(600));
     assert_eq!(search.step(), Step::Decide);
     assert_eq!(search.probed().len(), 3);
     // It would be late by now: its first answer, from before other requests arrived, no longer
@@ -304,8 +312,8 @@
 #[test]
 fn late_and_unavailable_replicas_are_not_asked_again() {
     let keys = keys(2);
-    let mut search = Search::new(2, Duration::from_millis(500));
-    search.record(keys[0], Reply::Queued(Duration::from_millis(700)));
+    let mut search = Search::new(2);
+    search.record(keys[0], queued(700));
     search.record(keys[1], Reply::Unavailable);
     assert_eq!(search.step(), Step::Decide);
     assert_eq!(search.best(), Some((Duration::from_millis(700), keys[0])));
@@ -314,7 +322,7 @@
 #[test]
 fn one_unresponsive_sidecar_ends_the_search() {
     let keys = keys(2);
-    let mut search = Search::new(3, Duration::from_millis(500));
+    let mut search = Search::new(3);
     search.timed_out(keys[0]);
     assert_eq!(search.step(), Step::Decide);
 }
@@ -361,7 +369,7 @@
         if !rng.random_bool(0.118) {
             continue;
         }
-        let mut search = Search::new(probes_max, Duration::from_secs(2));
+        let mut search = Search::new(probes_max);
         let chosen = loop {
             let at = match search.step() {
                 Step::Probe => rng.random_range(0..replicas.len()),
@@ -376,7 +384,8 @@
                 break at;
             }
             let expected = Duration::from_millis(u64::from(answer.load.in_progress()));
-            search.record(keys[at], Reply::Queued(expected));
+            let limit = Duration::from_secs(2);
+            search.record(keys[at], Reply::Queued { expected, limit });
         };
         let replica = &mut replicas[chosen];
         queued += usize::from(replica.ends.len() >= 8);
--- a/tests/where.rs
+++ b/tests/where.rs
@@ -112,6 +112,7 @@
                 output: 0,
             },
             remaining: None,
+            terms: None,
             tried: &[],
             full: &[],
             connections_max: 64,
