Pool: replicas at the usual pace cost no search for those that serve long prompts

Times grow with the pace, so they are computed once a request, and the replicas of a hall are gone through only for one that is too slow for a long prompt.

--- a/src/route/pool/admission.rs
+++ b/src/route/pool/admission.rs
@@ -10,7 +10,6 @@
 
 use super::{Key, Pool, Query};
 use crate::clock::Time;
-use crate::config::routing::Engine;
 use crate::route::estimate;
 use crate::route::replica::Replica;
 
@@ -42,6 +41,15 @@
 }
 
 impl Times {
+    /// The times at a replica that is slower by the factor `pace`.
+    fn at_pace(self, pace: f64) -> Self {
+        Self {
+            idle_wait: self.idle_wait.mul_f64(pace),
+            mean_prefill: self.mean_prefill.mul_f64(pace),
+            long_prefill: self.long_prefill.mul_f64(pace),
+        }
+    }
+
     /// Whether a long prompt can have its first event within `limit`.
     fn fits_long(&self, limit: Duration) -> bool {
         self.idle_wait + self.long_prefill <= limit
@@ -56,103 +64,111 @@
     }
 }
 
-impl Pool {
-    /// The limit on the time to the first event at the replica `key`; `None` if the request has none.
-    pub fn first_event_limit(&self, key: Key, query: Query<'_>, now: Time) -> Option<Duration> {
-        let (terms, engine) = (query.terms?, query.engine?);
-        let replica = self.replicas.get(key)?;
-        let long = self.serving_long(&replica.record.hall, engine, terms, query, now);
-        Some(self.limit_of(replica, long.contains(&key), engine, query, terms, now))
+/// The limits of one request.
+struct Limits<'a> {
+    pool: &'a Pool,
+    query: Query<'a>,
+    terms: Terms,
+    /// Times at full pace.
+    times: Times,
+    now: Time,
+}
+
+impl Limits<'_> {
+    fn times_at(&self, replica: &Replica) -> Times {
+        self.times.at_pace(replica.pace(self.now).max(1.0))
     }
 
-    fn limit_of(
-        &self,
-        replica: &Replica,
-        serves_long: bool,
-        engine: &Engine,
-        query: Query<'_>,
-        terms: Terms,
-        now: Time,
-    ) -> Duration {
-        if !serves_long {
-            return terms.limit.saturating_sub(terms.spent);
-        }
-        let times = self.times(replica, engine, terms, query, now);
-        times.wait_limit(terms) + self.own_prefill(replica, query, now)
+    fn fits_long(&self, replica: &Replica) -> bool {
+        self.times_at(replica).fits_long(self.terms.limit)
     }
 
-    fn times(
-        &self,
-        replica: &Replica,
-        engine: &Engine,
-        terms: Terms,
-        query: Query<'_>,
-        now: Time,
-    ) -> Times {
-        let pace = replica.pace(now).max(1.0);
-        let corrected = |time| self.corrected(query.service, engine, time);
-        let iteration = estimate::iteration(engine, engine.slots, pace);
-        let mean_prompt = engine.mean_prompt_tokens as u32;
-        let mean_prefill = corrected(estimate::prefill(engine, mean_prompt, pace));
-        Times {
-            idle_wait: corrected(iteration.mul_f64(1.0 + estimate::ITERATION_WAIT_FRACTION)),
-            mean_prefill,
-            long_prefill: corrected(terms.long_prefill.mul_f64(pace)).max(mean_prefill),
+    /// The limit at a replica.
+    fn at(&self, replica: &Replica, serves_long: bool) -> Duration {
+        if !serves_long {
+            return self.terms.limit.saturating_sub(self.terms.spent);
         }
+        let own_prefill = self.pool.own_prefill(replica, self.query, self.now);
+        self.times_at(replica).wait_limit(self.terms) + own_prefill
     }
 
-    /// The replicas in `hall` that serve long prompts: all that can serve them within the limit, and
-    /// others in a fixed order if those have too little capacity.
-    fn serving_long(
-        &self,
-        hall: &str,
-        engine: &Engine,
-        terms: Terms,
-        query: Query<'_>,
-        now: Time,
-    ) -> BTreeSet<Key> {
-        let capacity = |replica: &Replica| 1.0 / replica.pace(now).max(1.0);
-        let (mut long, mut others) = (BTreeSet::new(), Vec::new());
+    /// The replicas in `hall` that serve long prompts although they cannot serve them within the limit:
+    /// in a fixed order, as many as it takes if the others have too little capacity.
+    fn serving_late(&self, hall: &str) -> BTreeSet<Key> {
+        let capacity = |replica: &Replica| 1.0 / replica.pace(self.now).max(1.0);
+        let mut slow = Vec::new();
         let (mut long_capacity, mut total) = (0.0, 0.0);
-        for &key in self.by_service(query.service) {
-            let replica = &self.replicas[key];
-            if *replica.record.hall != *hall || !self.selectable(replica, query, now) {
+        for &key in self.pool.by_service(self.query.service) {
+            let replica = &self.pool.replicas[key];
+            let in_hall = *replica.record.hall == *hall;
+            if !in_hall || !self.pool.selectable(replica, self.query, self.now) {
                 continue;
             }
             total += capacity(replica);
-            let times = self.times(replica, engine, terms, query, now);
-            if times.fits_long(terms.limit) {
+            if self.fits_long(replica) {
                 long_capacity += capacity(replica);
-                long.insert(key);
             } else {
-                others.push((replica.rank, key));
+                slow.push((replica.rank, key));
             }
         }
-        others.sort_unstable();
-        for (_, key) in others {
+        slow.sort_unstable();
+        let mut late = BTreeSet::new();
+        for (_, key) in slow {
             if long_capacity >= total * LONG_CAPACITY_SHARE {
                 break;
             }
-            long_capacity += capacity(&self.replicas[key]);
-            long.insert(key);
+            long_capacity += capacity(&self.pool.replicas[key]);
+            late.insert(key);
         }
-        long
+        late
+    }
+}
+
+impl Pool {
+    /// The limit on the time to the first event at the replica `key`; `None` if the request has none.
+    pub fn first_event_limit(&self, key: Key, query: Query<'_>, now: Time) -> Option<Duration> {
+        let limits = self.request_limits(query, now)?;
+        let replica = self.replicas.get(key)?;
+        let hall = &replica.record.hall;
+        let serves_long = limits.fits_long(replica) || limits.serving_late(hall).contains(&key);
+        Some(limits.at(replica, serves_long))
+    }
+
+    fn request_limits<'a>(&'a self, query: Query<'a>, now: Time) -> Option<Limits<'a>> {
+        let (terms, engine) = (query.terms?, query.engine?);
+        let corrected = |time| self.corrected(query.service, engine, time);
+        let iteration = estimate::iteration(engine, engine.slots, 1.0);
+        let mean_prompt = engine.mean_prompt_tokens as u32;
+        let mean_prefill = corrected(estimate::prefill(engine, mean_prompt, 1.0));
+        let times = Times {
+            idle_wait: corrected(iteration.mul_f64(1.0 + estimate::ITERATION_WAIT_FRACTION)),
+            mean_prefill,
+            long_prefill: corrected(terms.long_prefill).max(mean_prefill),
+        };
+        Some(Limits {
+            pool: self,
+            query,
+            terms,
+            times,
+            now,
+        })
     }
 
     /// Those of `candidates` whose limit the request is expected to meet, or all if there are none.
     pub(super) fn admitting(&self, candidates: Vec<Key>, query: Query<'_>, now: Time) -> Vec<Key> {
-        let (Some(terms), Some(engine)) = (query.terms, query.engine) else {
+        let Some(limits) = self.request_limits(query, now) else {
             return candidates;
         };
-        let mut halls: BTreeMap<&str, BTreeSet<Key>> = BTreeMap::new();
+        let mut late: BTreeMap<&str, BTreeSet<Key>> = BTreeMap::new();
         let mut admits = |key: &Key| {
             let replica = &self.replicas[*key];
             let hall = &*replica.record.hall;
-            let long = halls
-                .entry(hall)
-                .or_insert_with(|| self.serving_long(hall, engine, terms, query, now));
-            let limit = self.limit_of(replica, long.contains(key), engine, query, terms, now);
-            self.expected(replica, query, now) <= limit
+            let serves_long = limits.fits_long(replica)
+                || late
+                    .entry(hall)
+                    .or_insert_with(|| limits.serving_late(hall))
+                    .contains(key);
+            self.expected(replica, query, now) <= limits.at(replica, serves_long)
         };
         let admitting: Vec<Key> = candidates
             .iter()
