Size: kinds without requests make room for new ones

Routes that were renamed would have kept the 256 places, and later ones would have been ranked as small. Found by reading the code again; the test fails without the removal (1-0: left false, right true).

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -570,7 +570,7 @@
         let work = estimate::work(engine, job.demand());
         let prefill = estimate::prefill(engine, job.demand().prompt, 1.0);
         let mut sizes = self.sizes(&job.service);
-        Some(sizes.classify(&job.route.name, work, prefill))
+        Some(sizes.classify(&job.route.name, work, prefill, job.arrived))
     }
 
     fn sizes(&self, service: &Arc<str>) -> RefMut<'_, Sizes> {
--- a/src/limit/size.rs
+++ b/src/limit/size.rs
@@ -16,6 +16,9 @@
 /// Number of kinds that are ranked. Requests of any further kind count as [`Class::Small`].
 const KINDS_MAX: usize = 256;
 
+/// A kind with a lower decayed count of requests may be forgotten.
+const COUNT_MIN: f64 = 0.01;
+
 /// Number of size classes.
 const CLASSES: usize = 4;
 
@@ -58,11 +61,14 @@
     /// The class of a request that is larger than `smaller` of `total` requests.
     fn of_rank(smaller: usize, total: usize) -> Self {
         let at_least = |tenths| smaller > 0 && smaller * 10 >= total * tenths;
-        match () {
-            () if at_least(9) => Self::Largest,
-            () if at_least(7) => Self::Large,
-            () if at_least(4) => Self::Medium,
-            () => Self::Small,
+        if at_least(9) {
+            Self::Largest
+        } else if at_least(7) {
+            Self::Large
+        } else if at_least(4) {
+            Self::Medium
+        } else {
+            Self::Small
         }
     }
 }
@@ -92,12 +98,16 @@
 }
 
 impl Kind {
+    fn offered(&self) -> f64 {
+        self.counts.iter().map(|count| count.offered).sum()
+    }
+
     /// Share of the kind's requests that is admitted.
     fn rate(&self) -> f64 {
-        let sum = |of: fn(&Count) -> f64| self.counts.iter().map(of).sum::<f64>();
-        let offered = sum(|count| count.offered);
+        let admitted: f64 = self.counts.iter().map(|count| count.admitted).sum();
+        let offered = self.offered();
         if offered > 0.0 {
-            sum(|count| count.admitted) / offered
+            admitted / offered
         } else {
             1.0
         }
@@ -116,9 +126,19 @@
 impl Sizes {
     /// Ranks a request of `kind` that takes `work`, of which `prefill` is for its prompt, among the
     /// recent ones, and adds it to them.
-    pub fn classify(&mut self, kind: &Arc<str>, work: Duration, prefill: Duration) -> Class {
+    pub fn classify(
+        &mut self,
+        kind: &Arc<str>,
+        work: Duration,
+        prefill: Duration,
+        now: Time,
+    ) -> Class {
         if !self.kinds.contains_key(kind) && self.kinds.len() >= KINDS_MAX {
-            return Class::Small;
+            self.decay(now);
+            self.kinds.retain(|_, kind| kind.offered() >= COUNT_MIN);
+            if self.kinds.len() >= KINDS_MAX {
+                return Class::Small;
+            }
         }
         let recent = &mut self.kinds.entry(kind.clone()).or_default().recent;
         let smaller = recent.iter().filter(|other| **other < work).count();
--- a/tests/size.rs
+++ b/tests/size.rs
@@ -221,7 +221,7 @@
     let mut counts: BTreeMap<Class, u32> = BTreeMap::new();
     for _ in 0..20_000 {
         let work = Duration::from_micros(rng.random_range(1_000..300_000));
-        let class = sizes.classify(&kind, work, work);
+        let class = sizes.classify(&kind, work, work, NOW);
         *counts.entry(class).or_default() += 1;
     }
     assert!(
@@ -234,6 +234,24 @@
     );
 }
 
+/// Guards against routes of earlier configurations that take the place of those in use.
+#[test]
+fn kinds_without_requests_make_room_for_new_ones() {
+    let mut sizes = Sizes::default();
+    for generation in 0..3 {
+        let now = NOW + Duration::from_secs(600) * generation;
+        for number in 0..256 {
+            let kind: Arc<str> = format!("{generation}-{number}").into();
+            for size in 1..=10 {
+                let work = Duration::from_millis(size);
+                let class = sizes.classify(&kind, work, work, now);
+                sizes.record(&kind, class, true, now);
+                assert_eq!(class == Class::Largest, size > 1, "{kind}");
+            }
+        }
+    }
+}
+
 /// The sizes that are admitted less often have the whole limit, and the others leave room for them.
 #[test]
 fn the_reserve_favours_the_sizes_that_are_behind() {
@@ -243,7 +261,7 @@
         }
         let mut sizes = Sizes::default();
         let kind: Arc<str> = "kind".into();
-        sizes.classify(&kind, Duration::ZERO, Duration::ZERO);
+        sizes.classify(&kind, Duration::ZERO, Duration::ZERO, NOW);
         for (class, (offered, admitted)) in [(Class::Large, larger), (Class::Small, smaller)] {
             for number in 0..offered {
                 sizes.record(&kind, class, number < admitted, NOW);
@@ -428,7 +446,7 @@
         let kind = self.kinds[request.kind].clone();
         let work = estimate::work(&self.site.engine, request.demand());
         let prefill = estimate::prefill(&self.site.engine, request.prompt, 1.0);
-        let class = self.sizes.classify(&kind, work, prefill);
+        let class = self.sizes.classify(&kind, work, prefill, now);
         let terms = self.fair.then(|| Terms {
             limit: LIMIT,
             spent: Duration::ZERO,
