Dispatch: a resumed stream is not refused for its whole length

Callers would have seen: a broken stream that its caller takes up again (Last-Event-Id) is refused as too long for the time left, although most of it has arrived. Cause: since the whole hinted output is compared with the deadline, and how much of it is left is not known. Such a request is not refused for its length now.

--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -365,7 +365,7 @@
             let mut rng = gateway.knowledge.rng.borrow_mut();
             let (taken, places) = pool.occupancy(query, now);
             let idle = taken * 2 < places;
-            let may_be_refused = !idle && !self.was_attempted();
+            let may_be_refused = !idle && !self.was_attempted() && self.job.predicts_output();
             let query = pool::Query {
                 remaining: may_be_refused.then(|| self.job.remaining(now)),
                 terms: self.terms(),
--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -56,6 +56,12 @@
         self.deadline.since(now)
     }
 
+    /// Whether the length of the response can be estimated. It is not known how much of a resumed
+    /// response is left.
+    pub fn predicts_output(&self) -> bool {
+        self.meta.last_event.is_none()
+    }
+
     /// Its demand on an engine, in tokens.
     pub fn demand(&self) -> Demand {
         let work = self.meta.inference.as_ref();
