Dispatch: a request without a length hint is not refused for its maximum

Callers would have seen: where callers send no X-Pumicelatch-Length-Hint, every request whose maximum takes longer than its deadline is refused as soon as half of the slots are taken, whatever it would generate. Cause: without a hint the maximum was taken for the expected output. Only a hinted output is compared with the deadline now.

--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -56,10 +56,11 @@
         self.deadline.since(now)
     }
 
-    /// Whether the length of the response can be estimated. It is not known how much of a resumed
-    /// response is left.
+    /// Whether the length of the response can be estimated: not without a hint, since the maximum may be
+    /// far above it, and not for a resumed response, of which an unknown part is left.
     pub fn predicts_output(&self) -> bool {
-        self.meta.last_event.is_none()
+        let work = self.meta.inference.as_ref();
+        self.meta.last_event.is_none() && work.is_some_and(|work| work.output_hint.is_some())
     }
 
     /// Its demand on an engine, in tokens.
