Pool: limits of the first event and of the whole response stand in one module; log the time that a caller gave

Two modules were called admission and two types Limits. request ended has deadline_ms, without which a caller who left at its deadline looks like any other. The test's kinds are named fields instead of a tuple.

--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -92,6 +92,7 @@
         trace.demand = job.demand();
         let work = job.meta.inference.as_ref();
         trace.output_max = work.map_or(0, |work| work.output_max);
+        trace.timeout = Some(job.deadline.since(job.arrived));
         trace.size = gateway.size_class(&job);
         Self {
             first_try,
--- a/src/gateway/limit.rs
+++ b/src/gateway/limit.rs
@@ -4,7 +4,7 @@
 
 use super::dispatch::Dispatch;
 use crate::limit::retry;
-use crate::route::pool::admission::Terms;
+use crate::route::pool::limit::Terms;
 use crate::route::pool::{Key, Query};
 
 impl Dispatch {
@@ -15,8 +15,8 @@
         age.map_or(whole, |age| retry::remaining_limit(whole, late, age))
     }
 
-    /// The limit on the time from arrival to first event at the replica `key`; `limit` if the request
-    /// has no size.
+    /// The limit on the time from arrival to first event at the replica `key`; `limit` if that does not
+    /// depend on the replica.
     pub(super) fn limit_at(&self, key: Key, limit: Duration) -> Duration {
         let terms = self.terms();
         let now = self.gateway.knowledge.now();
@@ -27,8 +27,7 @@
         limit_at.unwrap_or(limit)
     }
 
-    /// What limits the time to the first event at each replica. Only a request that no replica has
-    /// received is refused because of its size.
+    /// What limits the time to the first event at each replica, for the first attempt.
     pub(super) fn terms(&self) -> Option<Terms> {
         if !self.gateway.setting.policy.fair_sizes || self.was_attempted() {
             return None;
--- a/src/gateway/trace.rs
+++ b/src/gateway/trace.rs
@@ -51,6 +51,8 @@
     pub demand: Demand,
     /// Maximum number of tokens to generate.
     pub output_max: u32,
+    /// Time from arrival to deadline.
+    pub timeout: Option<Duration>,
     /// Its size class among the requests of its route, if it is for an engine.
     pub size: Option<size::Class>,
     /// Number of replicas that received the request.
@@ -85,6 +87,7 @@
             judgement: None,
             demand: Demand::default(),
             output_max: 0,
+            timeout: None,
             size: None,
             sent: 0,
             asked: 0,
@@ -146,6 +149,7 @@
             prompt = self.demand.prompt,
             output = self.demand.output,
             output_max = self.output_max,
+            deadline_ms = millis(self.timeout),
             size = self.size.map_or("", size::Class::name),
             judged_ms = millis(self.judgement.map(|judgement| judgement.expected)),
             prefill_ms = millis(self.judgement.map(|judgement| judgement.prefill)),
--- a/src/route/pool.rs
+++ b/src/route/pool.rs
@@ -24,8 +24,8 @@
 use crate::policy::Policy;
 use crate::wire::sync::ReplicaStatus;
 
-pub mod admission;
 mod instance;
+pub mod limit;
 
 slotmap::new_key_type! {
     /// A replica in a [`Pool`].
@@ -61,10 +61,6 @@
 /// replaced replicas.
 const INVALIDATED_DIVISOR: u32 = 3;
 
-/// Share of the expected output that has to be possible before a request's deadline. Callers'
-/// estimates are often too high by half.
-const OUTPUT_SHARE_MIN: f64 = 0.7;
-
 /// Prompts of mean length that an engine with a free slot may still have to prefill.
 const IMMEDIATE_PROMPTS: f64 = 1.0;
 
@@ -93,7 +89,7 @@
     /// Time until its deadline, if it may be refused because it takes longer.
     pub remaining: Option<Duration>,
     /// What limits its time to the first event, if it may be refused.
-    pub terms: Option<admission::Terms>,
+    pub terms: Option<limit::Terms>,
     /// Replicas that were already tried.
     pub tried: &'a [Key],
     /// Replicas that reported that they have no free slot.
@@ -430,18 +426,11 @@
         } else {
             not_paused
         };
-        let completing = |share: f64| -> Vec<Key> {
-            let completes = |key: &&Key| self.completes(&self.replicas[**key], query, share, now);
-            candidates.iter().filter(completes).copied().collect()
-        };
-        let mut in_time = completing(1.0);
-        if in_time.is_empty() {
-            in_time = completing(OUTPUT_SHARE_MIN);
-        }
-        if in_time.is_empty() {
+        let completing = self.completing(&candidates, query, now);
+        if completing.is_empty() {
             return Err(Unavailable::TooSlow);
         }
-        let candidates = self.admitting(in_time, query, now);
+        let candidates = self.admitting(completing, query, now);
         let with_free_slot: Vec<Key> = candidates
             .iter()
             .copied()
@@ -623,18 +612,6 @@
         ends.since(change.drain_at)
     }
 
-    /// Whether the request is expected to complete at the replica before its deadline, with `share` of
-    /// its expected output.
-    fn completes(&self, replica: &Replica, query: Query<'_>, share: f64, now: Time) -> bool {
-        let (Some(engine), Some(remaining)) = (query.engine, query.remaining) else {
-            return true;
-        };
-        let backlog = self.backlog(replica, engine, now);
-        let expected = self.expected(replica, query, now);
-        let decode = estimate::decode(engine, backlog, query.demand).mul_f64(share);
-        expected + self.corrected(query.service, engine, decode) <= remaining
-    }
-
     fn backlog(&self, replica: &Replica, engine: &Engine, now: Time) -> Backlog {
         Backlog {
             requests: replica.requests(now),
--- a/src/route/pool/admission.rs
+++ b/src/route/pool/limit.rs
@@ -1,4 +1,4 @@
-//! The limit on the time to the first event at each replica.
+//! The limits on the time to the first event and to the end of the response at each replica.
 //!
 //! A limit on the whole time refuses long prompts first: at a slow or busy replica, their own prefill
 //! uses it up. So at the replicas that serve long prompts, the limit applies to the wait before a
@@ -16,6 +16,10 @@
 /// Share of a hall's capacity that serves long prompts, even if their first events are late there.
 const LONG_CAPACITY_SHARE: f64 = 0.5;
 
+/// Share of the expected output that has to be possible before a request's deadline. Callers'
+/// estimates are often too high by half.
+const OUTPUT_SHARE_MIN: f64 = 0.7;
+
 /// What limits the time to the first event.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Terms {
@@ -25,7 +29,8 @@
     pub spent: Duration,
     /// Prefill time of a long prompt at full pace.
     pub long_prefill: Duration,
-    /// Part of the limit that is reserved for requests that are admitted less often, as a multiple of `long_prefill`.
+    /// Part of the limit that is reserved for requests that are admitted less often, as a multiple of
+    /// `long_prefill`.
     pub reserve: f64,
 }
 
@@ -64,8 +69,8 @@
     }
 }
 
-/// The limits of one request.
-struct Limits<'a> {
+/// Evaluates the limit of one request at each replica.
+struct Assessment<'a> {
     pool: &'a Pool,
     query: Query<'a>,
     terms: Terms,
@@ -74,7 +79,7 @@
     now: Time,
 }
 
-impl Limits<'_> {
+impl Assessment<'_> {
     fn times_at(&self, replica: &Replica) -> Times {
         self.times.at_pace(replica.pace(self.now).max(1.0))
     }
@@ -127,14 +132,15 @@
 impl Pool {
     /// The limit on the time to the first event at the replica `key`; `None` if the request has none.
     pub fn first_event_limit(&self, key: Key, query: Query<'_>, now: Time) -> Option<Duration> {
-        let limits = self.request_limits(query, now)?;
+        let assessment = self.assess(query, now)?;
         let replica = self.replicas.get(key)?;
         let hall = &replica.record.hall;
-        let serves_long = limits.fits_long(replica) || limits.serving_late(hall).contains(&key);
-        Some(limits.at(replica, serves_long))
+        let serves_long =
+            assessment.fits_long(replica) || assessment.serving_late(hall).contains(&key);
+        Some(assessment.at(replica, serves_long))
     }
 
-    fn request_limits<'a>(&'a self, query: Query<'a>, now: Time) -> Option<Limits<'a>> {
+    fn assess<'a>(&'a self, query: Query<'a>, now: Time) -> Option<Assessment<'a>> {
         let (terms, engine) = (query.terms?, query.engine?);
         let corrected = |time| self.corrected(query.service, engine, time);
         let iteration = estimate::iteration(engine, engine.slots, 1.0);
@@ -145,7 +151,7 @@
             mean_prefill,
             long_prefill: corrected(terms.long_prefill).max(mean_prefill),
         };
-        Some(Limits {
+        Some(Assessment {
             pool: self,
             query,
             terms,
@@ -156,19 +162,19 @@
 
     /// Those of `candidates` whose limit the request is expected to meet, or all if there are none.
     pub(super) fn admitting(&self, candidates: Vec<Key>, query: Query<'_>, now: Time) -> Vec<Key> {
-        let Some(limits) = self.request_limits(query, now) else {
+        let Some(assessment) = self.assess(query, now) else {
             return candidates;
         };
         let mut late: BTreeMap<&str, BTreeSet<Key>> = BTreeMap::new();
         let mut admits = |key: &Key| {
             let replica = &self.replicas[*key];
             let hall = &*replica.record.hall;
-            let serves_long = limits.fits_long(replica)
+            let serves_long = assessment.fits_long(replica)
                 || late
                     .entry(hall)
-                    .or_insert_with(|| limits.serving_late(hall))
+                    .or_insert_with(|| assessment.serving_late(hall))
                     .contains(key);
-            self.expected(replica, query, now) <= limits.at(replica, serves_long)
+            self.expected(replica, query, now) <= assessment.at(replica, serves_long)
         };
         let admitting: Vec<Key> = candidates
             .iter()
@@ -181,4 +187,31 @@
             admitting
         }
     }
+
+    /// Those of `candidates` where the response is expected to be complete before the deadline, or else
+    /// those where enough of it is.
+    pub(super) fn completing(&self, candidates: &[Key], query: Query<'_>, now: Time) -> Vec<Key> {
+        let with_share = |share: f64| -> Vec<Key> {
+            let completes = |key: &&Key| self.completes(&self.replicas[**key], query, share, now);
+            candidates.iter().filter(completes).copied().collect()
+        };
+        let whole = with_share(1.0);
+        if whole.is_empty() {
+            with_share(OUTPUT_SHARE_MIN)
+        } else {
+            whole
+        }
+    }
+
+    /// Whether the request is expected to complete at the replica before its deadline, with `share` of
+    /// its expected output.
+    fn completes(&self, replica: &Replica, query: Query<'_>, share: f64, now: Time) -> bool {
+        let (Some(engine), Some(remaining)) = (query.engine, query.remaining) else {
+            return true;
+        };
+        let backlog = self.backlog(replica, engine, now);
+        let expected = self.expected(replica, query, now);
+        let decode = estimate::decode(engine, backlog, query.demand).mul_f64(share);
+        expected + self.corrected(query.service, engine, decode) <= remaining
+    }
 }
--- a/tests/size.rs
+++ b/tests/size.rs
@@ -15,7 +15,7 @@
 use pumicelatch::member::replica::{LoadedModel, Record};
 use pumicelatch::policy::Policy;
 use pumicelatch::route::estimate::{self, Demand};
-use pumicelatch::route::pool::admission::Terms;
+use pumicelatch::route::pool::limit::Terms;
 use pumicelatch::route::pool::{Choice, Key, ModelQuery, Pool, Query, Unavailable};
 use pumicelatch::route::replica::Load;
 use pumicelatch::route::search::{Reply, Search, Step};
@@ -307,11 +307,40 @@
 
 const OUTPUT_MAX: u32 = 250;
 
-/// Kinds of request, with the mean and the longest prompt, mean output, and share of all requests.
-const KINDS: [(&str, f64, f64, f64, f64); 3] = [
-    ("report", 1_290.0, 3_880.0, 100.0, 0.41),
-    ("explain", 787.0, 3_330.0, 100.0, 0.31),
-    ("hint", 607.0, 2_640.0, 70.0, 0.28),
+/// A kind of request.
+struct Kind {
+    name: &'static str,
+    /// Mean prompt tokens.
+    prompt: f64,
+    prompt_max: f64,
+    /// Mean output tokens.
+    output: f64,
+    /// Share of all requests.
+    share: f64,
+}
+
+const KINDS: [Kind; 3] = [
+    Kind {
+        name: "report",
+        prompt: 1_290.0,
+        prompt_max: 3_880.0,
+        output: 100.0,
+        share: 0.41,
+    },
+    Kind {
+        name: "explain",
+        prompt: 787.0,
+        prompt_max: 3_330.0,
+        output: 100.0,
+        share: 0.31,
+    },
+    Kind {
+        name: "hint",
+        prompt: 607.0,
+        prompt_max: 2_640.0,
+        output: 70.0,
+        share: 0.28,
+    },
 ];
 
 fn log_normal(rng: &mut SmallRng, mean: f64, variation: f64) -> f64 {
@@ -324,16 +353,21 @@
 
 fn draw(rng: &mut SmallRng, arrived: Time) -> Request {
     let at = rng.random_range(0.0..1.0);
-    let kind = if at < KINDS[0].4 {
+    let kind = if at < KINDS[0].share {
         0
     } else {
-        1 + usize::from(at >= KINDS[0].4 + KINDS[1].4)
+        1 + usize::from(at >= KINDS[0].share + KINDS[1].share)
     };
-    let (_, prompt, longest, output, _) = KINDS[kind];
+    let Kind {
+        prompt,
+        prompt_max,
+        output,
+        ..
+    } = KINDS[kind];
     let output = log_normal(rng, output, 0.85).min(f64::from(OUTPUT_MAX));
     Request {
         kind,
-        prompt: log_normal(rng, prompt, 1.0).min(longest) as u32,
+        prompt: log_normal(rng, prompt, 1.0).min(prompt_max) as u32,
         output: output as u32,
         hint: (output * log_normal(rng, 1.0, 0.5)) as u32,
         arrived,
@@ -374,7 +408,7 @@
             site: Site::default(),
             pool: pool_of(paces),
             sizes: Sizes::default(),
-            kinds: KINDS.map(|(name, ..)| name.into()),
+            kinds: KINDS.map(|kind| kind.name.into()),
             replicas: paces.iter().map(replica).collect(),
             requests: Vec::new(),
             sent: BTreeMap::new(),
