Gateway, sidecar: read the quota that a replica states, log its changes, count attempts at such replicas

No line told that a replica had named a limit, so the record could not tell a limit that nobody reads from one that each process keeps by itself. No decision uses it yet.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -465,6 +465,10 @@
             self.knowledge.client.reap(gossip::IDLE_MAX);
             let losses = self.knowledge.losses.borrow().count;
             self.instruments.set_losses(losses);
+            let mut quotas = self.knowledge.quotas.borrow_mut();
+            quotas.remove_expired(now);
+            self.instruments.set_quotas(quotas.stated());
+            drop(quotas);
             let mut register = self.knowledge.poison.borrow_mut();
             register.remove_expired(now);
             self.instruments.set_blocked(register.blocked());
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -27,6 +27,7 @@
 use crate::route::health::Signal;
 use crate::route::notice::Notice;
 use crate::route::pool::{Choice, Key};
+use crate::route::quota::Statement;
 use crate::timeout;
 
 /// Multiple of the latency objective for which a replica may be silent before an idempotent request
@@ -137,6 +138,16 @@
         let model = job.meta.inference.as_ref().map(|work| &*work.model);
         let start_deadline = model.and_then(|model| pool.start_deadline(choice.key, model, now));
         let number = pool.begin(choice.key, demand, choice.expected, now);
+        if gateway
+            .knowledge
+            .quotas
+            .borrow()
+            .get(&instance)
+            .stated()
+            .is_some()
+        {
+            gateway.instruments.count_limited_attempt();
+        }
         Some(Self {
             gateway: gateway.clone(),
             key: choice.key,
@@ -382,6 +393,12 @@
         if reading != Classification::Misdirected {
             self.apply_notice(job, notice);
         }
+        if !matches!(
+            reading,
+            Classification::Misdirected | Classification::Foreign
+        ) {
+            self.record_quota(job, dialect.quota(&response.headers));
+        }
         match reading {
             Classification::Success { version } => Ok(Incoming {
                 attempt: self,
@@ -428,6 +445,19 @@
         }
     }
 
+    /// Records what the replica's response states about its quota.
+    fn record_quota(&self, job: &Job, statement: Statement) {
+        let mut quotas = self.gateway.knowledge.quotas.borrow_mut();
+        if let Some(change) = quotas.record(&self.instance, statement, self.began, self.now()) {
+            log::info!(
+                request = job.meta.id.as_str(),
+                replica = &*self.instance.id,
+                sent_ms = self.elapsed().as_millis() as u64;
+                "quota {change}"
+            );
+        }
+    }
+
     /// Reads the replica's error response to its end; it is forwarded if no later attempt succeeds.
     async fn replica_error(self, job: &Job, response: Reader) -> Result<Incoming, Failure> {
         let detail = format!("the replica answered {}", response.status.as_u16());
--- a/src/gateway/dialect.rs
+++ b/src/gateway/dialect.rs
@@ -12,6 +12,7 @@
 use crate::http::Answer;
 use crate::request::Outcome;
 use crate::route::notice::Notice;
+use crate::route::quota::Statement;
 
 /// The parameters of an inference request.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -223,6 +224,9 @@
     /// backoff.
     fn notice(&self, status: StatusCode, headers: &HeaderMap) -> Notice;
 
+    /// Reads what a response's `headers` state about the quota of its replica.
+    fn quota(&self, headers: &HeaderMap) -> Statement;
+
     /// Copies the headers of a replica's response that the caller may see.
     fn pass_headers(&self, from: &HeaderMap, into: &mut HeaderMap);
 
--- a/src/gateway/status.rs
+++ b/src/gateway/status.rs
@@ -19,6 +19,8 @@
     requests: Counter<u64>,
     sizes: Counter<u64>,
     attempts: Counter<u64>,
+    limited_attempts: Counter<u64>,
+    quotas: Gauge<u64>,
     duration: Histogram<f64>,
     first: Histogram<f64>,
     losses: Gauge<u64>,
@@ -45,6 +47,14 @@
                 .u64_counter("pumicelatch.gateway.attempts")
                 .with_description("Attempts at replicas by how they ended")
                 .build(),
+            limited_attempts: meter
+                .u64_counter("pumicelatch.gateway.limited_attempts")
+                .with_description("Attempts at replicas that have stated a quota")
+                .build(),
+            quotas: meter
+                .u64_gauge("pumicelatch.gateway.quotas")
+                .with_description("Replicas that have a quota in force, as far as is known")
+                .build(),
             duration: meter
                 .f64_histogram("http.server.request.duration")
                 .with_unit("s")
@@ -119,6 +129,16 @@
         self.barred.record(count as u64, &[]);
     }
 
+    /// Counts an attempt at a replica that has stated a quota.
+    pub fn count_limited_attempt(&self) {
+        self.limited_attempts.add(1, &[]);
+    }
+
+    /// Sets the number of quotas in force.
+    pub fn set_quotas(&self, count: usize) {
+        self.quotas.record(count as u64, &[]);
+    }
+
     /// Counts an attempt by how it ended.
     pub fn count_attempt(&self, ended: &'static str) {
         self.attempts.add(1, &[KeyValue::new("ended", ended)]);
--- a/src/knowledge.rs
+++ b/src/knowledge.rs
@@ -38,6 +38,7 @@
 use crate::member::replica::Record;
 use crate::policy::Policy;
 use crate::request::poison::Registry;
+use crate::route::quota;
 use crate::source::{Batch, Damaged, Topic};
 use crate::version::rollout;
 use crate::wire::pack;
@@ -135,6 +136,8 @@
     /// Wakes the task that notifies the other entries of these requests.
     pub poison_changed: Notify,
     poison_comparing: Cell<bool>,
+    /// The quotas that replicas have stated.
+    pub quotas: RefCell<quota::Registry>,
 }
 
 impl Knowledge {
@@ -174,6 +177,7 @@
             poison: RefCell::default(),
             poison_changed: Notify::new(),
             poison_comparing: Cell::new(false),
+            quotas: RefCell::default(),
             identity,
         })
     }
--- a/src/route.rs
+++ b/src/route.rs
@@ -10,6 +10,7 @@
 pub mod health;
 pub mod notice;
 pub mod pool;
+pub mod quota;
 pub mod replica;
 pub mod search;
 
--- a/src/sidecar.rs
+++ b/src/sidecar.rs
@@ -34,6 +34,7 @@
 use crate::metric::{self, Metrics};
 use crate::policy::Policy;
 use crate::route::notice::Suspension;
+use crate::route::quota::Quota;
 use crate::run::{Call, Registry};
 use crate::source::Source;
 use crate::spread;
@@ -106,6 +107,8 @@
     born: Cell<u64>,
     /// Whether the current instance is leaving, and until when it accepts no requests.
     suspension: Cell<Suspension>,
+    /// The quota of the current instance.
+    quota: Cell<Quota>,
     /// Since when the switch of the replica has been announced.
     notice_since: Cell<Option<Time>>,
     staged: RefCell<reconcile::Staged>,
@@ -281,6 +284,7 @@
             misses: Cell::new(0),
             born: Cell::new(0),
             suspension: Cell::default(),
+            quota: Cell::default(),
             notice_since: Cell::new(None),
             staged: RefCell::default(),
             fallback: RefCell::default(),
--- a/src/sidecar/engine.rs
+++ b/src/sidecar/engine.rs
@@ -10,6 +10,7 @@
 
 use crate::member::replica::{self, LoadedModel};
 use crate::route::notice::Notice;
+use crate::route::quota::Statement;
 
 /// A replica's report about itself.
 #[derive(Debug, Clone, PartialEq, Default)]
@@ -28,6 +29,8 @@
     pub pace: f64,
     /// Whether its answer contained a notice that it is leaving.
     pub leaving: bool,
+    /// What its answer stated about its quota.
+    pub quota: Statement,
 }
 
 impl State {
@@ -85,6 +88,9 @@
     /// Returns the notice in an answer with this `status` and `headers`.
     fn notice(&self, status: StatusCode, headers: &HeaderMap) -> Notice;
 
+    /// Reads what an answer's `headers` state about the quota.
+    fn quota(&self, headers: &HeaderMap) -> Statement;
+
     /// Fetches its state.
     fn state(&self) -> LocalBoxFuture<'_, Result<State, Error>>;
 
--- a/src/sidecar/executor.rs
+++ b/src/sidecar/executor.rs
@@ -299,10 +299,14 @@
         ..Options::default()
     };
     let replica = sidecar.engine.address();
+    let sent_at = sidecar.knowledge.now();
     let ended = match sidecar.client.exchange(replica, head, body, options).await {
         Ok(mut response) => {
             let headers = std::mem::take(&mut response.headers);
             sidecar.apply_notice(sidecar.engine.notice(response.status, &headers));
+            if response.status != StatusCode::MISDIRECTED_REQUEST {
+                sidecar.record_quota(sidecar.engine.quota(&headers), sent_at);
+            }
             run.set_head(Head::Answer(response.status, headers));
             buffer_body(&run, &mut response).await
         }
--- a/src/sidecar/observe.rs
+++ b/src/sidecar/observe.rs
@@ -21,6 +21,7 @@
 use crate::knowledge::traffic::Purpose;
 use crate::lease;
 use crate::route::notice::{Notice, Suspension};
+use crate::route::quota::{Quota, Statement};
 use crate::route::replica::Load;
 use crate::source::Topic;
 use crate::timeout::{self, Progress};
@@ -136,9 +137,18 @@
             }
         }
         match &state {
-            Some(state) => self.apply_notice(Notice::new(state.leaving, None)),
+            Some(state) => {
+                self.apply_notice(Notice::new(state.leaving, None));
+                // Replicas need not state their quota in answers to polls.
+                if state.quota != Statement::Absent {
+                    self.record_quota(state.quota, self.knowledge.now());
+                }
+            }
             // If start times are not reported, a new instance can only be inferred from an outage.
-            None if self.born.get() == 0 => self.suspension.set(Suspension::default()),
+            None if self.born.get() == 0 => {
+                self.suspension.set(Suspension::default());
+                self.quota.set(Quota::default());
+            }
             None => {}
         }
         let before = self.state.replace(state);
@@ -168,6 +178,7 @@
     fn reset_for_instance(&self, born: u64) {
         log::info!(born; "new instance of the replica");
         self.suspension.set(Suspension::default());
+        self.quota.set(Quota::default());
         self.state.replace(None);
         self.ledger.borrow_mut().reset();
         self.client.close_idle(self.engine.address());
@@ -187,6 +198,16 @@
         }
     }
 
+    /// Records what the replica states about its quota in response to a request sent at `sent_at`.
+    pub(super) fn record_quota(&self, statement: Statement, sent_at: Time) {
+        let mut quota = self.quota.get();
+        let change = quota.record(statement, sent_at, self.knowledge.now());
+        self.quota.set(quota);
+        if let Some(change) = change {
+            log::info!("quota {change}");
+        }
+    }
+
     /// Sets since when the switch of the replica is announced; `None` once it has switched.
     pub(super) fn set_notice_since(&self, notice_since: Option<Time>) {
         if self.notice_since.replace(notice_since) != notice_since {
