Quotas: one process counts the requests to a replica that states a quota, for all entries

Callers saw slow and failed answers of replicas in need: they name in Server-Limit how many requests a second they take from all machines together and got as many as any other (66 in 4 s before four entries, 104 by way of the sidecar, 11 allowed; 88 with one entry alone).

Cause: nobody read it, and nothing counted for all. Reading it in each entry would have left n times the limit with n entries.

Each request to such a replica needs a grant now, from the one process that counts: the sidecar beside the replica, with the lease or when a run arrives; where there is none, the entry that ranks first for the replica in its hall. An entry counts only the part of the known entries that it sees alive, and the smallest such share of the last 4 s: shares of parts that are cut off from each other add up to one, and a share rises only when all know of the change. Missing entries count for 60 s unless their address refuses connections. What is heard from a replica is ordered by when requests were sent and answers arrived, told to other entries at once, and belongs to the instance. After the end the rate doubles each 0.4 s for 2 s.

Choice, occupancy and refusals know it: a replica whose quota is used up is no candidate, and if all are, callers are refused at once with the time of the next grant. Urgencies take turns by weight.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -70,6 +70,7 @@
 mod limit;
 pub mod place;
 mod poison;
+mod quota;
 pub mod reader;
 pub mod relay;
 pub mod retry;
@@ -168,6 +169,7 @@
     rejections: RefCell<Rejections>,
     sizes: RefCell<BTreeMap<Arc<str>, Sizes>>,
     suspects: RefCell<poison::Suspects>,
+    counts: RefCell<quota::Counts>,
 }
 
 /// What a gateway is started with.
@@ -280,6 +282,7 @@
             rejections: RefCell::default(),
             sizes: RefCell::default(),
             suspects: RefCell::default(),
+            counts: RefCell::new(quota::Counts::new(setting.identity.address)),
             pool_generation: Cell::new(0),
             budgets: RefCell::default(),
             began: knowledge.now(),
@@ -306,6 +309,7 @@
             actix_rt::spawn(gossip::announce_updates(knowledge.clone())),
             actix_rt::spawn(traffic::log(knowledge.clone())),
             actix_rt::spawn(knowledge::poison::run(knowledge.clone())),
+            actix_rt::spawn(knowledge::quotas::run(knowledge.clone())),
             actix_rt::spawn(gossip::run(knowledge, move || targets.sidecars())),
             actix_rt::spawn(gateway.clone().tick()),
             actix_rt::spawn(gateway.clone().relay_weights()),
@@ -454,8 +458,10 @@
         for tick in 1_u32.. {
             sleep(TICK).await;
             let now = self.knowledge.now();
+            self.observe_entries();
             if tick.is_multiple_of(TICKS_PER_LOG) {
                 self.log_in_flight();
+                self.probe_silent_entries();
             }
             let swept = self.knowledge.catalog.borrow_mut().remove_expired(now);
             if swept {
@@ -489,6 +495,7 @@
             let mut pool = self.pool.borrow_mut();
             pool.update(list, schedule);
             pool.set_evacuated(evacuated);
+            pool.set_quotas(&self.knowledge.quotas.borrow());
             pool.refresh_cold(self.knowledge.now());
         }
         let restarted = self.pool.borrow_mut().take_restarted();
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -447,8 +447,8 @@
 
     /// Records what the replica's response states about its quota.
     fn record_quota(&self, job: &Job, statement: Statement) {
-        let mut quotas = self.gateway.knowledge.quotas.borrow_mut();
-        if let Some(change) = quotas.record(&self.instance, statement, self.began, self.now()) {
+        let knowledge = &self.gateway.knowledge;
+        if let Some(change) = knowledge.record_quota(&self.instance, statement, self.began) {
             log::info!(
                 request = job.meta.id.as_str(),
                 replica = &*self.instance.id,
--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -10,6 +10,7 @@
 
 use super::Gateway;
 use crate::burst::serve;
+use crate::grant;
 use crate::http::{self, Answer};
 use crate::knowledge::fanout::{self, FRAME_FORWARD_PATH, Message, SYNC_FORWARD_PATH};
 use crate::knowledge::{gossip, poison};
@@ -85,6 +86,10 @@
             }
             Err(answer) => answer,
         },
+        grant::PATH => match decode::<grant::Request>(&mut request).await {
+            Ok(request) => http::pack(StatusCode::OK, &gateway.answer_grant(&request)),
+            Err(answer) => answer,
+        },
         REPORT_PATH => match decode::<Report>(&mut request).await {
             Ok(report) => answer_report(&gateway, &report),
             Err(answer) => answer,
@@ -145,10 +150,7 @@
 fn answer_report(gateway: &Gateway, report: &Report) -> Answer {
     gateway.refresh_pool();
     let now = gateway.knowledge.now();
-    gateway
-        .pool
-        .borrow_mut()
-        .report(report.address, &report.load, now);
+    gateway.apply_load(report.address, &report.load, now);
     http::pack(
         StatusCode::OK,
         &gateway.knowledge.update_for(&report.heartbeat, true),
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -31,6 +31,12 @@
 /// Time over which the retries of callers are spread after the backoff that a replica asked for.
 const RETRY_JITTER: Duration = Duration::from_millis(400);
 
+/// Longest time over which the retries of callers are spread if quotas are used up.
+const QUOTA_RETRY_SPREAD_MAX: Duration = Duration::from_secs(2);
+
+/// Replicas for which a request asks for a grant before it is refused.
+const GRANTS_ASKED_MAX: u32 = 4;
+
 /// Lower bound of an entry's share of the connections to one replica.
 const CONNECTIONS_MIN: u32 = 3;
 
@@ -237,9 +243,30 @@
         })
     }
 
-    /// Finds a replica for the request, waiting for a short time if need be, or refuses the
+    /// Finds a replica for the request and takes a grant if that has a quota, or refuses the
     /// request.
     pub(super) async fn admit(&mut self) -> Result<Choice, Refusal> {
+        let mut asked = 0;
+        loop {
+            let choice = self.find_place().await?;
+            let Err(wait) = self.take_grant(choice.key, self.trace.leased).await else {
+                return Ok(choice);
+            };
+            self.mark_quota_used(choice.key, wait);
+            asked += 1;
+            if asked == GRANTS_ASKED_MAX {
+                let unavailable = Unavailable::QuotaUsed {
+                    remaining: wait,
+                    interval: wait,
+                };
+                return Err(self.unavailable(unavailable));
+            }
+        }
+    }
+
+    /// Finds a replica for the request, waiting for a short time if need be, or refuses the
+    /// request.
+    async fn find_place(&mut self) -> Result<Choice, Refusal> {
         let mut lease_requests = self.gateway.setting.policy.lease_requests;
         loop {
             let chosen_before = self.was_attempted();
@@ -275,8 +302,10 @@
                         self.refusal_after(Ended::Refused, unavailable.to_string())
                     });
             }
-            if let Err(Unavailable::TooSlow) = choice {
-                return Err(self.unavailable(Unavailable::TooSlow));
+            if let Err(unavailable @ (Unavailable::TooSlow | Unavailable::QuotaUsed { .. })) =
+                choice
+            {
+                return Err(self.unavailable(unavailable));
             }
             if found.leased {
                 self.record_admission(true);
@@ -326,6 +355,10 @@
         let refusal = Refusal::new(code, unavailable.to_string());
         refusal.retry_after(match unavailable {
             Unavailable::BackingOff { remaining: backoff } => self.delay_after_backoff(backoff),
+            Unavailable::QuotaUsed {
+                remaining,
+                interval,
+            } => self.delay_after_quota(remaining, interval),
             _ => self.weights_retry_delay(remaining),
         })
     }
@@ -342,6 +375,21 @@
         backoff + RETRY_JITTER.mul_f64(apart)
     }
 
+    /// Delay that the caller is asked for if the quotas of all replicas are used up for `remaining`
+    /// and then take one request in each `interval`.
+    fn delay_after_quota(&self, remaining: Duration, interval: Duration) -> Duration {
+        let apart = self
+            .gateway
+            .knowledge
+            .rng
+            .borrow_mut()
+            .random_range(0.0..1.0);
+        remaining
+            + interval
+                .clamp(RETRY_JITTER, QUOTA_RETRY_SPREAD_MAX)
+                .mul_f64(apart)
+    }
+
     /// Delay that the caller is asked for until replicas are expected to have received weights.
     fn weights_retry_delay(&self, remaining: Duration) -> Duration {
         let gateway = &self.gateway;
@@ -411,6 +459,7 @@
             residency: &self.job.residency,
             regions: &regions,
             cold_per_s: self.own_cold_per_s(),
+            urgency: self.job.priority,
         })
     }
 
--- a/src/gateway/halls.rs
+++ b/src/gateway/halls.rs
@@ -191,10 +191,9 @@
     fn apply_hall_status(&self, status: &HallStatus) {
         self.refresh_pool();
         let now = self.knowledge.now();
-        let mut pool = self.pool.borrow_mut();
         for reported in &status.replicas {
             let age = Duration::from_millis(reported.age_ms);
-            pool.report(reported.address, &reported.load, now - age);
+            self.apply_load(reported.address, &reported.load, now - age);
         }
     }
 }
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -153,6 +153,8 @@
             late_ms: late.as_millis() as u64,
             refused: pending,
             cold: self.throttle(key),
+            quota: self.quota_report(key),
+            urgency: self.job.priority,
         }
     }
 
@@ -184,8 +186,10 @@
                     pool.get(key).map(|replica| replica.record.address)
                 };
                 if let Some(address) = address {
-                    let mut pool = self.gateway.pool.borrow_mut();
-                    pool.report(address, &answer.load, now);
+                    self.gateway.apply_load(address, &answer.load, now);
+                }
+                if let Some(wait) = answer.quota_wait_ms {
+                    self.mark_quota_used(key, Duration::from_millis(wait));
                 }
                 self.gateway.merge_rejections(&answer.refused, now);
                 let tried_before = answer.tried_before_ms.map(Duration::from_millis);
@@ -194,7 +198,7 @@
                 }
                 let choice = self
                     .expected_by_sidecar(key, &answer, now)
-                    .filter(|_| !answer.dealt_out);
+                    .filter(|_| !answer.dealt_out && answer.quota_wait_ms.is_none());
                 if answer.given && choice.is_some() {
                     return Offer {
                         choice,
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -7,12 +7,13 @@
 use bytes::Bytes;
 use futures_util::{Stream, stream};
 
-use super::attempt::{self, Attempt, Incoming};
+use super::attempt::{self, Attempt, Failure, Incoming};
 use super::dispatch::Dispatch;
 use super::event::Splitter;
 use super::reader::Reader;
 use crate::clock::Time;
 use crate::http::Answer;
+use crate::request::attempt::Ended;
 use crate::route::health::Signal;
 use crate::timeout;
 
@@ -194,6 +195,11 @@
                 self.dispatch.trace.reason = self.dispatch.blocked_refusal().detail;
                 return false;
             }
+            if let Err(wait) = self.dispatch.take_grant(choice.key, false).await {
+                self.dispatch.mark_quota_used(choice.key, wait);
+                failure = Failure::new(Ended::NotSent, "the replica's quota is used up");
+                continue;
+            }
             let last = self.splitter.last();
             match self.dispatch.attempt(choice, last).await {
                 Ok(incoming) => {
--- a/src/gateway/status.rs
+++ b/src/gateway/status.rs
@@ -21,6 +21,7 @@
     attempts: Counter<u64>,
     limited_attempts: Counter<u64>,
     quotas: Gauge<u64>,
+    grants: Counter<u64>,
     duration: Histogram<f64>,
     first: Histogram<f64>,
     losses: Gauge<u64>,
@@ -55,6 +56,10 @@
                 .u64_gauge("pumicelatch.gateway.quotas")
                 .with_description("Replicas that have a quota in force, as far as is known")
                 .build(),
+            grants: meter
+                .u64_counter("pumicelatch.gateway.grants")
+                .with_description("Requests for grants under quotas, besides leases, by outcome")
+                .build(),
             duration: meter
                 .f64_histogram("http.server.request.duration")
                 .with_unit("s")
@@ -139,6 +144,12 @@
         self.quotas.record(count as u64, &[]);
     }
 
+    /// Counts a request for a grant under a quota.
+    pub fn count_grant(&self, given: bool) {
+        let outcome = if given { "given" } else { "denied" };
+        self.grants.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
     /// Counts an attempt by how it ended.
     pub fn count_attempt(&self, ended: &'static str) {
         self.attempts.add(1, &[KeyValue::new("ended", ended)]);
--- a/src/knowledge.rs
+++ b/src/knowledge.rs
@@ -8,7 +8,8 @@
 //! * [`fanout`] distributes a message to all entries of a hall.
 //! * [`hub`] determines which entry sends the status of replicas to a whole hall, [`polls`] when other
 //!   halls are polled for theirs.
-//! * [`poison`] distributes the requests under which replicas crashed.
+//! * [`poison`] distributes the requests under which replicas crashed, [`quotas`] the quotas that
+//!   replicas state.
 //! * [`rounds`] plans when heartbeats are sent and to which processes.
 //! * [`traffic`] counts the messages to other processes.
 //! * [`gossip`] exchanges updates with other processes of the system, so that a process that the store
@@ -51,6 +52,7 @@
 pub mod hub;
 pub mod poison;
 pub mod polls;
+pub mod quotas;
 pub mod readers;
 pub mod rounds;
 pub mod schedule;
@@ -138,6 +140,8 @@
     poison_comparing: Cell<bool>,
     /// The quotas that replicas have stated.
     pub quotas: RefCell<quota::Registry>,
+    /// Wakes the task that notifies the other entries of a change that a replica stated.
+    pub quotas_changed: Notify,
 }
 
 impl Knowledge {
@@ -178,6 +182,7 @@
             poison_changed: Notify::new(),
             poison_comparing: Cell::new(false),
             quotas: RefCell::default(),
+            quotas_changed: Notify::new(),
             identity,
         })
     }
--- a/src/knowledge/heartbeat.rs
+++ b/src/knowledge/heartbeat.rs
@@ -37,6 +37,7 @@
         }
         if update.entry {
             self.record_peer(from, &update.hall, update.store_age_ms);
+            self.merge_quotas(&update.quotas, &update.hall);
         }
         if let Some(dated) = update.routing {
             self.apply_document(from, dated);
@@ -193,6 +194,7 @@
             takes_packed_peers: true,
             takes_packed_digest: true,
             poison: self.poison.borrow().digest(now),
+            quotas: self.quota_reports(),
         }
     }
 
@@ -245,6 +247,7 @@
         self.update_peers(|peers| peers.merge(&heartbeat.peers, now));
         if heartbeat.entry {
             self.record_peer(heartbeat.from, &heartbeat.hall, heartbeat.store_age_ms);
+            self.merge_quotas(&heartbeat.quotas, &heartbeat.hall);
         }
         let catalog = self.catalog.borrow();
         let revisions = catalog.revisions();
@@ -306,6 +309,11 @@
                 .then(|| self.summary())
                 .flatten(),
             poison: self.poison.borrow().digest(now),
+            quotas: if heartbeat.entry {
+                self.quota_reports()
+            } else {
+                Vec::new()
+            },
         }
     }
 
--- a/src/knowledge/poison.rs
+++ b/src/knowledge/poison.rs
@@ -79,7 +79,7 @@
 }
 
 /// The entries of other halls to notify.
-fn remote_receivers(knowledge: &Knowledge) -> Vec<SocketAddr> {
+pub(super) fn remote_receivers(knowledge: &Knowledge) -> Vec<SocketAddr> {
     let peers = knowledge.peers.borrow();
     let halls = peers.by_other_hall(&knowledge.identity.hall, knowledge.now());
     let ranked = halls.into_values().map(|entries| Readers::ranked(&entries));
--- a/src/lease.rs
+++ b/src/lease.rs
@@ -20,11 +20,16 @@
 use crate::limit::retry::{self, Fingerprint, Rejection, Rejections};
 use crate::route::cold::TokenBucket;
 use crate::route::estimate;
+use crate::route::meter::Gate;
+use crate::route::quota;
 use crate::route::replica::Load;
 
 /// Path of a [`Request`].
 pub const PATH: &str = "/v1/place";
 
+/// Urgency of requests of which none is known: halfway from the highest to the lowest.
+pub const DEFAULT_URGENCY: u8 = 5;
+
 /// Longest time from a lease to the arrival of its request at the engine: a few milliseconds within
 /// and between halls, and one turn of a busy process at either end. An engine state
 /// that is observed later than that includes the request.
@@ -124,6 +129,16 @@
     /// Rate limit of the replica, if the entry knows that it is cold.
     #[serde(default)]
     pub cold: Option<Throttle>,
+    /// Quota of the replica, if the entry knows of one.
+    #[serde(default)]
+    pub quota: Option<quota::Report>,
+    /// The request's urgency; 0 is the highest.
+    #[serde(default = "default_urgency")]
+    pub urgency: u8,
+}
+
+fn default_urgency() -> u8 {
+    DEFAULT_URGENCY
 }
 
 impl Request {
@@ -159,6 +174,9 @@
     /// Whether the replica is cold and at its rate limit.
     #[serde(default)]
     pub dealt_out: bool,
+    /// Milliseconds until a request may be granted under the replica's quota, if that is used up.
+    #[serde(default)]
+    pub quota_wait_ms: Option<u64>,
 }
 
 /// A granted lease.
@@ -176,6 +194,8 @@
     rejections: Rejections,
     cold: Option<(Throttle, Time)>,
     token_bucket: TokenBucket,
+    /// Requests under the replica's quota.
+    pub gate: Gate,
 }
 
 impl Ledger {
@@ -195,6 +215,7 @@
         self.in_progress = 0;
         self.iterations = Iterations::default();
         self.cold = None;
+        self.gate = Gate::default();
     }
 
     /// Takes a cold replica's rate limit from one entry. It applies to all entries, since others
@@ -253,7 +274,10 @@
         let accepts = accepts && load.notice().is_empty();
         let accepts = accepts && expected.is_none_or(|expected| expected <= limit);
         self.update_throttle(message.cold, now);
-        let given = accepts && self.take_cold_token(now);
+        let warm = accepts && self.take_cold_token(now);
+        let quota = load.quota_per_s(now).filter(|_| warm);
+        let quota_wait = quota.and_then(|per_s| self.gate.take(message.urgency, per_s, now).err());
+        let given = warm && quota_wait.is_none();
         if given {
             self.leases.push_back(Lease { at: now });
             if let Some(engine) = engine {
@@ -266,7 +290,8 @@
             expected_ms: expected.map(|expected| expected.as_millis() as u64),
             tried_before_ms: tried_before.map(|age| age.as_millis() as u64),
             refused: rejections_to_send.unwrap_or_default(),
-            dealt_out: accepts && !given,
+            dealt_out: accepts && !warm,
+            quota_wait_ms: quota_wait.map(|wait| wait.as_millis() as u64),
         }
     }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod entry;
 pub mod exchange;
 pub mod gateway;
+pub mod grant;
 pub mod hash;
 pub mod http;
 pub mod knowledge;
--- a/src/member.rs
+++ b/src/member.rs
@@ -6,6 +6,7 @@
 pub mod peer;
 pub mod rank;
 pub mod replica;
+pub mod share;
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
--- a/src/member/peer.rs
+++ b/src/member/peer.rs
@@ -16,6 +16,10 @@
 /// Time without a sign of life after which an entry is removed from the table.
 pub const EXPIRY: Duration = Duration::from_secs(60);
 
+/// Age of a refused connection up to which no process is assumed to run at the address. One may have
+/// started meanwhile, behind a cut.
+const REFUSAL_MAX_AGE: Duration = Duration::from_millis(3_000);
+
 /// Assumed maximum number of running entries that are not in the table yet.
 const UNDISCOVERED_MAX: usize = 3;
 
@@ -34,6 +38,8 @@
 struct Peer {
     hall: Arc<str>,
     last_seen: Time,
+    /// When its address was last found to refuse connections.
+    refused_at: Option<Time>,
 }
 
 /// The table of entries that a process knows.
@@ -72,6 +78,7 @@
             Peer {
                 hall: hall.clone(),
                 last_seen: at,
+                refused_at: None,
             }
         });
         peer.last_seen = peer.last_seen.max(at);
@@ -133,6 +140,52 @@
         alive.map(|(address, _)| address).collect()
     }
 
+    /// The entries that are not alive, those first whose addresses refused a connection least
+    /// recently.
+    pub fn silent(&self, now: Time) -> Vec<SocketAddr> {
+        let peers = self.peers.iter();
+        let silent = peers.filter(|(_, peer)| now.since(peer.last_seen) >= ALIVE_TIMEOUT);
+        let mut silent: Vec<(Option<Time>, SocketAddr)> = silent
+            .map(|(address, peer)| (peer.refused_at, *address))
+            .collect();
+        silent.sort_unstable();
+        silent.into_iter().map(|(_, address)| address).collect()
+    }
+
+    /// Number of entries that are not alive and may be cut off: their addresses have not refused a
+    /// connection of late.
+    pub fn missing(&self, now: Time) -> usize {
+        let missing = self.peers.values().filter(|peer| {
+            let refused = peer.refused_at;
+            now.since(peer.last_seen) >= ALIVE_TIMEOUT
+                && refused.is_none_or(|at| now.since(at) >= REFUSAL_MAX_AGE)
+        });
+        missing.count()
+    }
+
+    /// Records that the address of an entry refused a connection: no process runs there.
+    pub fn mark_refused(&mut self, address: SocketAddr, now: Time) {
+        if let Some(peer) = self.peers.get_mut(&address) {
+            peer.refused_at = Some(now);
+        }
+    }
+
+    /// The number of entries that may be cut off, for an entry that has run for `age` and is given
+    /// `seeds` to contact first. `None` if it has just started and has not heard of any other entry,
+    /// though its seeds may run.
+    pub fn missing_of(&self, seeds: &[SocketAddr], age: Duration, now: Time) -> Option<usize> {
+        let unheard = seeds.iter().filter(|seed| {
+            let is_other = Some(**seed) != self.own;
+            is_other && !self.peers.contains_key(seed)
+        });
+        let unheard = unheard.count();
+        if age >= EXPIRY && !self.peers.is_empty() {
+            return Some(self.missing(now));
+        }
+        let knows_none = self.peers.is_empty() && unheard > 0 && age < EXPIRY;
+        (!knows_none).then(|| self.missing(now) + unheard)
+    }
+
     /// Whether the table is empty.
     pub fn is_empty(&self) -> bool {
         self.peers.is_empty()
--- a/src/route.rs
+++ b/src/route.rs
@@ -8,6 +8,7 @@
 pub mod correction;
 pub mod estimate;
 pub mod health;
+pub mod meter;
 pub mod notice;
 pub mod pool;
 pub mod quota;
--- a/src/route/pool.rs
+++ b/src/route/pool.rs
@@ -16,6 +16,7 @@
 use super::estimate::{self, Backlog, Demand};
 use super::health::Signal;
 use super::notice::{Notice, Suspensions};
+use super::quota::Registry;
 use super::replica::Replica;
 use crate::clock::Time;
 use crate::config::residency::{Regions, Residency};
@@ -61,6 +62,9 @@
 /// replaced replicas.
 const INVALIDATED_DIVISOR: u32 = 3;
 
+/// Lowest rate of requests under quotas, per second, from which an interval between two is derived.
+const QUOTA_PER_S_MIN: f64 = 0.1;
+
 /// Prompts of mean length that an engine with a free slot may still have to prefill.
 const IMMEDIATE_PROMPTS: f64 = 1.0;
 
@@ -102,6 +106,8 @@
     pub regions: &'a Regions,
     /// Requests per second that this entry may send to a cold replica; 0 for no limit.
     pub cold_per_s: f64,
+    /// The request's urgency; 0 is the highest.
+    pub urgency: u8,
 }
 
 /// The result of a choice.
@@ -149,6 +155,14 @@
         /// Time until the first of them takes requests again.
         remaining: Duration,
     },
+    /// The quotas of all eligible replicas are used up.
+    #[error("the quotas of all replicas are used up, the first for {} ms more", remaining.as_millis())]
+    QuotaUsed {
+        /// Time until the first of them may take a request again.
+        remaining: Duration,
+        /// Mean time between two requests that all of them together take.
+        interval: Duration,
+    },
     /// All eligible replicas were tried.
     #[error("all replicas were tried")]
     AllTried,
@@ -183,6 +197,7 @@
     evacuated: BTreeSet<Arc<str>>,
     restarted: Vec<SocketAddr>,
     suspensions: Suspensions,
+    has_quotas: bool,
     requests_begun: u64,
 }
 
@@ -341,6 +356,25 @@
         changed
     }
 
+    /// Applies the known quotas to the replicas.
+    pub fn set_quotas(&mut self, quotas: &Registry) {
+        if quotas.is_empty() && !self.has_quotas {
+            return;
+        }
+        self.has_quotas = !quotas.is_empty();
+        for replica in self.replicas.values_mut() {
+            replica.quota = quotas.get(&replica.record.instance());
+        }
+    }
+
+    /// Records that no request of `urgency` to the replica `key` is granted under its quota for
+    /// `wait`.
+    pub fn mark_quota_used(&mut self, key: Key, urgency: u8, wait: Duration, now: Time) {
+        if let Some(replica) = self.replicas.get_mut(key) {
+            replica.mark_quota_used(urgency, wait, now);
+        }
+    }
+
     /// Time until the first eligible replica ends its backoff, if all of them are backing off.
     pub fn backoff(&self, query: Query<'_>, now: Time) -> Option<Duration> {
         let eligible = self
@@ -401,6 +435,7 @@
             let remaining = first.unwrap_or_default();
             return Err(Unavailable::BackingOff { remaining });
         }
+        let selectable = self.with_quota_left(selectable, query, now)?;
         let untried: Vec<Key> = selectable
             .into_iter()
             .filter(|key| !query.tried.contains(key))
@@ -446,6 +481,27 @@
             .ok_or(Unavailable::NoneEligible)
     }
 
+    /// Those of `candidates` that may take the request under their quotas.
+    fn with_quota_left(
+        &self,
+        candidates: Vec<Key>,
+        query: Query<'_>,
+        now: Time,
+    ) -> Result<Vec<Key>, Unavailable> {
+        let wait = |key: &Key| self.replicas[*key].quota_wait(query.urgency, now);
+        let first = candidates.iter().map(wait).min().unwrap_or_default();
+        if !first.is_zero() {
+            let rates = candidates.iter();
+            let rates = rates.filter_map(|key| self.replicas[*key].quota_per_s(now));
+            return Err(Unavailable::QuotaUsed {
+                remaining: first,
+                interval: Duration::from_secs_f64(1.0 / rates.sum::<f64>().max(QUOTA_PER_S_MIN)),
+            });
+        }
+        let left = candidates.into_iter().filter(|key| wait(key).is_zero());
+        Ok(left.collect())
+    }
+
     /// Whether a replica is in an allowed region and its hall is not evacuated.
     fn location_allowed(&self, replica: &Replica, query: Query<'_>) -> bool {
         let hall = &replica.record.hall;
@@ -685,6 +741,7 @@
             .map(|&key| &self.replicas[key]);
         selectable
             .filter(|replica| self.selectable(replica, query, now))
+            .filter(|replica| replica.quota_wait(query.urgency, now).is_zero())
             .fold((0, 0), |(taken, total), replica| {
                 let slots = replica.record.slots;
                 (taken + replica.requests(now).min(slots), total + slots)
--- a/src/route/pool/instance.rs
+++ b/src/route/pool/instance.rs
@@ -7,7 +7,7 @@
 use super::{Key, Pool};
 use crate::clock::Time;
 use crate::config::catalog::ListedReplica;
-use crate::member::replica::Record;
+use crate::member::replica::{Instance, Record};
 use crate::route::replica::{Load, Replica, Schedule};
 
 impl Pool {
@@ -89,6 +89,19 @@
         replicas.filter_map(|&key| self.replicas.get(key))
     }
 
+    /// The instances known at `address`, or the one of them that started at `born` if that is not 0.
+    pub fn instances_at(&self, address: SocketAddr, born: u64) -> Vec<Instance> {
+        let replicas = self.replicas_at(address);
+        let replicas = replicas.filter(|replica| born == 0 || replica.record.born == born);
+        replicas.map(|replica| replica.record.instance()).collect()
+    }
+
+    /// The key of `instance`, if it is known.
+    pub fn key_of(&self, instance: &Instance) -> Option<Key> {
+        let key = *self.ids.get(&instance.id)?;
+        (self.replicas.get(key)?.record.born == instance.born).then_some(key)
+    }
+
     /// Ids of the known replicas at `address`.
     pub fn ids_at(&self, address: SocketAddr) -> Vec<Arc<str>> {
         let replicas = self.replicas_at(address);
--- a/src/route/quota.rs
+++ b/src/route/quota.rs
@@ -37,6 +37,15 @@
 /// How long the quota of an instance is kept after the last statement or report about it.
 const RETENTION: Duration = Duration::from_secs(900);
 
+/// Time without a report of a replica's sidecar after which entries tell each other of its quota.
+const SIDECAR_SILENCE: Duration = Duration::from_secs(3);
+
+/// Time in milliseconds for which entries tell each other of the end of a quota.
+const ENDED_TOLD_MS: u64 = 60_000;
+
+/// Quotas that an entry tells in one message.
+const REPORTS_MAX: usize = 64;
+
 /// A rate of requests.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Rate {
@@ -262,6 +271,28 @@
 struct Known {
     quota: Quota,
     at: Time,
+    /// When a sidecar last reported it. Its reports reach all entries.
+    sidecar_at: Option<Time>,
+    /// Whether another entry has told it as it is.
+    shared: bool,
+}
+
+/// Who told of a quota.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Teller {
+    /// The sidecar of the replica.
+    Sidecar,
+    /// Another entry.
+    Entry,
+}
+
+/// The quota of an instance, as entries tell each other.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct InstanceReport {
+    /// The instance.
+    pub instance: Instance,
+    /// Its quota.
+    pub report: Report,
 }
 
 impl Registry {
@@ -278,7 +309,80 @@
         }
         let known = self.0.entry(instance.clone()).or_default();
         known.at = now;
-        known.quota.record(statement, sent_at, now)
+        let change = known.quota.record(statement, sent_at, now);
+        known.shared &= change.is_none();
+        change
+    }
+
+    /// Applies what another process reported at `at`, like [`Quota::merge`].
+    pub fn merge(
+        &mut self,
+        instance: &Instance,
+        report: Report,
+        teller: Teller,
+        at: Time,
+    ) -> Option<Change> {
+        if report.ended && !self.0.contains_key(instance) {
+            return None;
+        }
+        let known = self.0.entry(instance.clone()).or_default();
+        known.at = known.at.max(at - Duration::from_millis(report.age_ms));
+        if teller == Teller::Sidecar {
+            known.sidecar_at = Some(at);
+        }
+        let change = known.quota.merge(report, at);
+        known.shared = known
+            .quota
+            .report(at)
+            .is_some_and(|own| (own.rate, own.ended) == (report.rate, report.ended));
+        change
+    }
+
+    /// Whether entries have to be told of a quota that none of them has told so far.
+    pub fn has_unshared(&self) -> bool {
+        self.0
+            .values()
+            .any(|known| !known.shared && known.quota != Quota::default())
+    }
+
+    /// Records that entries are being told of all quotas.
+    pub fn mark_shared(&mut self) {
+        for known in self.0.values_mut() {
+            known.shared = true;
+        }
+    }
+
+    /// Records that other entries may not have been told of the quota of `instance`.
+    pub fn mark_unshared(&mut self, instance: &Instance) {
+        if let Some(known) = self.0.get_mut(instance) {
+            known.shared = false;
+        }
+    }
+
+    /// The quotas to tell other entries: the latest ones, without those that sidecars report.
+    pub fn reports(&self, now: Time) -> Vec<InstanceReport> {
+        let told = self.0.iter().filter(|(_, known)| {
+            known
+                .sidecar_at
+                .is_none_or(|at| now.since(at) >= SIDECAR_SILENCE)
+        });
+        let mut reports: Vec<InstanceReport> = told
+            .filter_map(|(instance, known)| {
+                Some(InstanceReport {
+                    instance: instance.clone(),
+                    report: known.quota.report(now)?,
+                })
+            })
+            .collect();
+        reports.retain(|told| !told.report.ended || told.report.age_ms < ENDED_TOLD_MS);
+        reports.sort_by_key(|told| told.report.age_ms);
+        reports.truncate(REPORTS_MAX);
+        reports
+    }
+
+    /// Whether nothing is known.
+    pub fn is_empty(&self) -> bool {
+        self.0.is_empty()
     }
 
     /// The quota of `instance`.
--- a/src/route/replica.rs
+++ b/src/route/replica.rs
@@ -1,6 +1,7 @@
 //! One replica as an entry knows it, from the replica list, from reports, and from the entry's own
 //! requests.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
@@ -9,6 +10,7 @@
 use super::estimate::Demand;
 use super::health::Health;
 use super::notice::{Notice, Suspension};
+use super::quota::{self, Quota};
 use crate::clock::Time;
 use crate::config::catalog::{self, DesiredVersion};
 use crate::hash;
@@ -70,6 +72,10 @@
     pub leaving: bool,
     /// Remaining backoff that it asked for, in milliseconds.
     pub rest_ms: u32,
+    /// Its quota, if it has stated one.
+    pub quota: Option<quota::Report>,
+    /// Whether the sidecar meters requests if there is a quota.
+    pub meters: bool,
 }
 
 impl Load {
@@ -94,7 +100,16 @@
         let is_backing_off = |load: &Self| load.rest_ms > 0;
         let same_notice =
             self.leaving == other.leaving && is_backing_off(self) == is_backing_off(other);
-        same_state && same_notice && self.models == other.models
+        let quota = |load: &Self| load.quota.map(|quota| (quota.rate, quota.ended));
+        let same_quota = quota(self) == quota(other);
+        same_state && same_notice && same_quota && self.models == other.models
+    }
+
+    /// Requests per second that the replica takes by its quota, if the report is from `now`.
+    pub fn quota_per_s(&self, now: Time) -> Option<f64> {
+        let mut quota = Quota::default();
+        quota.merge(self.quota?, now);
+        quota.per_s(now)
     }
 }
 
@@ -123,6 +138,9 @@
     pub(super) schedule: Option<Schedule>,
     pub(super) invalidated: bool,
     pub(super) suspension: Suspension,
+    pub(super) quota: Quota,
+    /// Until when no request of an urgency is granted under the quota.
+    quota_used_until: BTreeMap<u8, Time>,
 }
 
 /// Requests of this entry without a first event yet.
@@ -251,6 +269,8 @@
             health: Health::default(),
             invalidated: false,
             suspension: Suspension::default(),
+            quota: Quota::default(),
+            quota_used_until: BTreeMap::new(),
         }
     }
 
@@ -259,6 +279,36 @@
         self.suspension
     }
 
+    /// Requests per second that it takes from all processes by its quota, if that limits them.
+    pub fn quota_per_s(&self, now: Time) -> Option<f64> {
+        self.quota.per_s(now)
+    }
+
+    /// Whether its sidecar meters the requests under a quota.
+    pub fn has_metering_sidecar(&self, now: Time) -> bool {
+        self.fresh_load(now).is_some_and(|load| load.meters)
+    }
+
+    /// Time since the last report of a sidecar that meters; `None` if there was none.
+    pub fn metering_report_age(&self, now: Time) -> Option<Duration> {
+        let (load, at) = self.load.as_ref()?;
+        load.meters.then(|| now.since(*at))
+    }
+
+    /// Time until a request of `urgency` may be granted under the quota again.
+    pub(super) fn quota_wait(&self, urgency: u8, now: Time) -> Duration {
+        if self.quota_per_s(now).is_none() {
+            return Duration::ZERO;
+        }
+        let until = self.quota_used_until.get(&urgency);
+        until.map_or(Duration::ZERO, |until| until.since(now))
+    }
+
+    /// Records that no request of `urgency` is granted under the quota for `wait`.
+    pub(super) fn mark_quota_used(&mut self, urgency: u8, wait: Duration, now: Time) {
+        self.quota_used_until.insert(urgency, now + wait);
+    }
+
     /// The last report and its time, unless it is stale.
     pub(super) fn fresh_report(&self, now: Time) -> Option<(&Load, Time)> {
         let (load, at) = self.load.as_ref()?;
--- a/src/sidecar.rs
+++ b/src/sidecar.rs
@@ -27,6 +27,7 @@
 use crate::daemon;
 use crate::exchange::{self, path::Paths};
 use crate::gateway::control::decode;
+use crate::grant;
 use crate::http::{self, Answer, ClientSetting, Server};
 use crate::knowledge::{Identity, Knowledge, traffic};
 use crate::lease::{self, Ledger};
@@ -381,5 +382,11 @@
         };
         return permit.attach(answer);
     }
+    if path == grant::PATH {
+        return match decode::<grant::Request>(&mut request).await {
+            Ok(request) => http::pack(StatusCode::OK, &sidecar.grant(&request)),
+            Err(answer) => answer,
+        };
+    }
     burst::serve::answer_path(&sidecar.bursts, &sidecar.tracker, &path).await
 }
--- a/src/sidecar/executor.rs
+++ b/src/sidecar/executor.rs
@@ -21,6 +21,7 @@
 use crate::exchange::{self, Options, Reuse, Unframed};
 use crate::gateway;
 use crate::http::{self, Answer};
+use crate::lease;
 use crate::route::notice::{self, Notice};
 use crate::run::{
     Acceptance, Buffer, Call, DISPOSITION_HEADER, Disposition, Ended, Key, Lookup, Part,
@@ -225,6 +226,15 @@
         if suspension.rejects(now) {
             return permit.attach(rejection(suspension.notice(now)));
         }
+        if let Some(per_s) = self.quota_per_s() {
+            let gate = &mut self.ledger.borrow_mut().gate;
+            if let Err(wait) = gate.admit(lease::DEFAULT_URGENCY, per_s, now) {
+                return permit.attach(rejection(Notice {
+                    backoff: Some(wait),
+                    ..Notice::default()
+                }));
+            }
+        }
         let run = Rc::new(Run::default());
         let buffer = run.buffer.clone();
         let verdict = self.runs.borrow_mut().start(key, buffer, run.clone());
--- a/src/sidecar/observe.rs
+++ b/src/sidecar/observe.rs
@@ -15,13 +15,14 @@
 use crate::backoff::Backoff;
 use crate::clock::Time;
 use crate::exchange::{Acquisition, Recorder};
+use crate::grant;
 use crate::knowledge::gossip::post_recorded;
 use crate::knowledge::hub;
 use crate::knowledge::readers::Readers;
 use crate::knowledge::traffic::Purpose;
 use crate::lease;
 use crate::route::notice::{Notice, Suspension};
-use crate::route::quota::{Quota, Statement};
+use crate::route::quota::{self, Change, Quota, Statement};
 use crate::route::replica::Load;
 use crate::source::Topic;
 use crate::timeout::{self, Progress};
@@ -203,11 +204,46 @@
         let mut quota = self.quota.get();
         let change = quota.record(statement, sent_at, self.knowledge.now());
         self.quota.set(quota);
+        self.announce_quota(change);
+    }
+
+    /// Applies what an entry knows of the quota of the replica's current instance.
+    fn merge_quota(&self, report: quota::Report) {
+        let mut quota = self.quota.get();
+        let change = quota.merge(report, self.knowledge.now());
+        self.quota.set(quota);
+        self.announce_quota(change);
+    }
+
+    fn announce_quota(&self, change: Option<Change>) {
         if let Some(change) = change {
             log::info!("quota {change}");
+            self.availability_changes
+                .set(self.availability_changes.get() + 1);
         }
     }
 
+    /// Requests per second that the replica takes from all processes; `None` if that is not limited.
+    pub(super) fn quota_per_s(&self) -> Option<f64> {
+        self.quota.get().per_s(self.knowledge.now())
+    }
+
+    /// Answers an entry that asks for a grant under the replica's quota.
+    pub(super) fn grant(&self, message: &grant::Request) -> grant::Response {
+        if message.instance.born != self.born.get() {
+            return grant::Response::denied(grant::RETRY_DELAY);
+        }
+        if let Some(report) = message.quota {
+            self.merge_quota(report);
+        }
+        let now = self.knowledge.now();
+        let taken = self.quota_per_s().map_or(Ok(()), |per_s| {
+            let gate = &mut self.ledger.borrow_mut().gate;
+            gate.take(message.urgency, per_s, now)
+        });
+        grant::Response::of(taken)
+    }
+
     /// Sets since when the switch of the replica is announced; `None` once it has switched.
     pub(super) fn set_notice_since(&self, notice_since: Option<Time>) {
         if self.notice_since.replace(notice_since) != notice_since {
@@ -220,6 +256,9 @@
     pub(super) fn grant_lease(&self, request: &lease::Request) -> lease::Response {
         let engine = self.knowledge.summary().and_then(|summary| summary.engine);
         let now = self.knowledge.now();
+        if let Some(report) = request.quota {
+            self.merge_quota(report);
+        }
         let load = self.load();
         let mut ledger = self.ledger.borrow_mut();
         ledger.answer(request, load, engine.as_ref(), now)
@@ -232,6 +271,8 @@
             rest_ms: notice
                 .backoff
                 .map_or(0, |backoff| backoff.as_millis() as u32),
+            quota: self.quota.get().report(self.knowledge.now()),
+            meters: true,
             ..self.observed_load()
         }
     }
--- a/src/wire/sync.rs
+++ b/src/wire/sync.rs
@@ -10,6 +10,7 @@
 use crate::config::evacuation::Evacuation;
 use crate::config::routing::{Engine, transfer_time};
 use crate::member::peer::Advertisement;
+use crate::route::quota;
 use crate::route::replica::Load;
 use crate::wire::pack;
 
@@ -65,6 +66,9 @@
     /// Digest of the poison requests known to the sender.
     #[serde(default)]
     pub poison: u64,
+    /// Quotas of replicas known to the sender.
+    #[serde(default)]
+    pub quotas: Vec<quota::InstanceReport>,
 }
 
 /// The report of a replica's sidecar.
@@ -317,4 +321,7 @@
     /// Digest of the poison requests known to the responder.
     #[serde(default)]
     pub poison: u64,
+    /// Quotas of replicas known to the responder.
+    #[serde(default)]
+    pub quotas: Vec<quota::InstanceReport>,
 }
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -131,6 +131,7 @@
             residency: &Residency::Anywhere,
             regions: &self.regions,
             cold_per_s: 0.0,
+            urgency: 1,
         }
     }
 
--- a/tests/life.rs
+++ b/tests/life.rs
@@ -108,6 +108,7 @@
             residency: &Residency::Anywhere,
             regions: &self.regions,
             cold_per_s: 0.0,
+            urgency: 1,
         }
     }
 
--- a/tests/notice.rs
+++ b/tests/notice.rs
@@ -90,6 +90,7 @@
         residency: &Residency::Anywhere,
         regions: &regions,
         cold_per_s: 0.0,
+        urgency: 1,
     };
     let mut rng = SmallRng::seed_from_u64(7);
     pool.choose(ask, now, &mut rng).map(|choice| choice.key)
--- a/tests/size.rs
+++ b/tests/size.rs
@@ -136,6 +136,7 @@
             residency: &Residency::Anywhere,
             regions: &self.regions,
             cold_per_s: 0.0,
+            urgency: 1,
         }
     }
 }
--- a/tests/where.rs
+++ b/tests/where.rs
@@ -119,6 +119,7 @@
             residency,
             regions: &self.regions,
             cold_per_s: self.cold_per_s,
+            urgency: 1,
         }
     }
 
