Catalog: facts are ordered by the store's era and revision, and a copy undoes nothing

Callers were served under revoked keys, refused under new ones, and sent to replicas that had said that they leave, after the store had come back from an older copy: its revisions go back and are given out again, and nothing with a revision up to the known one was applied. In the record versions 24 to 34 at revisions up to 38 were refused, 38 at 47 was the first in force again, and what readers did apply never reached the entries that do not read.

Cause: an order by a number that another system gives out, across two lives of it: for facts, for what processes tell each other, and for what a watch continues from.

A revision now holds the store's era (Store-Era) above its number, 0 where none is named, so that it stays one ordered number between processes of this release and the last. An answer of another era than a watch began in leads to a whole read. What was known stays in force while the copy is behind: configurations are compared by their versions, a replica goes on leaving, and what the copy undoes or lacks is put aside for 5 s by the processes that read the store, and then applied unless it was written again. Processes that have settled send their whole list once to those that have not.

--- a/src/config.rs
+++ b/src/config.rs
@@ -7,6 +7,7 @@
 pub mod catalog;
 pub mod evacuation;
 pub mod residency;
+pub mod revision;
 pub mod routing;
 
 use std::collections::BTreeMap;
--- a/src/config/catalog.rs
+++ b/src/config/catalog.rs
@@ -3,7 +3,13 @@
 //!
 //! Every fact carries the revision that set it. A fact never replaces one of a newer revision,
 //! whether it comes from the platform's store or from another process.
+//!
+//! A store that comes back from an older copy begins a new era ([`super::revision`]). What was
+//! known before stays in force while the copy is behind: configurations and versions are ordered by
+//! their own numbers, a replica that leaves goes on leaving, and what the copy undoes or lacks is
+//! put aside for [`RESTORE_GRACE`], in which its writers write it again.
 
+use std::cmp::Ordering;
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::sync::Arc;
@@ -12,6 +18,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::evacuation::{Evacuation, Evacuations};
+use super::revision;
 use super::routing::{Document, Routing};
 use crate::clock::Time;
 use crate::member::replica::Record;
@@ -20,6 +27,11 @@
 /// is unreachable, and a live replica registers again with its next heartbeat.
 pub const REMOVAL_GRACE: Duration = Duration::from_millis(1_250);
 
+/// Time after the store came back from an older copy in which what the copy undoes or lacks is not
+/// acted upon: a replica that is gone loses its entry again within three heartbeats, and the others
+/// write theirs again.
+pub const RESTORE_GRACE: Duration = Duration::from_secs(5);
+
 /// Backdating a version by less than this is not reported as a change: it is within message
 /// latency.
 const BACKDATE_MIN: Duration = Duration::from_millis(50);
@@ -131,20 +143,48 @@
     /// Highest revision of the evacuation settings.
     #[serde(default)]
     pub evacuations: u64,
+    /// Version of the routing configuration, or 0 if it names none or none is known.
+    #[serde(default)]
+    pub routing_version: u64,
+    /// The last era of the store of which the process knows what was put aside at its beginning;
+    /// `None` for processes of releases without eras.
+    #[serde(default)]
+    pub settled_era: Option<u64>,
 }
 
 impl Revisions {
     /// Whether at least one of these revisions is higher than its counterpart in `other`.
     pub fn any_newer_than(&self, other: Self) -> bool {
-        self.routing > other.routing
+        self.has_newer_routing_than(other)
+            || self.has_settled_since(other)
             || self.versions > other.versions
             || self.replicas > other.replicas
             || self.evacuations > other.evacuations
     }
 
+    /// Whether the routing configuration is newer than that of `other`, by its version if both have
+    /// one: the store may have come back from a copy that holds an older one.
+    pub fn has_newer_routing_than(&self, other: Self) -> bool {
+        if self.routing_version > 0 && other.routing_version > 0 {
+            self.routing_version > other.routing_version
+        } else {
+            self.routing > other.routing
+        }
+    }
+
+    /// Whether the list of replicas and the evacuations have settled in an era in which those of
+    /// `other` have not. All of them have to be sent then.
+    pub fn has_settled_since(&self, other: Self) -> bool {
+        other.settled_era.is_some() && self.settled_era > other.settled_era
+    }
+
     /// Returns these revisions without that of the configuration, which is transferred separately.
     pub fn without_routing(self) -> Self {
-        Self { routing: 0, ..self }
+        Self {
+            routing: 0,
+            routing_version: 0,
+            ..self
+        }
     }
 }
 
@@ -208,6 +248,20 @@
     /// Removals after this revision are all remembered.
     removals_since: u64,
     trusts_removals: bool,
+    /// The era of the newest revision.
+    era: u64,
+    /// Whether this process has seen the store come back from an older copy.
+    restored: bool,
+    /// When the facts of the era have been applied in full.
+    settles_at: Time,
+    /// Facts of the copy that undo what was known.
+    aside: Vec<Revisioned>,
+    /// Replicas that the copy lacks.
+    absent: BTreeSet<Arc<str>>,
+    /// The last era whose facts have been applied in full.
+    settled_era: u64,
+    /// The era in which this process last read the list of replicas from the store.
+    read_era: u64,
 }
 
 impl Catalog {
@@ -301,6 +355,14 @@
                 .unwrap_or(0),
             replicas: self.replicas_changed_at,
             evacuations: self.evacuations.revision(),
+            routing_version: self.routing().map_or(0, |routing| {
+                if routing.document.gaps.version {
+                    0
+                } else {
+                    routing.document.version
+                }
+            }),
+            settled_era: Some(self.settled_era),
         }
     }
 
@@ -309,14 +371,98 @@
         &self.evacuations
     }
 
+    /// Whether the store has come back from an older copy since this process started.
+    pub fn was_restored(&self) -> bool {
+        self.restored
+    }
+
+    /// Applies the complete list, as of `revision`, of a process that has settled in `era`: nothing
+    /// is put aside any more.
+    pub fn apply_settled_list(
+        &mut self,
+        records: Vec<(u64, Record)>,
+        revision: u64,
+        era: Option<u64>,
+        now: Time,
+        store_unstable: bool,
+    ) -> Effect {
+        self.observe_era(revision, now);
+        if era >= Some(self.era) && revision >= self.replicas_revision {
+            self.settled_era = self.era;
+            self.aside.clear();
+            self.absent.clear();
+        }
+        self.apply_list(records, revision, now, store_unstable)
+    }
+
+    /// Whether what is known from before the copy that the store came back from takes precedence.
+    fn is_restored(&self, now: Time) -> bool {
+        let latest = self.settles_at + RESTORE_GRACE;
+        self.was_restored() && self.settled_era < self.era && now < latest
+    }
+
+    fn is_empty(&self) -> bool {
+        self.routing.is_none() && self.versions.is_empty() && self.replicas.is_empty()
+    }
+
+    /// Records that a revision was received, which may show that the store has come back from an
+    /// older copy. Returns whether it does.
+    pub fn observe_era(&mut self, revision: u64, now: Time) -> bool {
+        let era = revision::era(revision);
+        if era <= self.era {
+            return false;
+        }
+        self.era = era;
+        self.aside.clear();
+        self.absent.clear();
+        self.settles_at = now + RESTORE_GRACE;
+        let restored = !self.is_empty();
+        self.restored |= restored;
+        restored
+    }
+
     /// Applies a complete list of evacuations: at `revision` exactly `halls` were evacuated.
-    pub fn apply_evacuations(&mut self, halls: &[Arc<str>], revision: u64) -> Effect {
-        evacuation_effect(self.evacuations.apply_list(halls, revision))
+    pub fn apply_evacuations(&mut self, halls: &[Arc<str>], revision: u64, now: Time) -> Effect {
+        self.observe_era(revision, now);
+        if !self.is_restored(now) {
+            return evacuation_effect(self.evacuations.apply_list(halls, revision));
+        }
+        let ended = self.evacuations.active();
+        let ended = ended.filter(|hall| !halls.contains(hall));
+        let ended = ended.map(|hall| Revisioned {
+            revision,
+            fact: Fact::Evacuation {
+                hall: hall.clone(),
+                active: false,
+            },
+        });
+        self.aside.extend(ended);
+        Effect::None
+    }
+
+    /// Applies one fact of a read of the whole topic. If the store has just come back from an older
+    /// copy, an evacuation setting that differs from the known one is put aside.
+    pub fn apply_read(
+        &mut self,
+        revisioned: Revisioned,
+        now: Time,
+        store_unstable: bool,
+    ) -> Effect {
+        self.observe_era(revisioned.revision, now);
+        if let Fact::Evacuation { hall, active } = &revisioned.fact
+            && self.is_restored(now)
+            && self.evacuations.is_set_otherwise(hall, *active)
+        {
+            self.aside.push(revisioned);
+            return Effect::None;
+        }
+        self.apply(revisioned, now, store_unstable)
     }
 
     /// Applies one fact. `store_unstable` is whether the store was unreachable shortly before.
     pub fn apply(&mut self, revisioned: Revisioned, now: Time, store_unstable: bool) -> Effect {
         let revision = revisioned.revision;
+        self.observe_era(revision, now);
         match revisioned.fact {
             Fact::Routing(document) => self.apply_routing(revision, document),
             Fact::Version { model, version } => self.apply_version(revision, model, version, now),
@@ -333,15 +479,23 @@
     }
 
     fn apply_routing(&mut self, revision: u64, document: Arc<Document>) -> Effect {
-        let newer = self.routing.as_ref().is_none_or(|(known, routing)| {
-            let unversioned = document.gaps.version || routing.document.gaps.version;
-            *known < revision && (unversioned || routing.document.version < document.version)
-        });
-        if !newer {
-            return Effect::None;
+        let Some((known, routing)) = &mut self.routing else {
+            self.routing = Some((revision, Rc::new(Routing::new(document))));
+            return Effect::Routing;
+        };
+        let unversioned = document.gaps.version || routing.document.gaps.version;
+        let order = if unversioned {
+            revision.cmp(known)
+        } else {
+            document.version.cmp(&routing.document.version)
+        };
+        let revision = revision.max(*known);
+        if order == Ordering::Greater {
+            self.routing = Some((revision, Rc::new(Routing::new(document))));
+            return Effect::Routing;
         }
-        self.routing = Some((revision, Rc::new(Routing::new(document))));
-        Effect::Routing
+        *known = revision;
+        Effect::None
     }
 
     fn apply_version(
@@ -353,10 +507,10 @@
     ) -> Effect {
         let desired = self.versions.entry(model).or_default();
         let index = desired.partition_point(|known| known.version < version);
-        if desired
-            .get(index)
-            .is_some_and(|known| known.version == version)
+        if let Some(known) = desired.get_mut(index)
+            && known.version == version
         {
+            known.revision = known.revision.max(revision);
             return Effect::None;
         }
         let desired_version = DesiredVersion {
@@ -371,7 +525,36 @@
         Effect::Version
     }
 
-    fn apply_replica(&mut self, revision: u64, record: Record) -> Effect {
+    /// Applies a record of a list. If the store has just come back from an older copy, one of a
+    /// replica that was removed before is put aside if it was `read` from the store, or else left to
+    /// the processes that read it.
+    fn apply_listed(&mut self, revision: u64, record: Record, read: bool, now: Time) -> Effect {
+        let removal = self.removals.get(&record.id);
+        let undone = removal.is_some_and(|removal| {
+            *removal < revision && revision::era(*removal) < revision::era(revision)
+        });
+        let present = self.replicas.get(&record.id);
+        let present = present.is_some_and(|known| known.removed_at.is_none());
+        if undone && !present && self.is_restored(now) {
+            if read {
+                self.drop_aside(&record.id, revision);
+                let fact = Fact::Replica(record);
+                self.aside.push(Revisioned { revision, fact });
+            }
+            return Effect::None;
+        }
+        self.apply_replica(revision, record)
+    }
+
+    /// Drops the record of a replica that was put aside, if it is not newer than `revision`.
+    fn drop_aside(&mut self, id: &Arc<str>, revision: u64) {
+        self.aside.retain(|aside| {
+            let same = matches!(&aside.fact, Fact::Replica(record) if record.id == *id);
+            !same || aside.revision > revision
+        });
+    }
+
+    fn apply_replica(&mut self, revision: u64, mut record: Record) -> Effect {
         if self
             .removals
             .get(&record.id)
@@ -389,6 +572,12 @@
         if known.is_some_and(|known| known.revision >= revision && record.born == known_born) {
             return Effect::None;
         }
+        // The copy that the store came back from may be older than the notice that it leaves.
+        record.leaving |= known.is_some_and(|known| {
+            let same_instance = known.record.born == record.born;
+            let older = revision::era(known.revision) < revision::era(revision);
+            same_instance && older && known.record.leaving
+        });
         // Such a late heartbeat may already have raised the known revision.
         let revision = known.map_or(revision, |known| known.revision.max(revision));
         let unchanged =
@@ -419,6 +608,14 @@
         now: Time,
         store_unstable: bool,
     ) -> Effect {
+        self.drop_aside(id, revision);
+        if let Some(removal) = self.removals.get_mut(id)
+            && *removal < revision
+        {
+            // Others may have put aside what the copy says of it, and have to be told.
+            *removal = revision;
+            self.replicas_changed_at = self.replicas_changed_at.max(revision);
+        }
         let Some(known) = self.replicas.get_mut(id) else {
             return Effect::None;
         };
@@ -462,6 +659,26 @@
         }
     }
 
+    /// Applies a complete list that was read from the store as of `revision`.
+    pub fn apply_read_list(
+        &mut self,
+        records: Vec<(u64, Record)>,
+        revision: u64,
+        now: Time,
+        store_unstable: bool,
+    ) -> Effect {
+        self.observe_era(revision, now);
+        if self.is_restored(now) && revision >= self.replicas_revision {
+            self.absent.clear();
+            self.aside.retain(|aside| match &aside.fact {
+                Fact::Replica(aside) => records.iter().any(|(_, record)| record.id == aside.id),
+                _ => true,
+            });
+        }
+        self.read_era = self.era;
+        self.apply_whole(records, revision, true, now, store_unstable)
+    }
+
     /// Applies a complete list as of `revision`. Known replicas that it lacks were removed.
     pub fn apply_list(
         &mut self,
@@ -469,26 +686,48 @@
         revision: u64,
         now: Time,
         store_unstable: bool,
+    ) -> Effect {
+        self.apply_whole(records, revision, false, now, store_unstable)
+    }
+
+    fn apply_whole(
+        &mut self,
+        records: Vec<(u64, Record)>,
+        revision: u64,
+        read: bool,
+        now: Time,
+        store_unstable: bool,
     ) -> Effect {
         if revision < self.replicas_revision {
             return Effect::None;
         }
+        self.observe_era(revision, now);
         if !self.has_replica_list() {
             self.removals_since = revision;
         }
         let mut effect = Effect::None;
-        let missing: Vec<Arc<str>> = self
-            .replicas
-            .keys()
-            .filter(|id| !records.iter().any(|(_, record)| record.id == **id))
-            .cloned()
+        let listed: BTreeSet<Arc<str>> = records
+            .iter()
+            .map(|(_, record)| record.id.clone())
             .collect();
+        let missing = self.replicas.keys();
+        let missing = missing.filter(|id| !listed.contains(*id));
+        let missing: Vec<Arc<str>> = missing.cloned().collect();
         for (at, record) in records {
-            if self.apply_replica(at, record) != Effect::None {
+            if self.apply_listed(at, record, read, now) != Effect::None {
                 effect = Effect::Replicas;
             }
         }
+        let restored = self.is_restored(now);
         for id in missing {
+            let known = self.replicas.get(&id).map_or(0, |known| known.revision);
+            // Known from before the copy: it may only be too young for it.
+            if restored && revision::era(known) < self.era {
+                if read {
+                    self.absent.insert(id);
+                }
+                continue;
+            }
             if self.remove_replica(revision, &id, now, store_unstable) != Effect::None {
                 effect = Effect::Replicas;
             }
@@ -534,10 +773,11 @@
         {
             return Effect::None;
         }
+        self.observe_era(changes.revision, now);
         let store_unstable = store_unstable || changes.store_unstable;
         let mut effect = Effect::None;
         for RevisionedRecord { revision, record } in changes.records {
-            if self.apply_replica(revision, record) != Effect::None {
+            if self.apply_listed(revision, record, false, now) != Effect::None {
                 effect = Effect::Replicas;
             }
         }
@@ -564,6 +804,7 @@
         now: Time,
     ) -> Effect {
         let since = now - age;
+        self.observe_era(desired_version.revision, now);
         let effect = self.apply_version(
             desired_version.revision,
             model.clone(),
@@ -582,9 +823,42 @@
         }
     }
 
-    /// Drops removed replicas unless their removal is still provisional. Returns whether any was
-    /// dropped.
+    /// Applies what was put aside as the store came back from an older copy, once its writers have
+    /// had the time to write it again. Returns whether that changed anything.
+    fn settle(&mut self, now: Time) -> bool {
+        // Processes that read the store settle first, and tell the others.
+        let wait = if self.read_era == self.era {
+            Duration::ZERO
+        } else {
+            RESTORE_GRACE
+        };
+        if self.settled_era == self.era || now < self.settles_at + wait {
+            return false;
+        }
+        self.settled_era = self.era;
+        let revision = self.replicas_revision.max(self.replicas_changed_at);
+        let mut changed = false;
+        for Revisioned { revision: at, fact } in std::mem::take(&mut self.aside) {
+            let effect = match fact {
+                Fact::Replica(record) => self.apply_replica(revision, record),
+                fact => self.apply(Revisioned { revision: at, fact }, now, false),
+            };
+            changed |= effect != Effect::None;
+        }
+        for id in std::mem::take(&mut self.absent) {
+            let listed = self.replicas.get(&id);
+            // Otherwise it was written again, or removed.
+            if listed.is_some_and(|listed| revision::era(listed.revision) < self.era) {
+                changed |= self.remove_replica(revision, &id, now, false) != Effect::None;
+            }
+        }
+        changed
+    }
+
+    /// Drops removed replicas unless their removal is still provisional, and applies what was put
+    /// aside as the store came back from an older copy. Returns whether anything changed.
     pub fn remove_expired(&mut self, now: Time) -> bool {
+        let settled = self.settle(now);
         let before = self.replicas.len();
         self.replicas.retain(|_, listed| match listed.removed_at {
             None => true,
@@ -598,6 +872,6 @@
             self.removals.remove(&id);
             self.removals_since = self.removals_since.max(revision);
         }
-        before != self.replicas.len()
+        settled || before != self.replicas.len()
     }
 }
--- a/src/config/evacuation.rs
+++ b/src/config/evacuation.rs
@@ -36,6 +36,12 @@
         changed
     }
 
+    /// Whether the setting of `hall` is known and not `active`.
+    pub fn is_set_otherwise(&self, hall: &str, active: bool) -> bool {
+        let known = self.halls.get(hall);
+        known.is_some_and(|known| known.active != active)
+    }
+
     /// Applies a complete list: at `revision`, the store held exactly the evacuations of `present`,
     /// so all others have ended. Returns whether that changes where requests may be sent.
     pub fn apply_list(&mut self, present: &[Arc<str>], revision: u64) -> bool {
--- a/src/knowledge.rs
+++ b/src/knowledge.rs
@@ -32,6 +32,7 @@
 use crate::clock::{Clock, Time};
 use crate::config::catalog::{Catalog, Effect, Fact, Revisioned, Revisions};
 use crate::config::residency::Regions;
+use crate::config::revision;
 use crate::exchange::{self, path::Paths};
 use crate::log::Repeats;
 use crate::member::peer::Peers;
@@ -291,8 +292,7 @@
     /// Whether this process is an entry that lacks the configuration or the list of replicas of a process
     /// with `revisions`.
     fn needs_fetch(&self, revisions: Revisions) -> bool {
-        self.identity.entry
-            && (!self.knows_routing(revisions.routing) || self.lacks_list(revisions))
+        self.identity.entry && (!self.knows_routing(revisions) || self.lacks_list(revisions))
     }
 
     /// Whether to start a fetch from `peer` at `locality` now. If so, the caller must call
@@ -306,14 +306,19 @@
         self.fetches.borrow_mut().finish(peer);
     }
 
-    /// Whether the configuration is known up to `revision`.
-    fn knows_routing(&self, revision: u64) -> bool {
-        self.catalog.borrow().revisions().routing >= revision
+    /// Whether the configuration is known that a process with `revisions` has.
+    fn knows_routing(&self, revisions: Revisions) -> bool {
+        !revisions.has_newer_routing_than(self.catalog.borrow().revisions())
     }
 
     /// The revision up to which a topic is known.
     pub fn revision(&self, topic: Topic) -> u64 {
         let catalog = self.catalog.borrow();
+        if catalog.was_restored() {
+            // Revisions may have been raised above those of the store, and a watch from them would
+            // miss changes.
+            return 0;
+        }
         match topic {
             Topic::Operator => {
                 // Leaves out the revision of evacuations: one may be received while an older
@@ -361,10 +366,19 @@
     }
 
     fn apply_fact(&self, dated: Revisioned, origin: &str) -> Effect {
+        self.apply_fact_by(Catalog::apply, dated, origin)
+    }
+
+    fn apply_fact_by(
+        &self,
+        apply: impl FnOnce(&mut Catalog, Revisioned, Time, bool) -> Effect,
+        dated: Revisioned,
+        origin: &str,
+    ) -> Effect {
         let revision = dated.revision;
         let text = describe(&dated.fact);
         let (now, store_unstable) = (self.now(), self.store_unstable());
-        let effect = self.catalog.borrow_mut().apply(dated, now, store_unstable);
+        let effect = apply(&mut self.catalog.borrow_mut(), dated, now, store_unstable);
         if effect != Effect::None {
             log::info!(revision, origin, shaky = store_unstable; "applied: {text}");
         }
@@ -386,6 +400,15 @@
     /// Applies the facts of a batch. Returns whether anything changed.
     fn apply_facts(&self, topic: Topic, whole: bool, batch: Batch) -> bool {
         self.log_losses(&batch.damaged, batch.revision);
+        let mut catalog = self.catalog.borrow_mut();
+        if catalog.observe_era(batch.revision, self.now()) {
+            let (era, number) = (
+                revision::era(batch.revision),
+                revision::number(batch.revision),
+            );
+            log::warn!(era, number, topic:? = topic; "the store has come back from an older copy");
+        }
+        drop(catalog);
         if whole && topic == Topic::Replicas {
             let records = batch
                 .facts
@@ -395,6 +418,7 @@
                     _ => None,
                 });
             let effect = self.apply_list(
+                Catalog::apply_read_list,
                 records.collect(),
                 batch.revision,
                 self.store_unstable(),
@@ -406,8 +430,13 @@
         if whole {
             changed |= self.apply_all_evacuations(&batch);
         }
+        let apply = if whole {
+            Catalog::apply_read
+        } else {
+            Catalog::apply
+        };
         for dated in batch.facts {
-            changed |= self.apply_fact(dated, "store") != Effect::None;
+            changed |= self.apply_fact_by(apply, dated, "store") != Effect::None;
         }
         if topic == Topic::Replicas {
             self.catalog.borrow_mut().advance_list(batch.revision);
@@ -422,10 +451,10 @@
             _ => None,
         });
         let halls: Vec<Arc<str>> = halls.collect();
-        let effect = self
-            .catalog
-            .borrow_mut()
-            .apply_evacuations(&halls, batch.revision);
+        let effect =
+            self.catalog
+                .borrow_mut()
+                .apply_evacuations(&halls, batch.revision, self.now());
         if effect != Effect::None {
             log::info!(revision = batch.revision; "applied: end of evacuations");
         }
@@ -450,6 +479,7 @@
 
     fn apply_list(
         &self,
+        apply: impl FnOnce(&mut Catalog, Vec<(u64, Record)>, u64, Time, bool) -> Effect,
         records: Vec<(u64, Record)>,
         at: u64,
         store_unstable: bool,
@@ -458,10 +488,9 @@
         let count = records.len();
         let now = self.now();
         let first_list = !self.catalog.borrow().has_replica_list();
-        let effect = self
-            .catalog
-            .borrow_mut()
-            .apply_list(records, at, now, store_unstable);
+        let mut catalog = self.catalog.borrow_mut();
+        let effect = apply(&mut catalog, records, at, now, store_unstable);
+        drop(catalog);
         if first_list && !self.lacks_initial_state() {
             self.fetches.borrow_mut().reset();
         }
--- a/src/knowledge/heartbeat.rs
+++ b/src/knowledge/heartbeat.rs
@@ -54,10 +54,10 @@
             self.apply_fact(Revisioned { revision, fact }, &from.to_string());
         }
         if let Some(list) = update.replicas {
-            self.apply_whole_list(from, list);
+            self.apply_whole_list(from, list, update.revisions.settled_era);
         }
         if let Some(packed) = update.list {
-            self.apply_packed_list(from, packed);
+            self.apply_packed_list(from, packed, update.revisions.settled_era);
         }
         if let Some(changes) = update.changes {
             self.apply_changes_from(changes, &from.to_string());
@@ -90,12 +90,15 @@
         self.notify(effect);
     }
 
-    /// Applies the whole list of replicas, received from `from`.
-    fn apply_whole_list(&self, from: SocketAddr, list: ReplicaList) {
+    /// Applies the whole list of replicas, received from `from`, which has settled in `era`.
+    fn apply_whole_list(&self, from: SocketAddr, list: ReplicaList, era: Option<u64>) {
         let records = list.records.into_iter();
         let records = records.map(|dated| (dated.revision, dated.record));
         let store_unstable = list.store_unstable || self.store_unstable();
         self.apply_list(
+            |catalog, records, at, now, store_unstable| {
+                catalog.apply_settled_list(records, at, era, now, store_unstable)
+            },
             records.collect(),
             list.revision,
             store_unstable,
@@ -103,7 +106,7 @@
         );
     }
 
-    fn apply_packed_list(&self, from: SocketAddr, list: PackedReplicaList) {
+    fn apply_packed_list(&self, from: SocketAddr, list: PackedReplicaList, era: Option<u64>) {
         let PackedReplicaList {
             revision,
             store_unstable,
@@ -117,6 +120,7 @@
                     store_unstable,
                     records,
                 },
+                era,
             ),
             Err(error) => {
                 log::warn!(from:% = from, revision; "cannot unpack the list of replicas: {error}");
@@ -256,9 +260,10 @@
         } else {
             Vec::new()
         };
-        let newer_routing = revisions.routing > heartbeat.revisions.routing;
-        let newer_list = revisions.replicas > heartbeat.revisions.replicas;
-        let changes = (newer_list && heartbeat.takes_changes)
+        let newer_routing = revisions.has_newer_routing_than(heartbeat.revisions);
+        let settled = revisions.has_settled_since(heartbeat.revisions);
+        let newer_list = settled || revisions.replicas > heartbeat.revisions.replicas;
+        let changes = (newer_list && !settled && heartbeat.takes_changes)
             .then(|| catalog.changes_since(heartbeat.revisions.replicas))
             .flatten();
         let changes = changes.map(|changes| Changes {
@@ -292,7 +297,7 @@
             } else {
                 Vec::new()
             },
-            evacuations: if revisions.evacuations > heartbeat.revisions.evacuations {
+            evacuations: if settled || revisions.evacuations > heartbeat.revisions.evacuations {
                 catalog.evacuations().all()
             } else {
                 Vec::new()
