Catalog: a process that has started in an era asks for no list, and does not settle others at once

Found by reading the change again: every process that starts would have been sent the whole list once more, unpacked, by each that answers it, since it had not settled; and one that had just read the copy would have counted as settled for others that still keep what they knew.

--- a/src/config/catalog.rs
+++ b/src/config/catalog.rs
@@ -146,10 +146,12 @@
     /// Version of the routing configuration, or 0 if it names none or none is known.
     #[serde(default)]
     pub routing_version: u64,
-    /// The last era of the store of which the process knows what was put aside at its beginning;
-    /// `None` for processes of releases without eras.
+    /// The last era of the store whose facts the process has applied in full.
     #[serde(default)]
-    pub settled_era: Option<u64>,
+    pub settled_era: u64,
+    /// Whether the process keeps what it knew before a later era until it is told otherwise.
+    #[serde(default)]
+    pub unsettled: bool,
 }
 
 impl Revisions {
@@ -175,7 +177,7 @@
     /// Whether the list of replicas and the evacuations have settled in an era in which those of
     /// `other` have not. All of them have to be sent then.
     pub fn has_settled_since(&self, other: Self) -> bool {
-        other.settled_era.is_some() && self.settled_era > other.settled_era
+        other.unsettled && self.settled_era > other.settled_era
     }
 
     /// Returns these revisions without that of the configuration, which is transferred separately.
@@ -362,7 +364,8 @@
                     routing.document.version
                 }
             }),
-            settled_era: Some(self.settled_era),
+            settled_era: self.settled_era,
+            unsettled: self.restored && self.settled_era < self.era,
         }
     }
 
@@ -382,12 +385,12 @@
         &mut self,
         records: Vec<(u64, Record)>,
         revision: u64,
-        era: Option<u64>,
+        era: u64,
         now: Time,
         store_unstable: bool,
     ) -> Effect {
         self.observe_era(revision, now);
-        if era >= Some(self.era) && revision >= self.replicas_revision {
+        if era >= self.era && revision >= self.replicas_revision {
             self.settled_era = self.era;
             self.aside.clear();
             self.absent.clear();
--- a/src/knowledge/heartbeat.rs
+++ b/src/knowledge/heartbeat.rs
@@ -91,7 +91,7 @@
     }
 
     /// Applies the whole list of replicas, received from `from`, which has settled in `era`.
-    fn apply_whole_list(&self, from: SocketAddr, list: ReplicaList, era: Option<u64>) {
+    fn apply_whole_list(&self, from: SocketAddr, list: ReplicaList, era: u64) {
         let records = list.records.into_iter();
         let records = records.map(|dated| (dated.revision, dated.record));
         let store_unstable = list.store_unstable || self.store_unstable();
@@ -106,7 +106,7 @@
         );
     }
 
-    fn apply_packed_list(&self, from: SocketAddr, list: PackedReplicaList, era: Option<u64>) {
+    fn apply_packed_list(&self, from: SocketAddr, list: PackedReplicaList, era: u64) {
         let PackedReplicaList {
             revision,
             store_unstable,
