--- a/src/route/quota.rs
+++ b/src/route/quota.rs
@@ -399,8 +399,12 @@
         known.filter(|known| known.quota.stated().is_some()).count()
     }
 
-    /// Removes what nothing was heard of for long.
+    /// Removes what nothing was heard of for long, and quotas that have ended.
     pub fn remove_expired(&mut self, now: Time) {
-        self.0.retain(|_, known| now.since(known.at) < RETENTION);
+        self.0.retain(|_, known| {
+            let report = known.quota.report(now);
+            let over = report.is_some_and(|report| report.ended && report.age_ms >= ENDED_TOLD_MS);
+            !over && now.since(known.at) < RETENTION
+        });
     }
 }
--- a/tests/quota.rs
+++ b/tests/quota.rs
@@ -915,3 +915,16 @@
     assert!(gate.admit(1, 1.0, after(1_010)).is_ok());
     assert!(gate.admit(1, 1.0, after(1_020)).is_err(), "nothing is left");
 }
+
+/// Guards against quotas that are kept, told and probed for long after they have ended.
+#[test]
+fn an_ended_quota_is_forgotten() {
+    let mut quotas = Registry::default();
+    let statement = Statement::Quota(rate(2.0));
+    quotas.record(&instance(), statement, START, after(10));
+    quotas.record(&instance(), Statement::Absent, after(20), after(30));
+    quotas.remove_expired(after(10_000));
+    assert!(!quotas.is_empty(), "others have to be told");
+    quotas.remove_expired(after(70_000));
+    assert!(quotas.is_empty());
+}
