Sidecar: what was put aside after a copy of the store is applied there as well

A sidecar that knew the store further than the entries that tell it would have been sent the whole list of replicas with each answer, for as long as it ran after the store had come back from a copy: only entries call what ends that state, and a list older than its own does not. Found by reading the change again; not seen in a play. The new test fails without the change (not settled after 12 s) and passes with it: the sidecar settles by its own time, 10 s at most.

--- a/src/config/catalog.rs
+++ b/src/config/catalog.rs
@@ -828,7 +828,7 @@
 
     /// Applies what was put aside as the store came back from an older copy, once its writers have
     /// had the time to write it again. Returns whether that changed anything.
-    fn settle(&mut self, now: Time) -> bool {
+    pub fn settle(&mut self, now: Time) -> bool {
         // Processes that read the store settle first, and tell the others.
         let wait = if self.read_era == self.era {
             Duration::ZERO
--- a/src/sidecar/observe.rs
+++ b/src/sidecar/observe.rs
@@ -395,6 +395,7 @@
         }
         let now = sidecar.knowledge.now();
         sidecar.knowledge.peers.borrow_mut().remove_expired(now);
+        sidecar.knowledge.catalog.borrow_mut().settle(now);
         sleep(REPORT_CHECK_INTERVAL).await;
     }
 }
