Pool, catalog: one file a job

pool.rs (823 lines) held the table of replicas, the choice among them and the estimates; catalog.rs (880) the facts, the replica list and the catalog itself. The choice, the estimates, the facts and the list are modules of their own now; no logic changes.

--- a/src/route/pool.rs
+++ b/src/route/pool.rs
@@ -9,11 +9,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use rand::{Rng, RngExt};
 use slotmap::SlotMap;
 
 use super::correction::Correction;
-use super::estimate::{self, Backlog, Demand};
+use super::estimate::Demand;
 use super::health::Signal;
 use super::notice::{Notice, Suspensions};
 use super::quota::Registry;
@@ -25,6 +24,8 @@
 use crate::policy::Policy;
 use crate::wire::sync::ReplicaStatus;
 
+mod choice;
+mod expectation;
 mod instance;
 pub mod limit;
 
@@ -33,41 +34,10 @@
     pub struct Key;
 }
 
-/// Response time assumed for a plain service before the first measurement.
-const DEFAULT_LATENCY: Duration = Duration::from_millis(50);
-
-/// Delay of a replica above which it needs a margin before its version's cutoff. The delay is the
-/// lag of its first events behind their estimates, or that of its link, whichever is longer. Above
-/// this, the replica may be behind a link that delays everything, the end of a request included.
-const LAG_MAX: Duration = Duration::from_millis(100);
-
-/// Minimum margin of a replica that is delayed by more than [`LAG_MAX`]: it gets no request whose
-/// start is expected less than this before its version's cutoff, since a late start would be on a
-/// version that is no longer allowed.
-const LAG_MARGIN: Duration = Duration::from_millis(1_600);
-
-/// The margin of such a replica as a multiple of its delay, where that exceeds [`LAG_MARGIN`]: a
-/// request arrives later by the delay, and so does its end.
-const LAG_MARGIN_FACTOR: u32 = 2;
-
-/// Largest link delay that enters an estimate, since it is derived from exchanges other than
-/// requests.
-const LINK_DELAY_MAX: Duration = Duration::from_millis(250);
-
-/// A request that would outlast its replica's next version change costs one part in this many of
-/// the excess.
-const OVERRUN_DIVISOR: u32 = 2;
-
 /// One invalidated replica in this many shows that the list is out of date. Fewer are taken for
 /// replaced replicas.
 const INVALIDATED_DIVISOR: u32 = 3;
 
-/// Lowest rate of requests under quotas, per second, from which an interval between two is derived.
-const QUOTA_PER_S_MIN: f64 = 0.1;
-
-/// Prompts of mean length that an engine with a free slot may still have to prefill.
-const IMMEDIATE_PROMPTS: f64 = 1.0;
-
 /// Model and versions that a request needs.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ModelQuery<'a> {
@@ -174,16 +144,6 @@
     Connections,
 }
 
-/// How long before its version's cutoff a replica's last request has to be expected to start.
-fn start_margin(replica: &Replica, now: Time) -> Duration {
-    let delay = replica.lag(now).max(replica.link_delay(now));
-    if delay > LAG_MAX {
-        LAG_MARGIN.max(delay * LAG_MARGIN_FACTOR)
-    } else {
-        Duration::ZERO
-    }
-}
-
 /// The replicas that an entry knows.
 #[derive(Debug, Default)]
 pub struct Pool {
@@ -375,341 +335,6 @@
         }
     }
 
-    /// Time until the first eligible replica ends its backoff, if all of them are backing off.
-    pub fn backoff(&self, query: Query<'_>, now: Time) -> Option<Duration> {
-        let eligible = self
-            .by_service(query.service)
-            .iter()
-            .map(|&key| &self.replicas[key]);
-        let eligible = eligible.filter(|replica| {
-            self.location_allowed(replica, query) && self.eligible(replica, query, now)
-        });
-        let backoff = eligible
-            .map(|replica| replica.suspension.backoff(now))
-            .min()?;
-        (!backoff.is_zero()).then_some(backoff)
-    }
-
-    /// Chooses a replica.
-    pub fn choose(
-        &self,
-        query: Query<'_>,
-        now: Time,
-        rng: &mut impl Rng,
-    ) -> Result<Choice, Unavailable> {
-        let listed = self.by_service(query.service);
-        if listed.is_empty() {
-            return Err(Unavailable::NoneListed);
-        }
-        let allowed: Vec<Key> = listed
-            .iter()
-            .copied()
-            .filter(|&key| self.location_allowed(&self.replicas[key], query))
-            .collect();
-        if allowed.is_empty() {
-            return Err(Unavailable::NoneAllowed);
-        }
-        let selectable: Vec<Key> = allowed
-            .into_iter()
-            .filter(|&key| self.eligible(&self.replicas[key], query, now))
-            .collect();
-        if selectable.is_empty() {
-            return Err(Unavailable::NoneEligible);
-        }
-        let selectable: Vec<Key> = selectable
-            .into_iter()
-            .filter(|&key| self.replicas[key].cold_permits(query.cold_per_s, now))
-            .collect();
-        if selectable.is_empty() {
-            return Err(Unavailable::Cold);
-        }
-        let first = selectable
-            .iter()
-            .map(|&key| self.replicas[key].suspension.backoff(now))
-            .min();
-        let selectable: Vec<Key> = selectable
-            .into_iter()
-            .filter(|&key| !self.replicas[key].suspension.rejects(now))
-            .collect();
-        if selectable.is_empty() {
-            let remaining = first.unwrap_or_default();
-            return Err(Unavailable::BackingOff { remaining });
-        }
-        let selectable = self.with_quota_left(selectable, query, now)?;
-        let untried: Vec<Key> = selectable
-            .into_iter()
-            .filter(|key| !query.tried.contains(key))
-            .collect();
-        if untried.is_empty() {
-            return Err(Unavailable::AllTried);
-        }
-        let connected: Vec<Key> = untried
-            .into_iter()
-            .filter(|&key| self.replicas[key].own_requests() < query.connections_max)
-            .collect();
-        if connected.is_empty() {
-            return Err(Unavailable::Connections);
-        }
-        let not_paused: Vec<Key> = connected
-            .iter()
-            .copied()
-            .filter(|&key| !self.replicas[key].health.paused(now))
-            .collect();
-        // If all are paused, one of them is better than none.
-        let candidates = if not_paused.is_empty() {
-            connected
-        } else {
-            not_paused
-        };
-        let completing = self.completing(&candidates, query, now);
-        if completing.is_empty() {
-            return Err(Unavailable::TooSlow);
-        }
-        let candidates = self.admitting(completing, query, now);
-        let with_free_slot: Vec<Key> = candidates
-            .iter()
-            .copied()
-            .filter(|key| !query.full.contains(key))
-            .collect();
-        // If none has a free slot, the cheapest is better than none.
-        let candidates = if with_free_slot.is_empty() {
-            candidates
-        } else {
-            with_free_slot
-        };
-        self.cheapest(&candidates, query, now, rng)
-            .ok_or(Unavailable::NoneEligible)
-    }
-
-    /// Those of `candidates` that may take the request under their quotas.
-    fn with_quota_left(
-        &self,
-        candidates: Vec<Key>,
-        query: Query<'_>,
-        now: Time,
-    ) -> Result<Vec<Key>, Unavailable> {
-        let wait = |key: &Key| self.replicas[*key].quota_wait(query.urgency, now);
-        let first = candidates.iter().map(wait).min().unwrap_or_default();
-        if !first.is_zero() {
-            let rates = candidates.iter();
-            let rates = rates.filter_map(|key| self.replicas[*key].quota_per_s(now));
-            return Err(Unavailable::QuotaUsed {
-                remaining: first,
-                interval: Duration::from_secs_f64(1.0 / rates.sum::<f64>().max(QUOTA_PER_S_MIN)),
-            });
-        }
-        let left = candidates.into_iter().filter(|key| wait(key).is_zero());
-        Ok(left.collect())
-    }
-
-    /// Whether a replica is in an allowed region and its hall is not evacuated.
-    fn location_allowed(&self, replica: &Replica, query: Query<'_>) -> bool {
-        let hall = &replica.record.hall;
-        !self.evacuated.contains(hall) && query.residency.allows(query.regions.get(hall))
-    }
-
-    fn selectable(&self, replica: &Replica, query: Query<'_>, now: Time) -> bool {
-        let is_suspended = replica.suspension.rejects(now);
-        !is_suspended && self.location_allowed(replica, query) && self.eligible(replica, query, now)
-    }
-
-    /// Whether a replica can take the request, regardless of its location.
-    fn eligible(&self, replica: &Replica, query: Query<'_>, now: Time) -> bool {
-        let leaving = replica.record.leaving || replica.suspension.leaving();
-        if leaving || replica.invalidated || replica.is_dead(now) {
-            return false;
-        }
-        let Some(wanted_model) = query.model else {
-            return true;
-        };
-        let Some(version) = replica.version(wanted_model.model, now) else {
-            return false;
-        };
-        let wanted = version >= wanted_model.min_version
-            && wanted_model
-                .pinned_version
-                .is_none_or(|only| only == version);
-        // A request that waits there too long would start on a version that is no longer allowed.
-        let expected_start = || now + self.expected(replica, query, now);
-        let change = replica.change(wanted_model.model, now);
-        wanted
-            && change
-                .is_none_or(|change| expected_start() + start_margin(replica, now) < change.cutoff)
-    }
-
-    fn cheapest(
-        &self,
-        candidates: &[Key],
-        query: Query<'_>,
-        now: Time,
-        rng: &mut impl Rng,
-    ) -> Option<Choice> {
-        let costs: Vec<(Duration, Key)> = candidates
-            .iter()
-            .map(|&key| (self.cost(&self.replicas[key], query, now), key))
-            .collect();
-        let least = costs.iter().map(|(cost, _)| *cost).min()?;
-        let near_best: Vec<&(Duration, Key)> = costs
-            .iter()
-            .filter(|(cost, _)| *cost <= least + self.policy.cost_tolerance)
-            .collect();
-        // Chooses the better of two at random. All entries see the same reports and would otherwise
-        // all choose the same replica.
-        let sampled = [(); 2].map(|()| near_best[rng.random_range(0..near_best.len())]);
-        let (_, key) = **sampled.iter().min_by_key(|(cost, _)| *cost)?;
-        let replica = &self.replicas[key];
-        Some(Choice {
-            key,
-            expected: self.expected(replica, query, now),
-            requests: replica.requests(now),
-            prefill: self.own_prefill(replica, query, now),
-        })
-    }
-
-    /// Estimates the first event of a request sent to the replica `key` now, if it may be sent
-    /// there.
-    pub fn estimate(&self, key: Key, query: Query<'_>, now: Time) -> Option<Choice> {
-        let replica = self.replicas.get(key)?;
-        self.selectable(replica, query, now).then(|| Choice {
-            key,
-            expected: self.expected(replica, query, now),
-            requests: replica.requests(now),
-            prefill: self.own_prefill(replica, query, now),
-        })
-    }
-
-    /// Limits for the sidecar of the replica `key`, chosen so that the first event comes within
-    /// `limit`. The sidecar knows only its engine's load, so the known link delay and the
-    /// correction of the engine's figures are taken out. The immediate limit is that of an engine
-    /// with a free slot and little to prefill.
-    pub fn limits(&self, key: Key, query: Query<'_>, limit: Duration, now: Time) -> Option<Limits> {
-        let (replica, engine) = (self.replicas.get(key)?, query.engine?);
-        let delay = self.extra_delay(replica, now);
-        let queued = self.uncorrected(query.service, engine, limit.saturating_sub(delay));
-        let light = Backlog {
-            requests: engine.slots.saturating_sub(1),
-            prompt_tokens: engine.mean_prompt_tokens * IMMEDIATE_PROMPTS,
-            pace: 1.0,
-        };
-        let spread = self.policy.queue_spread;
-        let immediate = estimate::first_event(engine, light, query.demand, spread);
-        Some(Limits {
-            immediate: immediate.min(queued),
-            queued,
-            whole: limit,
-        })
-    }
-
-    /// Corrects the `estimate` of the sidecar of the replica `key` by the known link delay and
-    /// the correction of the engine's figures.
-    pub fn corrected_estimate(
-        &self,
-        key: Key,
-        query: Query<'_>,
-        estimate: Duration,
-        now: Time,
-    ) -> Option<Duration> {
-        let (replica, engine) = (self.replicas.get(key)?, query.engine?);
-        Some(self.corrected(query.service, engine, estimate) + self.extra_delay(replica, now))
-    }
-
-    /// The limit on an uncorrected estimate that corresponds to `limit` on the corrected one.
-    fn uncorrected(&self, service: &str, engine: &Engine, limit: Duration) -> Duration {
-        let known = self.corrections.get(service).filter(|_| engine.incomplete);
-        known.map_or(limit, |correction| correction.undo(limit))
-    }
-
-    fn extra_delay(&self, replica: &Replica, now: Time) -> Duration {
-        let link_delay = if self.policy.link_delay {
-            replica.link_delay(now).min(LINK_DELAY_MAX)
-        } else {
-            Duration::ZERO
-        };
-        replica.lag(now).max(link_delay)
-    }
-
-    fn cost(&self, replica: &Replica, query: Query<'_>, now: Time) -> Duration {
-        let slot_cost = self.policy.slot_cost * replica.requests(now);
-        let remote_penalty = if replica.record.hall == self.own_hall {
-            Duration::ZERO
-        } else {
-            self.policy.remote_penalty
-        };
-        let expected = self.expected(replica, query, now);
-        expected
-            + slot_cost
-            + remote_penalty
-            + self.overrun(replica, query, expected, now) / OVERRUN_DIVISOR
-    }
-
-    /// How long a request would run beyond the replica's next version change. For that long the
-    /// replica would take no new requests.
-    fn overrun(
-        &self,
-        replica: &Replica,
-        query: Query<'_>,
-        expected: Duration,
-        now: Time,
-    ) -> Duration {
-        let change = query
-            .model
-            .and_then(|wanted_model| replica.change(wanted_model.model, now));
-        let (Some(change), Some(engine)) = (change, query.engine) else {
-            return Duration::ZERO;
-        };
-        if change.drain_at <= now {
-            // Its weights are late, and it changes version whenever they arrive. That is no reason
-            // to avoid it: the replicas whose change is still to come cannot carry the load of all
-            // others.
-            return Duration::ZERO;
-        }
-        let backlog = self.backlog(replica, engine, now);
-        let ends = now + expected + estimate::decode(engine, backlog, query.demand);
-        ends.since(change.drain_at)
-    }
-
-    fn backlog(&self, replica: &Replica, engine: &Engine, now: Time) -> Backlog {
-        Backlog {
-            requests: replica.requests(now),
-            prompt_tokens: replica.pending_prompt_tokens(engine.mean_prompt_tokens, now),
-            pace: replica.pace(now),
-        }
-    }
-
-    /// Expected time until the first event, or until the response of a plain service.
-    fn expected(&self, replica: &Replica, query: Query<'_>, now: Time) -> Duration {
-        let Some(engine) = query.engine else {
-            let latency = replica.health.latency().unwrap_or(DEFAULT_LATENCY);
-            let slots = replica.record.slots.max(1);
-            let waiting = replica.requests(now).saturating_sub(slots - 1);
-            return latency + latency * waiting / slots;
-        };
-        let backlog = self.backlog(replica, engine, now);
-        let spread = self.policy.queue_spread;
-        let first = estimate::first_event(engine, backlog, query.demand, spread);
-        let expected =
-            self.corrected(query.service, engine, first) + self.extra_delay(replica, now);
-        if !replica.switching(now) {
-            return expected;
-        }
-        // It finishes its running requests before it takes new ones.
-        expected + estimate::completion_interval(engine, backlog.pace) * engine.slots / 2
-    }
-
-    /// Time that the prefill of the request's own prompt takes at the replica.
-    fn own_prefill(&self, replica: &Replica, query: Query<'_>, now: Time) -> Duration {
-        query.engine.map_or(Duration::ZERO, |engine| {
-            let prefill = estimate::prefill(engine, query.demand.prompt, replica.pace(now));
-            self.corrected(query.service, engine, prefill)
-        })
-    }
-
-    /// Corrects the estimate `first` if the engine's figures are guesses.
-    fn corrected(&self, service: &str, engine: &Engine, first: Duration) -> Duration {
-        let known = self.corrections.get(service).filter(|_| engine.incomplete);
-        known.map_or(first, |correction| correction.apply(first))
-    }
-
     /// Whether a third or more of a service's replicas turned out not to be the listed ones: they
     /// have lost their weights, and the list does not show it yet.
     pub fn mostly_invalidated(&self, service: &str) -> bool {
