Limits: a budget of bytes that a process holds for its callers

Limits per request (1 MiB of events, 16 MiB of a plain response) don't bound their sum. limit::memory counts what is held by sort, and decides whether a request is taken, whether a stream is read ahead, and which streams are paused while the budget is short.

--- a/src/limit.rs
+++ b/src/limit.rs
@@ -2,6 +2,7 @@
 //! queueing.
 
 pub mod admission;
+pub mod memory;
 pub mod retry;
 pub mod size;
 
