--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -40,6 +40,9 @@
 use answer::Hop;
 use path::Paths;
 
+/// Bytes of a request's body that are written at once.
+const BODY_PART_BYTES: usize = 64 << 10;
+
 /// Timeout for opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -290,11 +293,21 @@
         let mut connection = Pin::new(connection);
         let item = Message::Item((head, length));
         connection.as_mut().write(item).map_err(not_sent)?;
-        if let Some(body) = self.body.clone().filter(|body| !body.is_empty()) {
-            let chunk = Message::Chunk(Some(body));
-            connection.write(chunk).map_err(not_sent)?;
+        self.write_part(connection, 0).map_err(not_sent)
+    }
+
+    /// Writes the part of the body that begins at `from`. The connection copies what is written, so
+    /// a long body is written as the peer takes it.
+    fn write_part(&self, connection: Pin<&mut Connection>, from: usize) -> io::Result<()> {
+        match self.part(from) {
+            Some(part) => connection.write(Message::Chunk(Some(part))),
+            None => Ok(()),
         }
-        Ok(())
+    }
+
+    fn part(&self, from: usize) -> Option<Bytes> {
+        let body = self.body.as_ref().filter(|body| from < body.len())?;
+        Some(body.slice(from..body.len().min(from + BODY_PART_BYTES)))
     }
 }
 
@@ -438,7 +451,7 @@
         sending.write(&mut connection)?;
         let mut guard = self.paths.guard(sending.peer, opened, last_received);
         let ended = {
-            let transfer = pin!(transfer(&mut connection));
+            let transfer = pin!(transfer(&mut connection, sending));
             if sending.options.guarded {
                 match select(transfer, &mut guard).await {
                     Either::Left((ended, _)) => ended,
@@ -558,15 +571,24 @@
 
 /// Flushes the request and reads the head of the response, concurrently. Also returns whether the
 /// request was completely sent by then.
-async fn transfer(connection: &mut Connection) -> Result<(ResponseHead, bool), Error> {
+async fn transfer(
+    connection: &mut Connection,
+    sending: &Sending,
+) -> Result<(ResponseHead, bool), Error> {
+    let mut written = BODY_PART_BYTES;
     let mut sent = false;
     let mut failed = false;
     let head = poll_fn(|cx| {
-        if !sent && !failed {
+        while !sent && !failed {
             match Pin::new(&mut *connection).flush(cx) {
+                Poll::Ready(Ok(())) if sending.part(written).is_some() => {
+                    let part = sending.write_part(Pin::new(&mut *connection), written);
+                    failed = part.is_err();
+                    written += BODY_PART_BYTES;
+                }
                 Poll::Ready(Ok(())) => sent = true,
                 Poll::Ready(Err(_)) => failed = true,
-                Poll::Pending => {}
+                Poll::Pending => break,
             }
         }
         Pin::new(&mut *connection).next_item(cx)
