Sidecar: run buffers and request bodies have a common bound

Each run kept up to 768 KiB and the number of runs had no bound on bytes. While memory is short, only unread bytes are kept, and a request that doesn't fit is declared not sent, so that the entry sends it directly. A part that is handed over has at most 16 KiB, and the connection takes the next only when 4 KiB are left, so that what is unread stays in the buffer where it is counted.

--- a/src/run.rs
+++ b/src/run.rs
@@ -38,6 +38,9 @@
 /// Maximum number of unread bytes before reading from the replica pauses.
 const UNREAD_BYTES_MAX: usize = 256 << 10;
 
+/// Maximum number of bytes handed over at once: the HTTP server copies them.
+const PART_BYTES_MAX: usize = 16 << 10;
+
 /// Maximum number of runs kept or remembered: more than a replica finishes in
 /// [`TOMBSTONE_RETENTION`].
 const RUNS_MAX: usize = 4_096;
@@ -256,8 +259,9 @@
         }
         let at = (self.read - self.dropped) as usize;
         if at < self.data.len() {
-            let bytes = Bytes::copy_from_slice(&self.data[at..]);
-            self.read = self.received();
+            let end = self.data.len().min(at + PART_BYTES_MAX);
+            let bytes = Bytes::copy_from_slice(&self.data[at..end]);
+            self.read += bytes.len() as u64;
             self.drop_read();
             return Part::Bytes(bytes);
         }
@@ -265,6 +269,19 @@
             .map_or(Part::Pending, |(ended, _)| Part::End(ended))
     }
 
+    /// Bytes that are kept, read or not.
+    pub fn kept(&self) -> u64 {
+        self.data.len() as u64
+    }
+
+    /// Drops the bytes that were handed over, to save memory. If the reader's connection fails,
+    /// what was in transit is lost.
+    pub fn forget_read(&mut self) {
+        let read_bytes = (self.read - self.dropped) as usize;
+        let _ = self.data.split_to(read_bytes);
+        self.dropped = self.read;
+    }
+
     fn drop_read(&mut self) {
         let read_bytes = (self.read - self.dropped) as usize;
         // Drops half of it at a time, so that not every part moves the remaining bytes.
--- a/src/sidecar.rs
+++ b/src/sidecar.rs
@@ -28,9 +28,10 @@
 use crate::exchange::{self, path::Paths};
 use crate::gateway::control::decode;
 use crate::grant;
-use crate::http::{self, Answer, ClientSetting, Server};
+use crate::http::{self, Answer, ClientSetting, Server, Timing};
 use crate::knowledge::{Identity, Knowledge, traffic};
 use crate::lease::{self, Ledger};
+use crate::limit::memory;
 use crate::member::Descriptor;
 use crate::metric::{self, Metrics};
 use crate::policy::Policy;
@@ -79,6 +80,8 @@
     pub rollout: rollout::Setting,
     /// Maximum number of bytes of weights that the process may hold.
     pub memory_bytes: u64,
+    /// Maximum number of bytes to hold for entries: bodies of requests, and responses.
+    pub held_bytes: u64,
     /// Bandwidth of the machine's link in megabits per second.
     pub link_mbps: f64,
     /// Seed of the random number generator.
@@ -129,6 +132,9 @@
     availability_changes: Cell<u64>,
     /// Callers' requests at the replica, with their responses.
     runs: RefCell<Registry<Rc<executor::Run>>>,
+    /// The memory that is held for them.
+    held: memory::Budget,
+    held_bytes: Gauge<u64>,
     /// Client for callers' requests to the replica.
     client: exchange::Client,
     started_at: Time,
@@ -273,6 +279,13 @@
             .u64_gauge("pumicelatch.agent.requests")
             .with_description("Requests at the replica, running and waiting")
             .build();
+        let held_bytes = metrics
+            .meter()
+            .u64_gauge("pumicelatch.agent.held_bytes")
+            .with_unit("By")
+            .with_description("Memory held or reserved for entries, by what it is for")
+            .build();
+        let held_limit = setting.held_bytes;
         let sidecar = Rc::new(Self {
             tracker: Tracker::new(knowledge.clock, &metrics.meter()),
             knowledge,
@@ -297,6 +310,8 @@
             state_changes: Cell::new(0),
             availability_changes: Cell::new(0),
             runs: RefCell::default(),
+            held: memory::Budget::new(held_limit),
+            held_bytes,
             client: exchange::Client::sharing(dependencies.paths.clone()),
             started_at: now,
             requests,
@@ -324,9 +339,13 @@
 
     fn serve(self: &Rc<Self>, listeners: Listeners) -> (Server, Option<Server>) {
         let sidecar = self.clone();
-        let control = Server::start(listeners.control, http::plain(), move |request, _| {
-            handle(sidecar.clone(), request)
-        });
+        let handler = move |request, _| handle(sidecar.clone(), request);
+        // What isn't written of a run stays in its buffer, where it is counted.
+        let timing = || Timing {
+            write_buffer: memory::WRITE_BUFFER,
+            ..Timing::default()
+        };
+        let control = Server::with_timing(listeners.control, http::plain(), handler, timing);
         let metrics = listeners.metrics.map(|listener| {
             let sidecar = self.clone();
             Server::start(listener, http::plain(), move |_, _| {
--- a/src/sidecar/executor.rs
+++ b/src/sidecar/executor.rs
@@ -5,6 +5,7 @@
 use std::fmt::Display;
 use std::io;
 use std::rc::Rc;
+use std::time::Duration;
 
 use actix_http::body::{BodyStream, MessageBody};
 use actix_http::header::{
@@ -12,8 +13,10 @@
 };
 use actix_http::{Request, RequestHead, StatusCode};
 use actix_rt::task::JoinHandle;
+use actix_rt::time::timeout;
 use bytes::Bytes;
 use futures_util::{Stream, StreamExt, stream};
+use opentelemetry::KeyValue;
 use tokio::sync::watch;
 
 use super::Sidecar;
@@ -22,6 +25,7 @@
 use crate::gateway;
 use crate::http::{self, Answer};
 use crate::lease;
+use crate::limit::memory::{Budget, READ_MAX, RESPONSE_MIN, Reservation, Sort};
 use crate::route::notice::{self, Notice};
 use crate::run::{
     Acceptance, Buffer, Call, DISPOSITION_HEADER, Disposition, Ended, Key, Lookup, Part,
@@ -31,6 +35,9 @@
 /// Maximum size of a request's body in bytes, far above that of the longest prompt.
 const BODY_MAX: usize = 16 << 20;
 
+/// Interval at which a paused run is checked for memory that others have returned.
+const MEMORY_RECHECK: Duration = Duration::from_millis(100);
+
 /// Hop-by-hop headers, which the codec generates for each connection.
 const HOP_BY_HOP: [HeaderName; 3] = [CONNECTION, CONTENT_LENGTH, TRANSFER_ENCODING];
 
@@ -52,6 +59,15 @@
     /// Number of changes of the run, by which its reader and its task are woken.
     changed: watch::Sender<u64>,
     task: RefCell<Option<JoinHandle<()>>>,
+    /// The memory that the buffer takes once the response has ended.
+    held: RefCell<Option<Reservation>>,
+}
+
+/// A request to the replica.
+struct Sending {
+    head: RequestHead,
+    body: Option<Bytes>,
+    body_held: Reservation,
 }
 
 impl Run {
@@ -216,7 +232,11 @@
         if permit.is_refused() {
             return permit.attach(error_response(Disposition::NotSent));
         }
-        let body = http::read_request(&mut request, BODY_MAX).await;
+        let reserved = reserve(&self.held, &request);
+        let Some((mut body_held, held)) = reserved else {
+            return permit.attach(error_response(Disposition::NotSent));
+        };
+        let body = http::read_request_held(&mut request, BODY_MAX, &mut body_held).await;
         let Ok((head, body)) = body.and_then(|body| Ok((replica_head(&request, target)?, body)))
         else {
             return permit.attach(error_response(Disposition::NotSent));
@@ -243,8 +263,12 @@
             Acceptance::NotRun => return permit.attach(error_response(Disposition::NotSent)),
             Acceptance::Known => return permit.attach(error_response(Disposition::Broken)),
         }
-        let body = (!body.is_empty()).then_some(body);
-        let task = actix_rt::spawn(execute(self.clone(), run.clone(), key, head, body));
+        let sending = Sending {
+            head,
+            body: (!body.is_empty()).then_some(body),
+            body_held,
+        };
+        let task = actix_rt::spawn(execute(self.clone(), run.clone(), key, sending, held));
         run.task.replace(Some(task));
         match Reader::open(&self, run, 0) {
             Some(reader) => permit.attach(reader.respond().await),
@@ -272,6 +296,10 @@
 
     /// Aborts runs without a reader, and closes idle connections to the replica.
     pub(super) fn remove_expired_runs(&self) {
+        for sort in Sort::ALL {
+            let labels = [KeyValue::new("what", sort.name())];
+            self.held_bytes.record(self.held.held(sort), &labels);
+        }
         let now = self.knowledge.now();
         let abandoned = self.runs.borrow_mut().sweep(now);
         for (key, run) in abandoned {
@@ -298,9 +326,14 @@
     sidecar: Rc<Sidecar>,
     run: Rc<Run>,
     key: Key,
-    head: RequestHead,
-    body: Option<Bytes>,
+    sending: Sending,
+    mut held: Reservation,
 ) {
+    let Sending {
+        head,
+        body,
+        body_held,
+    } = sending;
     let options = Options {
         reuse: Reuse::Allowed,
         idle_max: gateway::IDLE_MAX,
@@ -310,7 +343,9 @@
     };
     let replica = sidecar.engine.address();
     let sent_at = sidecar.knowledge.now();
-    let ended = match sidecar.client.exchange(replica, head, body, options).await {
+    let answered = sidecar.client.exchange(replica, head, body, options).await;
+    drop(body_held);
+    let ended = match answered {
         Ok(mut response) => {
             let headers = std::mem::take(&mut response.headers);
             sidecar.apply_notice(sidecar.engine.notice(response.status, &headers));
@@ -318,7 +353,7 @@
                 sidecar.record_quota(sidecar.engine.quota(&headers), sent_at);
             }
             run.set_head(Head::Answer(response.status, headers));
-            buffer_body(&run, &mut response).await
+            buffer_body(&run, &mut response, &mut held).await
         }
         Err(error) => {
             let disposition = match error {
@@ -335,20 +370,50 @@
     let now = sidecar.knowledge.now();
     let ended = ended.map_or(Ended::Broken, |()| Ended::Complete);
     run.buffer.borrow_mut().end(ended, now);
+    held.set(run.buffer.borrow().kept());
+    // What is kept is counted until the run is forgotten.
+    run.held.replace(Some(held));
     run.notify();
 }
 
-/// Appends the response body to the run's buffer as it arrives, and pauses while the buffer is full.
-async fn buffer_body(run: &Run, response: &mut exchange::Response) -> Result<(), exchange::Error> {
+/// Appends the response body to the run's buffer as it arrives, and pauses while the buffer is full
+/// or memory is short.
+async fn buffer_body(
+    run: &Run,
+    response: &mut exchange::Response,
+    held: &mut Reservation,
+) -> Result<(), exchange::Error> {
     let mut changed = run.changed.subscribe();
     while let Some(part) = response.next().await {
         run.buffer.borrow_mut().push(&part?);
         run.notify();
-        while !run.buffer.borrow().has_room() {
+        while !has_room(&run.buffer, held) {
             // The sender is not dropped, because `run` owns it.
-
-            let _ = changed.changed().await;
+            let _ = timeout(MEMORY_RECHECK, changed.changed()).await;
         }
     }
     Ok(())
 }
+
+/// Whether more may be read from the replica. If memory is short, only unread bytes are kept: what
+/// was reserved at first suffices for a reader that keeps up.
+fn has_room(buffer: &RefCell<Buffer>, held: &mut Reservation) -> bool {
+    let mut buffer = buffer.borrow_mut();
+    if !buffer.has_room() {
+        return false;
+    }
+    if held.set(buffer.kept() + READ_MAX) {
+        return true;
+    }
+    buffer.forget_read();
+    held.set(buffer.kept() + READ_MAX)
+}
+
+/// Reserves memory for a request's body, as far as its length is known, and for its response.
+fn reserve(budget: &Budget, request: &Request) -> Option<(Reservation, Reservation)> {
+    let length = request.head().headers.get(CONTENT_LENGTH);
+    let length = length.and_then(|value| value.to_str().ok()?.parse().ok());
+    let body = budget.reserve(Sort::Body, length.unwrap_or(0))?;
+    let response = budget.reserve(Sort::Stream, RESPONSE_MIN)?;
+    Some((body, response))
+}
