Entry: what is held for callers is bounded for the process

Cause: plain responses were read whole (up to 16 MiB each) and copied into the connection's write buffer, and streams were not read while their caller paused, so that the replica cut them off.

A plain response of more than 64 KiB is relayed as its caller reads it; streams are read up to 256 KiB ahead by a task; bodies and responses are counted, and a request that doesn't fit is refused with 503 before it runs. A response that breaks after its caller left it unread for 300 ms says nothing about its replica.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -6,7 +6,7 @@
 //!   attempts, with the state in [`dispatch`] and the limits on the first event in `limit`.
 //! * [`attempt`] is one exchange with a replica; [`reader`] reads its response, from the replica or
 //!   from the buffer of the sidecar; [`event`] splits a stream into events; [`relay`] forwards
-//!   them.
+//!   them, with what it reads ahead of the caller in `lead`; [`plain`] forwards plain responses.
 //! * [`place`] asks sidecars for a lease on a place in their replica's engine or queue.
 //! * `poison` blocks requests whose earlier attempts coincided with crashes of replicas.
 //! * [`retry`] is a retry taken from a service's budget.
@@ -40,6 +40,7 @@
 use crate::knowledge::hub::Hub;
 use crate::knowledge::polls::Polls;
 use crate::knowledge::{Identity, Knowledge, gossip, store, traffic};
+use crate::limit::memory;
 use crate::limit::retry::{Rejection, Rejections};
 use crate::limit::size::{self, Sizes};
 use crate::member::Role;
@@ -67,8 +68,10 @@
 pub mod handler;
 pub mod intake;
 pub mod job;
+mod lead;
 mod limit;
 pub mod place;
+pub mod plain;
 mod poison;
 mod quota;
 pub mod reader;
@@ -135,6 +138,8 @@
     pub first_start: bool,
     /// Bytes of weights that the process may hold to relay them.
     pub memory_bytes: u64,
+    /// Bytes that the process may hold for callers: bodies, and responses that are not written.
+    pub held_bytes: u64,
     /// Seed of random choices.
     pub seed: u64,
     /// Which mechanisms are enabled, and their parameters.
@@ -170,6 +175,10 @@
     sizes: RefCell<BTreeMap<Arc<str>, Sizes>>,
     suspects: RefCell<poison::Suspects>,
     counts: RefCell<quota::Counts>,
+    /// The memory that is held for callers.
+    pub held: memory::Budget,
+    /// The usual sizes of responses, by route.
+    usual_sizes: RefCell<BTreeMap<Arc<str>, memory::Usual>>,
 }
 
 /// What a gateway is started with.
@@ -283,6 +292,8 @@
             sizes: RefCell::default(),
             suspects: RefCell::default(),
             counts: RefCell::new(quota::Counts::new(setting.identity.address)),
+            held: memory::Budget::new(setting.held_bytes),
+            usual_sizes: RefCell::default(),
             pool_generation: Cell::new(0),
             budgets: RefCell::default(),
             began: knowledge.now(),
@@ -366,6 +377,7 @@
             head: Duration::from_millis(limits.head_ms),
             idle: Duration::from_millis(limits.idle_ms) + IDLE_MARGIN,
             half_closed: false,
+            write_buffer: memory::WRITE_BUFFER,
         }
     }
 
@@ -471,6 +483,7 @@
             self.knowledge.client.reap(gossip::IDLE_MAX);
             let losses = self.knowledge.losses.borrow().count;
             self.instruments.set_losses(losses);
+            self.instruments.set_held(&self.held);
             let mut quotas = self.knowledge.quotas.borrow_mut();
             quotas.remove_expired(now);
             self.instruments.set_quotas(quotas.stated());
@@ -590,6 +603,12 @@
         })
     }
 
+    /// Records the size of a response, by which memory is reserved for the next ones of its route.
+    fn record_response_size(&self, route: &Arc<str>, bytes: u64) {
+        let mut sizes = self.usual_sizes.borrow_mut();
+        sizes.entry(route.clone()).or_default().record(bytes);
+    }
+
     /// When the caller first tried a request that was rejected before.
     fn first_try(&self, job: &Job) -> Option<Time> {
         let rejections = self.rejections.borrow();
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -7,9 +7,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use actix_http::body::BoxBody;
+use actix_http::body::{BoxBody, MessageBody};
 use actix_http::{RequestHead, Response as HttpResponse};
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 
 use super::dialect::{Classification, Forward};
 use super::job::Job;
@@ -20,6 +20,8 @@
 use crate::config::routing::Kind;
 use crate::exchange::{self, Options, Recorder, Reuse, Unframed};
 use crate::http::Answer;
+use crate::http::observed::{Observed, Observer};
+use crate::limit::memory::{Reservation, Sort};
 use crate::member::replica::Instance;
 use crate::request::attempt::Ended;
 use crate::request::poison::RequestHash;
@@ -245,7 +247,15 @@
         }
     }
 
-    fn exchange_failed(&self, job: &Job, error: &exchange::Error) -> Failure {
+    /// Like [`broken`](Self::broken), for a response that its caller had left unread: replicas cut
+    /// such responses off, so it says nothing about the replica's health and is no crash.
+    pub fn broken_unread(&self, job: &Job, detail: String) -> Failure {
+        self.outcome_known.set(true);
+        self.fail(job, Ended::Broken, Signal::Neutral, detail)
+    }
+
+    /// The failure of an exchange after bytes were sent.
+    pub fn exchange_failed(&self, job: &Job, error: &exchange::Error) -> Failure {
         self.broken(job, error.to_string(), signal(error))
     }
 
@@ -530,24 +540,56 @@
         answer
     }
 
-    /// Reads a successful response to its end.
-    pub async fn read_success(self, job: &Job) -> Result<Answer, Failure> {
-        let (attempt, answer) = self.read_to_end(job).await?;
-        attempt.first_event_received();
-        attempt.record_health(Signal::Success(attempt.elapsed()));
-        attempt.record_complete();
-        Ok(answer)
-    }
-
-    /// Reads the body to its end.
+    /// Reads the body of an error to its end, as far as memory allows.
     async fn read_to_end(mut self, job: &Job) -> Result<(Attempt, Answer), Failure> {
-        let read = self.response.read(BUFFERED_BODY_MAX);
-        let body: Bytes = match self.attempt.await_response(job, read).await {
+        let limit = BUFFERED_BODY_MAX as u64;
+        let mut held = self.attempt.gateway.held.reserve(Sort::Answer, 0);
+        let read = read_counted(&mut self.response, limit, held.as_mut());
+        let body = match self.attempt.await_response(job, read).await {
             None => return Err(self.attempt.timeout_failure(job)),
             Some(Err(error)) => return Err(self.attempt.exchange_failed(job, &error)),
             Some(Ok(body)) => body,
         };
-        let answer = self.head().set_body(BoxBody::new(body));
+        let body = Holding::attach(body, held);
+        let answer = self.head().set_body(body);
         Ok((self.attempt, answer))
     }
 }
+
+/// Reads a body of at most `limit` bytes, which are counted in `held`.
+pub(super) async fn read_counted(
+    response: &mut Reader,
+    limit: u64,
+    held: Option<&mut Reservation>,
+) -> Result<Bytes, exchange::Error> {
+    let too_long = exchange::Error::TooLong {
+        limit: limit as usize,
+    };
+    let Some(held) = held else {
+        return Err(too_long);
+    };
+    let mut all = BytesMut::new();
+    while let Some(part) = response.next().await {
+        let part = part?;
+        let length = (all.len() + part.len()) as u64;
+        if length > limit || !held.set(length) {
+            return Err(too_long);
+        }
+        all.extend_from_slice(&part);
+    }
+    Ok(all.freeze())
+}
+
+/// Keeps a reservation until the response was handed over.
+pub(super) struct Holding {
+    _held: Option<Reservation>,
+}
+
+impl Observer for Holding {}
+
+impl Holding {
+    /// A body that keeps `held`.
+    pub(super) fn attach(body: Bytes, held: Option<Reservation>) -> BoxBody {
+        Observed::new(BoxBody::new(body), Self { _held: held }).boxed()
+    }
+}
--- a/src/gateway/event.rs
+++ b/src/gateway/event.rs
@@ -45,6 +45,11 @@
         !self.buffer.is_empty()
     }
 
+    /// Bytes of a partial event that are buffered.
+    pub fn partial_bytes(&self) -> u64 {
+        self.buffer.len() as u64
+    }
+
     /// Discards a buffered partial event, for a stream that is resumed after the last complete one.
     pub fn discard_partial(&mut self) {
         self.buffer.clear();
--- a/src/gateway/handler.rs
+++ b/src/gateway/handler.rs
@@ -5,11 +5,13 @@
 use actix_http::Request;
 
 use super::dispatch::{Dispatch, aborted, refuse, shutting_down};
+use super::intake::Prepared;
 use super::relay::Relay;
 use super::trace::Trace;
 use super::{Gateway, intake};
 use crate::config::routing::Kind;
 use crate::http::Answer;
+use crate::limit::memory::Reservation;
 use crate::stop;
 
 /// Handles one caller's request.
@@ -26,17 +28,19 @@
         prepared.unwrap_or_else(|| Err(shutting_down()))
     };
     let answer = match prepared {
-        Ok(job) => {
+        Ok(Prepared { job, response }) => {
             gateway.count_request(&job.service);
-            run(Dispatch::new(gateway.clone(), Rc::new(job), trace)).await
+            let dispatch = Dispatch::new(gateway.clone(), Rc::new(job), trace);
+            run(dispatch, response).await
         }
         Err(refusal) => refuse(&gateway, &mut trace, &refusal),
     };
     permit.attach(answer)
 }
 
-/// Makes attempts until one is answered or no further one is allowed.
-async fn run(mut dispatch: Dispatch) -> Answer {
+/// Makes attempts until one is answered or no further one is allowed. `held` is the memory for the
+/// response.
+async fn run(mut dispatch: Dispatch, mut held: Reservation) -> Answer {
     let tracker = dispatch.gateway.tracker.clone();
     if let Err(refusal) = dispatch.check_blocked() {
         return dispatch.give_up(&refusal);
@@ -53,17 +57,13 @@
         let attempt = dispatch.attempt(choice, dispatch.job.meta.last_event);
         let failure = match tracker.until_abort(attempt).await {
             Some(Ok(incoming)) if dispatch.job.route.kind == Kind::Streaming => {
-                return Relay::new(dispatch, incoming).answer();
+                return Relay::new(dispatch, incoming, held).answer();
             }
             Some(Ok(incoming)) => match tracker
-                .until_abort(incoming.read_success(&dispatch.job))
+                .until_abort(incoming.read_plain(&dispatch.job, &mut held))
                 .await
             {
-                Some(Ok(answer)) => {
-                    dispatch.gateway.record_success(dispatch.job.request_hash);
-                    dispatch.trace.set_outcome("whole");
-                    return answer;
-                }
+                Some(Ok(plain)) => return plain.answer(dispatch, held),
                 Some(Err(failure)) => failure,
                 None => return dispatch.give_up(&aborted()),
             },
--- a/src/gateway/intake.rs
+++ b/src/gateway/intake.rs
@@ -11,8 +11,9 @@
 use super::job::Job;
 use super::trace::Trace;
 use crate::clock::Time;
-use crate::config::routing::{Access, Limits, Routing};
+use crate::config::routing::{Access, Kind, Limits, Route, Routing};
 use crate::http::{self, Error};
+use crate::limit::memory::{self, Reservation};
 use crate::limit::retry::Fingerprint;
 use crate::request::poison;
 use crate::timeout;
@@ -31,12 +32,20 @@
     }
 }
 
+/// A validated request.
+pub struct Prepared {
+    /// The request.
+    pub job: Job,
+    /// The memory for its response.
+    pub response: Reservation,
+}
+
 /// Validates a request against the current configuration, and reads its body.
 pub async fn prepare(
     gateway: &Gateway,
     request: &mut Request,
     trace: &mut Trace,
-) -> Result<Job, Refusal> {
+) -> Result<Prepared, Refusal> {
     let routing = gateway.knowledge.catalog.borrow().routing().cloned();
     let meta = gateway.dialect.parse(request.head());
     if let Ok(meta) = &meta {
@@ -80,14 +89,18 @@
         .timeout
         .map_or(route_timeout, |deadline| deadline.min(route_timeout));
     let arrived = trace.arrived;
-    let body = read_body(request, limits, timeout, || gateway.knowledge.now()).await?;
+    let response = reserve_response(gateway, &route)?;
+    let mut body_held = reserve_body(gateway, &meta)?;
+    let now = || gateway.knowledge.now();
+    let body = read_body(request, limits, timeout, &mut body_held, now).await?;
     let fingerprint = fingerprint(&meta, body.as_deref());
     let request_hash = request_hash(request.head(), &meta, customer.as_deref(), body.as_deref());
     trace.request_hash = Some(request_hash);
-    Ok(Job {
+    let job = Job {
         head: copy_head(request.head()),
         meta,
         body,
+        body_held,
         route,
         service,
         routing,
@@ -98,7 +111,32 @@
         deadline: arrived + timeout,
         fingerprint,
         request_hash,
-    })
+    };
+    Ok(Prepared { job, response })
+}
+
+/// The refusal of a request that doesn't fit into the memory for requests.
+fn out_of_memory() -> Refusal {
+    let refusal = Refusal::new(Code::Overload, "the memory for requests is used up");
+    refusal.retry_after(memory::RETRY_DELAY)
+}
+
+/// Reserves memory for a response of the route's usual size.
+fn reserve_response(gateway: &Gateway, route: &Route) -> Result<Reservation, Refusal> {
+    let sort = match route.kind {
+        Kind::Streaming => memory::Sort::Stream,
+        _ => memory::Sort::Answer,
+    };
+    let usual = gateway.usual_sizes.borrow().get(&route.name).copied();
+    let need = usual.unwrap_or_default().need();
+    gateway.held.reserve(sort, need).ok_or_else(out_of_memory)
+}
+
+/// Reserves memory for the body, as far as its length is known.
+fn reserve_body(gateway: &Gateway, meta: &Metadata) -> Result<Reservation, Refusal> {
+    let need = meta.body_length.unwrap_or_default();
+    let reserved = gateway.held.reserve(memory::Sort::Body, need);
+    reserved.ok_or_else(out_of_memory)
 }
 
 /// The fingerprint of a request, which is the same for each retry: it leaves out the try's id, the
@@ -190,13 +228,14 @@
     request: &mut Request,
     limits: Limits,
     timeout: Duration,
+    held: &mut Reservation,
     now: impl Fn() -> Time,
 ) -> Result<Option<Bytes>, Refusal> {
     let none = matches!(request.payload(), actix_http::Payload::None);
     if none {
         return Ok(None);
     }
-    let body = http::read_request(request, limits.body_bytes);
+    let body = http::read_request_held(request, limits.body_bytes, held);
     match timeout::within(now, timeout, body).await {
         None => Err(Refusal::new(
             Code::BodyTooSlow,
@@ -206,6 +245,7 @@
             let text = format!("the body is longer than {limit} bytes");
             Err(Refusal::new(Code::BodyTooLong, text))
         }
+        Some(Err(Error::OutOfMemory)) => Err(out_of_memory()),
         Some(Err(error)) => Err(Refusal::new(Code::Malformed, error.to_string())),
         Some(Ok(body)) => Ok(Some(body)),
     }
--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -11,6 +11,7 @@
 use crate::clock::Time;
 use crate::config::residency::Residency;
 use crate::config::routing::{Route, Routing};
+use crate::limit::memory::Reservation;
 use crate::limit::retry::Fingerprint;
 use crate::request::poison;
 use crate::route::estimate::Demand;
@@ -23,6 +24,8 @@
     pub head: RequestHead,
     /// The body, if any.
     pub body: Option<Bytes>,
+    /// The memory that the body takes.
+    pub body_held: Reservation,
     /// The route that matches it.
     pub route: Route,
     /// The service that is to handle it.
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -1,18 +1,24 @@
 //! Forwards a stream event by event, and resumes it at another replica when it breaks.
+//!
+//! A task reads the stream ahead of its caller, as far as memory allows: replicas cut off what
+//! stays unread for about a second.
 
 use std::io;
+use std::rc::Rc;
 use std::time::Duration;
 
 use actix_http::body::{BodyStream, MessageBody};
+use actix_rt::time::timeout;
 use bytes::Bytes;
-use futures_util::{Stream, stream};
 
 use super::attempt::{self, Attempt, Failure, Incoming};
 use super::dispatch::Dispatch;
 use super::event::Splitter;
+use super::lead::{Lead, Outlet};
 use super::reader::Reader;
 use crate::clock::Time;
 use crate::http::Answer;
+use crate::limit::memory::{READ_MAX, Reservation, UNREAD_MIN, Verdict};
 use crate::request::attempt::Ended;
 use crate::route::health::Signal;
 use crate::timeout;
@@ -20,6 +26,10 @@
 /// Time without data after which a stream is resumed at another replica, if that is allowed.
 const SILENCE_MAX: Duration = Duration::from_millis(1_500);
 
+/// Interval at which a paused stream is checked for memory that others have returned. Its caller
+/// has events to read meanwhile.
+const PAUSE_RECHECK: Duration = Duration::from_millis(100);
+
 /// What a step of a stream brought.
 enum Step {
     /// Complete events.
@@ -46,11 +56,15 @@
     splitter: Splitter,
     head: Option<actix_http::Response<()>>,
     last_event_at: Option<Time>,
+    /// What was read and is not with the caller's connection yet.
+    lead: Rc<Lead>,
+    /// Whether the caller has left the response of this attempt unread for [`UNREAD_MIN`].
+    was_unread: bool,
 }
 
 impl Relay {
-    /// A relay of the response that has started.
-    pub fn new(mut dispatch: Dispatch, incoming: Incoming) -> Self {
+    /// A relay of the response that has started, which may hold the memory `held`.
+    pub fn new(mut dispatch: Dispatch, incoming: Incoming, held: Reservation) -> Self {
         let head = incoming.head();
         let Incoming {
             attempt,
@@ -65,6 +79,8 @@
             response,
             head: Some(head),
             last_event_at: None,
+            lead: Rc::new(Lead::new(held)),
+            was_unread: false,
         }
     }
 
@@ -75,27 +91,58 @@
             .head
             .take()
             .unwrap_or_else(|| actix_http::Response::with_body(self.response.status, ()));
-        let body = BodyStream::new(Box::pin(self.into_stream()));
+        let lead = self.lead.clone();
+        let task = actix_rt::spawn(self.read_ahead());
+        let body = BodyStream::new(Outlet::new(lead, task));
         head.set_body(body.boxed())
     }
 
-    fn into_stream(self) -> impl Stream<Item = Result<Bytes, io::Error>> {
-        stream::unfold(Some(self), |relay| async move {
-            let mut relay = relay?;
-            match relay.next().await {
-                Some(Ok(events)) => Some((Ok(events), Some(relay))),
-                // The error closes the connection, so that the caller sees that the stream is
-                // incomplete.
-                Some(Err(error)) => Some((Err(error), None)),
-                None => None,
+    /// Reads the stream to its end, ahead of its caller.
+    async fn read_ahead(mut self) {
+        let lead = self.lead.clone();
+        loop {
+            self.wait_for_room().await;
+            match self.next().await {
+                Some(Ok(events)) => lead.push(events, self.splitter.partial_bytes()),
+                ended => {
+                    let error = ended.and_then(Result::err);
+                    self.lead.drained().await;
+                    let (gateway, route) = (&self.dispatch.gateway, &self.dispatch.job.route);
+                    gateway.record_response_size(&route.name, lead.peak());
+                    if error.is_none() {
+                        self.dispatch.trace.set_outcome("whole");
+                    }
+                    return lead.end(error);
+                }
+            }
+        }
+    }
+
+    /// Waits until the next bytes may be read from the replica: at once while the caller keeps up.
+    async fn wait_for_room(&mut self) {
+        let began = self.dispatch.gateway.knowledge.now();
+        let mut counted = false;
+        while let Some(verdict) = self.lead.hindrance(READ_MAX) {
+            if verdict == Verdict::Paused {
+                if !std::mem::replace(&mut counted, true) {
+                    self.dispatch.gateway.instruments.count_paused();
+                }
+                let _ = timeout(PAUSE_RECHECK, self.lead.taken()).await;
+            } else {
+                self.lead.taken().await;
             }
-        })
+            let waited = self.dispatch.gateway.knowledge.now().since(began);
+            self.was_unread |= waited >= UNREAD_MIN;
+        }
     }
 
     async fn next(&mut self) -> Option<Result<Bytes, io::Error>> {
         loop {
             match self.step().await {
-                Step::Part => {}
+                Step::Part => {
+                    self.lead.set_partial(self.splitter.partial_bytes());
+                    self.wait_for_room().await;
+                }
                 Step::Events(events) => {
                     self.record_events();
                     return Some(Ok(events));
@@ -105,7 +152,6 @@
                     self.dispatch
                         .gateway
                         .record_success(self.dispatch.job.request_hash);
-                    self.dispatch.trace.set_outcome("whole");
                     return None;
                 }
                 Step::Expired => {
@@ -178,7 +224,15 @@
     async fn resume(&mut self, detail: String, signal: Signal) -> bool {
         let passed = self.splitter.forwarded();
         let detail = format!("{detail} after {passed} events");
-        let mut failure = self.attempt.broken(&self.dispatch.job, detail, signal);
+        let mut failure = if self.was_unread {
+            self.attempt.broken_unread(&self.dispatch.job, detail)
+        } else {
+            self.attempt.broken(&self.dispatch.job, detail, signal)
+        };
+        if self.was_unread {
+            // Another replica would cut the stream off as well while its caller does not read.
+            self.lead.drained().await;
+        }
         loop {
             if !self.dispatch.may_resume(failure) {
                 return false;
@@ -204,6 +258,8 @@
             match self.dispatch.attempt(choice, last).await {
                 Ok(incoming) => {
                     self.splitter.discard_partial();
+                    self.lead.set_partial(0);
+                    self.was_unread = false;
                     self.attempt = incoming.attempt;
                     self.response = incoming.response;
                     self.dispatch.pinned_version =
--- a/src/gateway/status.rs
+++ b/src/gateway/status.rs
@@ -6,6 +6,7 @@
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Gauge, Histogram, Meter};
 
+use crate::limit::memory::{Budget, Sort};
 use crate::limit::size;
 
 /// Bucket boundaries of the latency histograms, in seconds.
@@ -28,6 +29,8 @@
     under_way: Gauge<u64>,
     ends: Counter<u64>,
     barred: Gauge<u64>,
+    held_bytes: Gauge<u64>,
+    paused: Counter<u64>,
 }
 
 impl Instruments {
@@ -90,6 +93,15 @@
                     "Requests that are sent nowhere because replicas ended under them",
                 )
                 .build(),
+            held_bytes: meter
+                .u64_gauge("pumicelatch.gateway.held_bytes")
+                .with_unit("By")
+                .with_description("Memory held or reserved for callers, by what it is for")
+                .build(),
+            paused: meter
+                .u64_counter("pumicelatch.gateway.paused")
+                .with_description("Streams not read ahead of their callers for lack of memory")
+                .build(),
         }
     }
 
@@ -134,6 +146,19 @@
         self.barred.record(count as u64, &[]);
     }
 
+    /// Sets the memory held for callers.
+    pub fn set_held(&self, held: &Budget) {
+        for sort in Sort::ALL {
+            let labels = [KeyValue::new("what", sort.name())];
+            self.held_bytes.record(held.held(sort), &labels);
+        }
+    }
+
+    /// Counts a stream that is paused because memory is short.
+    pub fn count_paused(&self) {
+        self.paused.add(1, &[]);
+    }
+
     /// Counts an attempt at a replica that has stated a quota.
     pub fn count_limited_attempt(&self) {
         self.limited_attempts.add(1, &[]);
--- a/src/http.rs
+++ b/src/http.rs
@@ -18,6 +18,7 @@
 use serde::de::DeserializeOwned;
 use tokio::net::TcpListener;
 
+use crate::limit::memory::Reservation;
 use crate::timeout::{self, Progress};
 
 pub mod observed;
@@ -66,6 +67,9 @@
         /// The limit, in bytes.
         limit: usize,
     },
+    /// A body does not fit into the memory for requests.
+    #[error("no memory for the body")]
+    OutOfMemory,
     /// A body could not be decoded.
     #[error("cannot decode body: {reason}")]
     Decode {
@@ -231,6 +235,32 @@
     Ok(all.freeze())
 }
 
+/// Reads a request's body of at most `limit` bytes, which are counted in `held`.
+pub async fn read_request_held(
+    request: &mut Request,
+    limit: usize,
+    held: &mut Reservation,
+) -> Result<Bytes, Error> {
+    let mut payload = request.take_payload();
+    // A body of known length is reserved before it is read, and isn't copied as it grows.
+    let known = usize::try_from(held.reserved()).unwrap_or(limit);
+    let mut all = BytesMut::with_capacity(known.min(limit));
+    while let Some(part) = payload.next().await {
+        let part = part.map_err(|error| Error::Exchange {
+            reason: error.to_string(),
+        })?;
+        let length = all.len() + part.len();
+        if length > limit {
+            return Err(Error::TooLong { limit });
+        }
+        if !held.set(length as u64) {
+            return Err(Error::OutOfMemory);
+        }
+        all.extend_from_slice(&part);
+    }
+    Ok(all.freeze())
+}
+
 /// Reads a response's body of at most `limit` bytes.
 pub async fn read_response<S>(payload: &mut S, limit: usize) -> Result<Bytes, Error>
 where
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -40,7 +40,7 @@
 /// 0.3 s.
 const LINGER: Duration = Duration::from_secs(1);
 
-/// Bytes of a response buffered per connection before reading its body pauses.
+/// Default of [`Timing::write_buffer`].
 const WRITE_BUFFER: usize = 64 * 1024;
 
 /// A server connection: a plain socket, or one wrapped by a test bench.
@@ -66,6 +66,8 @@
     /// Whether a caller that closed its sending side still gets its response. If not, its request
     /// is aborted at once.
     pub half_closed: bool,
+    /// Bytes of a response buffered per connection before reading its body pauses.
+    pub write_buffer: usize,
 }
 
 impl Default for Timing {
@@ -74,6 +76,7 @@
             head: HEAD_TIMEOUT,
             idle: KEEP_ALIVE,
             half_closed: true,
+            write_buffer: WRITE_BUFFER,
         }
     }
 }
@@ -286,7 +289,7 @@
                 .client_disconnect_timeout(LINGER)
                 .keep_alive(timing.idle)
                 .h1_allow_half_closed(timing.half_closed)
-                .h1_write_buffer_size(WRITE_BUFFER)
+                .h1_write_buffer_size(timing.write_buffer)
                 .h1(service);
             let Ok(connection) = factory.new_service(()).await else {
                 return;
--- a/src/route/replica.rs
+++ b/src/route/replica.rs
@@ -248,6 +248,11 @@
 }
 
 impl Replica {
+    /// Its health as seen from this entry.
+    pub fn health(&self) -> Health {
+        self.health
+    }
+
     /// Creates a replica of which only the list entry is known.
     pub fn new(record: Record) -> Self {
         Self {
