--- a/src/gateway/reader.rs
+++ b/src/gateway/reader.rs
@@ -14,16 +14,15 @@
 use bytes::{Buf, Bytes};
 use futures_util::future::{Either, LocalBoxFuture, select};
 use futures_util::stream::FuturesUnordered;
-use futures_util::{FutureExt, StreamExt, stream};
+use futures_util::{FutureExt, StreamExt};
 use rand::RngExt;
 use tokio::sync::watch;
 
 use super::{CONNECT_TIMEOUT, Gateway, IDLE_MAX};
 use crate::clock::Time;
-use crate::exchange::{self, Client, Options, Recorder, Request, Response, Reuse, answer};
+use crate::exchange::{self, Client, Options, Recorder, Request, Response, Reuse};
 use crate::route::notice::{self, Notice};
 use crate::run::{Call, DISPOSITION_HEADER, Disposition, Key};
-use crate::timeout::Progress;
 
 /// Time without data after which the response is also requested over a new connection. Events come
 /// every 0.1 s, and a pause of 0.4 s makes a stream late; a new connection delivers what has
@@ -129,6 +128,14 @@
         }
     }
 
+    /// Records that reading was paused until now: what did not arrive meanwhile is no sign of a
+    /// stall, and another connection could not deliver what this one still holds.
+    pub fn mark_resumed(&mut self) {
+        if let Source::Sidecar(buffered) = &mut self.source {
+            buffered.last_received = buffered.now();
+        }
+    }
+
     /// Returns the next bytes. Cancel-safe: dropping the future loses no data.
     pub async fn next(&mut self) -> Option<Result<Bytes, exchange::Error>> {
         match &mut self.source {
@@ -136,15 +143,6 @@
             Source::Sidecar(buffered) => buffered.next().await,
         }
     }
-
-    /// Reads the body to its end, up to `limit` bytes.
-    pub async fn read(&mut self, limit: usize) -> Result<Bytes, exchange::Error> {
-        let parts = stream::unfold(self, |reader| async move {
-            let part = reader.next().await?;
-            Some((part, reader))
-        });
-        answer::collect(&mut pin!(parts), limit, &Progress::default()).await
-    }
 }
 
 /// Identifies a run at a sidecar.
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -133,6 +133,7 @@
             }
             let waited = self.dispatch.gateway.knowledge.now().since(began);
             self.was_unread |= waited >= UNREAD_MIN;
+            self.response.mark_resumed();
         }
     }
 
--- a/src/limit/memory.rs
+++ b/src/limit/memory.rs
@@ -53,8 +53,12 @@
 /// Weight of the newest response in the usual size, as a divisor.
 const SMOOTHING_DIVISOR: u64 = 8;
 
-/// Divisor of the budget that yields the part that reading ahead leaves to new requests.
-const RESERVE_DIVISOR: u64 = 4;
+/// Divisor of the budget that yields the part from which on memory is short: the streams that hold
+/// most leave it to the others and to new requests.
+const SHORT_DIVISOR: u64 = 4;
+
+/// Divisor of the budget that yields the part that all streams leave to new requests.
+const RESERVE_DIVISOR: u64 = 8;
 
 /// Divisor of an entry's memory that yields its budget. Besides the budget, the process takes about
 /// 10 MB, allocations that the budget doesn't count, and its share for weights; all of it is to
@@ -136,9 +140,9 @@
         self.total() + self.overhead() + bytes <= self.limit
     }
 
-    /// Whether reading ahead has left no more than what is reserved for new requests.
-    fn is_short(&self, bytes: u64) -> bool {
-        self.total() + self.overhead() + bytes > self.limit - self.limit / RESERVE_DIVISOR
+    /// Whether `bytes` more leave less than one part in `divisor` of the budget.
+    fn leaves_less(&self, bytes: u64, divisor: u64) -> bool {
+        self.total() + self.overhead() + bytes > self.limit - self.limit / divisor
     }
 
     /// The mean of what streams hold. While the budget is short, those above it are paused.
@@ -291,7 +295,8 @@
         let state = self.budget.0.borrow();
         let more = used.max(self.minimum) - self.reserved();
         let is_large = self.reserved() >= state.mean();
-        if !state.fits(more) || (state.is_short(more) && is_large) {
+        let is_short = state.leaves_less(more, SHORT_DIVISOR);
+        if state.leaves_less(more, RESERVE_DIVISOR) || (is_short && is_large) {
             Verdict::Paused
         } else {
             Verdict::Read
