--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -6,7 +6,7 @@
 //!   attempts, with the state in [`dispatch`] and the limits on the first event in `limit`.
 //! * [`attempt`] is one exchange with a replica; [`reader`] reads its response, from the replica or
 //!   from the buffer of the sidecar; [`event`] splits a stream into events; [`relay`] forwards
-//!   them.
+//!   them, with what it reads ahead of the caller in `lead`; [`plain`] forwards plain responses.
 //! * [`place`] asks sidecars for a lease on a place in their replica's engine or queue.
 //! * `poison` blocks requests whose earlier attempts coincided with crashes of replicas.
 //! * [`retry`] is a retry taken from a service's budget.
@@ -35,11 +35,13 @@
 use crate::config::residency::Regions;
 use crate::daemon;
 use crate::exchange::{self, path::Paths};
-use crate::http::{self, ClientSetting, Server, Timing};
+use crate::http::counted::Counted;
+use crate::http::{self, ClientSetting, Server, Timing, Wrap};
 use crate::knowledge;
 use crate::knowledge::hub::Hub;
 use crate::knowledge::polls::Polls;
 use crate::knowledge::{Identity, Knowledge, gossip, store, traffic};
+use crate::limit::memory;
 use crate::limit::retry::{Rejection, Rejections};
 use crate::limit::size::{self, Sizes};
 use crate::member::Role;
@@ -67,8 +69,10 @@
 pub mod handler;
 pub mod intake;
 pub mod job;
+mod lead;
 mod limit;
 pub mod place;
+pub mod plain;
 mod poison;
 mod quota;
 pub mod reader;
@@ -135,6 +139,8 @@
     pub first_start: bool,
     /// Bytes of weights that the process may hold to relay them.
     pub memory_bytes: u64,
+    /// Bytes that the process may hold for callers: bodies, and responses that are not written.
+    pub held_bytes: u64,
     /// Seed of random choices.
     pub seed: u64,
     /// Which mechanisms are enabled, and their parameters.
@@ -170,6 +176,10 @@
     sizes: RefCell<BTreeMap<Arc<str>, Sizes>>,
     suspects: RefCell<poison::Suspects>,
     counts: RefCell<quota::Counts>,
+    /// The memory that is held for callers.
+    pub held: memory::Budget,
+    /// The usual sizes of responses, by route.
+    usual_sizes: RefCell<BTreeMap<Arc<str>, memory::Usual>>,
 }
 
 /// What a gateway is started with.
@@ -283,6 +293,8 @@
             sizes: RefCell::default(),
             suspects: RefCell::default(),
             counts: RefCell::new(quota::Counts::new(setting.identity.address)),
+            held: memory::Budget::new(setting.held_bytes),
+            usual_sizes: RefCell::default(),
             pool_generation: Cell::new(0),
             budgets: RefCell::default(),
             began: knowledge.now(),
@@ -336,9 +348,12 @@
     fn serve_front(self: &Rc<Self>, listener: TcpListener) -> Server {
         let gateway = self.clone();
         let timed = self.clone();
+        let held = self.held.clone();
+        let counted: Wrap =
+            Rc::new(move |stream, _| Box::new(Counted::new(stream, held.connect())));
         Server::with_timing(
             listener,
-            http::plain(),
+            counted,
             move |request, _| handler::handle(gateway.clone(), request),
             move || timed.timing(),
         )
@@ -366,6 +381,7 @@
             head: Duration::from_millis(limits.head_ms),
             idle: Duration::from_millis(limits.idle_ms) + IDLE_MARGIN,
             half_closed: false,
+            write_buffer: memory::WRITE_BUFFER,
         }
     }
 
@@ -471,6 +487,7 @@
             self.knowledge.client.reap(gossip::IDLE_MAX);
             let losses = self.knowledge.losses.borrow().count;
             self.instruments.set_losses(losses);
+            self.instruments.set_held(&self.held);
             let mut quotas = self.knowledge.quotas.borrow_mut();
             quotas.remove_expired(now);
             self.instruments.set_quotas(quotas.stated());
@@ -590,6 +607,12 @@
         })
     }
 
+    /// Records the size of a response, by which memory is reserved for the next ones of its route.
+    fn record_response_size(&self, route: &Arc<str>, bytes: u64) {
+        let mut sizes = self.usual_sizes.borrow_mut();
+        sizes.entry(route.clone()).or_default().record(bytes);
+    }
+
     /// When the caller first tried a request that was rejected before.
     fn first_try(&self, job: &Job) -> Option<Time> {
         let rejections = self.rejections.borrow();
--- a/src/http.rs
+++ b/src/http.rs
@@ -1,6 +1,7 @@
 //! HTTP helpers around `actix-http` and `awc`.
 //!
 //! * [`server`] accepts connections and serves them.
+//! * [`counted`] is a connection that holds a value until it is closed.
 //! * [`observed`] wraps a response body to observe its completion.
 
 use std::future::Future;
@@ -10,7 +11,7 @@
 use std::time::Duration;
 
 use actix_http::body::{BodyStream, BoxBody, MessageBody};
-use actix_http::header::{CONNECTION, CONTENT_TYPE, HeaderMap, HeaderValue};
+use actix_http::header::{CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, HeaderMap, HeaderValue};
 use actix_http::{Request, Response, StatusCode};
 use bytes::{Bytes, BytesMut};
 use futures_util::{Stream, StreamExt};
@@ -18,8 +19,10 @@
 use serde::de::DeserializeOwned;
 use tokio::net::TcpListener;
 
+use crate::limit::memory::Reservation;
 use crate::timeout::{self, Progress};
 
+pub mod counted;
 pub mod observed;
 pub mod server;
 
@@ -66,6 +69,9 @@
         /// The limit, in bytes.
         limit: usize,
     },
+    /// A body does not fit into the memory for requests.
+    #[error("no memory for the body")]
+    OutOfMemory,
     /// A body could not be decoded.
     #[error("cannot decode body: {reason}")]
     Decode {
@@ -231,6 +237,34 @@
     Ok(all.freeze())
 }
 
+/// Reads a request's body of at most `limit` bytes, which are counted in `held`.
+pub async fn read_request_held(
+    request: &mut Request,
+    limit: usize,
+    held: &mut Reservation,
+) -> Result<Bytes, Error> {
+    let base = held.used();
+    let length = request.head().headers.get(CONTENT_LENGTH);
+    let length = length.and_then(|value| value.to_str().ok()?.parse().ok());
+    let mut payload = request.take_payload();
+    // A body of known length isn't copied as it grows.
+    let mut all = BytesMut::with_capacity(length.unwrap_or(0).min(limit));
+    while let Some(part) = payload.next().await {
+        let part = part.map_err(|error| Error::Exchange {
+            reason: error.to_string(),
+        })?;
+        let length = all.len() + part.len();
+        if length > limit {
+            return Err(Error::TooLong { limit });
+        }
+        if !held.set(base + length as u64) {
+            return Err(Error::OutOfMemory);
+        }
+        all.extend_from_slice(&part);
+    }
+    Ok(all.freeze())
+}
+
 /// Reads a response's body of at most `limit` bytes.
 pub async fn read_response<S>(payload: &mut S, limit: usize) -> Result<Bytes, Error>
 where
