Late service: leases at the sidecar, held requests at the entry, a policy setting

A caller that comes again after a refusal has a limit of 25 in 100 of the objective (100 ms), and one iteration with a prefill takes longer: it is served only where fewer than half of the slots are taken.

Sidecar: lease::Request has `late`; lease::late grants it only from capacity that no request in time needs. Entry: limit::late keeps the queue (by urgency, then deadline; at most 64) and decides; gateway::late holds the request and asks. Policy `late`, on by default.

--- a/src/config/residency.rs
+++ b/src/config/residency.rs
@@ -8,7 +8,7 @@
 use serde::{Deserialize, Serialize};
 
 /// The regions in which requests may be served.
-#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Default, Serialize, Deserialize)]
 pub enum Residency {
     /// Any region.
     #[default]
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -8,6 +8,7 @@
 //!   from the buffer of the sidecar; [`event`] splits a stream into events; [`relay`] forwards
 //!   them.
 //! * [`place`] asks sidecars for a lease on a place in their replica's engine or queue.
+//! * `late` holds retries until there is capacity for them.
 //! * `poison` blocks requests whose earlier attempts coincided with crashes of replicas.
 //! * [`retry`] is a retry taken from a service's budget.
 //! * [`trace`] collects what is logged about a request, [`status`] holds the metrics.
@@ -67,6 +68,7 @@
 pub mod handler;
 pub mod intake;
 pub mod job;
+mod late;
 mod limit;
 pub mod place;
 mod poison;
@@ -170,6 +172,8 @@
     sizes: RefCell<BTreeMap<Arc<str>, Sizes>>,
     suspects: RefCell<poison::Suspects>,
     counts: RefCell<quota::Counts>,
+    /// Late requests that wait for capacity.
+    held: RefCell<late::Held>,
 }
 
 /// What a gateway is started with.
@@ -282,6 +286,7 @@
             rejections: RefCell::default(),
             sizes: RefCell::default(),
             suspects: RefCell::default(),
+            held: RefCell::default(),
             counts: RefCell::new(quota::Counts::new(setting.identity.address)),
             pool_generation: Cell::new(0),
             budgets: RefCell::default(),
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -248,7 +248,7 @@
     pub(super) async fn admit(&mut self) -> Result<Choice, Refusal> {
         let mut asked = 0;
         loop {
-            let choice = self.find_place().await?;
+            let choice = self.find_place_or_hold().await?;
             let Err(wait) = self.take_grant(choice.key, self.trace.leased).await else {
                 return Ok(choice);
             };
@@ -266,7 +266,7 @@
 
     /// Finds a replica for the request, waiting for a short time if need be, or refuses the
     /// request.
-    async fn find_place(&mut self) -> Result<Choice, Refusal> {
+    pub(super) async fn find_place(&mut self) -> Result<Choice, Refusal> {
         let mut lease_requests = self.gateway.setting.policy.lease_requests;
         loop {
             let chosen_before = self.was_attempted();
@@ -346,7 +346,7 @@
         }
     }
 
-    fn unavailable(&self, unavailable: Unavailable) -> Refusal {
+    pub(super) fn unavailable(&self, unavailable: Unavailable) -> Refusal {
         let remaining = self.job.remaining(self.gateway.knowledge.now());
         let code = match unavailable {
             Unavailable::TooSlow => Code::Overload,
@@ -490,7 +490,7 @@
 
     /// Returns the choice unless the replica is cold and its rate is used up. A request
     /// that was granted a lease passes: the sidecar has counted it.
-    fn check_cold(&self, choice: Choice, leased: bool) -> Result<Choice, Unavailable> {
+    pub(super) fn check_cold(&self, choice: Choice, leased: bool) -> Result<Choice, Unavailable> {
         let now = self.gateway.knowledge.now();
         let mut pool = self.gateway.pool.borrow_mut();
         let bears = leased || pool.take_cold_token(choice.key, self.own_cold_per_s(), now);
--- /dev/null
+++ b/src/gateway/late.rs
@@ -0,0 +1,282 @@
+//! Holds late requests until there is capacity for them, by the decisions of [`late`].
+
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use actix_rt::time::timeout;
+use rand::RngExt;
+use tokio::sync::Notify;
+
+use super::Gateway;
+use super::dialect::{Code, Refusal};
+use super::dispatch::{Dispatch, shutting_down};
+use crate::config::residency::Residency;
+use crate::limit::late::{self, Capacity, Place, Queue, Step, Waiting};
+use crate::limit::retry;
+use crate::route::estimate::{self, Backlog, Demand};
+use crate::route::pool::{Choice, Unavailable};
+
+/// Sidecars that the head of a queue asks each time. A second one finds a free slot that the entry's
+/// reports do not show yet.
+const LEASE_REQUESTS: u32 = 2;
+
+/// What requests of one queue have in common: they can be served by the same replicas.
+type Key = (Arc<str>, Residency);
+
+/// A queue, and the held requests by their places, each woken when it becomes the head.
+#[derive(Default)]
+struct Line {
+    queue: Queue,
+    wakers: BTreeMap<Place, Rc<Notify>>,
+}
+
+impl Line {
+    fn wake_head(&self) {
+        let head = self.queue.head();
+        if let Some(waker) = head.and_then(|place| self.wakers.get(&place)) {
+            waker.notify_one();
+        }
+    }
+}
+
+/// The late requests that an entry holds.
+#[derive(Default)]
+pub(super) struct Held {
+    lines: BTreeMap<Key, Line>,
+}
+
+impl Held {
+    fn count(&self) -> usize {
+        self.lines.values().map(|line| line.queue.len()).sum()
+    }
+}
+
+/// A held request. Dropping it, as when its caller leaves, forgets the request.
+struct Ticket {
+    gateway: Rc<Gateway>,
+    key: Key,
+    place: Place,
+    waker: Rc<Notify>,
+}
+
+impl Ticket {
+    fn enter(gateway: &Rc<Gateway>, key: Key, request: Waiting) -> Option<Self> {
+        let mut held = gateway.held.borrow_mut();
+        let count = held.count();
+        let now = gateway.knowledge.now();
+        held.lines
+            .retain(|known, line| *known == key || !line.queue.is_idle(now));
+        let line = held.lines.entry(key.clone()).or_default();
+        let place = line.queue.enter(request, count)?;
+        let waker = Rc::new(Notify::new());
+        line.wakers.insert(place, waker.clone());
+        gateway.instruments.set_held(held.count());
+        drop(held);
+        Some(Self {
+            gateway: gateway.clone(),
+            key,
+            place,
+            waker,
+        })
+    }
+
+    fn with_line<T>(&self, then: impl FnOnce(&mut Line) -> T) -> T {
+        let mut held = self.gateway.held.borrow_mut();
+        then(held.lines.entry(self.key.clone()).or_default())
+    }
+
+    fn step(&self, capacity: Capacity) -> Step {
+        let now = self.gateway.knowledge.now();
+        self.with_line(|line| line.queue.step(self.place, capacity, now))
+    }
+
+    fn asked(&self, granted: bool) {
+        let now = self.gateway.knowledge.now();
+        self.with_line(|line| line.queue.asked(self.place, granted, now));
+    }
+}
+
+impl Drop for Ticket {
+    fn drop(&mut self) {
+        self.with_line(|line| {
+            line.queue.leave(self.place);
+            line.wakers.remove(&self.place);
+            line.wake_head();
+        });
+        let count = self.gateway.held.borrow().count();
+        self.gateway.instruments.set_held(count);
+    }
+}
+
+impl Dispatch {
+    /// Finds a replica for the request, in time or, if it was refused before, late.
+    pub(super) async fn find_place_or_hold(&mut self) -> Result<Choice, Refusal> {
+        if self.is_late() && !self.gateway.tracker.is_stopping() {
+            return self.hold_until_stop().await;
+        }
+        let refusal = match self.find_place().await {
+            Ok(choice) => return Ok(choice),
+            Err(refusal) => refusal,
+        };
+        if !self.has_late_service() || self.was_attempted() {
+            return Err(refusal);
+        }
+        if self.first_try.is_none() {
+            return Err(self.with_retry_delay(refusal));
+        }
+        if self.gateway.tracker.is_stopping() {
+            return Err(refusal);
+        }
+        self.hold_until_stop().await
+    }
+
+    /// Whether late requests are served: only where an engine's figures are known.
+    fn has_late_service(&self) -> bool {
+        let service = self.job.routing.service(&self.job.service);
+        let engine = service.and_then(|service| service.engine.as_ref());
+        self.gateway.setting.policy.late && engine.is_some() && self.job.meta.inference.is_some()
+    }
+
+    /// Whether the request was refused before and cannot be in time any more. After an attempt, the
+    /// usual rules apply.
+    pub(super) fn is_late(&self) -> bool {
+        let Some(first) = self.first_try.filter(|_| !self.was_attempted()) else {
+            return false;
+        };
+        let (whole, late) = self.limits();
+        let age = self.gateway.knowledge.now().since(first);
+        self.has_late_service() && retry::remaining_limit(whole, late, age) <= late
+    }
+
+    /// Holds the request as [`Self::hold`], until a planned stop begins.
+    async fn hold_until_stop(&mut self) -> Result<Choice, Refusal> {
+        let gateway = self.gateway.clone();
+        let begun = gateway.knowledge.now();
+        let held = gateway.tracker.until_stop(self.hold()).await;
+        let held = held.unwrap_or_else(|| Err(shutting_down()));
+        self.trace.held = gateway.knowledge.now().since(begun);
+        gateway.instruments.count_late(match held {
+            Ok(_) => "served",
+            Err(_) => "gave_up",
+        });
+        held
+    }
+
+    /// Holds the request until a sidecar grants it a late lease, or until it is clear that it will not
+    /// be served before its deadline.
+    async fn hold(&mut self) -> Result<Choice, Refusal> {
+        self.trace.late = true;
+        let now = self.gateway.knowledge.now();
+        let request = Waiting {
+            urgency: self.job.priority,
+            deadline: self.job.deadline,
+            response: self.response_time(),
+            since: now,
+        };
+        let key = (self.job.service.clone(), self.job.residency.clone());
+        let Some(ticket) = Ticket::enter(&self.gateway, key, request) else {
+            return Err(self.not_held("the entry holds as many late requests as it may"));
+        };
+        self.gateway.instruments.count_late("held");
+        loop {
+            let capacity = self.capacity()?;
+            match ticket.step(capacity) {
+                Step::Ask => {
+                    let choice = self.ask_late().await;
+                    ticket.asked(choice.is_some());
+                    if let Some(choice) = choice {
+                        return Ok(choice);
+                    }
+                }
+                Step::Wait(time) => {
+                    // A wait that ends early or late is followed by another evaluation.
+                    timeout(time, ticket.waker.notified()).await.ok();
+                }
+                Step::GiveUp => {
+                    return Err(self.not_held("no capacity is expected before the deadline"));
+                }
+            }
+        }
+    }
+
+    fn not_held(&self, detail: &str) -> Refusal {
+        self.with_retry_delay(Refusal::new(Code::Overload, detail))
+    }
+
+    /// Asks sidecars for a late lease.
+    async fn ask_late(&mut self) -> Option<Choice> {
+        let found = self.find_replica(LEASE_REQUESTS, self.limit()).await;
+        self.trace.asked += found.asked;
+        self.trace.leased = found.leased;
+        let choice = found.choice.ok()?;
+        // Without an answer from a sidecar, a service of which most slots are free takes the request.
+        let admitted = found.leased || (found.idle && found.asked == 0);
+        admitted
+            .then(|| self.check_cold(choice, found.leased).ok())
+            .flatten()
+    }
+
+    /// What is known of the capacity for the request; an error if it is refused at once.
+    fn capacity(&self) -> Result<Capacity, Refusal> {
+        match self.choose(&[]).0 {
+            Ok(_) | Err(Unavailable::Cold) => Ok(Capacity::Present),
+            Err(unavailable @ (Unavailable::NoneListed | Unavailable::NoneEligible)) => {
+                let now = self.gateway.knowledge.now();
+                let pool = self.gateway.pool.borrow();
+                if !pool.receives_weights(&self.job.service) {
+                    drop(pool);
+                    return Err(self.unavailable(unavailable));
+                }
+                let arrival = pool.weights_eta(&self.job.service, now);
+                Ok(Capacity::Arriving(arrival))
+            }
+            Err(unavailable) => Err(self.unavailable(unavailable)),
+        }
+    }
+
+    /// Expected time from sending the request to the end of its response, at a replica whose slots are
+    /// taken.
+    fn response_time(&self) -> Duration {
+        let service = self.job.routing.service(&self.job.service);
+        let Some(engine) = service.and_then(|service| service.engine.as_ref()) else {
+            return Duration::ZERO;
+        };
+        let demand = self.job.demand();
+        let mean_output = engine.mean_answer_tokens as u32;
+        let output = if self.job.predicts_output() {
+            demand.output
+        } else {
+            // The maximum may be far above the length of the response.
+            demand.output.min(mean_output)
+        };
+        let demand = Demand { output, ..demand };
+        let backlog = Backlog {
+            requests: engine.slots.saturating_sub(1),
+            prompt_tokens: 0.0,
+            pace: 1.0,
+        };
+        estimate::first_event(engine, backlog, demand, 0)
+            + estimate::decode(engine, backlog, demand)
+    }
+
+    /// Replaces the retry delay of a refusal for lack of capacity in time by the time at which capacity
+    /// is expected.
+    fn with_retry_delay(&self, refusal: Refusal) -> Refusal {
+        if refusal.code != Code::Overload || self.choose(&[]).0.is_err() {
+            return refusal;
+        }
+        let gateway = &self.gateway;
+        let now = gateway.knowledge.now();
+        let key = (self.job.service.clone(), self.job.residency.clone());
+        let expected = gateway
+            .held
+            .borrow_mut()
+            .lines
+            .get_mut(&key)
+            .and_then(|line| line.queue.expected_last(now));
+        let spread = gateway.knowledge.rng.borrow_mut().random_range(0.0..1.0);
+        refusal.retry_after(late::retry_after(expected, self.job.remaining(now), spread))
+    }
+}
--- a/src/gateway/limit.rs
+++ b/src/gateway/limit.rs
@@ -29,7 +29,7 @@
 
     /// What limits the time to the first event at each replica, for the first attempt.
     pub(super) fn terms(&self) -> Option<Terms> {
-        if !self.gateway.setting.policy.fair_sizes || self.was_attempted() {
+        if !self.gateway.setting.policy.fair_sizes || self.was_attempted() || self.is_late() {
             return None;
         }
         let class = self.trace.size?;
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -155,6 +155,7 @@
             cold: self.throttle(key),
             quota: self.quota_report(key),
             urgency: self.job.priority,
+            late: self.is_late(),
         }
     }
 
@@ -205,7 +206,9 @@
                         tried_before,
                     };
                 }
-                let reply = choice.map_or(Reply::Unavailable, |choice| Reply::Queued {
+                // A late request gets no place in a queue, so the best of those asked is not asked again.
+                let queued = choice.filter(|_| !request.late);
+                let reply = queued.map_or(Reply::Unavailable, |choice| Reply::Queued {
                     expected: choice.expected,
                     limit,
                 });
@@ -270,7 +273,12 @@
         let limit = self.limit_at(key, limit);
         let now = self.gateway.knowledge.now();
         let pool = self.gateway.pool.borrow();
-        let left = limit.saturating_sub(now.since(self.job.arrived));
+        let left = if self.is_late() {
+            // A late request is not bound by its limit. This one is for sidecars of earlier releases.
+            self.limits().1
+        } else {
+            limit.saturating_sub(now.since(self.job.arrived))
+        };
         let limits = self.with_query(&[], |query| pool.limits(key, query, left, now))?;
         Some((sidecar, limits))
     }
--- a/src/gateway/status.rs
+++ b/src/gateway/status.rs
@@ -18,6 +18,9 @@
 pub struct Instruments {
     requests: Counter<u64>,
     sizes: Counter<u64>,
+    returns: Counter<u64>,
+    late: Counter<u64>,
+    held: Gauge<u64>,
     attempts: Counter<u64>,
     limited_attempts: Counter<u64>,
     quotas: Gauge<u64>,
@@ -44,6 +47,18 @@
                     "Requests to engines by outcome and size class among those of their route",
                 )
                 .build(),
+            returns: meter
+                .u64_counter("pumicelatch.gateway.returns")
+                .with_description("Retries of callers after a refusal, by outcome")
+                .build(),
+            late: meter
+                .u64_counter("pumicelatch.gateway.late")
+                .with_description("Late requests that were held, served after that, or given up")
+                .build(),
+            held: meter
+                .u64_gauge("pumicelatch.gateway.held")
+                .with_description("Late requests that wait for capacity")
+                .build(),
             attempts: meter
                 .u64_counter("pumicelatch.gateway.attempts")
                 .with_description("Attempts at replicas by how they ended")
@@ -109,6 +124,21 @@
         self.sizes.add(1, &labels);
     }
 
+    /// Counts a retry after a refusal by its outcome.
+    pub fn count_return(&self, outcome: &'static str) {
+        self.returns.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
+    /// Counts a late request: `held`, `served` or `gave_up`.
+    pub fn count_late(&self, outcome: &'static str) {
+        self.late.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
+    /// Sets the number of late requests that wait for capacity.
+    pub fn set_held(&self, count: usize) {
+        self.held.record(count as u64, &[]);
+    }
+
     /// Records the latency of a stream's first event.
     pub fn record_first_event(&self, took: Duration) {
         self.first.record(took.as_secs_f64(), &[]);
--- a/src/gateway/trace.rs
+++ b/src/gateway/trace.rs
@@ -67,6 +67,10 @@
     pub gap: Duration,
     /// Whether this is a retry of a request that was refused before.
     pub returned: bool,
+    /// Whether it was to be served late.
+    pub late: bool,
+    /// How long it was held until there was capacity for it.
+    pub held: Duration,
     /// Why the request ended that way.
     pub reason: String,
     /// When the head of the request arrived.
@@ -95,6 +99,8 @@
             first: None,
             gap: Duration::ZERO,
             returned: false,
+            late: false,
+            held: Duration::ZERO,
             reason: String::new(),
             arrived,
             outcome: "caller_left",
@@ -121,6 +127,9 @@
         let gateway = &self.gateway;
         let took = self.elapsed();
         gateway.instruments.record_request(self.outcome, took);
+        if self.returned {
+            gateway.instruments.count_return(self.outcome);
+        }
         if let Some(size) = self.size {
             gateway
                 .instruments
@@ -146,6 +155,8 @@
             first_ms = millis(self.first),
             gap_ms = self.gap.as_millis() as u64,
             returned = self.returned,
+            late = self.late,
+            held_ms = self.held.as_millis() as u64,
             prompt = self.demand.prompt,
             output = self.demand.output,
             output_max = self.output_max,
--- a/src/lease.rs
+++ b/src/lease.rs
@@ -9,6 +9,8 @@
 //! A lease ends when its request shows up at the engine, or when it expires, if the entry that
 //! asked for it is gone.
 
+pub mod late;
+
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -135,6 +137,9 @@
     /// The request's urgency; 0 is the highest.
     #[serde(default = "default_urgency")]
     pub urgency: u8,
+    /// Whether the request is late: it was refused before and cannot be in time any more.
+    #[serde(default)]
+    pub late: bool,
 }
 
 fn default_urgency() -> u8 {
@@ -194,6 +199,7 @@
     rejections: Rejections,
     cold: Option<(Throttle, Time)>,
     token_bucket: TokenBucket,
+    late: late::Late,
     /// Requests under the replica's quota.
     pub gate: Gate,
 }
@@ -215,6 +221,7 @@
         self.in_progress = 0;
         self.iterations = Iterations::default();
         self.cold = None;
+        self.late = late::Late::default();
         self.gate = Gate::default();
     }
 
@@ -272,12 +279,20 @@
         let expected = engine.map(|engine| self.expected(message, &load, engine, now));
         let accepts = load.alive && !load.switching && !load.models.is_empty();
         let accepts = accepts && load.notice().is_empty();
-        let accepts = accepts && expected.is_none_or(|expected| expected <= limit);
+        let accepts = accepts
+            && match engine.filter(|_| message.late) {
+                Some(engine) => self.admits_late(message, &load, engine, now),
+                None => expected.is_none_or(|expected| expected <= limit),
+            };
         self.update_throttle(message.cold, now);
         let warm = accepts && self.take_cold_token(now);
         let quota = load.quota_per_s(now).filter(|_| warm);
         let quota_wait = quota.and_then(|per_s| self.gate.take(message.urgency, per_s, now).err());
         let given = warm && quota_wait.is_none();
+        if let (Some(engine), Some(expected)) = (engine, expected) {
+            let answer = late::Answer::new(message.late || tried_before.is_some(), given);
+            self.record_for_late(message, &load, engine, expected, answer, now);
+        }
         if given {
             self.leases.push_back(Lease { at: now });
             if let Some(engine) = engine {
--- a/src/limit.rs
+++ b/src/limit.rs
@@ -2,6 +2,7 @@
 //! queueing.
 
 pub mod admission;
+pub mod late;
 pub mod retry;
 pub mod size;
 
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -64,6 +64,8 @@
     pub fair_sizes: bool,
     /// Whether a refusal because of missing weights states when they are expected.
     pub retry_after_eta: bool,
+    /// Whether retries that find no capacity are held and served late.
+    pub late: bool,
 }
 
 impl Default for Policy {
@@ -90,6 +92,7 @@
             retry_admit_percent: 25,
             fair_sizes: true,
             retry_after_eta: true,
+            late: true,
         }
     }
 }
@@ -120,7 +123,7 @@
 type Set = fn(&mut Policy, u32);
 
 /// Settings by their names for `--policy`.
-const SETTINGS: [(&str, Set); 21] = [
+const SETTINGS: [(&str, Set); 22] = [
     ("relays", |p, value| p.relays = value > 0),
     ("asks", |p, value| p.lease_requests = value),
     ("window-ms", |p, value| p.cost_tolerance = millis(value)),
@@ -142,6 +145,7 @@
     ("return-admit", |p, value| p.retry_admit_percent = value),
     ("fair-sizes", |p, value| p.fair_sizes = value > 0),
     ("named-return", |p, value| p.retry_after_eta = value > 0),
+    ("late", |p, value| p.late = value > 0),
 ];
 
 fn millis(value: u32) -> Duration {
--- a/src/route/pool.rs
+++ b/src/route/pool.rs
@@ -358,6 +358,14 @@
         arrivals.get(arrivals.len() / 2).copied()
     }
 
+    /// Whether replicas of the service report that weights are being transferred to them.
+    pub fn receives_weights(&self, service: &str) -> bool {
+        let replicas = self.by_service(service).iter();
+        replicas
+            .map(|&key| &self.replicas[key])
+            .any(Replica::receives_weights)
+    }
+
     /// Taken slots and all slots of a service's selectable replicas.
     pub fn occupancy(&self, query: Query<'_>, now: Time) -> (u32, u32) {
         let selectable = self
--- a/src/route/replica.rs
+++ b/src/route/replica.rs
@@ -500,6 +500,11 @@
         self.transfer.as_ref()?.remaining(now)
     }
 
+    /// Whether weights are being transferred to it.
+    pub(super) fn receives_weights(&self) -> bool {
+        self.transfer.is_some()
+    }
+
     /// When it last began or stopped taking requests, by its reports.
     pub(super) fn availability_changed_at(&self) -> Time {
         self.availability_changed_at
--- a/src/stop/tracker.rs
+++ b/src/stop/tracker.rs
@@ -134,6 +134,16 @@
         }
     }
 
+    /// Runs `work`. Returns `None` if a planned stop begins before it completes.
+    pub async fn until_stop<T>(&self, work: impl Future<Output = T>) -> Option<T> {
+        let mut phase = self.phase.subscribe();
+        let begun = phase.wait_for(|phase| *phase > Phase::Serving);
+        match select(pin!(work), pin!(begun)).await {
+            Either::Left((done, _)) => Some(done),
+            Either::Right(_) => None,
+        }
+    }
+
     /// Stops the process that accepts requests at `server`. Returns when the process may exit; nothing
     /// else may run on the thread before it does.
     pub async fn stop(&self, setting: Setting, server: &Server) {
