Hall model: a module that all tests share

The model of tests/size.rs moves to tests/common/hall.rs. Engines of standin::batch take the more urgent from their queue first.

--- a/src/standin/batch.rs
+++ b/src/standin/batch.rs
@@ -17,6 +17,8 @@
     pub output: u32,
     /// Tokens that were generated so far.
     pub generated: u32,
+    /// Its urgency; 0 is the highest.
+    pub urgency: u8,
     /// Its caller.
     pub caller: T,
 }
@@ -28,6 +30,7 @@
             prompt,
             output,
             generated: 0,
+            urgency: 0,
             caller,
         }
     }
@@ -56,9 +59,12 @@
         }
     }
 
-    /// Adds a request to the queue.
+    /// Adds a request to the queue, before those that are less urgent.
     pub fn push(&mut self, work: Work<T>) {
-        self.queue.push_back(work);
+        let at = self
+            .queue
+            .partition_point(|waiting| waiting.urgency <= work.urgency);
+        self.queue.insert(at, work);
     }
 
     /// Number of requests in progress.
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,6 +1,8 @@
 //! What the tests share: a small fleet on loopback, and waiting on conditions.
 #![allow(dead_code, reason = "each test crate uses a part")]
 
+pub mod hall;
+
 use std::time::{Duration, Instant};
 
 use pumicelatch::bench::caller::{Ask, Caller, Seen};
