--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -76,6 +76,7 @@
 pub mod reader;
 pub mod relay;
 pub mod retry;
+pub mod startup;
 pub mod status;
 pub mod trace;
 
@@ -172,6 +173,8 @@
     sizes: RefCell<BTreeMap<Arc<str>, Sizes>>,
     suspects: RefCell<poison::Suspects>,
     counts: RefCell<quota::Counts>,
+    /// Requests that wait for the first configuration.
+    unconfigured: Cell<u32>,
     /// Late requests that wait for capacity.
     held: RefCell<late::Held>,
 }
@@ -288,6 +291,7 @@
             suspects: RefCell::default(),
             held: RefCell::default(),
             counts: RefCell::new(quota::Counts::new(setting.identity.address)),
+            unconfigured: Cell::new(0),
             pool_generation: Cell::new(0),
             budgets: RefCell::default(),
             began: knowledge.now(),
--- a/src/gateway/intake.rs
+++ b/src/gateway/intake.rs
@@ -20,6 +20,9 @@
 /// Delay that callers are asked for while the configuration is missing or partly unreadable.
 const NOT_READY_RETRY_DELAY: Duration = Duration::from_millis(300);
 
+/// Time that a caller is assumed to wait if it does not state it and no route is known.
+const TIMEOUT_UNKNOWN: Duration = Duration::from_secs(1);
+
 /// Length of the body prefix that is part of the fingerprint, in bytes, to bound the cost of
 /// hashing.
 const FINGERPRINT_BODY_MAX: usize = 4 << 10;
@@ -37,12 +40,12 @@
     request: &mut Request,
     trace: &mut Trace,
 ) -> Result<Job, Refusal> {
-    let routing = gateway.knowledge.catalog.borrow().routing().cloned();
     let meta = gateway.dialect.parse(request.head());
     if let Ok(meta) = &meta {
         trace.id.clone_from(&meta.id);
     }
-    let Some(routing) = routing else {
+    let remaining = meta.as_ref().ok().and_then(|meta| meta.timeout);
+    let Some(routing) = gateway.routing(remaining.unwrap_or(TIMEOUT_UNKNOWN)).await else {
         let refusal = Refusal::new(Code::NotReady, "no configuration is known yet");
         return Err(refusal.retry_after(NOT_READY_RETRY_DELAY));
     };
