--- a/src/gateway/late.rs
+++ b/src/gateway/late.rs
@@ -124,7 +124,7 @@
             return Err(refusal);
         }
         if self.first_try.is_none() {
-            return Err(self.with_retry_delay(refusal));
+            return Err(self.with_retry_delay(refusal, true));
         }
         if self.gateway.tracker.is_stopping() {
             return Err(refusal);
@@ -202,7 +202,7 @@
     }
 
     fn not_held(&self, detail: &str) -> Refusal {
-        self.with_retry_delay(Refusal::new(Code::Overload, detail))
+        self.with_retry_delay(Refusal::new(Code::Overload, detail), false)
     }
 
     /// Asks sidecars for a late lease.
@@ -236,8 +236,8 @@
         }
     }
 
-    /// Expected time from sending the request to the end of its response, at a replica whose slots are
-    /// taken.
+    /// Expected time from sending the request to the end of its response, at a replica of which half of
+    /// the slots are taken: late leases are not granted on full ones.
     fn response_time(&self) -> Duration {
         let service = self.job.routing.service(&self.job.service);
         let Some(engine) = service.and_then(|service| service.engine.as_ref()) else {
@@ -253,7 +253,7 @@
         };
         let demand = Demand { output, ..demand };
         let backlog = Backlog {
-            requests: engine.slots.saturating_sub(1),
+            requests: engine.slots / 2,
             prompt_tokens: 0.0,
             pace: 1.0,
         };
@@ -262,20 +262,21 @@
     }
 
     /// Replaces the retry delay of a refusal for lack of capacity in time by the time at which capacity
-    /// is expected.
-    fn with_retry_delay(&self, refusal: Refusal) -> Refusal {
+    /// is expected. `is_first` is whether a first attempt is refused.
+    fn with_retry_delay(&self, refusal: Refusal, is_first: bool) -> Refusal {
         if refusal.code != Code::Overload || self.choose(&[]).0.is_err() {
             return refusal;
         }
         let gateway = &self.gateway;
         let now = gateway.knowledge.now();
         let key = (self.job.service.clone(), self.job.residency.clone());
-        let expected = gateway
-            .held
-            .borrow_mut()
-            .lines
-            .get_mut(&key)
-            .and_then(|line| line.queue.expected_last(now));
+        let mut held = gateway.held.borrow_mut();
+        let queue = &mut held.lines.entry(key).or_default().queue;
+        if is_first {
+            queue.refused(now);
+        }
+        let expected = queue.expected_last(now);
+        drop(held);
         let spread = gateway.knowledge.rng.borrow_mut().random_range(0.0..1.0);
         refusal.retry_after(late::retry_after(expected, self.job.remaining(now), spread))
     }
--- a/src/limit/late.rs
+++ b/src/limit/late.rs
@@ -31,9 +31,22 @@
 /// Time without success after which a run of successes is over.
 const RUN_GAP: Duration = Duration::from_millis(500);
 
-/// Part of its time that a request is held without evidence that late requests are served, in percent.
-/// What is held for longer and then refused costs its caller more than it gains on average.
-const TRIAL_PERCENT: u32 = 10;
+/// Part of its time that a request is held while capacity is short for longer than expected, in percent.
+/// With the time until the next evaluation, this is less than the tenth that a caller may lose.
+const TRIAL_PERCENT: u32 = 8;
+
+/// Shortest expected shortage. Bursts take 3 to 5 s.
+const SHORTAGE_MIN: Duration = Duration::from_millis(3_000);
+
+/// Time without a refused first attempt after which a shortage is over.
+const SHORTAGE_GAP: Duration = Duration::from_millis(1_000);
+
+/// Time without a refused first attempt after which the next one begins another shortage. In a long
+/// overload by a fifth, each entry refuses one per second on average.
+const SHORTAGE_PAUSE: Duration = Duration::from_millis(3_000);
+
+/// Time after the arrival of weights or the end of a shortage in which held requests find free slots.
+const BACKLOG_TIME: Duration = Duration::from_millis(3_000);
 
 /// Shortest retry delay given to a refused caller.
 const RETRY_DELAY_MIN: Duration = Duration::from_millis(60);
@@ -43,7 +56,7 @@
 const RETRY_DELAY_SHARE_PERCENT: u32 = 32;
 
 /// Part of the longest retry delay over which retries are spread.
-const RETRY_SPREAD: f64 = 0.5;
+const RETRY_SPREAD: f64 = 0.2;
 
 /// A held request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -91,7 +104,7 @@
 /// Late requests of one entry for the same replicas.
 #[derive(Debug, Default)]
 pub struct Queue {
-    waiting: BTreeMap<Place, Waiting>,
+    waiting: BTreeMap<Place, Entry>,
     last_number: u64,
     asking: Option<Place>,
     next_ask: Time,
@@ -101,6 +114,29 @@
     run: Option<(Time, Time)>,
     /// Until when no replica is expected to have weights.
     weights_at: Time,
+    shortage: Option<Shortage>,
+}
+
+/// A time in which first attempts find no capacity.
+#[derive(Debug, Clone, Copy)]
+struct Shortage {
+    begin: Time,
+    last: Time,
+}
+
+impl Shortage {
+    /// When it is expected to end, at `now`: it takes as long again as it has taken so far.
+    fn expected_end(self, now: Time) -> Time {
+        self.begin + (now.since(self.begin) * 2).max(SHORTAGE_MIN)
+    }
+}
+
+/// A held request in a queue.
+#[derive(Debug, Clone, Copy)]
+struct Entry {
+    request: Waiting,
+    /// Until when it is held, if capacity is short.
+    until: Time,
 }
 
 impl Queue {
@@ -121,7 +157,7 @@
 
     /// Whether nothing is left to remember.
     pub fn is_idle(&self, now: Time) -> bool {
-        self.waiting.is_empty() && !self.is_moving(now)
+        self.waiting.is_empty() && !self.is_moving(now) && self.last_shortage(now).is_none()
     }
 
     /// Adds a request, of which `held` are held by the entry in all. With [`HELD_MAX`], it takes the
@@ -140,10 +176,28 @@
             }
             self.waiting.remove(&last);
         }
-        self.waiting.insert(place, request);
+        let until = request.since;
+        self.waiting.insert(place, Entry { request, until });
         Some(place)
     }
 
+    /// Records that a first attempt was refused for lack of capacity.
+    pub fn refused(&mut self, now: Time) {
+        let known = self.last_shortage(now);
+        let begin = known.map_or(now, |shortage| shortage.begin);
+        self.shortage = Some(Shortage { begin, last: now });
+    }
+
+    fn last_shortage(&self, now: Time) -> Option<Shortage> {
+        self.shortage
+            .filter(|shortage| now.since(shortage.last) < SHORTAGE_PAUSE)
+    }
+
+    fn shortage_at(&self, now: Time) -> Option<Shortage> {
+        self.shortage
+            .filter(|shortage| now.since(shortage.last) < SHORTAGE_GAP)
+    }
+
     /// Forgets a request: it was sent or refused, or its caller has left.
     pub fn leave(&mut self, place: Place) {
         self.waiting.remove(&place);
@@ -154,7 +208,7 @@
 
     /// Returns what the request at `place` does next.
     pub fn step(&mut self, place: Place, capacity: Capacity, now: Time) -> Step {
-        let Some(request) = self.waiting.get(&place).copied() else {
+        let Some(Entry { request, .. }) = self.waiting.get(&place).copied() else {
             // A more urgent request has taken its place.
             return Step::GiveUp;
         };
@@ -181,7 +235,7 @@
         let position = self.waiting.range(..=place).count();
         let in_vain = match self.expected(position, now) {
             Some(expected) => now + expected + request.response > request.deadline,
-            None => !self.is_moving(now) && now > self.trial_end(request),
+            None => !self.is_moving(now) && self.is_short_for_long(place, request, now),
         };
         if in_vain {
             return Step::GiveUp;
@@ -198,6 +252,29 @@
         Step::Ask
     }
 
+    /// Whether capacity is short for longer than the request can wait, or than was expected when that was
+    /// last decided.
+    fn is_short_for_long(&mut self, place: Place, request: Waiting, now: Time) -> bool {
+        let trial_end = self.trial_end(request);
+        let Some(shortage) = self.shortage_at(now) else {
+            let ended = self.shortage.map_or(Time::default(), |known| known.last);
+            let has_backlog = now.since(self.weights_at.max(ended)) < BACKLOG_TIME;
+            return !has_backlog && now > trial_end;
+        };
+        let Some(entry) = self.waiting.get_mut(&place) else {
+            return true;
+        };
+        if now <= entry.until {
+            return false;
+        }
+        let end = shortage.expected_end(now);
+        if end + request.response > request.deadline {
+            return now > trial_end;
+        }
+        entry.until = end + request.deadline.since(request.since) * TRIAL_PERCENT / 100;
+        false
+    }
+
     /// Until when a request is held without evidence of capacity.
     fn trial_end(&self, request: Waiting) -> Time {
         let begin = request.since.max(self.weights_at);
