--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -89,6 +89,8 @@
     pub(super) first_try: Option<Time>,
     /// The only acceptable version of the weights, once a response has started.
     pub(super) pinned_version: Option<u64>,
+    /// Whether it waited for weights and is served late.
+    pub(super) late: bool,
 }
 
 impl Dispatch {
@@ -111,6 +113,7 @@
             failure: None,
             retry: None,
             pinned_version: None,
+            late: false,
         }
     }
 
@@ -173,11 +176,21 @@
     }
 
     /// Takes a retry for the next attempt from the budget. Returns whether one was left.
-    fn acquire_retry(&mut self) -> bool {
+    pub(super) fn acquire_retry(&mut self) -> bool {
         self.retry = Retry::acquire(&self.gateway, &self.job.service);
         self.retry.is_some()
     }
 
+    /// Whether a retry was taken for the next attempt.
+    pub(super) fn has_retry(&self) -> bool {
+        self.retry.is_some()
+    }
+
+    /// Whether an attempt may have run.
+    pub(super) fn may_have_run(&self) -> bool {
+        self.tainted
+    }
+
     /// Updates the state from a failed attempt. Returns how it ended and the details.
     fn record_failure(&mut self, failure: Failure) -> (Ended, String) {
         let Failure {
--- a/src/gateway/handler.rs
+++ b/src/gateway/handler.rs
@@ -70,7 +70,9 @@
             Some(Err(failure)) => failure,
             None => return dispatch.give_up(&aborted()),
         };
-        if let Err(refusal) = dispatch.handle_failure(failure) {
+        if let Err(refusal) = dispatch.handle_failure(failure)
+            && !dispatch.may_wait_for_weights(&refusal)
+        {
             return dispatch.give_up(&refusal);
         }
     }
--- a/src/gateway/late.rs
+++ b/src/gateway/late.rs
@@ -13,15 +13,25 @@
 use super::dialect::{Code, Refusal};
 use super::dispatch::{Dispatch, shutting_down};
 use crate::config::residency::Residency;
+use crate::config::routing::transfer_time;
 use crate::limit::late::{self, Capacity, Place, Queue, Step, Waiting};
 use crate::limit::retry;
+use crate::request::Outcome;
 use crate::route::estimate::{self, Backlog, Demand};
 use crate::route::pool::{Choice, Unavailable};
+use crate::version::ACTIVATION_TIME;
 
 /// Sidecars that the head of a queue asks each time. A second one finds a free slot that the entry's
 /// reports do not show yet.
 const LEASE_REQUESTS: u32 = 2;
 
+/// Attempts at replicas that turned out to lack weights which are not counted against the route's
+/// maximum: they have not run the request.
+const WEIGHTS_ATTEMPTS_MAX: u32 = 2;
+
+/// Time from the start of the processes until the transfers of weights begin.
+const MEETING_TIME: Duration = Duration::from_millis(800);
+
 /// What requests of one queue have in common: they can be served by the same replicas.
 type Key = (Arc<str>, Residency);
 
@@ -120,6 +130,9 @@
             Ok(choice) => return Ok(choice),
             Err(refusal) => refusal,
         };
+        if !self.gateway.tracker.is_stopping() && self.may_wait_for_weights(&refusal) {
+            return self.hold_until_stop().await;
+        }
         if !self.has_late_service() || self.was_attempted() {
             return Err(refusal);
         }
@@ -132,6 +145,22 @@
         self.hold_until_stop().await
     }
 
+    /// Whether the request is to be held instead of being refused, since the service's replicas lack
+    /// weights that are expected early enough. Without replicas, entries do not learn which callers try
+    /// again, so this applies to first attempts as well: for most callers the retry is the last try.
+    pub(super) fn may_wait_for_weights(&mut self, refusal: &Refusal) -> bool {
+        let not_run = refusal.code.outcome() == Some(Outcome::NotRun) && !self.may_have_run();
+        let attempts_left = self.trace.sent < self.job.route.attempts_max + WEIGHTS_ATTEMPTS_MAX;
+        if !not_run || !attempts_left || !self.has_late_service() {
+            return false;
+        }
+        let latest = self.job.remaining(self.gateway.knowledge.now());
+        let latest = latest.saturating_sub(self.response_time());
+        self.late =
+            matches!(self.capacity(), Ok(Capacity::Arriving(Some(arrival))) if arrival < latest);
+        self.late
+    }
+
     /// Whether late requests are served: only where an engine's figures are known.
     fn has_late_service(&self) -> bool {
         let service = self.job.routing.service(&self.job.service);
@@ -142,6 +171,9 @@
     /// Whether the request was refused before and cannot be in time any more. After an attempt, the
     /// usual rules apply.
     pub(super) fn is_late(&self) -> bool {
+        if self.late && !self.may_have_run() {
+            return true;
+        }
         let Some(first) = self.first_try.filter(|_| !self.was_attempted()) else {
             return false;
         };
@@ -187,7 +219,7 @@
                     let choice = self.ask_late().await;
                     ticket.asked(choice.is_some());
                     if let Some(choice) = choice {
-                        return Ok(choice);
+                        return self.with_retry(choice);
                     }
                 }
                 Step::Wait(time) => {
@@ -205,6 +237,15 @@
         self.with_retry_delay(Refusal::new(Code::Overload, detail), false)
     }
 
+    /// Takes a retry from the budget if a replica has received the request already.
+    fn with_retry(&mut self, choice: Choice) -> Result<Choice, Refusal> {
+        if self.trace.sent == 0 || self.has_retry() || self.acquire_retry() {
+            return Ok(choice);
+        }
+        let detail = "no repeat is left in the budget";
+        Err(self.with_retry_delay(Refusal::new(Code::Overload, detail), false))
+    }
+
     /// Asks sidecars for a late lease.
     async fn ask_late(&mut self) -> Option<Choice> {
         let found = self.find_replica(LEASE_REQUESTS, self.limit()).await;
@@ -220,20 +261,57 @@
 
     /// What is known of the capacity for the request; an error if it is refused at once.
     fn capacity(&self) -> Result<Capacity, Refusal> {
-        match self.choose(&[]).0 {
-            Ok(_) | Err(Unavailable::Cold) => Ok(Capacity::Present),
-            Err(unavailable @ (Unavailable::NoneListed | Unavailable::NoneEligible)) => {
-                let now = self.gateway.knowledge.now();
-                let pool = self.gateway.pool.borrow();
-                if !pool.receives_weights(&self.job.service) {
-                    drop(pool);
-                    return Err(self.unavailable(unavailable));
-                }
-                let arrival = pool.weights_eta(&self.job.service, now);
-                Ok(Capacity::Arriving(arrival))
+        let gateway = &self.gateway;
+        let unavailable = match self.choose(&[]).0 {
+            // If the list is out of date, only replicas whose sidecars report are known to be there.
+            Ok(choice) if self.is_list_current() || gateway.sidecar_of(choice.key).is_some() => {
+                return Ok(Capacity::Present);
             }
-            Err(unavailable) => Err(self.unavailable(unavailable)),
+            Ok(_) => Unavailable::NoneEligible,
+            Err(Unavailable::Cold) => return Ok(Capacity::Present),
+            Err(unavailable) => unavailable,
+        };
+        let lacks_weights = matches!(
+            unavailable,
+            Unavailable::NoneListed | Unavailable::NoneEligible
+        );
+        if !lacks_weights {
+            return Err(self.unavailable(unavailable));
         }
+        let now = gateway.knowledge.now();
+        let (arrival, receives_weights) = {
+            let pool = gateway.pool.borrow();
+            let arrival = pool.weights_eta(&self.job.service, now);
+            (arrival, pool.receives_weights(&self.job.service))
+        };
+        // The progress of the first chunks says little about the rest, and those who are refused wrongly
+        // have mostly no further try.
+        let arrival = arrival.into_iter().chain(self.arrival_after_start()).min();
+        if arrival.is_none() && !receives_weights {
+            return Err(self.unavailable(unavailable));
+        }
+        Ok(Capacity::Arriving(arrival))
+    }
+
+    fn is_list_current(&self) -> bool {
+        let pool = self.gateway.pool.borrow();
+        !pool.mostly_invalidated(&self.job.service)
+    }
+
+    /// Time until weights are expected if all processes started when this one did and no progress is
+    /// known yet: one copy over the link of the origin, which is about that of a box.
+    fn arrival_after_start(&self) -> Option<Duration> {
+        let services = &self.job.routing.document.services;
+        let engine = self
+            .job
+            .routing
+            .service(&self.job.service)?
+            .engine
+            .as_ref()?;
+        let origin = services.iter().find(|service| service.origin.is_some())?;
+        let transfer = transfer_time(engine.weight_bytes(), origin.link_mbps?);
+        let uptime = self.gateway.knowledge.now().since(self.gateway.began);
+        (transfer + ACTIVATION_TIME + MEETING_TIME).checked_sub(uptime)
     }
 
     /// Expected time from sending the request to the end of its response, at a replica of which half of
