--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -566,6 +566,11 @@
         self.tracker.in_flight()
     }
 
+    /// Late requests that wait for capacity.
+    pub fn held(&self) -> usize {
+        self.held.borrow().count()
+    }
+
     fn count_request(&self, service: &Arc<str>) {
         let now = self.knowledge.now();
         self.budget(service).request(self.setting.budget, now);
--- a/src/gateway/late.rs
+++ b/src/gateway/late.rs
@@ -48,7 +48,7 @@
 }
 
 impl Held {
-    fn count(&self) -> usize {
+    pub(super) fn count(&self) -> usize {
         self.lines.values().map(|line| line.queue.len()).sum()
     }
 }
