--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -8,6 +8,7 @@
 //!   from the buffer of the sidecar; [`event`] splits a stream into events; [`relay`] forwards
 //!   them, with what it reads ahead of the caller in `lead`; [`plain`] forwards plain responses.
 //! * [`place`] asks sidecars for a lease on a place in their replica's engine or queue.
+//! * `late` holds retries until there is capacity for them.
 //! * `poison` blocks requests whose earlier attempts coincided with crashes of replicas.
 //! * [`retry`] is a retry taken from a service's budget.
 //! * [`trace`] collects what is logged about a request, [`status`] holds the metrics.
@@ -69,6 +70,7 @@
 pub mod handler;
 pub mod intake;
 pub mod job;
+mod late;
 mod lead;
 mod limit;
 pub mod place;
@@ -78,6 +80,7 @@
 pub mod reader;
 pub mod relay;
 pub mod retry;
+pub mod startup;
 pub mod status;
 pub mod trace;
 
@@ -180,6 +183,10 @@
     pub held: memory::Budget,
     /// The usual sizes of responses, by route.
     usual_sizes: RefCell<BTreeMap<Arc<str>, memory::Usual>>,
+    /// Requests that wait for the first configuration.
+    unconfigured: Cell<u32>,
+    /// Late requests that wait for capacity.
+    late: RefCell<late::Held>,
 }
 
 /// What a gateway is started with.
@@ -292,9 +299,11 @@
             rejections: RefCell::default(),
             sizes: RefCell::default(),
             suspects: RefCell::default(),
+            late: RefCell::default(),
             counts: RefCell::new(quota::Counts::new(setting.identity.address)),
             held: memory::Budget::new(setting.held_bytes),
             usual_sizes: RefCell::default(),
+            unconfigured: Cell::new(0),
             pool_generation: Cell::new(0),
             budgets: RefCell::default(),
             began: knowledge.now(),
@@ -578,6 +587,11 @@
         self.tracker.in_flight()
     }
 
+    /// Late requests that wait for capacity.
+    pub fn waiting(&self) -> usize {
+        self.late.borrow().count()
+    }
+
     fn count_request(&self, service: &Arc<str>) {
         let now = self.knowledge.now();
         self.budget(service).request(self.setting.budget, now);
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -89,6 +89,8 @@
     pub(super) first_try: Option<Time>,
     /// The only acceptable version of the weights, once a response has started.
     pub(super) pinned_version: Option<u64>,
+    /// Whether it waited for weights and is served late.
+    pub(super) late: bool,
 }
 
 impl Dispatch {
@@ -111,6 +113,7 @@
             failure: None,
             retry: None,
             pinned_version: None,
+            late: false,
         }
     }
 
@@ -173,11 +176,21 @@
     }
 
     /// Takes a retry for the next attempt from the budget. Returns whether one was left.
-    fn acquire_retry(&mut self) -> bool {
+    pub(super) fn acquire_retry(&mut self) -> bool {
         self.retry = Retry::acquire(&self.gateway, &self.job.service);
         self.retry.is_some()
     }
 
+    /// Whether a retry was taken for the next attempt.
+    pub(super) fn has_retry(&self) -> bool {
+        self.retry.is_some()
+    }
+
+    /// Whether an attempt may have run.
+    pub(super) fn may_have_run(&self) -> bool {
+        self.tainted
+    }
+
     /// Updates the state from a failed attempt. Returns how it ended and the details.
     fn record_failure(&mut self, failure: Failure) -> (Ended, String) {
         let Failure {
@@ -248,7 +261,7 @@
     pub(super) async fn admit(&mut self) -> Result<Choice, Refusal> {
         let mut asked = 0;
         loop {
-            let choice = self.find_place().await?;
+            let choice = self.find_place_or_hold().await?;
             let Err(wait) = self.take_grant(choice.key, self.trace.leased).await else {
                 return Ok(choice);
             };
@@ -266,7 +279,7 @@
 
     /// Finds a replica for the request, waiting for a short time if need be, or refuses the
     /// request.
-    async fn find_place(&mut self) -> Result<Choice, Refusal> {
+    pub(super) async fn find_place(&mut self) -> Result<Choice, Refusal> {
         let mut lease_requests = self.gateway.setting.policy.lease_requests;
         loop {
             let chosen_before = self.was_attempted();
@@ -346,7 +359,7 @@
         }
     }
 
-    fn unavailable(&self, unavailable: Unavailable) -> Refusal {
+    pub(super) fn unavailable(&self, unavailable: Unavailable) -> Refusal {
         let remaining = self.job.remaining(self.gateway.knowledge.now());
         let code = match unavailable {
             Unavailable::TooSlow => Code::Overload,
@@ -490,7 +503,7 @@
 
     /// Returns the choice unless the replica is cold and its rate is used up. A request
     /// that was granted a lease passes: the sidecar has counted it.
-    fn check_cold(&self, choice: Choice, leased: bool) -> Result<Choice, Unavailable> {
+    pub(super) fn check_cold(&self, choice: Choice, leased: bool) -> Result<Choice, Unavailable> {
         let now = self.gateway.knowledge.now();
         let mut pool = self.gateway.pool.borrow_mut();
         let bears = leased || pool.take_cold_token(choice.key, self.own_cold_per_s(), now);
