--- a/src/gateway/startup.rs
+++ b/src/gateway/startup.rs
@@ -50,27 +50,26 @@
 }
 
 impl Gateway {
-    fn known_routing(&self) -> Option<Rc<Routing>> {
-        self.knowledge.catalog.borrow().routing().cloned()
+    fn is_configured(&self) -> bool {
+        let catalog = self.knowledge.catalog.borrow();
+        catalog.routing().is_some() && catalog.has_replica_list()
     }
 
     /// The current configuration, for a request with `remaining` time. Shortly after the start of the
-    /// process, waits for the first one.
+    /// process, waits until it and the list of replicas are known.
     pub(super) async fn routing(&self, remaining: Duration) -> Option<Rc<Routing>> {
-        let known = self.known_routing();
         let uptime = self.knowledge.now().since(self.began);
         let wait = wait(uptime, remaining, self.unconfigured.get());
-        if known.is_some() || !self.setting.policy.late || wait.is_zero() {
-            return known;
+        if !self.is_configured() && self.setting.policy.late && !wait.is_zero() {
+            let _waiting = Waiting::begin(self);
+            let mut changed = self.knowledge.changed.subscribe();
+            let arrival = async {
+                // The sender is not dropped, because `knowledge` owns it.
+                while !self.is_configured() && changed.changed().await.is_ok() {}
+            };
+            let arrived = timeout(wait, arrival).await.is_ok();
+            log::info!(arrived, wait_ms = wait.as_millis() as u64; "request waited for the configuration");
         }
-        let _waiting = Waiting::begin(self);
-        let mut changed = self.knowledge.changed.subscribe();
-        let arrival = async {
-            // The sender is not dropped, because `knowledge` owns it.
-            while self.known_routing().is_none() && changed.changed().await.is_ok() {}
-        };
-        let arrived = timeout(wait, arrival).await.is_ok();
-        log::info!(arrived, wait_ms = wait.as_millis() as u64; "request waited for the configuration");
-        self.known_routing()
+        self.knowledge.catalog.borrow().routing().cloned()
     }
 }
