--- a/src/lease.rs
+++ b/src/lease.rs
@@ -18,7 +18,7 @@
 use crate::clock::Time;
 use crate::config::routing::Engine;
 use crate::limit::retry::{self, Fingerprint, Rejection, Rejections};
-use crate::limit::room::{Claim, Group, Room};
+use crate::limit::room::{self, Claim, Group, Room};
 use crate::route::cold::TokenBucket;
 use crate::route::estimate::{self, Demand};
 use crate::route::meter::Gate;
@@ -324,8 +324,9 @@
         engine: &Engine,
         now: Time,
     ) -> Claim {
+        let urgency = message.urgency.min(room::URGENCY_MAX);
         let ahead = Load {
-            queued: self.room.ahead(message.urgency, load.queued),
+            queued: self.room.ahead(urgency, load.queued),
             ..load.clone()
         };
         let whole = Request {
@@ -340,7 +341,7 @@
             output: message.output,
         };
         Claim {
-            urgency: message.urgency,
+            urgency,
             group: Group::default(),
             work: estimate::work(engine, demand),
             first: message.first && tried_before.is_none(),
--- a/src/limit/room.rs
+++ b/src/limit/room.rs
@@ -10,6 +10,9 @@
 
 use crate::clock::Time;
 
+/// The lowest urgency. Any that is lower counts as this one, which bounds the state.
+pub const URGENCY_MAX: u8 = 9;
+
 /// Minimum share of what an urgency requests, as long as anything is granted.
 const SHARE_MIN: f64 = 0.25;
 
