--- a/src/gateway/status.rs
+++ b/src/gateway/status.rs
@@ -22,6 +22,7 @@
     returns: Counter<u64>,
     late: Counter<u64>,
     held: Gauge<u64>,
+    urgencies: Counter<u64>,
     attempts: Counter<u64>,
     limited_attempts: Counter<u64>,
     quotas: Gauge<u64>,
@@ -62,6 +63,10 @@
                 .u64_gauge("pumicelatch.gateway.held")
                 .with_description("Late requests that wait for capacity")
                 .build(),
+            urgencies: meter
+                .u64_counter("pumicelatch.gateway.requests_by_urgency")
+                .with_description("Callers' requests by urgency and outcome")
+                .build(),
             attempts: meter
                 .u64_counter("pumicelatch.gateway.attempts")
                 .with_description("Attempts at replicas by how they ended")
@@ -151,6 +156,15 @@
         self.held.record(count as u64, &[]);
     }
 
+    /// Counts a request by its urgency.
+    pub fn record_urgency(&self, urgency: u8, outcome: &'static str) {
+        let labels = [
+            KeyValue::new("urgency", i64::from(urgency)),
+            KeyValue::new("outcome", outcome),
+        ];
+        self.urgencies.add(1, &labels);
+    }
+
     /// Records the latency of a stream's first event.
     pub fn record_first_event(&self, took: Duration) {
         self.first.record(took.as_secs_f64(), &[]);
--- a/src/limit.rs
+++ b/src/limit.rs
@@ -5,6 +5,7 @@
 pub mod late;
 pub mod memory;
 pub mod retry;
+pub mod room;
 pub mod size;
 
 use std::collections::BTreeMap;
--- a/src/sidecar.rs
+++ b/src/sidecar.rs
@@ -49,6 +49,7 @@
 mod executor;
 pub mod observe;
 pub mod reconcile;
+mod room;
 pub mod rtt;
 
 use engine::{Engine, State};
@@ -125,6 +126,7 @@
     joined_members: RefCell<Option<(Digest, Rc<[Descriptor]>)>>,
     rtt: RefCell<rtt::Window>,
     ledger: RefCell<Ledger>,
+    room: room::Report,
 
     /// Number of changes of the replica's state.
     state_changes: Cell<u64>,
@@ -286,6 +288,7 @@
             .with_description("Memory held or reserved for entries, by what it is for")
             .build();
         let held_limit = setting.held_bytes;
+        let room = room::Report::new(&metrics.meter());
         let sidecar = Rc::new(Self {
             tracker: Tracker::new(knowledge.clock, &metrics.meter()),
             knowledge,
@@ -307,6 +310,7 @@
             joined_members: RefCell::default(),
             rtt: RefCell::new(rtt::Window::new(now)),
             ledger: RefCell::default(),
+            room,
             state_changes: Cell::new(0),
             availability_changes: Cell::new(0),
             runs: RefCell::default(),
--- a/tests/late.rs
+++ b/tests/late.rs
@@ -514,6 +514,8 @@
         deadline: DEADLINE,
         fair: true,
         urgencies: false,
+        levels: false,
+        polled: false,
         retries: true,
         seed,
     }
