Urgency: where customers have the same priority, the routes' priorities decide

The pair of customer's and route's priority is ranked now, the customer's first; where all routes to a service have one priority, the urgency is as before. An urgency that requests under a twentieth of the work does not throttle the others: routes that are hardly used may have priority 0.

--- a/src/config.rs
+++ b/src/config.rs
@@ -9,6 +9,7 @@
 pub mod residency;
 pub mod revision;
 pub mod routing;
+pub mod urgency;
 
 use std::collections::BTreeMap;
 use std::rc::Rc;
--- a/src/config/routing.rs
+++ b/src/config/routing.rs
@@ -11,6 +11,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::residency::Residency;
+use super::urgency::Urgencies;
 
 /// Whether a route's requests may be repeated.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -316,6 +317,8 @@
     keys: HashMap<String, usize>,
     services: BTreeMap<Arc<str>, usize>,
     min_objective_ms: BTreeMap<Arc<str>, u64>,
+    /// The urgencies of requests.
+    pub urgencies: Urgencies,
 }
 
 impl Routing {
@@ -349,6 +352,7 @@
             }
         }
         Self {
+            urgencies: Urgencies::new(&document),
             document,
             hosts,
             keys,
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -46,9 +46,6 @@
 /// Largest response, in bytes, that is read to its end before it is forwarded.
 const BUFFERED_BODY_MAX: usize = 16 << 20;
 
-/// Highest urgency value that replicas accept.
-const URGENCY_MAX: u8 = 9;
-
 /// An attempt that failed.
 #[derive(Debug)]
 pub struct Failure {
@@ -271,7 +268,7 @@
             replica: &self.instance.id,
             remaining: job.remaining(now),
             customer: job.customer.as_deref(),
-            urgency: job.priority.min(URGENCY_MAX),
+            urgency: job.priority,
             last_event,
             version,
         };
--- a/src/gateway/intake.rs
+++ b/src/gateway/intake.rs
@@ -75,8 +75,7 @@
         }
         Access::Unknown => return Err(unreadable_config("customers")),
     };
-    let priority = customer.and_then(|customer| customer.priority);
-    let priority = priority.unwrap_or(route.priority);
+    let own_priority = customer.and_then(|customer| customer.priority);
     let residency = customer.map_or_else(
         || route.residency.clone(),
         |customer| route.residency.intersection(&customer.residency),
@@ -87,6 +86,8 @@
         .service(draw)
         .cloned()
         .ok_or_else(|| unreadable_config("the services of this route"))?;
+    let urgencies = &routing.urgencies;
+    let priority = urgencies.of(&service, own_priority, &route);
     let route_timeout = Duration::from_millis(route.timeout_ms);
     let timeout = meta
         .timeout
--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -37,7 +37,7 @@
     /// Whether its caller understands a response that is sent in chunks. For others, the close of
     /// the connection ends a response of unknown length, so that a truncated one looks complete.
     pub accepts_chunks: bool,
-    /// Its priority; 0 is the highest.
+    /// Its urgency among the requests to the service; 0 is the highest.
     pub priority: u8,
     /// The regions in which it may be served.
     pub residency: Residency,
--- a/src/lease.rs
+++ b/src/lease.rs
@@ -19,8 +19,9 @@
 
 use crate::clock::Time;
 use crate::config::routing::Engine;
+use crate::config::urgency::URGENCY_MAX;
 use crate::limit::retry::{self, Fingerprint, Rejection, Rejections};
-use crate::limit::room::{self, Claim, Group, Room};
+use crate::limit::room::{Claim, Group, Room};
 use crate::route::cold::TokenBucket;
 use crate::route::estimate::{self, Demand};
 use crate::route::meter::Gate;
@@ -339,7 +340,7 @@
         engine: &Engine,
         now: Time,
     ) -> Claim {
-        let urgency = message.urgency.min(room::URGENCY_MAX);
+        let urgency = message.urgency.min(URGENCY_MAX);
         let ahead = Load {
             queued: self.room.ahead(urgency, load.queued),
             ..load.clone()
--- a/src/limit/room.rs
+++ b/src/limit/room.rs
@@ -10,9 +10,6 @@
 
 use crate::clock::Time;
 
-/// The lowest urgency. Any that is lower counts as this one, which bounds the state.
-pub const URGENCY_MAX: u8 = 9;
-
 /// Minimum share of what an urgency requests, as long as anything is granted.
 const SHARE_MIN: f64 = 0.25;
 
@@ -25,6 +22,10 @@
 /// Fraction of its limit above which the expected wait of a request counts as a shortage.
 const SHORTAGE: f64 = 0.8;
 
+/// Part of the requested work below which the shortage of an urgency does not throttle the others. It
+/// is first in the engine's queue, and so few find a slot.
+const PRESSING_SHARE_MIN: f64 = 0.05;
+
 /// Time in which the capacity of the less urgent is restored after a shortage. Engines take 1 to 2 s
 /// for a request, during which a slot is not available to more urgent ones.
 const RELEASE: Duration = Duration::from_secs(2);
@@ -210,8 +211,12 @@
         if self.counts.get(&urgency).is_some_and(Count::is_short) {
             return None;
         }
-        let pressures = self.counts.range(..urgency);
-        let pressure = pressures
+        let requested: f64 = self.counts.values().map(|count| count.requested).sum();
+        let pressing = self
+            .counts
+            .range(..urgency)
+            .filter(|(_, count)| count.requested >= requested * PRESSING_SHARE_MIN);
+        let pressure = pressing
             .map(|(_, count)| count.pressure(now))
             .fold(0.0, f64::max);
         if pressure > 0.0 {
