--- a/tests/common/hall.rs
+++ b/tests/common/hall.rs
@@ -12,7 +12,8 @@
 use pumicelatch::config::routing::Engine;
 use pumicelatch::lease::{self, DEFAULT_URGENCY, Ledger};
 use pumicelatch::limit::admission::{self, Bounds, Input, Verdict};
-use pumicelatch::limit::retry;
+use pumicelatch::limit::fair;
+use pumicelatch::limit::retry::{self, Fingerprint};
 use pumicelatch::limit::size::{Class, Sizes};
 use pumicelatch::policy::Policy;
 use pumicelatch::route::estimate;
@@ -46,6 +47,21 @@
     pub replica: Option<usize>,
 }
 
+/// What a sidecar is told of a kind's callers, besides its name as the route.
+#[derive(Clone, Copy)]
+pub struct Group {
+    pub customer: &'static str,
+    pub hall: &'static str,
+}
+
+/// Replicas that are slow, drawn anew in each period.
+#[derive(Clone, Copy, Default)]
+pub struct Slow {
+    pub share: f64,
+    pub pace: f64,
+    pub period_ms: u64,
+}
+
 /// What a model has.
 #[derive(Clone)]
 pub struct Setting {
@@ -65,6 +81,8 @@
     pub urgencies: bool,
     /// Whether requests wait at the entry, and their callers retry once after a refusal.
     pub retries: bool,
+    /// Whether sidecars see their engines only by polls, as they do, or at any time.
+    pub polled: bool,
     pub seed: u64,
 }
 
@@ -92,6 +110,8 @@
     pace: f64,
     ledger: Ledger,
     batch: Batch<usize>,
+    /// Requests that ran and waited when the sidecar last polled its engine.
+    shown: (u32, u32),
     iteration_end: Option<Time>,
 }
 
@@ -110,6 +130,9 @@
     sent: BTreeMap<usize, (Key, u64)>,
     /// Attempts to be judged, by time.
     attempts: BTreeMap<Time, Vec<Attempt>>,
+    pub slow: Slow,
+    /// The groups of each kind, if sidecars are told of them.
+    pub groups: Vec<Group>,
     rng: SmallRng,
 }
 
@@ -119,6 +142,7 @@
             pace: *pace,
             ledger: Ledger::default(),
             batch: Batch::new(setting.engine.clone()),
+            shown: (0, 0),
             iteration_end: None,
         };
         Self {
@@ -135,6 +159,8 @@
             classes: Vec::new(),
             sent: BTreeMap::new(),
             attempts: BTreeMap::new(),
+            slow: Slow::default(),
+            groups: Vec::new(),
             rng: SmallRng::seed_from_u64(setting.seed),
             setting,
         }
@@ -142,16 +168,21 @@
 
     /// Runs a model to its end.
     pub fn run(setting: Setting) -> Self {
-        let mut hall = Self::new(setting);
-        for step in 0..hall.setting.duration.as_millis() as u64 {
-            hall.step(step);
+        Self::new(setting).complete()
+    }
+
+    /// Runs the model to its end.
+    pub fn complete(mut self) -> Self {
+        for step in 0..self.setting.duration.as_millis() as u64 {
+            self.step(step);
         }
-        hall
+        self
     }
 
     /// Runs the millisecond `step`.
     pub fn step(&mut self, step: u64) {
         let now = NOW + Duration::from_millis(step);
+        self.draw_paces(step);
         self.iterate(now);
         if step.is_multiple_of(100) {
             self.report(now, step.is_multiple_of(500));
@@ -176,6 +207,17 @@
         }
     }
 
+    fn draw_paces(&mut self, step: u64) {
+        let slow = self.slow;
+        if slow.period_ms == 0 || !step.is_multiple_of(slow.period_ms) {
+            return;
+        }
+        for (replica, pace) in self.replicas.iter_mut().zip(&self.setting.paces) {
+            let is_slow = self.rng.random_bool(slow.share);
+            replica.pace = if is_slow { pace * slow.pace } else { *pace };
+        }
+    }
+
     fn per_s(&self, now: Time) -> f64 {
         let elapsed = now.since(NOW);
         let phase = elapsed.as_millis() as f64 / SWING_PERIOD_MS * std::f64::consts::TAU;
@@ -188,6 +230,7 @@
         for (index, replica) in self.replicas.iter_mut().enumerate() {
             let (running, queued) = (replica.batch.running(), replica.batch.queued());
             replica.ledger.observe(running + queued, now);
+            replica.shown = (running, queued);
             if to_entries {
                 let load = load(running, queued, replica.pace);
                 self.pool.report(address(index), &load, now);
@@ -226,6 +269,16 @@
         }
     }
 
+    pub fn shares(&mut self) -> impl Iterator<Item = &mut fair::Shares> {
+        self.replicas
+            .iter_mut()
+            .map(|replica| &mut replica.ledger.shares)
+    }
+
+    pub fn replicas(&self) -> usize {
+        self.replicas.len()
+    }
+
     /// The limit on the first event of any kind.
     fn limit(&self) -> Duration {
         let objectives = self.setting.kinds.iter().map(|kind| kind.objective);
@@ -391,6 +444,7 @@
             } else {
                 limits.immediate
             };
+            let at = (at, limits.queued);
             let answer = self.ask(request, key, at, now);
             let expected = Duration::from_millis(answer.expected_ms.unwrap());
             if answer.given {
@@ -405,23 +459,34 @@
     }
 
     /// Asks the sidecar of `key` for a lease.
-    fn ask(&mut self, request: Request, key: Key, at: Duration, now: Time) -> lease::Response {
-        let urgency = self.setting.kinds[request.kind].urgency;
-        let urgency = Some(urgency).filter(|_| self.setting.urgencies);
+    fn ask(
+        &mut self,
+        request: Request,
+        key: Key,
+        (at, whole): (Duration, Duration),
+        now: Time,
+    ) -> lease::Response {
+        let kind = &self.setting.kinds[request.kind];
+        let urgency = Some(kind.urgency).filter(|_| self.setting.urgencies);
+        let group = self.groups.get(request.kind);
         let message = lease::Request {
             prompt: request.prompt,
             output: request.demand().output,
             limit_ms: at.as_millis() as u64,
+            whole_ms: whole.as_millis() as u64,
             queue_spread: Policy::default().queue_spread,
             urgency: urgency.unwrap_or(DEFAULT_URGENCY),
+            request: Some(Fingerprint::of([&request.arrived.0.to_le_bytes()[..]])),
+            route: fair::group(group.map(|_| kind.name)),
+            customer: fair::group(group.map(|group| group.customer)),
+            hall: fair::group(group.map(|group| group.hall)),
             ..lease::Request::default()
         };
         let index = self.index(key);
         let replica = &mut self.replicas[index];
-        let (running, queued) = (replica.batch.running(), replica.batch.queued());
-        if self.setting.retries {
-            // What was sent has arrived: the model's links take no time.
-            replica.ledger.observe(running + queued, now);
+        let (mut running, mut queued) = (replica.batch.running(), replica.batch.queued());
+        if self.setting.polled {
+            (running, queued) = replica.shown;
         }
         let load = load(running, queued, replica.pace);
         replica
--- a/tests/size.rs
+++ b/tests/size.rs
@@ -77,6 +77,7 @@
         fair,
         urgencies: false,
         retries: false,
+        polled: true,
         seed,
     }
 }
