Fair shares among requests of one urgency, by route, customer and hall

Cause: while requests of one urgency are short of capacity, a group that asks for four times its usual load takes the capacity of all others.

Change: limit::fair counts requested and granted engine time of each group in a window of 2 s. A group that asks for more than its max-min share, and for more than twice as much as usual in relation to the others, is expected to wait longer than others, and is left free slots only if no other request was refused in the last 120 ms. Lease requests state route and customer; the sidecar looks up the hall. It logs the start and end of throttling and has the gauge pumicelatch.agent.fair.

--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -9,6 +9,7 @@
 use crate::exchange::Recorder;
 use crate::knowledge::gossip;
 use crate::lease::{self, Response};
+use crate::limit::fair;
 use crate::route::pool::{Choice, Key, Limits, Unavailable};
 use crate::route::search::{Reply, Search, Step};
 use crate::timeout;
@@ -155,6 +156,9 @@
             cold: self.throttle(key),
             quota: self.quota_report(key),
             urgency: self.job.priority,
+            route: fair::group(Some(&self.job.route.name)),
+            customer: fair::group(self.job.customer.as_deref()),
+            hall: 0,
         }
     }
 
--- a/src/lease.rs
+++ b/src/lease.rs
@@ -17,6 +17,7 @@
 
 use crate::clock::Time;
 use crate::config::routing::Engine;
+use crate::limit::fair::{Claim, Shares};
 use crate::limit::retry::{self, Fingerprint, Rejection, Rejections};
 use crate::route::cold::TokenBucket;
 use crate::route::estimate;
@@ -135,6 +136,15 @@
     /// The request's urgency; 0 is the highest.
     #[serde(default = "default_urgency")]
     pub urgency: u8,
+    /// Hash of the request's route; 0 if unknown.
+    #[serde(default)]
+    pub route: u32,
+    /// Hash of its customer; 0 if unknown.
+    #[serde(default)]
+    pub customer: u32,
+    /// Hash of the hall of the asking entry, which the receiver looks up by `from`; 0 if unknown.
+    #[serde(skip)]
+    pub hall: u32,
 }
 
 fn default_urgency() -> u8 {
@@ -153,6 +163,20 @@
         let late = Duration::from_millis(self.late_ms);
         at.min(retry::remaining_limit(whole, late, age))
     }
+
+    fn claim(&self) -> Claim {
+        Claim {
+            urgency: self.urgency,
+            route: self.route,
+            customer: self.customer,
+            hall: self.hall,
+        }
+    }
+
+    fn work(&self, engine: &Engine) -> Duration {
+        let (prompt, output) = (self.prompt, self.output);
+        estimate::work(engine, estimate::Demand { prompt, output })
+    }
 }
 
 /// A sidecar's response to a [`Request`].
@@ -196,6 +220,8 @@
     token_bucket: TokenBucket,
     /// Requests under the replica's quota.
     pub gate: Gate,
+    /// Fair shares of the replica among requests of one urgency.
+    pub shares: Shares,
 }
 
 impl Ledger {
@@ -270,6 +296,15 @@
             ..load
         };
         let expected = engine.map(|engine| self.expected(message, &load, engine, now));
+        let work = engine.map(|engine| message.work(engine));
+        // Without a fingerprint, the request is known to be a retry.
+        let asked = message.request.filter(|_| tried_before.is_none());
+        if let (Some(request), Some(work)) = (asked, work) {
+            self.shares.ask(message.claim(), request, work, now);
+        }
+        let is_free = engine.is_none_or(|engine| load.in_progress() < engine.slots);
+        let expected =
+            expected.map(|expected| self.fair_wait(message, limit, expected, is_free, now));
         let accepts = load.alive && !load.switching && !load.models.is_empty();
         let accepts = accepts && load.notice().is_empty();
         let accepts = accepts && expected.is_none_or(|expected| expected <= limit);
@@ -280,6 +315,8 @@
         let given = warm && quota_wait.is_none();
         if given {
             self.leases.push_back(Lease { at: now });
+            self.shares
+                .grant(message.claim(), work.unwrap_or_default(), now);
             if let Some(engine) = engine {
                 self.iterations.admit(engine, message.prompt, &load, now);
             }
@@ -295,6 +332,28 @@
         }
     }
 
+    /// The expected time `expected` as it applies to a request by the fair shares: longer if a group of
+    /// it is over its share, unless a slot is free. The entry is told the same, or it would send the
+    /// request without a lease.
+    fn fair_wait(
+        &mut self,
+        message: &Request,
+        limit: Duration,
+        expected: Duration,
+        is_free: bool,
+        now: Time,
+    ) -> Duration {
+        let fraction = self.shares.fraction(message.claim(), is_free, now);
+        let fair = expected.div_f64(fraction);
+        // Being refused at a lower limit than the whole one is no sign of a shortage: the request may
+        // still get a place in the queue. A retry that is late has too low a limit to show one.
+        let whole = limit.max(Duration::from_millis(message.whole_ms));
+        if message.request.is_some() && fair > whole {
+            self.shares.refuse(message.claim(), now);
+        }
+        fair
+    }
+
     /// Expected time until the first event of a new request, where `load` includes granted leases.
     fn expected(&mut self, message: &Request, load: &Load, engine: &Engine, now: Time) -> Duration {
         let queue =
--- a/src/limit.rs
+++ b/src/limit.rs
@@ -2,6 +2,7 @@
 //! queueing.
 
 pub mod admission;
+pub mod fair;
 pub mod retry;
 pub mod size;
 
--- a/src/member/peer.rs
+++ b/src/member/peer.rs
@@ -132,6 +132,11 @@
         alive.map(|(address, peer)| (*address, &peer.hall))
     }
 
+    /// The hall of an entry, if that is in the table.
+    pub fn hall(&self, address: SocketAddr) -> Option<&str> {
+        self.peers.get(&address).map(|peer| &*peer.hall)
+    }
+
     /// The entries of `hall` that are alive.
     pub fn of_hall(&self, hall: &str, now: Time) -> Vec<SocketAddr> {
         let alive = self
--- a/src/sidecar.rs
+++ b/src/sidecar.rs
@@ -7,6 +7,7 @@
 //! * [`observe`] polls the replica's state and reports it to the entries.
 //! * [`executor`] executes callers' requests at the replica.
 //! * [`rtt`] estimates the delay of the box's link from the duration of reports.
+//! * [`share`] reports the fair shares at the replica.
 
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
@@ -49,6 +50,7 @@
 pub mod observe;
 pub mod reconcile;
 pub mod rtt;
+mod share;
 
 use engine::{Engine, State};
 
@@ -305,6 +307,7 @@
         let tasks = vec![
             actix_rt::spawn(observe::poll_replica(sidecar.clone())),
             actix_rt::spawn(observe::report(sidecar.clone())),
+            actix_rt::spawn(share::report(sidecar.clone())),
             actix_rt::spawn(observe::read_store_when_isolated(sidecar.clone())),
             actix_rt::spawn(reconcile::run(sidecar.clone())),
             actix_rt::spawn(traffic::log(sidecar.knowledge.clone())),
--- a/src/sidecar/observe.rs
+++ b/src/sidecar/observe.rs
@@ -261,7 +261,7 @@
         }
         let load = self.load();
         let mut ledger = self.ledger.borrow_mut();
-        ledger.answer(request, load, engine.as_ref(), now)
+        ledger.answer(&self.with_hall(request), load, engine.as_ref(), now)
     }
 
     fn load(&self) -> Load {
