--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -81,7 +81,10 @@
             } else {
                 limits.immediate
             };
-            let request = self.build_lease_request(key, sidecar, at, limits.queued);
+            let request = lease::Request {
+                first: search.probed().is_empty() && self.is_first_search(),
+                ..self.build_lease_request(key, sidecar, at, limits.queued)
+            };
             let answer = self
                 .request_lease(&mut search, key, sidecar, &request, limits.whole)
                 .await;
@@ -159,9 +162,15 @@
             route: fair::group(Some(&self.job.route.name)),
             customer: fair::group(self.job.customer.as_deref()),
             hall: 0,
+            first: false,
         }
     }
 
+    /// Whether no sidecar was asked for the request before, not even in an earlier try.
+    fn is_first_search(&self) -> bool {
+        self.trace.asked == 0 && self.first_try.is_none()
+    }
+
     /// Asks the sidecar of the replica `key` for a lease.
     async fn request_lease(
         &self,
@@ -195,6 +204,7 @@
                 if let Some(wait) = answer.quota_wait_ms {
                     self.mark_quota_used(key, Duration::from_millis(wait));
                 }
+                self.record_level(key, answer.level, now);
                 self.gateway.merge_rejections(&answer.refused, now);
                 let tried_before = answer.tried_before_ms.map(Duration::from_millis);
                 if answer.dealt_out {
--- a/src/lease.rs
+++ b/src/lease.rs
@@ -17,10 +17,11 @@
 
 use crate::clock::Time;
 use crate::config::routing::Engine;
-use crate::limit::fair::{Claim, Shares};
+use crate::limit::fair::{self, Shares};
 use crate::limit::retry::{self, Fingerprint, Rejection, Rejections};
+use crate::limit::room::{self, Claim, Group, Room};
 use crate::route::cold::TokenBucket;
-use crate::route::estimate;
+use crate::route::estimate::{self, Demand};
 use crate::route::meter::Gate;
 use crate::route::quota;
 use crate::route::replica::Load;
@@ -145,12 +146,19 @@
     /// Hash of the hall of the asking entry, which the receiver looks up by `from`; 0 if unknown.
     #[serde(skip)]
     pub hall: u32,
+    /// Whether this is the first sidecar that is asked for the request, in its first try.
+    #[serde(default = "default_first")]
+    pub first: bool,
 }
 
 fn default_urgency() -> u8 {
     DEFAULT_URGENCY
 }
 
+fn default_first() -> bool {
+    true
+}
+
 impl Request {
     /// Limit on the first event. `tried_before` is the time since the first try if the request is a
     /// retry.
@@ -164,8 +172,8 @@
         at.min(retry::remaining_limit(whole, late, age))
     }
 
-    fn claim(&self) -> Claim {
-        Claim {
+    fn groups(&self) -> fair::Claim {
+        fair::Claim {
             urgency: self.urgency,
             route: self.route,
             customer: self.customer,
@@ -175,7 +183,7 @@
 
     fn work(&self, engine: &Engine) -> Duration {
         let (prompt, output) = (self.prompt, self.output);
-        estimate::work(engine, estimate::Demand { prompt, output })
+        estimate::work(engine, Demand { prompt, output })
     }
 }
 
@@ -201,6 +209,9 @@
     /// Milliseconds until a request may be granted under the replica's quota, if that is used up.
     #[serde(default)]
     pub quota_wait_ms: Option<u64>,
+    /// The highest urgency number that the replica accepts in its queue; `None` if all are.
+    #[serde(default)]
+    pub level: Option<u8>,
 }
 
 /// A granted lease.
@@ -214,6 +225,8 @@
 pub struct Ledger {
     leases: VecDeque<Lease>,
     in_progress: u32,
+    /// Capacity by urgency.
+    pub room: Room,
     iterations: Iterations,
     rejections: Rejections,
     cold: Option<(Throttle, Time)>,
@@ -240,6 +253,7 @@
         self.leases.clear();
         self.in_progress = 0;
         self.iterations = Iterations::default();
+        self.room = Room::default();
         self.cold = None;
         self.gate = Gate::default();
     }
@@ -295,12 +309,14 @@
             queued: load.queued + self.leased(),
             ..load
         };
-        let expected = engine.map(|engine| self.expected(message, &load, engine, now));
+        let claim = engine.map(|engine| self.claim(message, tried_before, &load, engine, now));
+        let terms = claim.map(|claim| (claim, self.room.terms(&claim, now)));
+        let expected = terms.map(|(claim, terms)| terms.expected_within(claim.limit));
         let work = engine.map(|engine| message.work(engine));
         // Without a fingerprint, the request is known to be a retry.
         let asked = message.request.filter(|_| tried_before.is_none());
         if let (Some(request), Some(work)) = (asked, work) {
-            self.shares.ask(message.claim(), request, work, now);
+            self.shares.ask(message.groups(), request, work, now);
         }
         let is_free = engine.is_none_or(|engine| load.in_progress() < engine.slots);
         let expected =
@@ -316,11 +332,14 @@
         if given {
             self.leases.push_back(Lease { at: now });
             self.shares
-                .grant(message.claim(), work.unwrap_or_default(), now);
+                .grant(message.groups(), work.unwrap_or_default(), now);
             if let Some(engine) = engine {
                 self.iterations.admit(engine, message.prompt, &load, now);
             }
         }
+        if let Some((claim, terms)) = terms {
+            self.room.record(&claim, terms, given, now);
+        }
         Response {
             given,
             load,
@@ -329,6 +348,44 @@
             refused: rejections_to_send.unwrap_or_default(),
             dealt_out: accepts && !warm,
             quota_wait_ms: quota_wait.map(|wait| wait.as_millis() as u64),
+            level: self.room.level(now),
+        }
+    }
+
+    /// What a new request asks for, where `load` includes granted leases.
+    fn claim(
+        &mut self,
+        message: &Request,
+        tried_before: Option<Duration>,
+        load: &Load,
+        engine: &Engine,
+        now: Time,
+    ) -> Claim {
+        let urgency = message.urgency.min(room::URGENCY_MAX);
+        let ahead = Load {
+            queued: self.room.ahead(urgency, load.queued),
+            ..load.clone()
+        };
+        let whole = Request {
+            limit_ms: message.limit_ms.max(message.whole_ms),
+            ..message.clone()
+        };
+        let behind_all = self.expected(message, load, engine, now);
+        let queue =
+            estimate::queue_wait(engine, load.in_progress(), load.pace, message.queue_spread);
+        let demand = Demand {
+            prompt: message.prompt,
+            output: message.output,
+        };
+        Claim {
+            urgency,
+            group: Group::default(),
+            work: estimate::work(engine, demand),
+            first: message.first && tried_before.is_none(),
+            expected: self.expected(message, &ahead, engine, now),
+            behind_all,
+            with_slot: behind_all.saturating_sub(queue),
+            limit: whole.limit(tried_before),
         }
     }
 
@@ -343,13 +400,13 @@
         is_free: bool,
         now: Time,
     ) -> Duration {
-        let fraction = self.shares.fraction(message.claim(), is_free, now);
+        let fraction = self.shares.fraction(message.groups(), is_free, now);
         let fair = expected.div_f64(fraction);
         // Being refused at a lower limit than the whole one is no sign of a shortage: the request may
         // still get a place in the queue. A retry that is late has too low a limit to show one.
         let whole = limit.max(Duration::from_millis(message.whole_ms));
         if message.request.is_some() && fair > whole {
-            self.shares.refuse(message.claim(), now);
+            self.shares.refuse(message.groups(), now);
         }
         fair
     }
--- a/src/limit.rs
+++ b/src/limit.rs
@@ -4,6 +4,7 @@
 pub mod admission;
 pub mod fair;
 pub mod retry;
+pub mod room;
 pub mod size;
 
 use std::collections::BTreeMap;
--- a/tests/fair.rs
+++ b/tests/fair.rs
@@ -110,6 +110,7 @@
         urgencies: true,
         retries: true,
         polled: true,
+        levels: false,
         seed: 1,
     };
     (setting, groups)
