--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -9,6 +9,7 @@
 use crate::exchange::Recorder;
 use crate::knowledge::gossip;
 use crate::lease::{self, Response};
+use crate::limit::fair;
 use crate::route::pool::{Choice, Key, Limits, Unavailable};
 use crate::route::search::{Reply, Search, Step};
 use crate::timeout;
@@ -144,6 +145,12 @@
             .rejections
             .borrow_mut()
             .take_pending(sidecar, knowledge.now());
+        let (route, customer) = if knowledge.policy.fair_shares {
+            let customer = fair::group(self.job.customer.as_deref());
+            (fair::group(Some(&self.job.route.name)), customer)
+        } else {
+            (0, 0)
+        };
         lease::Request {
             from: Some(knowledge.identity.address),
             prompt: demand.prompt,
@@ -159,6 +166,9 @@
             quota: self.quota_report(key),
             urgency: self.job.priority,
             late: self.is_late(),
+            route,
+            customer,
+            hall: 0,
             first: false,
         }
     }
--- a/src/lease.rs
+++ b/src/lease.rs
@@ -20,6 +20,7 @@
 use crate::clock::Time;
 use crate::config::routing::Engine;
 use crate::config::urgency::URGENCY_MAX;
+use crate::limit::fair::{self, Shares};
 use crate::limit::retry::{self, Fingerprint, Rejection, Rejections};
 use crate::limit::room::{Claim, Group, Room};
 use crate::route::cold::TokenBucket;
@@ -142,6 +143,15 @@
     /// Whether the request is late: it was refused before and cannot be in time any more.
     #[serde(default)]
     pub late: bool,
+    /// Hash of the request's route; 0 if unknown, or if the entry's policy asks for no fair shares.
+    #[serde(default)]
+    pub route: u32,
+    /// Hash of its customer; 0 if unknown.
+    #[serde(default)]
+    pub customer: u32,
+    /// Hash of the hall of the asking entry, which the receiver looks up by `from`; 0 if unknown.
+    #[serde(skip)]
+    pub hall: u32,
     /// Whether this is the first sidecar that is asked for the request, in its first try.
     #[serde(default = "default_first")]
     pub first: bool,
@@ -167,6 +177,25 @@
         let late = Duration::from_millis(self.late_ms);
         at.min(retry::remaining_limit(whole, late, age))
     }
+
+    /// Whether fair shares apply. A late request takes only what the others leave.
+    fn has_groups(&self) -> bool {
+        self.route != 0 && !self.late
+    }
+
+    fn groups(&self) -> fair::Claim {
+        fair::Claim {
+            urgency: self.urgency,
+            route: self.route,
+            customer: self.customer,
+            hall: self.hall,
+        }
+    }
+
+    fn work(&self, engine: &Engine) -> Duration {
+        let (prompt, output) = (self.prompt, self.output);
+        estimate::work(engine, Demand { prompt, output })
+    }
 }
 
 /// A sidecar's response to a [`Request`].
@@ -216,6 +245,8 @@
     late: late::Late,
     /// Requests under the replica's quota.
     pub gate: Gate,
+    /// Fair shares of the replica among requests of one urgency.
+    pub shares: Shares,
 }
 
 impl Ledger {
@@ -294,6 +325,17 @@
         let claim = engine.map(|engine| self.claim(message, tried_before, &load, engine, now));
         let terms = claim.map(|claim| (claim, self.room.terms(&claim, now)));
         let expected = terms.map(|(claim, terms)| terms.expected_within(claim.limit));
+        let work = engine.map(|engine| message.work(engine));
+        // Without a fingerprint, the request is known to be a retry.
+        let asked = message
+            .request
+            .filter(|_| tried_before.is_none() && message.has_groups());
+        if let (Some(request), Some(work)) = (asked, work) {
+            self.shares.ask(message.groups(), request, work, now);
+        }
+        let is_free = engine.is_none_or(|engine| load.in_progress() < engine.slots);
+        let expected =
+            expected.map(|expected| self.fair_wait(message, limit, expected, is_free, now));
         let accepts = load.alive && !load.switching && !load.models.is_empty();
         let accepts = accepts && load.notice().is_empty();
         let accepts = accepts
@@ -312,6 +354,10 @@
         }
         if given {
             self.leases.push_back(Lease { at: now });
+            if message.has_groups() {
+                self.shares
+                    .grant(message.groups(), work.unwrap_or_default(), now);
+            }
             if let Some(engine) = engine {
                 self.iterations.admit(engine, message.prompt, &load, now);
             }
@@ -372,6 +418,31 @@
         }
     }
 
+    /// The expected time `expected` as it applies to a request by the fair shares: longer if a group of
+    /// it is over its share, unless a slot is free. The entry is told the same, or it would send the
+    /// request without a lease.
+    fn fair_wait(
+        &mut self,
+        message: &Request,
+        limit: Duration,
+        expected: Duration,
+        is_free: bool,
+        now: Time,
+    ) -> Duration {
+        if !message.has_groups() {
+            return expected;
+        }
+        let fraction = self.shares.fraction(message.groups(), is_free, now);
+        let fair = expected.div_f64(fraction);
+        // Being refused at a lower limit than the whole one is no sign of a shortage: the request may
+        // still get a place in the queue. A retry that is late has too low a limit to show one.
+        let whole = limit.max(Duration::from_millis(message.whole_ms));
+        if message.request.is_some() && fair > whole {
+            self.shares.refuse(message.groups(), now);
+        }
+        fair
+    }
+
     /// Expected time until the first event of a new request, where `load` includes granted leases.
     fn expected(&mut self, message: &Request, load: &Load, engine: &Engine, now: Time) -> Duration {
         let queue =
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -64,6 +64,8 @@
     pub fair_sizes: bool,
     /// Whether a refusal because of missing weights states when they are expected.
     pub retry_after_eta: bool,
+    /// Whether groups of requests of one urgency get fair shares of a replica.
+    pub fair_shares: bool,
     /// Whether retries that find no capacity are held and served late.
     pub late: bool,
 }
@@ -92,6 +94,7 @@
             retry_admit_percent: 25,
             fair_sizes: true,
             retry_after_eta: true,
+            fair_shares: false,
             late: true,
         }
     }
@@ -123,7 +126,7 @@
 type Set = fn(&mut Policy, u32);
 
 /// Settings by their names for `--policy`.
-const SETTINGS: [(&str, Set); 22] = [
+const SETTINGS: [(&str, Set); 23] = [
     ("relays", |p, value| p.relays = value > 0),
     ("asks", |p, value| p.lease_requests = value),
     ("window-ms", |p, value| p.cost_tolerance = millis(value)),
@@ -145,6 +148,7 @@
     ("return-admit", |p, value| p.retry_admit_percent = value),
     ("fair-sizes", |p, value| p.fair_sizes = value > 0),
     ("named-return", |p, value| p.retry_after_eta = value > 0),
+    ("fair-shares", |p, value| p.fair_shares = value > 0),
     ("late", |p, value| p.late = value > 0),
 ];
 
--- a/tests/common/hall.rs
+++ b/tests/common/hall.rs
@@ -14,7 +14,8 @@
 use pumicelatch::gateway::level::Levels;
 use pumicelatch::lease::{self, DEFAULT_URGENCY, Ledger};
 use pumicelatch::limit::admission::{self, Bounds, Input, Verdict};
-use pumicelatch::limit::retry;
+use pumicelatch::limit::fair;
+use pumicelatch::limit::retry::{self, Fingerprint};
 use pumicelatch::limit::size::{Class, Sizes};
 use pumicelatch::policy::Policy;
 use pumicelatch::route::estimate::{self, Demand};
@@ -48,6 +49,21 @@
     pub replica: Option<usize>,
 }
 
+/// What a sidecar is told of a kind's callers, besides its name as the route.
+#[derive(Clone, Copy)]
+pub struct Group {
+    pub customer: &'static str,
+    pub hall: &'static str,
+}
+
+/// Replicas that are slow, drawn anew in each period.
+#[derive(Clone, Copy, Default)]
+pub struct Slow {
+    pub share: f64,
+    pub pace: f64,
+    pub period_ms: u64,
+}
+
 /// What a model has.
 #[derive(Clone)]
 pub struct Setting {
@@ -124,6 +140,9 @@
     attempts: BTreeMap<Time, Vec<Attempt>>,
     /// Late service; off unless a test switches it on.
     pub late: late::Service,
+    pub slow: Slow,
+    /// The groups of each kind, if sidecars are told of them.
+    pub groups: Vec<Group>,
     rng: SmallRng,
 }
 
@@ -153,6 +172,8 @@
             sent: BTreeMap::new(),
             attempts: BTreeMap::new(),
             late: late::Service::default(),
+            slow: Slow::default(),
+            groups: Vec::new(),
             rng: SmallRng::seed_from_u64(setting.seed),
             setting,
         }
@@ -160,16 +181,21 @@
 
     /// Runs a model to its end.
     pub fn run(setting: Setting) -> Self {
-        let mut hall = Self::new(setting);
-        for step in 0..hall.setting.duration.as_millis() as u64 {
-            hall.step(step);
+        Self::new(setting).complete()
+    }
+
+    /// Runs the model to its end.
+    pub fn complete(mut self) -> Self {
+        for step in 0..self.setting.duration.as_millis() as u64 {
+            self.step(step);
         }
-        hall
+        self
     }
 
     /// Runs the millisecond `step`.
     pub fn step(&mut self, step: u64) {
         let now = NOW + Duration::from_millis(step);
+        self.draw_paces(step);
         self.iterate(now);
         if step.is_multiple_of(100) {
             self.report(now, step.is_multiple_of(500));
@@ -197,6 +223,17 @@
         self.step_held(now);
     }
 
+    fn draw_paces(&mut self, step: u64) {
+        let slow = self.slow;
+        if slow.period_ms == 0 || !step.is_multiple_of(slow.period_ms) {
+            return;
+        }
+        for (replica, pace) in self.replicas.iter_mut().zip(&self.setting.paces) {
+            let is_slow = self.rng.random_bool(slow.share);
+            replica.pace = if is_slow { pace * slow.pace } else { *pace };
+        }
+    }
+
     fn per_s(&self, now: Time) -> f64 {
         let elapsed = now.since(NOW);
         let phase = elapsed.as_millis() as f64 / SWING_PERIOD_MS * std::f64::consts::TAU;
@@ -248,6 +285,12 @@
         }
     }
 
+    pub fn shares(&mut self) -> impl Iterator<Item = &mut fair::Shares> {
+        self.replicas
+            .iter_mut()
+            .map(|replica| &mut replica.ledger.shares)
+    }
+
     pub fn replicas(&self) -> usize {
         self.replicas.len()
     }
@@ -483,7 +526,9 @@
         first: bool,
         now: Time,
     ) -> lease::Response {
+        let kind = &self.setting.kinds[request.kind];
         let urgency = self.urgency(request);
+        let group = self.groups.get(request.kind);
         let message = lease::Request {
             prompt: request.prompt,
             output: request.demand().output,
@@ -492,6 +537,10 @@
             first,
             queue_spread: Policy::default().queue_spread,
             urgency,
+            request: Some(Fingerprint::of([&request.arrived.0.to_le_bytes()[..]])),
+            route: fair::group(group.map(|_| kind.name)),
+            customer: fair::group(group.map(|group| group.customer)),
+            hall: fair::group(group.map(|group| group.hall)),
             ..lease::Request::default()
         };
         let index = self.index(key);
