--- a/tests/late.rs
+++ b/tests/late.rs
@@ -634,12 +634,6 @@
     serves_more("burst, load 0.9", burst(0.9), 0.02);
 }
 
-/// The goal for retries on days of load, where a tenth of the capacity is left after the burst.
-#[test]
-fn retries_fail_half_as_often_in_a_burst_on_busy_engines() {
-    fails_half_as_often(burst(0.9));
-}
-
 /// Guards against callers that are refused twice while weights arrive.
 #[test]
 fn nearly_all_are_served_after_a_restart() {
@@ -665,9 +659,10 @@
     }
 }
 
-/// Callers whose requests are held and then refused lose no more than a tenth of their time on average.
+/// The goals for retries where a tenth of the capacity is left after a burst, and for what is held in
+/// vain: its callers lose no more than a tenth of their time on average.
 #[test]
-fn what_is_not_served_is_not_held() {
+fn goals_under_hard_load_are_met() {
     let loads = [
         ("burst 0.7", burst(0.7)),
         ("burst 0.9", burst(0.9)),
@@ -676,10 +671,13 @@
         ("overload 1.2", overload(1.2)),
         ("overload 1.6", overload(1.6)),
     ];
-    for (name, [_, with]) in loads {
-        println!("{name}: held in vain for {:.3}", with.held_in_vain);
-    }
-    for (name, [_, with]) in loads {
-        assert!(with.held_in_vain <= 0.1, "{name}: {}", with.held_in_vain);
+    let held_longer = loads.iter().filter(|(_, [_, with])| with.held_in_vain > 0.1);
+    let mut misses: Vec<String> = held_longer
+        .map(|(name, [_, with])| format!("{name}: held in vain for {:.3}", with.held_in_vain))
+        .collect();
+    let [without, with] = loads[1].1;
+    if with.failed_retries > without.failed_retries / 2.0 {
+        misses.push(format!("{}: {:.3} refused twice, {:.3} without", loads[1].0, with.failed_retries, without.failed_retries));
     }
+    assert!(misses.is_empty(), "{misses:#?}");
 }
--- a/tests/room.rs
+++ b/tests/room.rs
@@ -180,44 +180,6 @@
     until: Duration::from_secs(18),
 };
 
-/// Guards against less urgent requests that take the slots which more urgent ones need.
-///
-/// The goal is 0.90 of urgency 0. In the burst, it asks for 1.13 of the engines' time and the others for a quarter of
-/// 0.77, and engines do 0.94: 0.66 is the most, of which 0.9 is asked for.
-#[test]
-fn most_urgent_burst_is_served_as_far_as_engines_carry_it() {
-    let [urgent, ..] = outcome(MOST_URGENT, true).in_time;
-    assert!(urgent >= 0.9 * 0.66, "{urgent:.2} of urgency 0");
-}
-
-/// Guards against a flood of the least urgent that takes the capacity of the most urgent.
-#[test]
-fn least_urgent_burst_leaves_urgency_0_its_capacity() {
-    let [urgent, ..] = outcome(LEAST_URGENT, true).in_time;
-    assert!(urgent >= 0.95, "{urgent:.2} of urgency 0");
-}
-
-/// Guards against a flood of the least urgent that takes the capacity of those in between.
-///
-/// The goal is 0.85. Urgency 0 asks for 0.51 of the engines' time, urgency 2 for a quarter of 0.92, and engines do 0.94:
-/// they leave 0.22 of the 0.53 that urgency 1 asks for, which is 0.42, of which 0.9 is asked for.
-#[test]
-fn least_urgent_burst_leaves_urgency_1_what_engines_carry() {
-    let [_, middle, _] = outcome(LEAST_URGENT, true).in_time;
-    assert!(middle >= 0.9 * 0.42, "{middle:.2} of urgency 1");
-}
-
-/// Guards against bursts in which the less urgent are served before the more urgent. Compares complete responses, since
-/// the objectives differ.
-#[test]
-fn bursts_are_served_in_order_of_urgency() {
-    for scenario in [MOST_URGENT, LEAST_URGENT] {
-        let served = outcome(scenario, true).complete;
-        let ordered = served.windows(2).all(|pair| pair[0] >= pair[1] - 0.05);
-        assert!(ordered, "{served:.2?}");
-    }
-}
-
 /// Guards against an urgency that is shut out by a burst, and against engines that idle meanwhile.
 #[test]
 fn bursts_leave_a_minimum_share_and_keep_engines_busy() {
@@ -256,21 +218,6 @@
     }
 }
 
-/// A flood that calls itself urgent leaves a quarter to the others.
-#[test]
-fn flood_of_urgent_requests_leaves_the_minimum_share() {
-    let mut setting = orders(5);
-    setting.duration = Duration::from_secs(12);
-    setting.kinds[0].share *= 6.0;
-    let hall = Hall::run(setting);
-    for kind in [1, 2] {
-        let tally = tally(&hall, kind, Duration::from_secs(2), hall.setting.duration);
-        let share = tally.work_done / tally.work;
-        println!("flood of urgency 0: {share:.2} of urgency {kind}");
-        assert!(share >= SHARE_MIN, "{share:.2} of urgency {kind}");
-    }
-}
-
 fn at(ms: u64) -> Time {
     NOW + Duration::from_millis(ms)
 }
@@ -342,45 +289,6 @@
     quickcheck(property as fn(Vec<(u8, u16)>, u16) -> bool);
 }
 
-/// Properties over random loads of a hall: order of urgency, and work done.
-#[test]
-fn random_loads_are_served_in_order_of_urgency() {
-    let mut rng = SmallRng::seed_from_u64(1_207);
-    let mut furthest = 0.0;
-    for _ in 0..RANDOM_LOADS {
-        let mut setting = orders(rng.random());
-        setting.paces.truncate(rng.random_range(3..=12));
-        setting.per_s = rng.random_range(8.0..20.0) * setting.paces.len() as f64;
-        for kind in &mut setting.kinds {
-            kind.share = rng.random_range(0.1..0.6);
-        }
-        let run = |urgencies| {
-            Hall::run(hall::Setting {
-                urgencies,
-                ..setting.clone()
-            })
-        };
-        let (with, without) = (run(true), run(false));
-        let totals = |hall: &Hall| {
-            [0, 1, 2].map(|kind| tally(hall, kind, Duration::ZERO, hall.setting.duration))
-        };
-        let done = |hall: &Hall| {
-            totals(hall)
-                .iter()
-                .map(|tally| tally.work_done)
-                .sum::<f64>()
-        };
-        let served = totals(&with).map(|tally| tally.complete / tally.requests);
-        assert!(done(&with) >= 0.95 * done(&without));
-        let passed = served.windows(2).map(|pair| pair[1] - pair[0]);
-        furthest = passed.fold(furthest, f64::max);
-    }
-    assert!(
-        furthest <= 0.05,
-        "a less urgent one is ahead by {furthest:.2}"
-    );
-}
-
 /// Number of random loads that are tried.
 const RANDOM_LOADS: u64 = 8;
 
@@ -494,3 +402,85 @@
     let earlier: EarlierResponse = converted(&response);
     assert!(earlier.given);
 }
+
+/// What fell short of a goal.
+#[derive(Default)]
+struct Misses(Vec<String>);
+
+impl Misses {
+    fn at_least(&mut self, what: &str, share: f64, goal: f64) {
+        if share < goal {
+            self.0.push(format!("{what}: {share:.2}, goal {goal:.2}"));
+        }
+    }
+
+    /// The more urgent are served no less than the less urgent, by over 5 in 100 of their requests.
+    fn in_order(&mut self, what: &str, served: [f64; 3]) {
+        for (urgency, pair) in served.windows(2).enumerate() {
+            let what = format!("{what}: urgency {urgency} against the next");
+            self.at_least(&what, pair[0] - pair[1], -0.05);
+        }
+    }
+}
+
+/// Bursts of the most and of the least urgent kind. Engines do 0.94 of a second's work per second. In the
+/// first, urgency 0 asks for 1.13 and the others keep a quarter of 0.77, so 0.66 of urgency 0 can be
+/// served; in the second, 0.22 of the 0.53 that urgency 1 asks for is left, 0.42.
+fn burst_goals(misses: &mut Misses) {
+    let most = outcome(MOST_URGENT, true);
+    misses.at_least("2.2 times urgency 0, urgency 0", most.in_time[0], 0.90);
+    misses.in_order("2.2 times urgency 0", most.complete);
+    let least = outcome(LEAST_URGENT, true);
+    misses.at_least("4 times urgency 2, urgency 0", least.in_time[0], 0.95);
+    misses.at_least("4 times urgency 2, urgency 1", least.in_time[1], 0.85);
+    misses.in_order("4 times urgency 2", least.complete);
+}
+
+/// A flood that calls itself urgent leaves a quarter to the others.
+fn flood_goals(misses: &mut Misses) {
+    let mut setting = orders(5);
+    setting.duration = Duration::from_secs(12);
+    setting.kinds[0].share *= 6.0;
+    let hall = Hall::run(setting);
+    for kind in [1, 2] {
+        let tally = tally(&hall, kind, Duration::from_secs(2), hall.setting.duration);
+        let what = format!("6 times urgency 0, work of urgency {kind}");
+        misses.at_least(&what, tally.work_done / tally.work, SHARE_MIN);
+    }
+}
+
+/// Random loads of a hall: order of urgency, and work done.
+fn random_goals(misses: &mut Misses) {
+    let mut rng = SmallRng::seed_from_u64(1_207);
+    for load in 0..RANDOM_LOADS {
+        let mut setting = orders(rng.random());
+        setting.paces.truncate(rng.random_range(3..=12));
+        setting.per_s = rng.random_range(8.0..20.0) * setting.paces.len() as f64;
+        for kind in &mut setting.kinds {
+            kind.share = rng.random_range(0.1..0.6);
+        }
+        let run = |urgencies| {
+            let hall = Hall::run(hall::Setting {
+                urgencies,
+                ..setting.clone()
+            });
+            [0, 1, 2].map(|kind| tally(&hall, kind, Duration::ZERO, hall.setting.duration))
+        };
+        let (with, without) = (run(true), run(false));
+        let done = |tallies: [Tally; 3]| tallies.iter().map(|tally| tally.work_done).sum::<f64>();
+        let what = format!("random load {load}");
+        misses.at_least(&what, done(with) / done(without), 0.95);
+        misses.in_order(&what, with.map(|tally| tally.complete / tally.requests));
+    }
+}
+
+/// Guards against bursts and random loads in which the more urgent are not served first, or the least
+/// urgent get nothing.
+#[test]
+fn goals_under_hard_load_are_met() {
+    let mut misses = Misses::default();
+    burst_goals(&mut misses);
+    flood_goals(&mut misses);
+    random_goals(&mut misses);
+    assert!(misses.0.is_empty(), "{:#?}", misses.0);
+}
