Capacity by urgency: a free slot is left to a more urgent request that was just refused

Under the same pressure two urgencies competed for free slots alike, and the less urgent, with shorter prompts and a quarter of its own, got more of them. The property that a free slot is always granted is replaced: always to the most urgent, and to any other once no more urgent request was refused for an iteration.

--- a/src/limit/room.rs
+++ b/src/limit/room.rs
@@ -158,12 +158,26 @@
             Some(Cause::MinimumShare) => (claim.behind_all, 1.0),
         };
         let withheld = claim.limit.saturating_sub(claim.with_slot);
+        let leaves_slot = pressure > 0.0 && self.leaves_free_slot(claim.urgency, now);
         Terms {
             expected,
-            limit: claim.limit - withheld.mul_f64(pressure),
+            limit: if leaves_slot {
+                Duration::ZERO
+            } else {
+                claim.limit - withheld.mul_f64(pressure)
+            },
         }
     }
 
+    /// Whether a free slot is left to a more urgent request that is throttled as well. One that was
+    /// refused within an iteration has mostly been followed by another before the slot is missed.
+    fn leaves_free_slot(&self, urgency: u8, now: Time) -> bool {
+        let refused = |count: &Count| count.closed_at.is_some_and(|at| now.since(at) < CLOSED_MAX);
+        self.counts
+            .range(..urgency)
+            .any(|(_, count)| refused(count))
+    }
+
     /// Records a claim and whether it was granted, under the `terms` that applied.
     pub fn record(&mut self, claim: &Claim, terms: Terms, given: bool, now: Time) {
         self.forget(now);
