--- a/src/limit/fair.rs
+++ b/src/limit/fair.rs
@@ -16,6 +16,7 @@
 use std::time::Duration;
 
 use crate::clock::Time;
+use crate::config::urgency::URGENCY_MAX;
 use crate::hash;
 use crate::limit::retry::Fingerprint;
 
@@ -52,9 +53,6 @@
 /// Number of requests that are remembered for [`WAIT_MAX`], at 2,000 a second.
 const ASKED_MAX: usize = 240;
 
-/// Highest urgency number. Requests that state a higher one count as this.
-const URGENCY_MAX: u8 = 9;
-
 /// Minimum interval between two reported changes.
 const CHANGE_INTERVAL_MIN: Duration = Duration::from_secs(1);
 
