Urgency: a rank above 255 does not become the most urgent

With over 256 pairs of customers' and routes' priorities, the rank was cut to 8 bits: the least urgent requests became the most urgent. Variants broken on purpose, on the code before the fix: the customer's priority alone fails routes_are_told_apart_where_customers_are_alike; the route's first fails the_priority_of_the_customer_goes_first; ranking where routes are alike fails alike_routes_have_the_urgency_of_the_customer_or_else_their_own. Pairs beyond the tenth share the lowest urgency, since replicas know ten.

--- a/src/config/urgency.rs
+++ b/src/config/urgency.rs
@@ -57,10 +57,12 @@
     /// the same priority, it is the customer's, or else the route's.
     pub fn of(&self, service: &str, customer: Option<u8>, route: &Route) -> u8 {
         let own = pair(customer, route.priority);
-        let urgency = match self.ranks.get(service) {
-            Some(ranks) => ranks.partition_point(|other| *other < own) as u8,
-            None => own.0,
-        };
-        urgency.min(URGENCY_MAX)
+        match self.ranks.get(service) {
+            Some(ranks) => {
+                let rank = ranks.partition_point(|other| *other < own);
+                u8::try_from(rank).map_or(URGENCY_MAX, |rank| rank.min(URGENCY_MAX))
+            }
+            None => own.0.min(URGENCY_MAX),
+        }
     }
 }
