Requests: log lines tell how long the replica was silent and what was left to do

A request that ended without a whole response could not be explained from its line: whether its replica was silent, whether another attempt was allowed, and whether the configuration had changed meanwhile were not told.

`request ended` tells sent_max, retries_left (where it did not end well), silent_ms (time since the replica last sent something) and config_begin beside config. The budget tells what is left by the rule by which it grants.

--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -103,6 +103,8 @@
         trace.output_max = work.map_or(0, |work| work.output_max);
         trace.timeout = Some(job.deadline.since(job.arrived));
         trace.size = gateway.size_class(&job);
+        trace.service = Some(job.service.clone());
+        trace.sent_max = job.route.attempts_max;
         Self {
             first_try,
             gateway,
@@ -551,6 +553,9 @@
             retry.settle(ended);
         }
         self.trace.sent += u32::from(ended != Some(Ended::NotSent));
+        if result.is_ok() {
+            self.trace.record_received();
+        }
         result
     }
 
--- a/src/gateway/intake.rs
+++ b/src/gateway/intake.rs
@@ -67,6 +67,7 @@
         .cloned()
         .ok_or_else(|| no_route(&routing))?;
     trace.route = route.name.clone();
+    trace.config = routing.document.version;
     let customer = match routing.access(&route, meta.api_key.as_deref()) {
         Access::Customer(customer) => Some(customer),
         Access::Anonymous => None,
--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -97,6 +97,7 @@
 impl Plain {
     /// Returns the response to the caller, and keeps `held` until it was handed over.
     pub fn answer(self, mut dispatch: Dispatch, mut held: Reservation) -> Answer {
+        dispatch.trace.record_received();
         let head = self.incoming.head();
         let read: u64 = self.parts.iter().map(|part| part.len() as u64).sum();
         dispatch
@@ -184,7 +185,10 @@
         let limit = remaining.max(SILENCE_MAX);
         let next = timeout::within(|| clock.now(), limit, self.incoming.response.next());
         match next.await {
-            Some(Some(Ok(part))) => Some(Ok(part)),
+            Some(Some(Ok(part))) => {
+                self.dispatch.trace.record_received();
+                Some(Ok(part))
+            }
             Some(None) => {
                 self.incoming.attempt.record_complete();
                 let gateway = &self.dispatch.gateway;
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -209,11 +209,14 @@
         self.response.set_guarded(can_fail_over);
         let clock = self.dispatch.gateway.knowledge.clock;
         match timeout::within(|| clock.now(), time_limit, self.response.next()).await {
-            Some(Some(Ok(bytes))) => match self.splitter.push(bytes) {
-                Ok(events) if events.is_empty() => Step::Part,
-                Ok(events) => Step::Events(events),
-                Err(error) => Step::Broken(error.to_string(), Signal::Broken),
-            },
+            Some(Some(Ok(bytes))) => {
+                self.dispatch.trace.record_received();
+                match self.splitter.push(bytes) {
+                    Ok(events) if events.is_empty() => Step::Part,
+                    Ok(events) => Step::Events(events),
+                    Err(error) => Step::Broken(error.to_string(), Signal::Broken),
+                }
+            }
             Some(Some(Err(error))) => Step::Broken(error.to_string(), attempt::signal(&error)),
             Some(None) if self.splitter.is_partial() => broken("the stream ended inside an event"),
             Some(None) if self.ended_by_crash().await => {
--- a/src/gateway/trace.rs
+++ b/src/gateway/trace.rs
@@ -59,8 +59,12 @@
     pub level: Option<u8>,
     /// Its size class among the requests of its route, if it is for an engine.
     pub size: Option<size::Class>,
+    /// Its service, once it is known.
+    pub service: Option<Arc<str>>,
     /// Number of replicas that received the request.
     pub sent: u32,
+    /// Number of replicas that may receive it.
+    pub sent_max: u32,
     /// Number of sidecars that were asked for a lease.
     pub asked: u32,
     /// Whether the last search was granted a lease.
@@ -79,6 +83,10 @@
     pub reason: String,
     /// When the head of the request arrived.
     pub arrived: Time,
+    /// When its replica last sent something.
+    pub received_at: Option<Time>,
+    /// Version of the configuration under which it is handled.
+    pub config: u64,
     outcome: &'static str,
 }
 
@@ -99,7 +107,9 @@
             urgency: None,
             level: None,
             size: None,
+            service: None,
             sent: 0,
+            sent_max: 0,
             asked: 0,
             leased: false,
             first: None,
@@ -109,6 +119,8 @@
             held: Duration::ZERO,
             reason: String::new(),
             arrived,
+            received_at: None,
+            config: 0,
             outcome: "caller_left",
         }
     }
@@ -118,6 +130,19 @@
         self.outcome = outcome;
     }
 
+    /// Records that its replica sent something.
+    pub fn record_received(&mut self) {
+        self.received_at = Some(self.gateway.knowledge.now());
+    }
+
+    /// Retries that the budget of its service still allows, if it did not end well.
+    fn retries_left(&self) -> Option<u32> {
+        let service = self.service.as_ref()?;
+        let entries = self.gateway.knowledge.peers.borrow().upper_bound();
+        let (setting, now) = (self.gateway.setting.budget, self.gateway.knowledge.now());
+        (self.outcome != "whole").then(|| self.gateway.budget(service).left(setting, entries, now))
+    }
+
     /// Time since the request's head arrived.
     pub fn elapsed(&self) -> Duration {
         self.gateway.knowledge.now().since(self.arrived)
@@ -139,6 +164,9 @@
     fn drop(&mut self) {
         let gateway = &self.gateway;
         let took = self.elapsed();
+        let now = gateway.knowledge.now();
+        let silent = self.received_at.map(|at| now.since(at));
+        let retries_left = self.retries_left();
         gateway.instruments.record_request(self.outcome, took);
         if self.returned {
             gateway.instruments.count_return(self.outcome);
@@ -163,6 +191,8 @@
             outcome = self.outcome,
             replica = self.replica.as_deref().unwrap_or_default(),
             sent = self.sent,
+            sent_max = self.sent_max,
+            retries_left,
             asked = self.asked,
             place = self.leased,
             ms = took.as_millis() as u64,
@@ -171,6 +201,7 @@
             known_requests = self.expected.map_or(0, |expected| expected.requests),
             first_ms = millis(self.first),
             gap_ms = self.gap.as_millis() as u64,
+            silent_ms = silent.map(|silent| silent.as_millis() as u64),
             returned = self.returned,
             late = self.late,
             held_ms = self.held.as_millis() as u64,
@@ -184,6 +215,7 @@
             judged_ms = millis(self.judgement.map(|judgement| judgement.expected)),
             prefill_ms = millis(self.judgement.map(|judgement| judgement.prefill)),
             limit_ms = millis(self.judgement.map(|judgement| judgement.limit)),
+            config_begin = self.config,
             config = version,
             reason = self.reason.as_str();
             "request ended"
--- a/src/request/budget.rs
+++ b/src/request/budget.rs
@@ -117,6 +117,17 @@
     /// Reserves a retry at one of `entries` entries, if the budget allows it. It counts as in
     /// transit until [`Self::arrived`] or [`Self::release`] is called.
     pub fn reserve(&mut self, setting: Setting, entries: usize, now: Time) -> Option<Reservation> {
+        if self.left(setting, entries, now) == 0 {
+            return None;
+        }
+        self.last_reservation += 1;
+        let reservation = Reservation(self.last_reservation);
+        self.retries.insert(reservation, None);
+        Some(reservation)
+    }
+
+    /// Retries that the budget still allows at one of `entries` entries.
+    pub fn left(&mut self, setting: Setting, entries: usize, now: Time) -> u32 {
         self.bucket(setting, now);
         // Requests count for one bucket less than the window, retries for one bucket more, so that
         // rounding to buckets never raises the budget.
@@ -134,13 +145,7 @@
             (SPENT_FRACTION, setting.slack / entries.max(1) as f64)
         };
         let earned = setting.ratio * fraction * f64::from(requests);
-        if (self.retries.len() + 1) as f64 > earned + slack {
-            return None;
-        }
-        self.last_reservation += 1;
-        let reservation = Reservation(self.last_reservation);
-        self.retries.insert(reservation, None);
-        Some(reservation)
+        (earned + slack - self.retries.len() as f64).max(0.0) as u32
     }
 
     /// Records that the retry has arrived by `at`, which may be in the future.
