Requests: a silent replica is awaited until another one has answered

Callers' streams were cut, and requests got 502 with seconds left, when the replica paused for more than 1.2 to 1.5 s and went on.

Cause: an attempt that may be followed by another one was dropped at a limit on its silence, before it was known whether another replica could take the request. Where all replicas had been tried, the budget was used up, or no place was free, nothing was left to answer. A connection that other exchanges found silent was dropped the same way, though it may go on, also between a sidecar and its replica, where there is no other.

Now silence only has another replica asked as well. gateway/race runs the attempts of a request at the same time until one has a response; gateway/relay reads a silent stream on until another replica has delivered the next event. Whichever is first goes on, the others are dropped. Bounds are as before: attempts by route, retry budget, quotas, blocked requests, memory for each response, and times after which another replica is asked, so nobody waits longer where a replica is gone. What was concluded from the silence is taken back when the replica goes on: its failure, its ejection; a pause counts neither as latency nor as lag.

The sidecar does not end a run whose replica is silent.

--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -32,9 +32,11 @@
 use crate::clock::Time;
 use crate::silence::{self, Status};
 
+pub mod alarm;
 pub mod answer;
 pub mod path;
 
+pub use alarm::Alarm;
 pub use answer::Response;
 
 use answer::Hop;
@@ -139,22 +141,34 @@
 /// Records how the connection of an exchange was obtained, to explain how the exchange ended.
 /// Clones share the record.
 #[derive(Debug, Clone, Default)]
-pub struct Recorder(Rc<Cell<Option<Acquisition>>>);
+pub struct Recorder {
+    acquisition: Rc<Cell<Option<Acquisition>>>,
+    alarm: Option<Alarm>,
+}
 
 impl Recorder {
+    /// A recorder that raises `alarm` when the connection of an exchange that is not
+    /// [guarded](Options::guarded) is found silent.
+    pub fn with_alarm(alarm: Alarm) -> Self {
+        Self {
+            alarm: Some(alarm),
+            ..Self::default()
+        }
+    }
+
     /// How the last connection was obtained, if there was one.
     pub fn acquisition(&self) -> Option<Acquisition> {
-        self.0.get()
+        self.acquisition.get()
     }
 
     fn set(&self, acquisition: Acquisition) {
-        self.0.set(Some(acquisition));
+        self.acquisition.set(Some(acquisition));
     }
 }
 
 impl fmt::Display for Recorder {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self.0.get() {
+        match self.acquisition.get() {
             Some(acquisition) => acquisition.fmt(formatter),
             None => formatter.write_str("none"),
         }
@@ -173,7 +187,8 @@
     /// What ends a response body without a length.
     pub unframed: Unframed,
     /// Whether the exchange fails with [`Error::Silent`] when its connection is found silent.
-    /// Cleared for a request that may not run twice: its response is awaited nevertheless.
+    /// Cleared for callers' requests: a connection that was found silent may still go on, so its
+    /// response is awaited until another one is there.
     pub guarded: bool,
     /// For a request that may be sent twice: how long a reused connection may leave it unanswered
     /// before it is repeated on a new one.
@@ -281,6 +296,7 @@
     head: Rc<RequestHead>,
     body: Option<Bytes>,
     options: Options,
+    alarm: Option<Alarm>,
 }
 
 impl Sending {
@@ -382,6 +398,7 @@
             head: Rc::new(head),
             body,
             options,
+            alarm: recorder.alarm.clone(),
         });
         let used = match options.reuse {
             Reuse::Allowed => self.take_idle(peer, options, recorder),
@@ -452,13 +469,13 @@
         let mut guard = self.paths.guard(sending.peer, opened, last_received);
         let ended = {
             let transfer = pin!(transfer(&mut connection, sending));
-            if sending.options.guarded {
-                match select(transfer, &mut guard).await {
-                    Either::Left((ended, _)) => ended,
-                    Either::Right(_) => Err(Error::Silent),
+            match select(transfer, &mut guard).await {
+                Either::Left((ended, _)) => ended,
+                Either::Right(_) if sending.options.guarded => Err(Error::Silent),
+                Either::Right(((), transfer)) => {
+                    sending.alarm.iter().for_each(Alarm::raise);
+                    transfer.await
                 }
-            } else {
-                transfer.await
             }
         };
         let (head, sent) = ended?;
@@ -473,6 +490,7 @@
             unframed: sending.options.unframed,
             guard,
             guarded: sending.options.guarded,
+            alarm: sending.alarm.clone(),
         };
         Ok(Response::new(hop, head, connection))
     }
--- a/src/exchange/answer.rs
+++ b/src/exchange/answer.rs
@@ -20,7 +20,7 @@
 use tokio::net::TcpStream;
 
 use super::path::Guard;
-use super::{Connection, Error, IdleConnection, Pool, Unframed, broken};
+use super::{Alarm, Connection, Error, IdleConnection, Pool, Unframed, broken};
 use crate::clock::Time;
 use crate::timeout::Progress;
 
@@ -65,6 +65,7 @@
     pub unframed: Unframed,
     pub guard: Guard,
     pub guarded: bool,
+    pub alarm: Option<Alarm>,
 }
 
 impl fmt::Debug for Response {
@@ -101,11 +102,6 @@
         response
     }
 
-    /// Sets whether the body fails with [`Error::Silent`] when its connection is found silent.
-    pub fn set_guarded(&mut self, guarded: bool) {
-        self.hop.guarded = guarded;
-    }
-
     /// The value of a header, empty if there is none.
     pub fn header(&self, name: &str) -> &str {
         let value = self.headers.get(name);
@@ -272,9 +268,12 @@
             }
             return part;
         }
-        if self.hop.guarded && Pin::new(&mut self.hop.guard).poll(cx).is_ready() {
-            self.body = BodyState::Broken;
-            return Poll::Ready(Some(Err(Error::Silent)));
+        if Pin::new(&mut self.hop.guard).poll(cx).is_ready() {
+            if self.hop.guarded {
+                self.body = BodyState::Broken;
+                return Poll::Ready(Some(Err(Error::Silent)));
+            }
+            self.hop.alarm.iter().for_each(Alarm::raise);
         }
         Poll::Pending
     }
--- a/src/exchange/path.rs
+++ b/src/exchange/path.rs
@@ -168,7 +168,7 @@
         Guard {
             paths: self.clone(),
             exchange: exchange.clone(),
-            dead: Box::pin(dead(self.clone(), exchange)),
+            dead: Some(Box::pin(dead(self.clone(), exchange))),
         }
     }
 }
@@ -192,11 +192,11 @@
 }
 
 /// A future that completes when the connection of its exchange has gone silent, as found by other
-/// exchanges.
+/// exchanges. After that it is pending until bytes were received.
 pub(super) struct Guard {
     paths: Rc<Paths>,
     exchange: Rc<Exchange>,
-    dead: Pin<Box<dyn Future<Output = ()>>>,
+    dead: Option<Pin<Box<dyn Future<Output = ()>>>>,
 }
 
 impl fmt::Debug for Guard {
@@ -217,9 +217,13 @@
 
 impl Guard {
     /// Records that bytes were received.
-    pub fn touch(&self) {
+    pub fn touch(&mut self) {
         self.exchange.last_received.set(self.now());
         self.exchange.status.set(Status::Receiving);
+        if self.dead.is_none() {
+            let dead = dead(self.paths.clone(), self.exchange.clone());
+            self.dead = Some(Box::pin(dead));
+        }
     }
 
     /// The current time.
@@ -232,6 +236,11 @@
     type Output = ();
 
     fn poll(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<()> {
-        self.dead.as_mut().poll(cx)
+        let Some(dead) = &mut self.dead else {
+            return Poll::Pending;
+        };
+        std::task::ready!(dead.as_mut().poll(cx));
+        self.dead = None;
+        Poll::Ready(())
     }
 }
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -4,7 +4,8 @@
 //! * [`dialect`] translates between the gateway and the headers of callers and replicas.
 //! * [`intake`] validates a request and reads its body; [`handler`] takes it through admission and
 //!   attempts, with the state in [`dispatch`] and the limits on the first event in `limit`.
-//! * [`attempt`] is one exchange with a replica; [`reader`] reads its response, from the replica or
+//! * [`attempt`] is one exchange with a replica; [`race`] runs several at the same time while
+//!   replicas are silent; [`reader`] reads its response, from the replica or
 //!   from the buffer of the sidecar; [`event`] splits a stream into events; [`relay`] forwards
 //!   them, with what it reads ahead of the caller in `lead`; [`plain`] forwards plain responses.
 //! * [`place`] asks sidecars for a lease on a place in their replica's engine or queue.
@@ -78,6 +79,7 @@
 pub mod plain;
 mod poison;
 mod quota;
+pub mod race;
 pub mod reader;
 pub mod relay;
 pub mod retry;
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -15,11 +15,12 @@
 use super::job::Job;
 use super::poison::Observation;
 use super::reader::{self, Handle, Reader};
+use super::retry::Retry;
 use super::trace;
 use super::{CONNECT_TIMEOUT, Gateway, IDLE_MAX};
 use crate::clock::Time;
 use crate::config::routing::Kind;
-use crate::exchange::{self, Options, Recorder, Reuse, Unframed};
+use crate::exchange::{self, Alarm, Options, Recorder, Reuse, Unframed};
 use crate::http::Answer;
 use crate::http::observed::{Observed, Observer};
 use crate::limit::memory::{Reservation, Sort};
@@ -34,7 +35,7 @@
 use crate::timeout;
 
 /// Multiple of the latency objective for which a replica may be silent before an idempotent request
-/// is sent to another.
+/// is sent to another as well.
 const SILENCE_FACTOR: u32 = 3;
 
 /// Lower bound of that silence.
@@ -86,8 +87,6 @@
     pub last_event: Option<u64>,
     /// The only acceptable version of the weights, if a started stream is to be resumed.
     pub version: Option<u64>,
-    /// Whether another replica may receive the request if this attempt fails.
-    pub can_fail_over: bool,
 }
 
 /// An attempt. Its replica's load includes it until it is dropped.
@@ -106,13 +105,21 @@
     demand: Demand,
     number: u64,
     start_deadline: Option<Time>,
-    /// Whether the pool has recorded that the first event arrived, or that there will be none.
+    /// Whether the first event has arrived.
+    started: Cell<bool>,
+    /// Whether the pool has recorded when the first event arrived, or that this tells nothing.
     start_recorded: Cell<bool>,
     /// When the replica was last known to be alive.
     alive_at: Cell<Time>,
     /// Whether the replica is known to have survived the request, or is already being checked.
     outcome_known: Cell<bool>,
+    /// Whether the replica has been silent for as long as it may before another one is asked.
+    silent: Cell<bool>,
+    /// Whether it has been so at any time.
+    was_silent: Cell<bool>,
     connection: Recorder,
+    /// Raised when another replica is to be asked.
+    alarm: Alarm,
 }
 
 impl Drop for Attempt {
@@ -126,9 +133,9 @@
 }
 
 impl Attempt {
-    /// Begins an attempt at the chosen replica; `None` if that has gone, or has since announced
-    /// that it takes no requests.
-    pub fn begin(gateway: &Rc<Gateway>, job: &Job, choice: Choice) -> Option<Self> {
+    /// Begins an attempt at the chosen replica, which raises `alarm` when that is silent; `None` if
+    /// it has gone, or has since announced that it takes no requests.
+    pub fn begin(gateway: &Rc<Gateway>, job: &Job, choice: Choice, alarm: &Alarm) -> Option<Self> {
         let sidecar = buffering_sidecar(gateway, job, choice.key);
         let now = gateway.knowledge.now();
         let mut pool = gateway.pool.borrow_mut();
@@ -162,15 +169,20 @@
             demand,
             number,
             start_deadline,
+            started: Cell::new(false),
             start_recorded: Cell::new(false),
             alive_at: Cell::new(now),
             outcome_known: Cell::new(false),
-            connection: Recorder::default(),
+            silent: Cell::new(false),
+            was_silent: Cell::new(false),
+            connection: Recorder::with_alarm(alarm.clone()),
+            alarm: alarm.clone(),
         })
     }
 
     /// Records that the first event has arrived.
     pub fn first_event_received(&self) {
+        self.started.set(true);
         self.record_start(true);
     }
 
@@ -191,14 +203,58 @@
             .record_health(self.key, signal, now);
     }
 
+    /// Records that the replica answers, and how long that took. A pause tells nothing about how
+    /// long it usually takes.
+    pub fn record_answering(&self) {
+        if !self.was_silent.get() {
+            self.record_health(Signal::Success(self.elapsed()));
+        }
+    }
+
     /// Time since the attempt began.
     pub fn elapsed(&self) -> Duration {
         self.gateway.knowledge.now().since(self.began)
     }
 
-    /// Records that the replica is alive.
+    /// Records that the replica is alive. If it had been silent, what was concluded from that is
+    /// taken back.
     pub fn record_alive(&self) {
         self.alive_at.set(self.now());
+        if self.silent.replace(false) {
+            self.alarm.clear();
+            self.record_health(Signal::Recovered);
+            log::info!(
+                replica = &*self.instance.id, ms = self.elapsed().as_millis() as u64;
+                "silent replica goes on"
+            );
+        }
+    }
+
+    /// Whether the replica is silent, as was recorded.
+    pub fn is_silent(&self) -> bool {
+        self.silent.get()
+    }
+
+    /// Records that the replica is silent, so that another one is asked as well. It may only be
+    /// paused, so its response is awaited nevertheless.
+    pub fn record_silent(&self, job: &Job) {
+        self.alarm.raise();
+        if self.silent.replace(true) {
+            return;
+        }
+        self.was_silent.set(true);
+        self.record_health(Signal::TimedOut);
+        // A pause tells nothing about how long first events take.
+        self.record_start(false);
+        if self.alive_at.get() == self.began {
+            // The replica may have crashed before the request was sent.
+            self.alive_at.set(Time::default());
+        }
+        log::info!(
+            request = job.meta.id.as_str(), replica = &*self.instance.id,
+            ms = self.elapsed().as_millis() as u64;
+            "replica is silent"
+        );
     }
 
     /// Counts a complete response.
@@ -288,7 +344,6 @@
         let Params {
             last_event,
             version,
-            can_fail_over,
         } = send;
         let now = self.gateway.knowledge.now();
         let forward = Forward {
@@ -300,7 +355,7 @@
             version,
         };
         let head = self.gateway.dialect.forward(&job.head, forward);
-        let exchange = self.exchange(job, head, can_fail_over);
+        let exchange = self.exchange(job, head);
         match self.await_response(job, exchange).await {
             None => Err(self.timeout_failure(job)),
             // The sidecar may mean another instance, so the notice is not applied to this one;
@@ -320,12 +375,7 @@
     }
 
     /// Sends the request by way of the sidecar if it is to buffer the response, or else directly.
-    async fn exchange(
-        &self,
-        job: &Job,
-        head: RequestHead,
-        can_fail_over: bool,
-    ) -> Result<Reader, reader::Error> {
+    async fn exchange(&self, job: &Job, head: RequestHead) -> Result<Reader, reader::Error> {
         if let Some(sidecar) = self.sidecar {
             let handle = Handle::new(&self.gateway, sidecar, &job.meta.id);
             let (body, recorder) = (job.body.clone(), self.connection.clone());
@@ -339,7 +389,7 @@
         }
         let client = &self.gateway.client;
         let body = job.body.clone();
-        let options = options(job, can_fail_over);
+        let options = options(job);
         let exchange =
             client.exchange_recorded(self.address, head, body, options, &self.connection);
         Ok(Reader::of_replica(exchange.await?))
@@ -358,9 +408,10 @@
         }
     }
 
-    /// Awaits `step` for as long as this replica may be silent; `None` after that. While the
-    /// sidecar reports a queue, silence is no sign of failure, and the wait goes on: an abandoned
-    /// request would still be processed there, and a second time elsewhere.
+    /// Awaits `step` until the deadline, or until the request may not start at this replica any
+    /// more; `None` after that. If the replica is silent for long and the request may be repeated,
+    /// the alarm is raised. While the sidecar reports a queue, silence is no sign of failure: the
+    /// request would be processed a second time elsewhere.
     pub async fn await_response<T>(&self, job: &Job, step: impl Future<Output = T>) -> Option<T> {
         let mut step = pin!(step);
         let mut silence = if job.route.repeatable() {
@@ -380,10 +431,15 @@
             if let Some(done) = wait.await {
                 return Some(done);
             }
-            if silence >= longest || !self.gateway.pool.borrow().has_queue(self.key, self.now()) {
+            if silence >= longest {
                 return None;
             }
-            silence = QUEUE_POLL_INTERVAL;
+            silence = if self.gateway.pool.borrow().has_queue(self.key, self.now()) {
+                QUEUE_POLL_INTERVAL
+            } else {
+                self.record_silent(job);
+                Duration::MAX
+            };
         }
     }
 
@@ -391,7 +447,7 @@
     /// may become earlier while the request waits: a new version may be published, or turn out to
     /// have been published before.
     fn start_deadline(&self, job: &Job) -> Option<Time> {
-        if self.start_recorded.get() {
+        if self.started.get() {
             return None;
         }
         let model = job.meta.inference.as_ref().map(|work| &*work.model)?;
@@ -404,17 +460,13 @@
         self.gateway.knowledge.now()
     }
 
-    /// The failure after the replica has been silent for as long as it may.
+    /// The failure when the replica has not answered in time.
     pub fn timeout_failure(&self, job: &Job) -> Failure {
-        let late = job.remaining(self.gateway.knowledge.now()).is_zero();
-        let now = self.gateway.knowledge.now();
-        let bound = self.start_deadline(job).is_some_and(|bound| bound <= now);
+        let late = job.remaining(self.now()).is_zero();
         let detail = if late {
             "the request's time is over"
-        } else if bound {
-            "it has not started before its replica's version was over"
         } else {
-            "the replica is silent"
+            "it has not started before its replica's version was over"
         };
         self.broken(job, detail.to_owned(), Signal::TimedOut)
     }
@@ -527,7 +579,7 @@
     gateway.sidecar_of(key)
 }
 
-fn options(job: &Job, can_fail_over: bool) -> Options {
+fn options(job: &Job) -> Options {
     Options {
         // If the replica closes a reused connection at this moment, it is unknown whether the
         // request ran.
@@ -539,12 +591,34 @@
         idle_max: IDLE_MAX,
         connect_timeout: CONNECT_TIMEOUT,
         unframed: Unframed::EndsWithConnection,
-        // A request that cannot fail over waits even on a silent connection.
-        guarded: can_fail_over,
+        guarded: false,
         ..Options::default()
     }
 }
 
+/// An attempt that is to be sent. Dropping it while it runs closes the connection to the replica.
+pub struct Sending {
+    /// The request.
+    pub job: Rc<Job>,
+    /// The attempt.
+    pub attempt: Attempt,
+    /// Parameters besides the request.
+    pub params: Params,
+    /// The retry that it uses.
+    pub retry: Option<Retry>,
+}
+
+impl Sending {
+    /// Sends the request and reads the head of the response.
+    pub async fn run(self) -> Result<Incoming, Failure> {
+        let result = self.attempt.send(&self.job, self.params).await;
+        if let Some(retry) = self.retry {
+            retry.settle(result.as_ref().err().map(|failure| failure.ended));
+        }
+        result
+    }
+}
+
 /// A response whose head has arrived.
 pub struct Incoming {
     /// The attempt.
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -2,18 +2,20 @@
 //! attempt.
 
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use actix_rt::time::sleep;
 use rand::RngExt;
 
 use super::Gateway;
-use super::attempt::{Attempt, Failure, Incoming, Params};
+use super::attempt::{Attempt, Failure, Params, Sending};
 use super::dialect::{Code, Refusal};
 use super::job::Job;
 use super::retry::Retry;
 use super::trace::{Estimate, Judgement, Trace};
 use crate::clock::Time;
+use crate::exchange::Alarm;
 use crate::http::Answer;
 use crate::lease::Throttle;
 use crate::limit::admission::{self, Bounds, Input, Verdict};
@@ -91,6 +93,31 @@
     pub(super) pinned_version: Option<u64>,
     /// Whether it waited for weights and is served late.
     pub(super) late: bool,
+    /// Raised when another replica is to be asked.
+    pub(super) alarm: Alarm,
+}
+
+/// Why no other replica is asked while the ones that have the request are silent.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub(super) enum NoSuccessor {
+    /// The request, the time left or the policy does not allow it.
+    #[error("no further attempt is allowed")]
+    NotAllowed,
+    /// The retry budget of the service is used up.
+    #[error("no repeat is left in the budget")]
+    NoRetry,
+    /// The request is blocked.
+    #[error("{0}")]
+    Blocked(String),
+    /// The replica's quota is used up.
+    #[error("the replica's quota is used up")]
+    QuotaUsed,
+    /// No replica can be chosen.
+    #[error("{0}")]
+    Unavailable(Unavailable),
+    /// No replica has a place.
+    #[error("{0}")]
+    NoPlace(String),
 }
 
 impl Dispatch {
@@ -117,6 +144,7 @@
             retry: None,
             pinned_version: None,
             late: false,
+            alarm: Alarm::default(),
         }
     }
 
@@ -203,6 +231,7 @@
         } = failure;
         if ended == Ended::NotSent {
             self.connect_failures += 1;
+            self.trace.sent -= 1;
         }
         self.tainted |= next::outcome_of(ended) != Outcome::NotRun;
         if answer.is_some() {
@@ -521,13 +550,11 @@
         catalog.oldest_allowed(model, bound, now)
     }
 
-    /// Makes an attempt at the chosen replica.
-    pub async fn attempt(
-        &mut self,
-        choice: Choice,
-        last_event: Option<u64>,
-    ) -> Result<Incoming, Failure> {
-        let Some(attempt) = Attempt::begin(&self.gateway, &self.job, choice) else {
+    /// Begins an attempt at the chosen replica, which counts as sent from now on.
+    pub fn begin(&mut self, choice: Choice, last_event: Option<u64>) -> Result<Sending, Failure> {
+        self.trace.sent += 1;
+        let begun = Attempt::begin(&self.gateway, &self.job, choice, &self.alarm);
+        let Some(attempt) = begun else {
             let detail = "the replica has gone, or wants nothing now";
             return Err(Failure::new(Ended::NotSent, detail));
         };
@@ -538,58 +565,110 @@
             first: choice.expected,
             requests: choice.requests,
         });
-        let send = Params {
-            last_event,
-            version: self.pinned_version,
-            can_fail_over: self.can_fail_over_after_next(),
-        };
         let mut retry = self.retry.take();
         if let Some(retry) = &mut retry {
             retry.mark_sent();
         }
-        let result = attempt.send(&self.job, send).await;
-        let ended = result.as_ref().err().map(|failure| failure.ended);
-        if let Some(retry) = retry {
-            retry.settle(ended);
-        }
-        self.trace.sent += u32::from(ended != Some(Ended::NotSent));
-        if result.is_ok() {
-            self.trace.record_received();
-        }
-        result
+        Ok(Sending {
+            job: self.job.clone(),
+            attempt,
+            params: Params {
+                last_event,
+                version: self.pinned_version,
+            },
+            retry,
+        })
     }
 
-    /// Records that a stream broke, or could not be resumed. Returns whether another attempt to
-    /// resume it may follow.
-    pub fn may_resume(&mut self, failure: Failure) -> bool {
-        let (ended, detail) = self.record_failure(failure);
-        self.trace.reason = detail;
+    /// Finds another replica for a request that all replicas which have it leave without an answer.
+    pub(super) async fn find_successor(&mut self) -> Result<Choice, NoSuccessor> {
+        self.check_successor()?;
+        let found = self.find_place().await;
+        let granted = match found {
+            Ok(choice) => self.take_successor_grant(choice).await,
+            Err(refusal) => Err(NoSuccessor::NoPlace(refusal.detail)),
+        };
+        self.return_retry_unless(granted)
+    }
+
+    /// Finds another replica that can resume a stream.
+    pub(super) async fn find_resuming(&mut self) -> Result<Choice, NoSuccessor> {
         if !self.gateway.setting.policy.resume {
-            return false;
+            return Err(NoSuccessor::NotAllowed);
         }
-        let next = next::after(ended, self.situation());
-        match next {
-            Next::Elsewhere { charged } => !charged || self.acquire_retry(),
-            Next::PassOn | Next::GiveUp(_) => false,
+        self.check_successor()?;
+        loop {
+            let granted = match self.choose(&[]).0 {
+                Ok(choice) => self.take_successor_grant(choice).await,
+                Err(unavailable) => Err(NoSuccessor::Unavailable(unavailable)),
+            };
+            // Quotas that are used up are not chosen again.
+            if granted != Err(NoSuccessor::QuotaUsed) {
+                return self.return_retry_unless(granted);
+            }
         }
     }
 
-    /// Whether another replica may still receive the request.
-    pub fn can_fail_over(&self) -> bool {
-        can_fail_over(self.situation())
+    /// Checks whether another replica may receive the request now, and takes a retry from the
+    /// budget if one is needed.
+    fn check_successor(&mut self) -> Result<(), NoSuccessor> {
+        let next = next::after(Ended::Broken, self.situation());
+        let Next::Elsewhere { charged } = next else {
+            return Err(NoSuccessor::NotAllowed);
+        };
+        if !self.gateway.setting.policy.retries {
+            return Err(NoSuccessor::NotAllowed);
+        }
+        // A trial of a blocked request is left to those that have not been sent at all.
+        if !self.is_allowed() {
+            return Err(NoSuccessor::Blocked(self.blocked_refusal().detail));
+        }
+        if charged && !self.has_retry() && !self.acquire_retry() {
+            return Err(NoSuccessor::NoRetry);
+        }
+        Ok(())
     }
 
-    /// Whether another replica may still receive the request after the next attempt.
-    fn can_fail_over_after_next(&self) -> bool {
-        let situation = self.situation();
-        can_fail_over(Situation {
-            sent: situation.sent + 1,
-            ..situation
+    async fn take_successor_grant(&self, choice: Choice) -> Result<Choice, NoSuccessor> {
+        let granted = self.take_grant(choice.key, self.trace.leased).await;
+        granted.map(|()| choice).map_err(|wait| {
+            self.mark_quota_used(choice.key, wait);
+            NoSuccessor::QuotaUsed
         })
     }
-}
 
-fn can_fail_over(situation: Situation) -> bool {
-    let next = next::after(Ended::Broken, situation);
-    matches!(next, Next::Elsewhere { .. })
+    fn return_retry_unless(
+        &mut self,
+        found: Result<Choice, NoSuccessor>,
+    ) -> Result<Choice, NoSuccessor> {
+        if found.is_err() {
+            self.return_retry();
+        }
+        found
+    }
+
+    /// Returns the retry that was taken for an attempt which will not be made.
+    pub(super) fn return_retry(&mut self) {
+        self.retry = None;
+    }
+
+    /// Records that an attempt failed while others go on.
+    pub(super) fn record_failure_of_one(&mut self, failure: Failure) {
+        let (_, detail) = self.record_failure(failure);
+        self.trace.reason = detail;
+    }
+
+    /// Records that the replica `id` has begun to answer.
+    pub(super) fn record_answering(&mut self, id: &Arc<str>) {
+        self.trace.replica = Some(id.clone());
+        self.trace.record_received();
+        self.return_retry();
+        self.alarm.clear();
+    }
+
+    /// Whether another replica may still receive the request.
+    pub(super) fn can_fail_over(&self) -> bool {
+        let next = next::after(Ended::Broken, self.situation());
+        matches!(next, Next::Elsewhere { .. })
+    }
 }
--- a/src/gateway/event.rs
+++ b/src/gateway/event.rs
@@ -50,9 +50,11 @@
         self.buffer.len() as u64
     }
 
-    /// Discards a buffered partial event, for a stream that is resumed after the last complete one.
-    pub fn discard_partial(&mut self) {
-        self.buffer.clear();
+    /// Goes on with `other`, which began after the last complete event. A partial event is discarded.
+    pub fn resume(&mut self, other: Self) {
+        self.buffer = other.buffer;
+        self.last = other.last;
+        self.forwarded += other.forwarded;
     }
 
     /// Adds received bytes and returns the complete events.
--- a/src/gateway/handler.rs
+++ b/src/gateway/handler.rs
@@ -6,10 +6,10 @@
 
 use super::dispatch::{Dispatch, aborted, refuse, shutting_down};
 use super::intake::Prepared;
+use super::race::{Race, Started};
 use super::relay::Relay;
 use super::trace::Trace;
 use super::{Gateway, intake};
-use crate::config::routing::Kind;
 use crate::http::Answer;
 use crate::limit::memory::Reservation;
 use crate::stop;
@@ -54,21 +54,22 @@
         if let Err(refusal) = dispatch.claim_trial().await {
             return dispatch.give_up(&refusal);
         }
-        let attempt = dispatch.attempt(choice, dispatch.job.meta.last_event);
-        let failure = match tracker.until_abort(attempt).await {
-            Some(Ok(incoming)) if dispatch.job.route.kind == Kind::Streaming => {
-                return Relay::new(dispatch, incoming, held).answer();
+        let failure = match dispatch.begin(choice, dispatch.job.meta.last_event) {
+            Err(failure) => failure,
+            Ok(sending) => {
+                let race = Race::new(sending, held).run(&mut dispatch);
+                let Some(ended) = tracker.until_abort(race).await else {
+                    return dispatch.give_up(&aborted());
+                };
+                held = ended.held;
+                match ended.result {
+                    Ok(Started::Stream(incoming)) => {
+                        return Relay::new(dispatch, incoming, held).answer();
+                    }
+                    Ok(Started::Plain(plain)) => return plain.answer(dispatch, held),
+                    Err(failure) => failure,
+                }
             }
-            Some(Ok(incoming)) => match tracker
-                .until_abort(incoming.read_plain(&dispatch.job, &mut held))
-                .await
-            {
-                Some(Ok(plain)) => return plain.answer(dispatch, held),
-                Some(Err(failure)) => failure,
-                None => return dispatch.give_up(&aborted()),
-            },
-            Some(Err(failure)) => failure,
-            None => return dispatch.give_up(&aborted()),
         };
         if let Err(refusal) = dispatch.handle_failure(failure)
             && !dispatch.may_wait_for_weights(&refusal)
--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -3,6 +3,7 @@
 
 use std::collections::VecDeque;
 use std::io;
+use std::sync::Arc;
 use std::time::Duration;
 
 use actix_http::body::{BodyStream, MessageBody, SizedStream};
@@ -84,8 +85,7 @@
         }
         let is_whole = read?;
         self.attempt.first_event_received();
-        let signal = Signal::Success(self.attempt.elapsed());
-        self.attempt.record_health(signal);
+        self.attempt.record_answering();
         Ok(Plain {
             incoming: self,
             parts,
@@ -95,9 +95,13 @@
 }
 
 impl Plain {
+    /// The id of its replica.
+    pub(super) fn replica(&self) -> &Arc<str> {
+        &self.incoming.attempt.instance.id
+    }
+
     /// Returns the response to the caller, and keeps `held` until it was handed over.
     pub fn answer(self, mut dispatch: Dispatch, mut held: Reservation) -> Answer {
-        dispatch.trace.record_received();
         let head = self.incoming.head();
         let read: u64 = self.parts.iter().map(|part| part.len() as u64).sum();
         dispatch
@@ -180,8 +184,6 @@
     async fn read(&mut self) -> Option<Result<Bytes, io::Error>> {
         let clock = self.dispatch.gateway.knowledge.clock;
         let remaining = self.dispatch.job.remaining(clock.now());
-        // Another replica cannot continue it, so it is awaited on a silent connection as well.
-        self.incoming.response.set_guarded(false);
         let limit = remaining.max(SILENCE_MAX);
         let next = timeout::within(|| clock.now(), limit, self.incoming.response.next());
         match next.await {
--- a/src/gateway/reader.rs
+++ b/src/gateway/reader.rs
@@ -120,14 +120,6 @@
         })
     }
 
-    /// Sets whether reading fails as soon as the connection is found to be silent. Has no effect on
-    /// a buffered response, which is read over another connection then.
-    pub fn set_guarded(&mut self, guarded: bool) {
-        if let Source::Replica(response) = &mut self.source {
-            response.set_guarded(guarded);
-        }
-    }
-
     /// Records that reading was paused until now: what did not arrive meanwhile is no sign of a
     /// stall, and another connection could not deliver what this one still holds.
     pub fn mark_resumed(&mut self) {
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -1,29 +1,40 @@
-//! Forwards a stream event by event, and resumes it at another replica when it breaks.
+//! Forwards a stream event by event, and has another replica resume it when its own is silent or
+//! breaks off.
+//!
+//! A silent replica may be gone, or may only have paused. So it is read on until another one has
+//! delivered the next event; whichever is first goes on.
 //!
 //! A task reads the stream ahead of its caller, as far as memory allows: replicas cut off what
 //! stays unread for about a second.
 
+use std::future::pending;
 use std::io;
 use std::rc::Rc;
 use std::time::Duration;
 
 use actix_http::body::{BodyStream, MessageBody};
+use actix_http::{Response as HttpResponse, StatusCode};
 use actix_rt::time::timeout;
 use bytes::Bytes;
+use futures_util::future::LocalBoxFuture;
+use futures_util::stream::FuturesUnordered;
+use futures_util::{FutureExt, StreamExt};
 
-use super::attempt::{self, Attempt, Failure, Incoming};
-use super::dispatch::Dispatch;
+use super::attempt::{self, Attempt, Failure, Incoming, Sending};
+use super::dispatch::{Dispatch, NoSuccessor};
 use super::event::Splitter;
 use super::lead::{Lead, Outlet};
+use super::race::{self, RECHECK_INTERVAL};
 use super::reader::Reader;
 use crate::clock::Time;
+use crate::exchange;
 use crate::http::Answer;
 use crate::limit::memory::{READ_MAX, Reservation, UNREAD_MIN, Verdict};
-use crate::request::attempt::Ended;
 use crate::route::health::Signal;
+use crate::route::pool::Choice;
 use crate::timeout;
 
-/// Time without data after which a stream is resumed at another replica, if that is allowed.
+/// Time without data after which another replica is asked to resume a stream, if that is allowed.
 const SILENCE_MAX: Duration = Duration::from_millis(1_500);
 
 /// Interval at which a paused stream is checked for memory that others have returned. Its caller
@@ -38,24 +49,101 @@
     Part,
     /// The end of the stream.
     End,
-    /// A failure, and what it says about the replica's health.
+    /// The attempt failed, and this is what it says about the replica's health.
     Broken(String, Signal),
+    /// The replica is silent.
+    Silent,
+    /// Another replica is to be asked.
+    Due,
+    /// The search for another replica has ended.
+    Found(Result<Choice, NoSuccessor>),
+    /// Another replica has begun to answer, or failed.
+    Successor(Box<Result<Resumed, Failure>>),
     /// The request's deadline has passed.
     Expired,
 }
 
+/// What was waited for.
+enum Event {
+    /// The next part of the current attempt's response.
+    Received(Option<Result<Bytes, exchange::Error>>),
+    /// Anything else.
+    Other(Step),
+}
+
 fn broken(detail: &str) -> Step {
     Step::Broken(detail.to_owned(), Signal::Broken)
 }
 
-/// A stream on its way to the caller. Dropping it closes the connection to the replica.
-pub struct Relay {
-    dispatch: Dispatch,
+/// The attempt that delivers the stream at present.
+struct Current {
     attempt: Attempt,
     response: Reader,
+}
+
+/// A stream that another replica has resumed, with the first events that came of it.
+struct Resumed {
+    current: Current,
+    version: Option<u64>,
+    splitter: Splitter,
+    events: Bytes,
+}
+
+/// Has another replica resume a stream. `splitter` has seen what was forwarded. Completes when
+/// something to forward has arrived, or as much of an event as is read at once.
+async fn resume(sending: Sending, mut splitter: Splitter) -> Result<Resumed, Failure> {
+    let job = sending.job.clone();
+    let Incoming {
+        attempt,
+        mut response,
+        version,
+    } = sending.run().await?;
+    let mut events = Bytes::new();
+    while events.is_empty() && splitter.partial_bytes() < READ_MAX {
+        let next = attempt.await_response(&job, response.next()).await;
+        let error = match next {
+            Some(Some(Ok(bytes))) => {
+                attempt.record_alive();
+                match splitter.push(bytes) {
+                    Ok(complete) => {
+                        events = complete;
+                        continue;
+                    }
+                    Err(error) => (error.to_string(), Signal::Broken),
+                }
+            }
+            // The end is handled as that of any stream.
+            Some(None) => break,
+            Some(Some(Err(error))) => (error.to_string(), attempt::signal(&error)),
+            None => return Err(attempt.timeout_failure(&job)),
+        };
+        return Err(attempt.broken(&job, error.0, error.1));
+    }
+    Ok(Resumed {
+        current: Current { attempt, response },
+        version,
+        splitter,
+        events,
+    })
+}
+
+/// A stream on its way to the caller. Dropping it closes the connections to the replicas.
+pub struct Relay {
+    dispatch: Dispatch,
+    /// The attempt that delivers the stream; none after that broke.
+    current: Option<Current>,
+    /// Attempts at other replicas to resume it, which run while the current one is silent or
+    /// broken.
+    successors: FuturesUnordered<LocalBoxFuture<'static, Result<Resumed, Failure>>>,
+    /// Whether another replica is being looked for.
+    searching: bool,
+    /// When another replica is looked for again.
+    recheck_at: Option<Time>,
     splitter: Splitter,
-    head: Option<actix_http::Response<()>>,
+    head: Option<HttpResponse<()>>,
     last_event_at: Option<Time>,
+    /// Since when the replica has sent nothing, although its stream was read.
+    quiet_since: Time,
     /// What was read and is not with the caller's connection yet.
     lead: Rc<Lead>,
     /// Whether the caller has left the response of this attempt unread for [`UNREAD_MIN`].
@@ -74,9 +162,12 @@
         dispatch.pinned_version = version;
         Self {
             splitter: Splitter::after(dispatch.job.meta.last_event),
+            quiet_since: dispatch.gateway.knowledge.now(),
             dispatch,
-            attempt,
-            response,
+            current: Some(Current { attempt, response }),
+            successors: FuturesUnordered::new(),
+            searching: false,
+            recheck_at: None,
             head: Some(head),
             last_event_at: None,
             lead: Rc::new(Lead::new(held)),
@@ -87,16 +178,18 @@
     /// Returns the response to the caller. Its head is that of the first replica, even if the
     /// stream is resumed at another.
     pub fn answer(mut self) -> Answer {
-        let head = self
-            .head
-            .take()
-            .unwrap_or_else(|| actix_http::Response::with_body(self.response.status, ()));
+        let head = self.head.take();
+        let head = head.unwrap_or_else(|| HttpResponse::with_body(StatusCode::OK, ()));
         let lead = self.lead.clone();
         let task = actix_rt::spawn(self.read_ahead());
         let body = BodyStream::new(Outlet::new(lead, task));
         head.set_body(body.boxed())
     }
 
+    fn now(&self) -> Time {
+        self.dispatch.gateway.knowledge.now()
+    }
+
     /// Reads the stream to its end, ahead of its caller.
     async fn read_ahead(mut self) {
         let lead = self.lead.clone();
@@ -120,7 +213,7 @@
 
     /// Waits until the next bytes may be read from the replica: at once while the caller keeps up.
     async fn wait_for_room(&mut self) {
-        let began = self.dispatch.gateway.knowledge.now();
+        let began = self.now();
         let mut counted = false;
         while let Some(verdict) = self.lead.hindrance(READ_MAX) {
             if verdict == Verdict::Paused {
@@ -131,9 +224,12 @@
             } else {
                 self.lead.taken().await;
             }
-            let waited = self.dispatch.gateway.knowledge.now().since(began);
-            self.was_unread |= waited >= UNREAD_MIN;
-            self.response.mark_resumed();
+            let now = self.now();
+            self.was_unread |= now.since(began) >= UNREAD_MIN;
+            self.quiet_since = now;
+            if let Some(current) = &mut self.current {
+                current.response.mark_resumed();
+            }
         }
     }
 
@@ -149,10 +245,11 @@
                     return Some(Ok(events));
                 }
                 Step::End => {
-                    self.attempt.record_complete();
-                    self.dispatch
-                        .gateway
-                        .record_success(&self.dispatch.job.subjects);
+                    if let Some(current) = &self.current {
+                        current.attempt.record_complete();
+                    }
+                    let gateway = &self.dispatch.gateway;
+                    gateway.record_success(&self.dispatch.job.subjects);
                     return None;
                 }
                 Step::Expired => {
@@ -164,19 +261,130 @@
                     self.dispatch.trace.reason = detail;
                     return Some(Err(io::ErrorKind::TimedOut.into()));
                 }
-                Step::Broken(detail, signal) => {
-                    if !self.resume(detail, signal).await {
-                        self.dispatch.trace.set_outcome("broken_midway");
-                        return Some(Err(io::ErrorKind::ConnectionAborted.into()));
+                Step::Silent => {
+                    if let Some(current) = &self.current {
+                        current.attempt.record_silent(&self.dispatch.job);
                     }
                 }
+                Step::Due => {
+                    self.searching = true;
+                    self.recheck_at = None;
+                }
+                Step::Broken(detail, signal) => self.record_break(detail, signal).await,
+                Step::Successor(ended) => match *ended {
+                    Ok(resumed) => {
+                        let events = self.adopt(resumed);
+                        if !events.is_empty() {
+                            self.record_events();
+                            return Some(Ok(events));
+                        }
+                    }
+                    Err(failure) => {
+                        self.dispatch.record_failure_of_one(failure);
+                        self.searching = true;
+                    }
+                },
+                Step::Found(found) => self.begin_successor(found),
+            }
+            if !self.is_alive() {
+                self.dispatch.trace.set_outcome("broken_midway");
+                return Some(Err(io::ErrorKind::ConnectionAborted.into()));
+            }
+        }
+    }
+
+    /// Whether the stream may still go on.
+    fn is_alive(&self) -> bool {
+        self.current.is_some() || self.searching || !self.successors.is_empty()
+    }
+
+    /// Records that the current attempt broke, so that another replica is looked for.
+    async fn record_break(&mut self, detail: String, signal: Signal) {
+        let Some(current) = self.current.take() else {
+            return;
+        };
+        let passed = self.splitter.forwarded();
+        let detail = format!("{detail} after {passed} events");
+        let failure = if self.was_unread {
+            current.attempt.broken_unread(&self.dispatch.job, detail)
+        } else {
+            current.attempt.broken(&self.dispatch.job, detail, signal)
+        };
+        self.dispatch.record_failure_of_one(failure);
+        drop(current);
+        if self.was_unread {
+            // Another replica would cut the stream off as well while its caller does not read.
+            self.lead.drained().await;
+        }
+        self.searching = true;
+    }
+
+    /// Has the chosen replica resume the stream, after the last complete event.
+    fn begin_successor(&mut self, found: Result<Choice, NoSuccessor>) {
+        self.searching = false;
+        let begun = match found {
+            Ok(choice) => self.dispatch.begin(choice, self.splitter.last()),
+            Err(none) if self.current.is_none() && self.successors.is_empty() => {
+                let reason = &mut self.dispatch.trace.reason;
+                *reason = format!("{reason}; not resumed: {none}");
+                return;
+            }
+            Err(_) => {
+                let may_follow = self.dispatch.can_fail_over();
+                self.recheck_at = may_follow.then(|| self.now() + RECHECK_INTERVAL);
+                return;
+            }
+        };
+        match begun {
+            Ok(sending) => {
+                let splitter = Splitter::after(self.splitter.last());
+                let successor = resume(sending, splitter);
+                self.successors.push(successor.boxed_local());
+            }
+            Err(failure) => {
+                self.dispatch.record_failure_of_one(failure);
+                self.searching = true;
             }
         }
     }
 
+    /// Forwards the stream of another replica from now on. Returns its first events.
+    fn adopt(&mut self, resumed: Resumed) -> Bytes {
+        let last = self.splitter.last();
+        let Resumed {
+            current,
+            version,
+            splitter,
+            events,
+        } = resumed;
+        log::info!(
+            request = self.dispatch.job.meta.id.as_str(),
+            replica = &*current.attempt.instance.id,
+            last_event:? = last;
+            "stream resumed"
+        );
+        self.dispatch.record_answering(&current.attempt.instance.id);
+        self.dispatch.pinned_version = self.dispatch.pinned_version.or(version);
+        self.splitter.resume(splitter);
+        self.lead.set_partial(self.splitter.partial_bytes());
+        self.current = Some(current);
+        self.was_unread = false;
+        self.end_race();
+        events
+    }
+
+    /// Ends the attempts at other replicas: the current one delivers the stream.
+    fn end_race(&mut self) {
+        self.quiet_since = self.now();
+        self.searching = false;
+        self.recheck_at = None;
+        self.successors.clear();
+        self.dispatch.return_retry();
+        self.dispatch.alarm.clear();
+    }
+
     fn record_events(&mut self) {
-        self.attempt.record_alive();
-        let now = self.dispatch.gateway.knowledge.now();
+        let now = self.now();
         if let Some(last) = self.last_event_at.replace(now) {
             let trace = &mut self.dispatch.trace;
             trace.gap = trace.gap.max(now.since(last));
@@ -185,108 +393,98 @@
     }
 
     fn record_first_event(&mut self) {
-        self.attempt.first_event_received();
+        let Some(Current { attempt, .. }) = &self.current else {
+            return;
+        };
+        attempt.first_event_received();
         if self.dispatch.trace.first.is_some() {
             return;
         }
         let first = self.dispatch.trace.elapsed();
         self.dispatch.trace.first = Some(first);
         self.dispatch.gateway.instruments.record_first_event(first);
-        self.attempt
-            .record_health(Signal::Success(self.attempt.elapsed()));
+        attempt.record_answering();
     }
 
+    /// Waits for the next bytes of the current attempt, its silence, the result of an attempt at
+    /// another replica or of the search for one, or the deadline.
     async fn step(&mut self) -> Step {
-        let now = self.dispatch.gateway.knowledge.now();
+        let now = self.now();
         let remaining = self.dispatch.job.remaining(now);
-        let can_fail_over = self.dispatch.can_fail_over();
-        let time_limit = if can_fail_over {
-            remaining.min(SILENCE_MAX)
-        } else {
-            remaining
-        };
-        // A stream that cannot fail over waits even on a silent connection.
-        self.response.set_guarded(can_fail_over);
+        let quiet = (self.quiet_since + SILENCE_MAX).since(now);
+        let recheck = self.recheck_at.map(|at| at.since(now));
         let clock = self.dispatch.gateway.knowledge.clock;
-        match timeout::within(|| clock.now(), time_limit, self.response.next()).await {
-            Some(Some(Ok(bytes))) => {
-                self.dispatch.trace.record_received();
-                match self.splitter.push(bytes) {
-                    Ok(events) if events.is_empty() => Step::Part,
-                    Ok(events) => Step::Events(events),
-                    Err(error) => Step::Broken(error.to_string(), Signal::Broken),
-                }
+        let alarm = self.dispatch.alarm.clone();
+        let Self {
+            dispatch,
+            current,
+            successors,
+            searching,
+            ..
+        } = self;
+        let is_silent = current
+            .as_ref()
+            .is_none_or(|current| current.attempt.is_silent());
+        let received = async {
+            match current {
+                Some(current) => Event::Received(current.response.next().await),
+                None => pending().await,
             }
-            Some(Some(Err(error))) => Step::Broken(error.to_string(), attempt::signal(&error)),
-            Some(None) if self.splitter.is_partial() => broken("the stream ended inside an event"),
-            Some(None) if self.ended_by_crash().await => {
-                broken("the stream ended with its replica")
+        };
+        let successor = async {
+            match successors.next().await {
+                Some(ended) => Event::Other(Step::Successor(Box::new(ended))),
+                None => pending().await,
             }
-            Some(None) => Step::End,
-            None if time_limit == remaining => Step::Expired,
-            None => Step::Broken("the replica is silent".to_owned(), Signal::TimedOut),
+        };
+        let search = async {
+            if *searching {
+                return Event::Other(Step::Found(dispatch.find_resuming().await));
+            }
+            race::either(alarm.raised(), race::after(recheck)).await;
+            Event::Other(Step::Due)
+        };
+        let silence = async {
+            race::after((!is_silent).then_some(quiet)).await;
+            Event::Other(Step::Silent)
+        };
+        let event = race::either(
+            race::either(received, successor),
+            race::either(search, silence),
+        );
+        match timeout::within(|| clock.now(), remaining, event).await {
+            Some(Event::Received(part)) => self.received(part).await,
+            Some(Event::Other(step)) => step,
+            None => Step::Expired,
         }
     }
 
-    /// Whether the stream, which may look complete, ended because its replica crashed.
-    async fn ended_by_crash(&self) -> bool {
-        self.response.ends_with_connection() && self.attempt.has_crashed().await
-    }
-
-    /// Resumes the stream at another replica, after the last complete event.
-    async fn resume(&mut self, detail: String, signal: Signal) -> bool {
-        let passed = self.splitter.forwarded();
-        let detail = format!("{detail} after {passed} events");
-        let mut failure = if self.was_unread {
-            self.attempt.broken_unread(&self.dispatch.job, detail)
-        } else {
-            self.attempt.broken(&self.dispatch.job, detail, signal)
+    /// Handles what the current attempt has sent.
+    async fn received(&mut self, part: Option<Result<Bytes, exchange::Error>>) -> Step {
+        let Some(Current { attempt, response }) = &self.current else {
+            return Step::Part;
         };
-        if self.was_unread {
-            // Another replica would cut the stream off as well while its caller does not read.
-            self.lead.drained().await;
-        }
-        loop {
-            if !self.dispatch.may_resume(failure) {
-                return false;
-            }
-            let choice = match self.dispatch.choose(&[]).0 {
-                Ok(choice) => choice,
-                Err(unavailable) => {
-                    self.dispatch.trace.reason =
-                        format!("{}; not resumed: {unavailable}", self.dispatch.trace.reason);
-                    return false;
+        match part {
+            Some(Ok(bytes)) => {
+                attempt.record_alive();
+                self.dispatch.trace.record_received();
+                self.quiet_since = self.dispatch.gateway.knowledge.now();
+                match self.splitter.push(bytes) {
+                    Ok(events) if events.is_empty() => Step::Part,
+                    Ok(events) => {
+                        self.end_race();
+                        Step::Events(events)
+                    }
+                    Err(error) => Step::Broken(error.to_string(), Signal::Broken),
                 }
-            };
-            if !self.dispatch.is_allowed() {
-                self.dispatch.trace.reason = self.dispatch.blocked_refusal().detail;
-                return false;
-            }
-            if let Err(wait) = self.dispatch.take_grant(choice.key, false).await {
-                self.dispatch.mark_quota_used(choice.key, wait);
-                failure = Failure::new(Ended::NotSent, "the replica's quota is used up");
-                continue;
             }
-            let last = self.splitter.last();
-            match self.dispatch.attempt(choice, last).await {
-                Ok(incoming) => {
-                    self.splitter.discard_partial();
-                    self.lead.set_partial(0);
-                    self.was_unread = false;
-                    self.attempt = incoming.attempt;
-                    self.response = incoming.response;
-                    self.dispatch.pinned_version =
-                        self.dispatch.pinned_version.or(incoming.version);
-                    log::info!(
-                        request = self.dispatch.job.meta.id.as_str(),
-                        replica = &*self.attempt.instance.id,
-                        last_event:? = last;
-                        "stream resumed"
-                    );
-                    return true;
-                }
-                Err(next) => failure = next,
+            Some(Err(error)) => Step::Broken(error.to_string(), attempt::signal(&error)),
+            None if self.splitter.is_partial() => broken("the stream ended inside an event"),
+            // The stream may look complete although its replica crashed.
+            None if response.ends_with_connection() && attempt.has_crashed().await => {
+                broken("the stream ended with its replica")
             }
+            None => Step::End,
         }
     }
 }
--- a/src/limit/memory.rs
+++ b/src/limit/memory.rs
@@ -104,6 +104,13 @@
     }
 }
 
+/// What a response needs at least.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Need {
+    sort: Sort,
+    bytes: u64,
+}
+
 /// Whether a response may be read on ahead of its caller.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Verdict {
@@ -204,6 +211,13 @@
     }
 }
 
+impl Budget {
+    /// Reserves what a response needs; `None` if it does not fit.
+    pub fn reserve_need(&self, need: Need) -> Option<Reservation> {
+        self.reserve(need.sort, need.bytes)
+    }
+}
+
 /// The usual size of the responses of a route: a moving average of what was held for them.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Usual(Option<u64>);
@@ -245,6 +259,14 @@
 }
 
 impl Reservation {
+    /// What is reserved at least.
+    pub fn need(&self) -> Need {
+        Need {
+            sort: self.sort,
+            bytes: self.minimum,
+        }
+    }
+
     /// The bytes in use.
     pub fn used(&self) -> u64 {
         self.used
--- a/src/route/health.rs
+++ b/src/route/health.rs
@@ -37,6 +37,8 @@
     Broken,
     /// Nothing arrived within the time that the replica may be silent.
     TimedOut,
+    /// The replica went on after that.
+    Recovered,
     /// No connection could be opened.
     Unreachable,
     /// The replica refused the request without running it.
@@ -70,6 +72,12 @@
                     Some(latency) => (latency * (SMOOTHING_DIVISOR - 1) + took) / SMOOTHING_DIVISOR,
                 });
             }
+            Signal::Recovered => {
+                self.failures = (self.failures - 1.0).max(0.0);
+                self.successes += 1.0;
+                self.pauses_in_row = 0;
+                self.paused_until = now;
+            }
             Signal::Unreachable => self.pause(now),
             Signal::Failed | Signal::Broken | Signal::TimedOut | Signal::Refused => {
                 self.add_outcome(false);
--- a/src/sidecar/executor.rs
+++ b/src/sidecar/executor.rs
@@ -339,6 +339,8 @@
         idle_max: gateway::IDLE_MAX,
         connect_timeout: gateway::CONNECT_TIMEOUT,
         unframed: Unframed::EndsWithConnection,
+        // A replica that is silent may only have paused, and there is no other one here.
+        guarded: false,
         ..Options::default()
     };
     let replica = sidecar.engine.address();
