Exchange: a long body is not given up after 1.5 s because its peer does not read

Requests with long bodies got 502, also those that may run at most once, when their replica paused for 2.2 s while the body was on its way and went on.

Cause: TCP_USER_TIMEOUT, which finds peers that are gone, also counts the time in which a peer acknowledges probes but keeps its window closed. A paused replica does so once its buffers are full. The class is that of silence taken for a failure; here the kernel takes it.

A connection that carries a body of over 64 KB has 5 s instead, and is not used again. Other connections keep 1.5 s: what they send fits into the peer's buffers and is acknowledged while it pauses. Where a peer is gone in the middle of a long body, a request that may be repeated has another replica asked after 1.2 s as before; one that may not is answered after 5 s instead of 1.5 s.

Measured: platform/tests/pause, two requests with 3 MB of body: 502 for both after a pause of 2.2 s before, whole responses now.

--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -56,6 +56,10 @@
 /// connection counts as lost.
 pub const LOSS_TIMEOUT: Duration = Duration::from_millis(1_500);
 
+/// The same for the connection of a body that does not fit into its buffers. The kernel also counts
+/// the time in which the peer's window is closed, and a peer that has paused does not read.
+const LONG_BODY_LOSS_TIMEOUT: Duration = Duration::from_secs(5);
+
 /// Why an exchange failed.
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
@@ -321,6 +325,12 @@
         }
     }
 
+    /// Whether the body may have to wait until the peer reads.
+    fn is_long(&self) -> bool {
+        let body = self.body.as_ref();
+        body.is_some_and(|body| body.len() > BODY_PART_BYTES)
+    }
+
     fn part(&self, from: usize) -> Option<Bytes> {
         let body = self.body.as_ref().filter(|body| from < body.len())?;
         Some(body.slice(from..body.len().min(from + BODY_PART_BYTES)))
@@ -465,6 +475,9 @@
             opened,
             last_received,
         } = checkout;
+        if sending.is_long() {
+            set_loss_timeout(connection.io_ref(), LONG_BODY_LOSS_TIMEOUT);
+        }
         sending.write(&mut connection)?;
         let mut guard = self.paths.guard(sending.peer, opened, last_received);
         let ended = {
@@ -485,8 +498,8 @@
             peer: sending.peer,
             opened,
             // A peer that responds before it has read the request may take the rest for another
-            // one.
-            reusable: sent,
+            // one. The next request on the connection would have the longer timeout.
+            reusable: sent && !sending.is_long(),
             unframed: sending.options.unframed,
             guard,
             guarded: sending.options.guarded,
@@ -627,7 +640,11 @@
         .with_interval(Duration::from_secs(1))
         .with_retries(1);
     let _ = socket.set_tcp_keepalive(&probes);
-    let _ = socket.set_tcp_user_timeout(Some(LOSS_TIMEOUT));
+    set_loss_timeout(stream, LOSS_TIMEOUT);
+}
+
+fn set_loss_timeout(stream: &TcpStream, timeout: Duration) {
+    let _ = socket2::SockRef::from(stream).set_tcp_user_timeout(Some(timeout));
 }
 
 /// Whether an idle connection has neither been closed nor received unsolicited bytes.
