Health: a latency that nothing confirms loses weight

After a pause of all replicas of a plain service, requests were refused for two to three seconds more, although the replicas served again: 27 of the requests that came more than a second after a pause of 1.4 s.

Cause: the latency of those that had waited during the pause was kept until a response corrected it, and as it exceeded the objective, no request was sent that could. Its excess over the usual latency now decays by half each second without a response.

Measured: the test failed before (27 refused, 0 allowed) and passes.

--- a/src/route/health.rs
+++ b/src/route/health.rs
@@ -23,6 +23,10 @@
 /// A replica is an outlier if its failure rate exceeds its peers' by more than this.
 const OUTLIER_MARGIN: f64 = 0.2;
 
+/// Time in which the excess of a latency that no response confirms decays by half. Requests may be
+/// refused for it, and then none would correct it.
+const LATENCY_HALF_LIFE: Duration = Duration::from_secs(1);
+
 /// The newest latency enters the moving average with a weight of one in this many.
 const SMOOTHING_DIVISOR: u32 = 8;
 
@@ -56,6 +60,8 @@
     successes: f64,
     failures: f64,
     latency: Option<Duration>,
+    /// When a response last confirmed it.
+    latency_at: Time,
 }
 
 impl Health {
@@ -67,6 +73,7 @@
             Signal::Success(took) => {
                 self.pauses_in_row = 0;
                 self.add_outcome(true);
+                self.latency_at = now;
                 self.latency = Some(match self.latency {
                     None => took,
                     Some(latency) => (latency * (SMOOTHING_DIVISOR - 1) + took) / SMOOTHING_DIVISOR,
@@ -123,8 +130,12 @@
         self.paused_until
     }
 
-    /// Moving average of the response time.
-    pub fn latency(&self) -> Option<Duration> {
-        self.latency
+    /// Moving average of the response time. Its excess over `default` loses weight with age.
+    pub fn latency(&self, default: Duration, now: Time) -> Duration {
+        let latency = self.latency.unwrap_or(default);
+        let age = now.since(self.latency_at);
+        let halvings = age.as_secs_f64() / LATENCY_HALF_LIFE.as_secs_f64();
+        let excess = latency.saturating_sub(default);
+        latency - excess + excess.mul_f64(0.5f64.powf(halvings))
     }
 }
--- a/src/route/pool/expectation.rs
+++ b/src/route/pool/expectation.rs
@@ -136,7 +136,7 @@
     /// Expected time until the first event, or until the response of a plain service.
     pub(super) fn expected(&self, replica: &Replica, query: Query<'_>, now: Time) -> Duration {
         let Some(engine) = query.engine else {
-            let latency = replica.health.latency().unwrap_or(DEFAULT_LATENCY);
+            let latency = replica.health.latency(DEFAULT_LATENCY, now);
             let slots = replica.record.slots.max(1);
             let waiting = replica.requests(now).saturating_sub(slots - 1);
             return latency + latency * waiting / slots;
