Poison: a replica that pauses has not crashed

An attempt that was abandoned while its replica paused counted as one under which the replica crashed: after about a second its sidecar reports that it does not answer, and that was evidence enough. Three such pauses under a request that is not completed meanwhile block it, and its callers get 422.

A sidecar's report counts as evidence of a crash only after it has said for 1.5 s that the replica does not answer, which a pause of about 2.5 s does not reach. Replicas that do not answer are still not chosen at once.

Not measured at real sockets.

--- a/src/route/pool/instance.rs
+++ b/src/route/pool/instance.rs
@@ -116,7 +116,7 @@
 
     /// Whether the instance that started at `born` at `address` is gone, where the replicas with
     /// the ids `known` were: a later instance or another replica is known there, or its sidecar
-    /// finds that the replica does not answer.
+    /// has found for longer than a pause that the replica does not answer.
     pub fn superseded(
         &self,
         address: SocketAddr,
@@ -129,7 +129,7 @@
             restarted || !known.contains(&replica.record.id)
         };
         self.replicas_at(address)
-            .any(|replica| is_later(replica) || replica.is_dead(now))
+            .any(|replica| is_later(replica) || replica.has_crashed(now))
     }
 
     fn rebuild_indexes(&mut self) {
--- a/src/route/replica.rs
+++ b/src/route/replica.rs
@@ -20,6 +20,10 @@
 /// A report older than this no longer counts.
 const REPORT_STALE_AFTER: Duration = Duration::from_millis(3_000);
 
+/// Time for which a sidecar has to report that its replica does not answer until it counts as
+/// crashed. Before that it may have paused, which the sidecar reports after about a second.
+const DEAD_AFTER: Duration = Duration::from_millis(1_500);
+
 /// Oldest report to expect from a reachable sidecar: it reports every second, and halls are polled
 /// and notified every half second.
 const REPORT_AGE_MAX: Duration = Duration::from_millis(2_100);
@@ -125,6 +129,8 @@
     own_requests: Vec<Sent>,
     own_at_report: u32,
     availability_changed_at: Time,
+    /// Since when its sidecar reports that it does not answer.
+    dead_since: Option<Time>,
     unresponsive: Option<Unresponsive>,
     pending: PendingRequests,
     pending_at_report: u32,
@@ -262,6 +268,7 @@
             own_requests: Vec::new(),
             own_at_report: 0,
             availability_changed_at: Time::default(),
+            dead_since: None,
             unresponsive: None,
             pending: PendingRequests::default(),
             pending_at_report: 0,
@@ -455,6 +462,12 @@
         self.fresh_load(now).is_some_and(|load| !load.alive)
     }
 
+    /// Whether its sidecar finds that it does not answer, for longer than a pause.
+    pub(super) fn has_crashed(&self, now: Time) -> bool {
+        let is_long = |since: Time| now.since(since) >= DEAD_AFTER;
+        self.is_dead(now) && self.dead_since.is_some_and(is_long)
+    }
+
     /// Attempts of this entry in flight.
     pub(super) fn in_flight(&self) -> u32 {
         self.own_requests.len() as u32
@@ -466,6 +479,7 @@
             return;
         }
         self.record_transfer(load, at);
+        self.dead_since = (!load.alive).then(|| self.dead_since.unwrap_or(at));
         let known = self.load.as_ref();
         if known.is_none_or(|(known, _)| !known.same_availability(load)) {
             self.availability_changed_at = at;
