Race: a replica's error is passed on while another replica is silent

Found in review.

Cause: a race ended only with a response or with the failure of its last attempt. A replica's error is a ready answer. It is kept while another replica is asked, and passed on as soon as none can be.

The race's loop is one now, with an enum for what it waits for.

--- a/src/gateway/race.rs
+++ b/src/gateway/race.rs
@@ -15,7 +15,7 @@
 use futures_util::{FutureExt, StreamExt};
 
 use super::attempt::{Failure, Incoming, Sending};
-use super::dispatch::Dispatch;
+use super::dispatch::{Dispatch, NoSuccessor};
 use super::plain::Plain;
 use crate::config::routing::Kind;
 use crate::limit::memory::{Need, Reservation};
@@ -50,14 +50,27 @@
     pub held: Reservation,
 }
 
+/// What a race waits for.
+enum Event {
+    /// An attempt has brought a response or failed.
+    Ended(Box<Ended>),
+    /// A replica is silent, or the last search for another one is some time ago.
+    Due,
+    /// The search for another replica has ended.
+    Found(Result<Choice, NoSuccessor>),
+}
+
 /// The attempts of one request that run at the same time.
 pub struct Race {
     running: FuturesUnordered<LocalBoxFuture<'static, Ended>>,
     /// Memory for the response of each attempt.
     need: Need,
+    /// An attempt that a replica answered with an error, while others run.
+    failed: Option<Ended>,
 }
 
-async fn run(sending: Sending, mut held: Reservation) -> Ended {
+/// Runs one attempt.
+async fn attempt(sending: Sending, mut held: Reservation) -> Ended {
     let job = sending.job.clone();
     let result = match sending.run().await {
         Err(failure) => Err(failure),
@@ -75,80 +88,91 @@
     pub fn new(sending: Sending, held: Reservation) -> Self {
         let need = held.need();
         let running = FuturesUnordered::new();
-        running.push(run(sending, held).boxed_local());
-        Self { running, need }
+        running.push(attempt(sending, held).boxed_local());
+        Self {
+            running,
+            need,
+            failed: None,
+        }
     }
 
-    /// Waits for the first response, or for the failure of the last attempt. Whenever all are
-    /// silent, begins another one if the request allows that.
+    /// Waits for the first response, or for the failure of the last attempt. Whenever a replica is
+    /// silent, begins another attempt if the request allows that.
     pub async fn run(mut self, dispatch: &mut Dispatch) -> Ended {
+        // The dispatch's alarm is raised by attempts whose replica is silent, and by exchanges
+        // whose connection was found silent.
+        let alarm = dispatch.alarm.clone();
+        let mut searching = false;
+        let mut recheck = None;
         loop {
-            let ended = self.next(dispatch).await;
-            match &ended.result {
-                Ok(started) => {
-                    dispatch.record_answering(started.replica());
-                    return ended;
+            let search = async {
+                if searching {
+                    return Event::Found(dispatch.find_successor().await);
+                }
+                either(alarm.raised(), after(recheck)).await;
+                Event::Due
+            };
+            match either(ended(&mut self.running), search).await {
+                Event::Due => searching = true,
+                Event::Found(found) => {
+                    searching = false;
+                    let begun = found.is_ok_and(|choice| self.begin(dispatch, choice));
+                    if !begun && let Some(failed) = self.failed.take() {
+                        return failed;
+                    }
+                    let may_follow = !begun && dispatch.can_fail_over();
+                    recheck = may_follow.then_some(RECHECK_INTERVAL);
+                }
+                Event::Ended(ended) => {
+                    if let Ok(started) = &ended.result {
+                        dispatch.record_answering(started.replica());
+                        return *ended;
+                    }
+                    if let Some(last) = self.record_failure(dispatch, *ended) {
+                        return last;
+                    }
+                    // Those that are left were silent when it began, so another takes its place.
+                    searching = true;
                 }
-                Err(_) if self.running.is_empty() => return ended,
-                Err(_) => {}
-            }
-            if let Err(failure) = ended.result {
-                dispatch.record_failure_of_one(failure);
-                // The others are silent.
-                dispatch.alarm.raise();
             }
         }
     }
 
-    /// Waits until an attempt ends.
-    async fn ended(&mut self) -> Ended {
-        match self.running.next().await {
-            Some(ended) => ended,
-            None => pending().await,
+    /// Records a failed attempt. Returns the failure to go on with if no attempt is left.
+    fn record_failure(&mut self, dispatch: &mut Dispatch, ended: Ended) -> Option<Ended> {
+        let has_answer =
+            |ended: &Ended| matches!(&ended.result, Err(failure) if failure.answer.is_some());
+        let last = self.running.is_empty();
+        let (kept, other) = if has_answer(&ended) {
+            (Some(ended), self.failed.take())
+        } else if self.failed.is_none() && last {
+            (Some(ended), None)
+        } else {
+            (self.failed.take(), Some(ended))
+        };
+        if let Some(Err(failure)) = other.map(|other| other.result) {
+            dispatch.record_failure_of_one(failure);
         }
-    }
-
-    /// Waits until one of the attempts ends, and meanwhile begins others.
-    async fn next(&mut self, dispatch: &mut Dispatch) -> Ended {
-        let alarm = dispatch.alarm.clone();
-        let mut recheck = None;
-        loop {
-            let due = async {
-                either(alarm.raised(), after(recheck)).await;
-                None
-            };
-            let ended = async { Some(self.ended().await) };
-            if let Some(ended) = either(ended, due).await {
-                return ended;
-            }
-            let search = async { Err(dispatch.find_successor().await) };
-            let ended = async { Ok(self.ended().await) };
-            let choice = match either(ended, search).await {
-                Err(choice) => choice,
-                Ok(ended) => {
-                    dispatch.return_retry();
-                    return ended;
-                }
-            };
-            let begun = choice.is_ok_and(|choice| self.begin(dispatch, choice));
-            recheck = (!begun && dispatch.can_fail_over()).then_some(RECHECK_INTERVAL);
+        if last {
+            return kept;
         }
+        self.failed = kept;
+        None
     }
 
     /// Begins another attempt if there is memory for its response.
     fn begin(&mut self, dispatch: &mut Dispatch, choice: Choice) -> bool {
-        let held = dispatch.gateway.held.reserve_need(self.need);
-        let last_event = dispatch.job.meta.last_event;
-        let Some(held) = held else {
+        let Some(held) = dispatch.gateway.held.reserve_need(self.need) else {
             dispatch.return_retry();
             return false;
         };
-        match dispatch.begin(choice, last_event) {
+        match dispatch.begin(choice, dispatch.job.meta.last_event) {
             Ok(sending) => {
-                self.running.push(run(sending, held).boxed_local());
+                self.running.push(attempt(sending, held).boxed_local());
                 true
             }
             Err(failure) => {
+                dispatch.return_retry();
                 dispatch.record_failure_of_one(failure);
                 false
             }
@@ -156,6 +180,14 @@
     }
 }
 
+/// Waits until one of the attempts has ended.
+async fn ended(running: &mut FuturesUnordered<LocalBoxFuture<'static, Ended>>) -> Event {
+    match running.next().await {
+        Some(ended) => Event::Ended(Box::new(ended)),
+        None => pending().await,
+    }
+}
+
 /// Waits for the first of two futures.
 pub async fn either<T>(first: impl Future<Output = T>, second: impl Future<Output = T>) -> T {
     match select(pin!(first), pin!(second)).await {
