Attempts: a start time that becomes earlier ends a silent attempt

After a replica counted as silent, its attempt was awaited without a look at the time until which the request has to start on the replica's version, which becomes earlier when a new version is published. A request could start on the old version after that. The time is checked every half second again, as while the replica has a queue.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -41,8 +41,8 @@
 /// Lower bound of that silence.
 const SILENCE_MIN: Duration = Duration::from_millis(1_200);
 
-/// Interval at which a replica that is silent for longer is checked for a queue: half of the
-/// interval between the reports of its sidecar.
+/// Interval at which a replica that is silent for longer is checked for a queue, and for a change of
+/// the time until which the request has to start: half of the interval between the reports of its sidecar.
 const QUEUE_POLL_INTERVAL: Duration = Duration::from_millis(500);
 
 /// Largest response, in bytes, that is read to its end before it is forwarded.
@@ -434,12 +434,11 @@
             if silence >= longest {
                 return None;
             }
-            silence = if self.gateway.pool.borrow().has_queue(self.key, self.now()) {
-                QUEUE_POLL_INTERVAL
-            } else {
+            if !self.silent.get() && !self.gateway.pool.borrow().has_queue(self.key, self.now()) {
                 self.record_silent(job);
-                Duration::MAX
-            };
+            }
+            // The time until which the request has to start may become earlier meanwhile.
+            silence = QUEUE_POLL_INTERVAL;
         }
     }
 
