Quotas: the lease of the first replica grants nothing at the one that resumes

A stream was resumed at a replica with a quota without a grant if the first replica had granted a lease, since the search for a successor took that lease for its own.

--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -585,7 +585,7 @@
         self.check_successor()?;
         let found = self.find_place().await;
         let granted = match found {
-            Ok(choice) => self.take_successor_grant(choice).await,
+            Ok(choice) => self.take_successor_grant(choice, self.trace.leased).await,
             Err(refusal) => Err(NoSuccessor::NoPlace(refusal.detail)),
         };
         self.return_retry_unless(granted)
@@ -599,7 +599,7 @@
         self.check_successor()?;
         loop {
             let granted = match self.choose(&[]).0 {
-                Ok(choice) => self.take_successor_grant(choice).await,
+                Ok(choice) => self.take_successor_grant(choice, false).await,
                 Err(unavailable) => Err(NoSuccessor::Unavailable(unavailable)),
             };
             // Quotas that are used up are not chosen again.
@@ -629,8 +629,12 @@
         Ok(())
     }
 
-    async fn take_successor_grant(&self, choice: Choice) -> Result<Choice, NoSuccessor> {
-        let granted = self.take_grant(choice.key, self.trace.leased).await;
+    async fn take_successor_grant(
+        &self,
+        choice: Choice,
+        leased: bool,
+    ) -> Result<Choice, NoSuccessor> {
+        let granted = self.take_grant(choice.key, leased).await;
         granted.map(|()| choice).map_err(|wait| {
             self.mark_quota_used(choice.key, wait);
             NoSuccessor::QuotaUsed
