Health: a pause inside a plain response is taken back, and one of 3 s is no crash

A replica that paused after the head of a plain response kept the failure, though it went on. It is 2 s now.

--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -84,6 +84,7 @@
             held.set(0);
         }
         let is_whole = read?;
+        self.attempt.record_alive();
         self.attempt.first_event_received();
         self.attempt.record_answering();
         Ok(Plain {
--- a/src/route/replica.rs
+++ b/src/route/replica.rs
@@ -22,7 +22,7 @@
 
 /// Time for which a sidecar has to report that its replica does not answer until it counts as
 /// crashed. Before that it may have paused, which the sidecar reports after about a second.
-const DEAD_AFTER: Duration = Duration::from_millis(1_500);
+const DEAD_AFTER: Duration = Duration::from_millis(2_000);
 
 /// Oldest report to expect from a reachable sidecar: it reports every second, and halls are polled
 /// and notified every half second.
