Relay: a successor that delivers no event does not replace a silent replica

A stream was cut while its first replica paused for 2.2 s, or looked complete with events missing, because the replica that was to resume it closed its connection without a whole event.

Cause: the end of the successor's stream counted as its first delivery. An end inside an event, or one that only the close of the connection shows, is a failure of the successor now, and the silent replica is awaited. A stream that was only missing its end is still ended by a successor whose framing shows it.

Where the first replica goes on, the log line names it again instead of the successor.

--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -112,7 +112,16 @@
                     Err(error) => (error.to_string(), Signal::Broken),
                 }
             }
-            // The end is handled as that of any stream.
+            Some(None) if splitter.is_partial() => (
+                "the stream ended inside an event".to_owned(),
+                Signal::Broken,
+            ),
+            // It may have ended because the replica crashed, and another one may still go on.
+            Some(None) if response.ends_with_connection() => (
+                "the stream ended without an event".to_owned(),
+                Signal::Broken,
+            ),
+            // Nothing was missing but the end.
             Some(None) => break,
             Some(Some(Err(error))) => (error.to_string(), attempt::signal(&error)),
             None => return Err(attempt.timeout_failure(&job)),
@@ -375,6 +384,9 @@
 
     /// Ends the attempts at other replicas: the current one delivers the stream.
     fn end_race(&mut self) {
+        if let Some(current) = &self.current {
+            self.dispatch.trace.replica = Some(current.attempt.instance.id.clone());
+        }
         self.quiet_since = self.now();
         self.searching = false;
         self.recheck_at = None;
