Test: answers are lost while a target or its box pauses

The stand-in engine can stand still on all connections for a while and go on, from the break of a stream or from a read of its state on. With a pause of 2.2 s:

- A stream that breaks just before is not resumed, though the target goes on.
- A run that may run once is cancelled while its resume waits in the sockets of its silent box.

A repeatable stream continues at another target while its own pauses: this passes.

--- a/src/standin/engine.rs
+++ b/src/standin/engine.rs
@@ -7,7 +7,7 @@
 use std::net::{IpAddr, Ipv4Addr};
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use actix_http::{HttpMessage, Request, StatusCode};
 use bytes::Bytes;
@@ -70,6 +70,15 @@
     }
 }
 
+/// When an engine begins to stand still.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Moment {
+    /// When it has broken the next stream.
+    Break,
+    /// When its state is read next.
+    Report,
+}
+
 /// Runs of requests in a whole fleet, by request, as the targets counted them.
 #[derive(Debug, Default)]
 pub struct Runs {
@@ -115,6 +124,8 @@
     versions: BTreeMap<Digest, Held>,
     in_flight: u32,
     streams: HashMap<String, (Prompt, Digest)>,
+    planned_pause: Option<(Moment, Duration)>,
+    paused_until: Option<Instant>,
 }
 
 /// A model engine.
@@ -155,6 +166,37 @@
         self.break_at_once.store(true, Ordering::Relaxed);
     }
 
+    /// Stands still on all connections for `duration` from `moment` on, and goes on after that.
+    pub fn pause_at(&self, moment: Moment, duration: Duration) {
+        self.lock().planned_pause = Some((moment, duration));
+    }
+
+    /// Whether a pause is planned or in progress.
+    pub fn is_pausing(&self) -> bool {
+        let state = self.lock();
+        let paused = |until: Instant| Instant::now() < until;
+        state.planned_pause.is_some() || state.paused_until.is_some_and(paused)
+    }
+
+    /// Begins the pause planned for `moment`, if there is one.
+    fn reach(&self, moment: Moment) {
+        let mut state = self.lock();
+        if let Some((_, duration)) = state
+            .planned_pause
+            .take_if(|(planned, _)| *planned == moment)
+        {
+            state.paused_until = Some(Instant::now() + duration);
+        }
+    }
+
+    /// Waits until no pause is in progress.
+    async fn pause_end(&self) {
+        let until = self.lock().paused_until;
+        if let Some(until) = until {
+            tokio::time::sleep_until(until.into()).await;
+        }
+    }
+
     /// Sends every token twice, or ends that.
     pub fn set_repeat_tokens(&self, repeat: bool) {
         self.repeat_tokens.store(repeat, Ordering::Relaxed);
@@ -201,6 +243,10 @@
 
     async fn answer(self: Arc<Self>, mut request: Request, own: IpAddr) -> Answer {
         let path = request.path().to_owned();
+        if path == "/v1/state" {
+            self.reach(Moment::Report);
+        }
+        self.pause_end().await;
         match (request.method().as_str(), path.as_str()) {
             ("GET", "/v1/state") => http::json(StatusCode::OK, &self.report()),
             ("POST", "/v1/orders") => self.order(&mut request, own).await,
@@ -425,10 +471,12 @@
         } else if !self.engine.setting.token_interval.is_zero() {
             tokio::time::sleep(self.engine.setting.token_interval).await;
         }
+        self.engine.pause_end().await;
         let cancelled = !self.engine.lock().streams.contains_key(&self.id);
         let at_once = self.sent == 0 && self.engine.break_at_once.swap(false, Ordering::Relaxed);
         let broken = self.break_after > 0 && self.sent >= self.break_after;
         if cancelled || at_once || broken {
+            self.engine.reach(Moment::Break);
             return Some((Err(io::ErrorKind::ConnectionReset.into()), None));
         }
         if self.next >= self.prompt.max_tokens {
