Entry: a silent target is awaited while another one is asked to resume a stream

Callers' streams ended with an error event and an unknown outcome, although their target went on and most of the deadline was left, when the stream had broken and its target then paused for more than 2 s.

Cause: the attempt to resume a stream at its target was dropped after 2 s of silence. A request that may run once has no other target, and neither has one that may be repeated if no other box serves its version.

Now the silence only has another target asked as well, if the request may be repeated, and the attempts run until one of them is answered or the deadline is over. Bounds are as before: attempts, retry budget, and the 2 s after which another target is asked. For a request that may run once no retry is taken from the budget any more when its target has failed, since nothing can be repeated.

Where another box is free, a stream continues there during the pause, as before.

--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -20,9 +20,6 @@
 /// Retry delay that callers are given when no replica is available.
 const NO_REPLICA_RETRY: Duration = Duration::from_millis(500);
 
-/// Time limit for a target to resume an interrupted response.
-const RESUME_TIMEOUT: Duration = Duration::from_secs(2);
-
 /// Maximum length in bytes of an agent's error body or issued key.
 pub(super) const ERROR_BODY_MAX: usize = 4 << 10;
 
@@ -160,14 +157,8 @@
         None => return Err(Error::new(Interruption::NotReached)),
     };
     let request = inner_request(entry, job, resume_at);
-    let remaining = job.remaining(entry);
-    let limit = if resume_at.is_some() {
-        remaining.min(RESUME_TIMEOUT)
-    } else {
-        remaining
-    };
     let sent = entry.node.exchange.send(address, &request);
-    match actix_rt::time::timeout(limit, sent).await {
+    match actix_rt::time::timeout(job.remaining(entry), sent).await {
         Ok(Ok(response)) => check_admission(response).await,
         Ok(Err(exchange::Error::NotSent { .. })) => Err(Error::new(Interruption::NotReached)),
         Ok(Err(_)) | Err(_) => Err(Error::new(Interruption::NoAnswer)),
--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -1,14 +1,19 @@
 //! Relays a token stream to the caller, and resumes it when it is interrupted.
 
+use std::future::pending;
 use std::io;
+use std::pin::pin;
 use std::sync::Arc;
+use std::time::Duration;
 
 use actix_http::header::{HeaderName, HeaderValue};
 use actix_http::{Method, StatusCode};
 use bytes::{Bytes, BytesMut};
-use futures_util::{Stream, StreamExt, stream};
+use futures_util::future::{Either, LocalBoxFuture, select};
+use futures_util::stream::FuturesUnordered;
+use futures_util::{FutureExt, Stream, StreamExt, stream};
 
-use super::attempt::{Attempt, choose, send, sign};
+use super::attempt::{self, Attempt, choose, send, sign};
 use super::call::{BUFFERED_MAX, CONTROL_TIMEOUT, Dispatch};
 use super::caller::{Body, Code, Failure};
 use super::event::Reader;
@@ -17,6 +22,10 @@
 use crate::request::{Interruption, Next, Outcome};
 use crate::route::{ReplicaKey, Resource};
 
+/// How long the targets that were asked to resume a response may be silent before another one is
+/// asked as well.
+const RESUME_SILENCE_MAX: Duration = Duration::from_secs(2);
+
 /// A token stream being relayed to the caller.
 pub(super) struct Relay {
     dispatch: Dispatch,
@@ -84,44 +93,66 @@
     }
 
     /// Resumes an interrupted response after its last complete token: at the same target, or, if the
-    /// request is repeatable, by running it again on another target with the same version.
+    /// request is repeatable, by running it again on another target with the same version. A silent
+    /// target may go on, so it is awaited while another one is asked, and the first response counts.
     async fn resume(&mut self) -> bool {
         self.reader.restart();
-        let begun = self.reader.next_token() > 0;
-        let mut replica = match &mut self.attempt {
-            Some(attempt) => {
-                attempt.fail();
-                Some(attempt.replica)
-            }
-            None => None,
-        };
+        let mut same_target = self.attempt.as_mut().map(|attempt| {
+            attempt.fail();
+            attempt.replica
+        });
+        let mut attempts = FuturesUnordered::new();
         loop {
-            if self.dispatch.decide(Interruption::MidAnswer, begun) != Next::Resume {
+            let next = self.next_attempt(same_target.take());
+            let may_ask_more = next.is_some();
+            attempts.extend(next);
+            if attempts.is_empty() {
                 return false;
             }
-            self.dispatch.attempts += 1;
-            let elsewhere = replica.is_none();
-            let Some(target) = replica.take().or_else(|| self.choose_other()) else {
-                return false;
+            let silence = async {
+                match may_ask_more {
+                    true => actix_rt::time::sleep(RESUME_SILENCE_MAX).await,
+                    false => pending().await,
+                }
             };
-            let attempt = Attempt::begin(&self.dispatch.entry, target);
-            let job = &self.dispatch.job;
-            // The same target continues the stream. Another target runs the request from the start,
-            // and the reader drops the tokens that were already forwarded.
-            let resume_at = (!elsewhere).then(|| self.reader.next_token());
-            if let Ok(response) = send(&self.dispatch.entry, job, target, resume_at).await {
+            if let Either::Left((Some((attempt, Ok(response))), _)) =
+                select(attempts.next(), pin!(silence)).await
+            {
                 self.response = response;
                 self.attempt = Some(attempt);
                 return true;
             }
-            self.dispatch.tried.push(target);
         }
     }
 
-    fn choose_other(&self) -> Option<ReplicaKey> {
-        if !self.dispatch.job.repeatable {
+    /// Begins an attempt to resume the response at `same_target`, where it was interrupted, or else
+    /// at another target, if the request may be sent to one.
+    fn next_attempt(
+        &mut self,
+        same_target: Option<ReplicaKey>,
+    ) -> Option<LocalBoxFuture<'static, (Attempt, Result<Response, attempt::Error>)>> {
+        let elsewhere = same_target.is_none();
+        if elsewhere && !self.dispatch.job.repeatable {
             return None;
         }
+        let begun = self.reader.next_token() > 0;
+        if self.dispatch.decide(Interruption::MidAnswer, begun) != Next::Resume {
+            return None;
+        }
+        self.dispatch.attempts += 1;
+        let target = same_target.or_else(|| self.choose_other())?;
+        self.dispatch.tried.push(target);
+        let entry = self.dispatch.entry.clone();
+        let job = self.dispatch.job.clone();
+        let attempt = Attempt::begin(&entry, target);
+        // The same target continues the stream. Another target runs the request from the start,
+        // and the reader drops the tokens that were already forwarded.
+        let resume_at = (!elsewhere).then(|| self.reader.next_token());
+        let sent = async move { (attempt, send(&entry, &job, target, resume_at).await) };
+        Some(sent.boxed_local())
+    }
+
+    fn choose_other(&self) -> Option<ReplicaKey> {
         choose(
             &self.dispatch.entry,
             &self.dispatch.job,
--- a/tests/pause.rs
+++ b/tests/pause.rs
@@ -99,9 +99,9 @@
 /// than the time after which another one is asked.
 #[test]
 fn a_broken_stream_is_resumed_by_a_target_that_pauses() {
-    run(async {
-        let served = served(1).await;
-        for repeatable in [false, true] {
+    for repeatable in [false, true] {
+        run(async {
+            let served = served(1).await;
             engine(&served).break_next_stream(7);
             engine(&served).pause_at(Moment::Break, PAUSE);
             let ask = ask("main bearing", repeatable);
@@ -109,8 +109,8 @@
             assert_whole(&seen, &ask.prompt);
             assert!(seen.took > PAUSE);
             assert_eq!(served.fleet.runs.count(&seen.request), 1);
-        }
-    });
+        });
+    }
 }
 
 /// Guards against repeatable requests that wait for a silent target although another one is free.
