Agent: a run is kept for its resume for longer than a box may be silent

The run of a stream that had broken was cancelled at the engine while the request to resume it waited in the sockets of its silent box. The box went on after 2.2 s, the engine no longer knew the stream, and the answer of a request that may run once ended in its middle, with an unknown outcome.

Cause: the agent cancels the run of a broken stream that is not resumed within 2 s. Its clock runs on while the connections of its box, or the entry, stand still for as long.

The agent now waits for 5 s. That is longer than a pause and the time after which the kernel gives up a connection. The cancellation only matters if an entry has crashed, since an entry that cannot resume a stream cancels its run by itself; the engine then works for up to 3 s more for nobody.

--- a/src/agent/proxy.rs
+++ b/src/agent/proxy.rs
@@ -34,8 +34,11 @@
 /// Maximum size of a plain service's answer that is forwarded in one piece, in bytes.
 const SHORT_ANSWER_MAX: usize = 64 << 10;
 
-/// How long a broken stream may be resumed before its request is cancelled at the engine.
-const RESUME_GRACE: Duration = Duration::from_secs(2);
+/// How long a broken stream may be resumed before its request is cancelled at the engine. An entry that
+/// cannot resume it cancels it by itself, so this matters only if the entry crashed. A box or entry
+/// may pause for 2.2 s with the request to resume in its sockets, and the kernel takes up to 2.5 s to
+/// give up a connection; 2 s cancelled runs that were then resumed in vain.
+const RESUME_GRACE: Duration = Duration::from_secs(5);
 
 /// Timeout of a cancellation at the target.
 const CANCEL_TIMEOUT: Duration = Duration::from_secs(1);
