Agent: an engine that pauses keeps its versions

After a pause of its engine of more than 2 s an agent refused requests for 0.5 to 2.6 s, where it was the only one that serves the version, and refused to resume streams, so that the answers of requests that may run once ended in their middle.

Cause: a poll without an answer for 2 s counted like an engine that is gone, so no version was servable until its load was ordered again. Since the poll took longer than the time after which the agent assumes that its own process was paused, it then also waited for a current configuration before the next poll.

An engine that is silent now keeps the state that it last reported, for 5 s. One that refuses connections has none at once, as before. A poll takes at most 1 s, so that a silent engine does not look like a pause of the agent. Requests that are sent to a paused engine are answered when it goes on; if it does not, up to 3 s more of them are sent to it than before.

A new test shows that an engine that hangs still stops being servable.

--- a/src/agent/engine.rs
+++ b/src/agent/engine.rs
@@ -17,9 +17,17 @@
 /// Interval at which the engine's state is polled while it is loading a version.
 const POLL_INTERVAL_LOADING: Duration = Duration::from_millis(30);
 
-/// Timeout of a request to the engine.
+/// Timeout of an order to the engine.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Timeout of a poll. With [`POLL_INTERVAL`] it is shorter than [`PAUSE_THRESHOLD`], so that a silent
+/// engine does not look like a pause of this process.
+const STATE_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// How long an engine may be silent before its versions no longer count as servable. A sound engine
+/// may pause for 2.2 s; requests that are sent to it meanwhile are answered when it goes on.
+const SILENCE_MAX: Duration = Duration::from_secs(5);
+
 /// Maximum size of an answer of the engine, in bytes.
 const ANSWER_MAX: usize = 1 << 20;
 
@@ -34,6 +42,7 @@
 /// Polls and commands the engine until dropped.
 pub async fn run(agent: Rc<Agent>) {
     let mut last_poll = agent.node.clock.now();
+    let mut last_answer = last_poll;
     loop {
         let interval = if agent.loading() {
             POLL_INTERVAL_LOADING
@@ -44,7 +53,7 @@
         refresh_after_pause(&agent, last_poll).await;
         last_poll = agent.node.clock.now();
         if agent.setting.node.role == crate::member::Role::Model {
-            poll(&agent).await;
+            poll(&agent, &mut last_answer).await;
         }
     }
 }
@@ -61,12 +70,21 @@
     agent.node.ready.send_replace(true);
 }
 
-async fn poll(agent: &Rc<Agent>) {
-    let Ok(state) = fetch_state(agent).await else {
-        // No version is servable at an engine that does not answer.
-        agent.apply_engine_state(EngineState::default());
-        return;
+/// Polls the engine, and sends it orders. `last_answer` is when it last reported its state.
+async fn poll(agent: &Rc<Agent>, last_answer: &mut Time) {
+    let state = match fetch_state(agent).await {
+        Ok(state) => state,
+        // The engine may only pause: what it last reported is still in force.
+        Err(Error::Exchange { .. }) if agent.node.clock.now().since(*last_answer) < SILENCE_MAX => {
+            return;
+        }
+        Err(_) => {
+            // No version is servable at an engine that cannot be reached.
+            agent.apply_engine_state(EngineState::default());
+            return;
+        }
     };
+    *last_answer = agent.node.clock.now();
     if !agent.acquire_control(&state) {
         agent.apply_engine_state(EngineState::default());
         return;
@@ -83,7 +101,7 @@
 
 async fn fetch_state(agent: &Agent) -> Result<EngineState, Error> {
     let url = format!("http://{}/v1/state", agent.setting.target_address);
-    http::get_json(&agent.node.client.0, &url, ANSWER_MAX, ANSWER_TIMEOUT).await
+    http::get_json(&agent.node.client.0, &url, ANSWER_MAX, STATE_TIMEOUT).await
 }
 
 async fn send_order(agent: &Agent, command: Command) {
--- a/tests/pause.rs
+++ b/tests/pause.rs
@@ -196,3 +196,18 @@
         assert_eq!(refused, 0, "refused for {answered:?} after the pause");
     });
 }
+
+/// Guards against requests to an engine that hangs: its versions stop being servable.
+#[test]
+fn an_engine_that_stays_silent_is_not_servable() {
+    run(async {
+        let served = served(1).await;
+        engine(&served).pause_at(Moment::Report, Duration::from_secs(15));
+        let member = &served.fleet.boxes[0];
+        until("no version is servable", || {
+            member.probe().servable.is_empty()
+        })
+        .await;
+        assert!(engine(&served).is_pausing());
+    });
+}
