--- a/tests/store_copy.rs
+++ b/tests/store_copy.rs
@@ -494,6 +494,14 @@
     }
 }
 
+/// Guards against a replica that leaves and has ended staying in use at a process that reads the store, after a copy.
+#[test]
+fn an_ended_replica_is_not_used_by_a_reader_after_a_copy() {
+    if let Some(wrong) = Model::new(7_001_285, true).run(STEPS) {
+        panic!("{wrong}");
+    }
+}
+
 /// A catalog whose list of replicas is empty and known up to `revision`.
 fn empty_list(revision: u64) -> Catalog {
     let mut catalog = Catalog::new(false);
