Test: nobody is blocked when all replicas are lost five times

Restores five losses of all replicas, 5 s apart, which became two before the check was first committed, without anything that shows that the case is allowed. The restored check is a test of its own, so that the one with two losses goes on running. Both are now also played with trials that each entry grants for its own requests, as the model did at first.

--- a/tests/poison_part.rs
+++ b/tests/poison_part.rs
@@ -72,6 +72,8 @@
     beside_until_ms: u64,
     /// Whether all poison requests have all parts in `poison`.
     together: bool,
+    /// Whether each entry grants the trials of its own requests, instead of one on behalf of all.
+    each_grants: bool,
     /// Replicas that crash for another reason: when, and how many at once.
     crashes: Vec<(u64, usize)>,
     lasts_ms: u64,
@@ -89,6 +91,7 @@
             beside: None,
             beside_until_ms: u64::MAX,
             together: false,
+            each_grants: false,
             crashes: Vec::new(),
             lasts_ms: 30_000,
         }
@@ -304,8 +307,10 @@
         let now = time(self.now_ms);
         let allowed = match self.registries[entry].verdict(&subjects, now) {
             Verdict::Allowed => true,
-            // One entry grants the trials of all.
-            Verdict::TrialDue => self.registries[0].claim_trial(&subjects, now),
+            Verdict::TrialDue => {
+                let granting = if self.setting.each_grants { entry } else { 0 };
+                self.registries[granting].claim_trial(&subjects, now)
+            }
             Verdict::Blocked => false,
         };
         if allowed {
@@ -442,6 +447,21 @@
     });
 }
 
+/// Plays `crashes` for other reasons with many seeds, and returns the seeds with which sound requests were blocked, and how many.
+fn blocked_without_poison(crashes: &[(u64, usize)], each_grants: bool) -> Vec<(u64, usize)> {
+    let blocked = (1..=SEEDS).map(|seed| {
+        let setting = Setting {
+            crashes: crashes.to_vec(),
+            each_grants,
+            ..Setting::default()
+        };
+        let outcome = Model::new(setting, seed).run();
+        let blocked = outcome.sound.iter().filter(|(_, blocked)| *blocked);
+        (seed, blocked.count())
+    });
+    blocked.filter(|(_, blocked)| *blocked > 0).collect()
+}
+
 /// Replicas crash for other reasons: one after the other, several at once, and all at once.
 #[test]
 fn nobody_is_blocked_when_replicas_crash_for_other_reasons() {
@@ -449,14 +469,21 @@
     let several = (0..10).map(|number| (1_000 + number * 2_500, 5)).collect();
     let all = vec![(1_000, 12), (6_000, 12)];
     for crashes in [one_by_one, several, all] {
-        for seed in 1..=SEEDS {
-            let setting = Setting {
-                crashes: Vec::clone(&crashes),
-                ..Setting::default()
-            };
-            let outcome = Model::new(setting, seed).run();
-            let blocked = outcome.sound.iter().filter(|(_, blocked)| *blocked).count();
-            assert_eq!(blocked, 0, "seed {seed} of {crashes:?}");
+        for each_grants in [false, true] {
+            let blocked = blocked_without_poison(&crashes, each_grants);
+            assert_eq!(blocked, [], "{crashes:?}, each grants: {each_grants}");
         }
     }
 }
+
+/// Guards against a sound request that is blocked because all replicas were lost several times while its rare part was running.
+#[test]
+fn nobody_is_blocked_when_all_replicas_are_lost_five_times() {
+    let crashes: Vec<_> = (0..5).map(|number| (1_000 + number * 5_000, 12)).collect();
+    let blocked = [false, true].map(|each_grants| blocked_without_poison(&crashes, each_grants));
+    assert_eq!(
+        blocked,
+        [[], []],
+        "blocked requests by seed, with trials granted by one entry and by each"
+    );
+}
