Test: losses of all replicas are played with both sequences of random numbers

The model also draws a random number for poison requests where none come, from poison_from_ms on, so the default of 3 s, which came with the narrower checks, changed what each seed plays. Both starts are played now, in both tests.

--- a/tests/poison_part.rs
+++ b/tests/poison_part.rs
@@ -557,19 +557,26 @@
     check_few_blocked(&beside(3_000));
 }
 
-/// Plays `crashes` for other reasons with many seeds, and returns the seeds with which sound requests were blocked, and how many.
-fn blocked_without_poison(crashes: &[(u64, usize)], each_grants: bool) -> Vec<(u64, usize)> {
-    let blocked = (1..=SEEDS).map(|seed| {
+/// Plays `crashes` for other reasons with many seeds, each with two sequences of random numbers: those that decide whether a
+/// poison request comes are also drawn where none can come, from `poison_from_ms` on. Returns that time, the seed, and how many
+/// sound requests were blocked, where any were.
+fn blocked_without_poison(crashes: &[(u64, usize)], each_grants: bool) -> Vec<(u64, u64, usize)> {
+    let mut found = Vec::new();
+    for poison_from_ms in [0, 3_000] {
         let setting = Setting {
             crashes: crashes.to_vec(),
             each_grants,
+            poison_from_ms,
             ..Setting::default()
         };
-        let outcome = Model::new(setting, seed).run();
-        let blocked = outcome.sound.iter().filter(|(_, blocked)| *blocked);
-        (seed, blocked.count())
-    });
-    blocked.filter(|(_, blocked)| *blocked > 0).collect()
+        for (seed, outcome) in play(&setting) {
+            let blocked = outcome.sound.iter().filter(|(_, blocked)| *blocked).count();
+            if blocked > 0 {
+                found.push((poison_from_ms, seed, blocked));
+            }
+        }
+    }
+    found
 }
 
 /// Replicas crash for other reasons: one after the other, several at once, and all at once.
@@ -594,6 +601,6 @@
     assert_eq!(
         blocked,
         [[], []],
-        "blocked requests by seed, with trials granted by one entry and by each"
+        "blocked requests by sequence and seed, with trials granted by one entry and by each"
     );
 }
