--- a/tests/poison_part.rs
+++ b/tests/poison_part.rs
@@ -72,6 +72,8 @@
     beside_until_ms: u64,
     /// Whether all poison requests have all parts in `poison`.
     together: bool,
+    /// Whether each entry grants the trials of its own requests, instead of one on behalf of all.
+    each_grants: bool,
     /// Replicas that crash for another reason: when, and how many at once.
     crashes: Vec<(u64, usize)>,
     lasts_ms: u64,
@@ -89,6 +91,7 @@
             beside: None,
             beside_until_ms: u64::MAX,
             together: false,
+            each_grants: false,
             crashes: Vec::new(),
             lasts_ms: 30_000,
         }
@@ -304,8 +307,10 @@
         let now = time(self.now_ms);
         let allowed = match self.registries[entry].verdict(&subjects, now) {
             Verdict::Allowed => true,
-            // One entry grants the trials of all.
-            Verdict::TrialDue => self.registries[0].claim_trial(&subjects, now),
+            Verdict::TrialDue => {
+                let granting = if self.setting.each_grants { entry } else { 0 };
+                self.registries[granting].claim_trial(&subjects, now)
+            }
             Verdict::Blocked => false,
         };
         if allowed {
@@ -351,17 +356,33 @@
 
 const SEEDS: u64 = 20;
 
-/// Plays `setting` with many seeds. Poison parts are sent no more once their crashes can be known, and from then on sound
-/// requests begin at least half as often as without them.
-fn check_blocked(setting: &Setting) {
+/// The share of all sound requests that may be blocked for poison ones.
+const BLOCKED_SHARE_MAX: f64 = 0.01;
+
+/// The setting with trials that one entry grants on behalf of all, and with trials that each grants.
+fn however_granted(setting: &Setting) -> [Setting; 2] {
+    [false, true].map(|each_grants| Setting {
+        each_grants,
+        ..setting.clone()
+    })
+}
+
+/// Plays `setting` with many seeds.
+fn play(setting: &Setting) -> Vec<(u64, Outcome)> {
+    let outcomes = (1..=SEEDS).map(|seed| (seed, Model::new(setting.clone(), seed).run()));
+    outcomes.collect()
+}
+
+/// Poison parts are sent no more once their crashes can be known, and from then on sound requests begin at least half as often
+/// as without them.
+fn check_sent_no_more(setting: &Setting, outcomes: &[(u64, Outcome)]) {
     let parts = if setting.together {
         1
     } else {
         setting.poison.len()
     };
     let (mut worst_late, mut worst_crashes, mut worst_blocked) = (0, 0, 0.0_f64);
-    for seed in 1..=SEEDS {
-        let outcome = Model::new(setting.clone(), seed).run();
+    for (seed, outcome) in outcomes {
         let crashes = outcome.crashed_ms.len();
         let late = outcome.late_sends(CRASHES * parts);
         let last = outcome.crashed_ms.get(CRASHES * parts - 1);
@@ -384,6 +405,36 @@
     );
 }
 
+/// Under `BLOCKED_SHARE_MAX` of all sound requests are blocked with every seed, however trials are granted.
+fn check_few_blocked(setting: &Setting) {
+    let settings = however_granted(setting);
+    let over = settings.map(|setting| shares_over(&play(&setting)));
+    assert!(
+        over.iter().all(Vec::is_empty),
+        "sound requests blocked, with trials granted by one entry and by each: {over:?}"
+    );
+}
+
+/// The seeds with which too many of all sound requests were blocked, and their share.
+fn shares_over(outcomes: &[(u64, Outcome)]) -> Vec<(u64, f64)> {
+    let shares = outcomes
+        .iter()
+        .map(|(seed, outcome)| (*seed, outcome.blocked_share(0)));
+    shares
+        .filter(|(_, share)| *share >= BLOCKED_SHARE_MAX)
+        .collect()
+}
+
+/// As [`check_sent_no_more`] and [`check_few_blocked`], however trials are granted.
+fn check_blocked(setting: &Setting) {
+    for setting in however_granted(setting) {
+        let outcomes = play(&setting);
+        check_sent_no_more(&setting, &outcomes);
+        let over = shares_over(&outcomes);
+        assert_eq!(over, [], "each grants: {}", setting.each_grants);
+    }
+}
+
 fn poisoned(per_s: f64) -> Setting {
     Setting {
         poison_per_s: per_s,
@@ -413,33 +464,119 @@
 /// As above, with so many poison requests that all replicas are away before anything has completed.
 #[test]
 fn part_that_crashes_all_replicas_from_the_start_is_blocked() {
-    check_blocked(&Setting {
+    let [one_grants, _] = however_granted(&all_from_the_start());
+    check_sent_no_more(&one_grants, &play(&one_grants));
+}
+
+/// Guards against a poison part that is sent on where each entry grants trials and all replicas crash before anything has completed.
+#[test]
+fn each_entry_blocks_a_part_that_crashes_all_replicas_from_the_start() {
+    let [_, each_grants] = however_granted(&all_from_the_start());
+    check_sent_no_more(&each_grants, &play(&each_grants));
+}
+
+fn all_from_the_start() -> Setting {
+    Setting {
         poison_from_ms: 0,
         ..poisoned(15.0)
-    });
+    }
 }
 
+/// Guards against sound requests that are blocked for poison ones under which all replicas crash before anything has completed.
 #[test]
-fn two_parts_that_crash_replicas_are_blocked() {
-    let apart = Setting {
+fn few_sound_requests_are_blocked_when_all_replicas_crash_from_the_start() {
+    check_few_blocked(&all_from_the_start());
+}
+
+fn two_parts(poison_from_ms: u64) -> Setting {
+    Setting {
         poison: vec![500, 501],
+        poison_from_ms,
         ..poisoned(4.0)
-    };
-    check_blocked(&apart);
+    }
+}
+
+#[test]
+fn two_parts_that_crash_replicas_are_blocked() {
+    check_blocked(&two_parts(3_000));
     check_blocked(&Setting {
         together: true,
-        ..apart
+        ..two_parts(3_000)
     });
 }
 
-/// A sound part that only ever stands beside the poison one is blocked only with it.
+/// Guards against two poison parts that are sent on by entries that have just started.
 #[test]
-fn part_that_always_stands_beside_a_poison_one_does_not_hide_it() {
+fn two_parts_that_crash_replicas_from_the_start_are_blocked() {
+    let [one_grants, each_grants] = however_granted(&two_parts(0));
+    let outcomes = play(&one_grants);
+    check_sent_no_more(&one_grants, &outcomes);
+    assert_eq!(shares_over(&outcomes), []);
+    check_sent_no_more(&each_grants, &play(&each_grants));
     check_blocked(&Setting {
+        together: true,
+        ..two_parts(0)
+    });
+}
+
+/// Guards against sound requests that are blocked for either of two poison parts at entries that have just started.
+#[test]
+fn few_sound_requests_are_blocked_for_two_parts_from_the_start() {
+    check_few_blocked(&two_parts(0));
+}
+
+fn beside(poison_from_ms: u64) -> Setting {
+    Setting {
         beside: Some(600),
         beside_until_ms: 9_000,
+        poison_from_ms,
         ..poisoned(4.0)
-    });
+    }
+}
+
+/// A sound part that only ever stands beside the poison one is blocked only with it.
+#[test]
+fn part_that_always_stands_beside_a_poison_one_does_not_hide_it() {
+    for setting in however_granted(&beside(3_000)) {
+        check_sent_no_more(&setting, &play(&setting));
+    }
+}
+
+/// Guards against a poison part that entries which have just started send on because a sound one has always stood beside it.
+#[test]
+fn part_that_stands_beside_a_poison_one_from_the_start_does_not_hide_it() {
+    for setting in however_granted(&beside(0)) {
+        check_sent_no_more(&setting, &play(&setting));
+    }
+}
+
+/// Guards against sound requests that are blocked for a sound part that only ever stands beside the poison one.
+#[test]
+fn few_sound_requests_are_blocked_for_a_part_beside_a_poison_one() {
+    check_few_blocked(&beside(0));
+    check_few_blocked(&beside(3_000));
+}
+
+/// Plays `crashes` for other reasons with many seeds, each with two sequences of random numbers: those that decide whether a
+/// poison request comes are also drawn where none can come, from `poison_from_ms` on. Returns that time, the seed, and how many
+/// sound requests were blocked, where any were.
+fn blocked_without_poison(crashes: &[(u64, usize)], each_grants: bool) -> Vec<(u64, u64, usize)> {
+    let mut found = Vec::new();
+    for poison_from_ms in [0, 3_000] {
+        let setting = Setting {
+            crashes: crashes.to_vec(),
+            each_grants,
+            poison_from_ms,
+            ..Setting::default()
+        };
+        for (seed, outcome) in play(&setting) {
+            let blocked = outcome.sound.iter().filter(|(_, blocked)| *blocked).count();
+            if blocked > 0 {
+                found.push((poison_from_ms, seed, blocked));
+            }
+        }
+    }
+    found
 }
 
 /// Replicas crash for other reasons: one after the other, several at once, and all at once.
@@ -449,14 +586,21 @@
     let several = (0..10).map(|number| (1_000 + number * 2_500, 5)).collect();
     let all = vec![(1_000, 12), (6_000, 12)];
     for crashes in [one_by_one, several, all] {
-        for seed in 1..=SEEDS {
-            let setting = Setting {
-                crashes: Vec::clone(&crashes),
-                ..Setting::default()
-            };
-            let outcome = Model::new(setting, seed).run();
-            let blocked = outcome.sound.iter().filter(|(_, blocked)| *blocked).count();
-            assert_eq!(blocked, 0, "seed {seed} of {crashes:?}");
+        for each_grants in [false, true] {
+            let blocked = blocked_without_poison(&crashes, each_grants);
+            assert_eq!(blocked, [], "{crashes:?}, each grants: {each_grants}");
         }
     }
 }
+
+/// Guards against a sound request that is blocked because all replicas were lost several times while its rare part was running.
+#[test]
+fn nobody_is_blocked_when_all_replicas_are_lost_five_times() {
+    let crashes: Vec<_> = (0..5).map(|number| (1_000 + number * 5_000, 12)).collect();
+    let blocked = [false, true].map(|each_grants| blocked_without_poison(&crashes, each_grants));
+    assert_eq!(
+        blocked,
+        [[], []],
+        "blocked requests by sequence and seed, with trials granted by one entry and by each"
+    );
+}
