Relay: an attempt to resume that runs is not joined by another when the stream breaks

Where the silent replica's connection broke while another replica was being asked to resume the stream, a third was asked at once if the route allowed it, though the second had only just begun. It is asked if that is silent too, or fails. Found in the read-through; not measured. Comments say who raises the alarm.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -113,9 +113,9 @@
     alive_at: Cell<Time>,
     /// Whether the replica is known to have survived the request, or is already being checked.
     outcome_known: Cell<bool>,
-    /// Whether the replica has been silent for as long as it may before another one is asked.
+    /// Whether the replica is silent now, for as long as it may be before another one is asked.
     silent: Cell<bool>,
-    /// Whether it has been so at any time.
+    /// Whether it has been silent for so long at any time.
     was_silent: Cell<bool>,
     connection: Recorder,
     /// Raised when another replica is to be asked.
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -51,9 +51,9 @@
     End,
     /// The attempt failed, and this is what it says about the replica's health.
     Broken(String, Signal),
-    /// The replica is silent.
+    /// The current replica is silent. Recording that raises the alarm.
     Silent,
-    /// Another replica is to be asked.
+    /// Another replica is to be asked: an alarm was raised, or a search failed some time ago.
     Due,
     /// The search for another replica has ended.
     Found(Result<Choice, NoSuccessor>),
@@ -63,7 +63,7 @@
     Expired,
 }
 
-/// What was waited for.
+/// What was waited for. The parts of a response are handled once nothing borrows the relay any more.
 enum Event {
     /// The next part of the current attempt's response.
     Received(Option<Result<Bytes, exchange::Error>>),
@@ -146,7 +146,7 @@
     successors: FuturesUnordered<LocalBoxFuture<'static, Result<Resumed, Failure>>>,
     /// Whether another replica is being looked for.
     searching: bool,
-    /// When another replica is looked for again.
+    /// When another replica is looked for again, after a search that found none.
     recheck_at: Option<Time>,
     splitter: Splitter,
     head: Option<HttpResponse<()>>,
@@ -325,7 +325,8 @@
             // Another replica would cut the stream off as well while its caller does not read.
             self.lead.drained().await;
         }
-        self.searching = true;
+        // An attempt that was begun while this one was silent goes on alone.
+        self.searching = self.successors.is_empty();
     }
 
     /// Has the chosen replica resume the stream, after the last complete event.
@@ -434,7 +435,8 @@
             searching,
             ..
         } = self;
-        let is_silent = current
+        // Without a current attempt, only the successors are awaited.
+        let silence_known = current
             .as_ref()
             .is_none_or(|current| current.attempt.is_silent());
         let received = async {
@@ -457,7 +459,7 @@
             Event::Other(Step::Due)
         };
         let silence = async {
-            race::after((!is_silent).then_some(quiet)).await;
+            race::after((!silence_known).then_some(quiet)).await;
             Event::Other(Step::Silent)
         };
         let event = race::either(
