--- /dev/null
+++ b/review/1/run.sh
@@ -0,0 +1,9 @@
+#!/bin/sh
+# MIXED: a replica crashes while it writes an answer that finishes with its connection.
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+cd "$(dirname "$0")/../.." || exit 2
+[ -x target/review/stand ] && [ -x target/release/pumicelatch-platform-entry ] || {
+    echo "build first: the build line of deploy/system.toml, and review/build.sh" >&2
+    exit 2
+}
+exec timeout 110 target/review/stand mixed review/1
--- /dev/null
+++ b/review/stand/main.rs
@@ -0,0 +1,46 @@
+//! Stand-ins of the platform's store, of replicas and of clients, and the cases that use them.
+//!
+//! `stand replica ...` is a replica as a process of its own; `stand CASE FOLDER` plays a case, writes
+//! `record.txt` into its folder and exits with 1 if the rule was broken, 0 if it held, 2 if the case
+//! could not run. With `TROUBLE=0` in the environment there is no disruption.
+
+mod case_config;
+mod case_drain;
+mod case_mixed;
+mod case_order;
+mod client;
+mod entry;
+mod fleet;
+mod http;
+mod record;
+mod replica;
+mod store;
+
+fn main() {
+    let args: Vec<String> = std::env::args().skip(1).collect();
+    let folder = args.get(1).cloned().unwrap_or_default();
+    let verdict = match args.first().map(String::as_str) {
+        Some("replica") => {
+            replica::run(&args[1..]);
+            return;
+        }
+        Some("mixed") => case_mixed::play(&folder),
+        Some("order") => case_order::play(&folder),
+        Some("config") => case_config::play(&folder),
+        Some("drain") => case_drain::play(&folder),
+        _ => Err("stand CASE FOLDER, or stand replica ADDRESS ID SERVICE-OPTIONS".to_owned()),
+    };
+    std::process::exit(match verdict {
+        Ok(true) => 0,
+        Ok(false) => 1,
+        Err(error) => {
+            eprintln!("the case could not run: {error}");
+            2
+        }
+    });
+}
+
+/// Whether the disruption is to be made.
+pub fn trouble() -> bool {
+    std::env::var("TROUBLE").map_or(true, |value| value != "0")
+}
