--- a/review/stand/case_mixed.rs
+++ b/review/stand/case_mixed.rs
@@ -50,6 +50,7 @@
             key: fleet::KEY,
             deadline_ms: 1_500,
             body: if safe { b"" } else { b"save" },
+            more: "",
         });
         let response = match end {
             End::Response(response) => response,
--- a/review/stand/case_order.rs
+++ b/review/stand/case_order.rs
@@ -49,6 +49,7 @@
             key: fleet::KEY,
             deadline_ms: 6_000,
             body: b"report",
+            more: "",
         });
         let response = match end {
             End::Response(response) if response.complete => response,
--- a/review/stand/client.rs
+++ b/review/stand/client.rs
@@ -27,6 +27,8 @@
     pub key: &'a str,
     pub deadline_ms: u64,
     pub body: &'a [u8],
+    /// Further header lines, each with its end.
+    pub more: &'a str,
 }
 
 impl Client {
@@ -55,6 +57,7 @@
         if request.method != "GET" {
             text += &format!("Content-Length: {}\r\n", request.body.len());
         }
+        text += request.more;
         text += "\r\n";
         let bytes = [text.as_bytes(), request.body].concat();
         if from.get_mut().write_all(&bytes).is_err() {
--- a/review/stand/entry.rs
+++ b/review/stand/entry.rs
@@ -10,6 +10,16 @@
 
 use crate::http;
 
+/// The bounds of the site, as every process gets them.
+const BOUNDS: &str = "[bounds]\nseedLagS = 3\naddrReuseS = 2\ncontactMs = 3000\nackTimeoutMs = 4000\ncatchUpS = 4\n\
+    drainMs = 2000\ngraceS = 8\nlossSlackMs = 200\nconfigApplyMs = 2000\nrollbackSlackMs = 250\n\
+    outerBoundMs = 5000\nrevokeStrict = false\nrevokeMs = 5000\nretryBudgetRatio = 0.2\n\
+    budgetWindowS = 10\nretryBudgetSlack = 100\nrecoveryS = 12\niterationMs = 120\nretryAfterS = 0\n\
+    version_ms = 8000\nversion_all_ms = 0\n";
+
+/// The first of the ports that are free on every machine for what nodes say to each other.
+pub const PORTS: u16 = 7_700;
+
 static GIVEN_OUT: AtomicU8 = AtomicU8::new(0);
 
 /// A loopback address that no other process of this run uses.
@@ -70,6 +80,7 @@
         seeds: &[SocketAddr],
         folder: &std::path::Path,
     ) -> Result<Self, String> {
+        let ports = PORTS;
         let Place {
             ip,
             front,
@@ -80,20 +91,17 @@
         let text = format!(
             "nodeName = \"{name}\"\nrole = \"entry\"\nmachineClass = \"edge\"\n\
              serves = [\"edge\",\"control\"]\nip = \"{ip}\"\nzone = \"lis-a\"\nregion = \"lis\"\n\
-             internalPorts = [7700,7715]\nseeds = [{seeds}]\nbootstrap = false\n\
+             internalPorts = [{ports},{last}]\nseeds = [{seeds}]\nbootstrap = false\n\
              countsAsLoss = false\ndiscovery = \"platform\"\nentryMode = \"vip\"\nheartbeatMs = 1200\n\
              contracts = [\"base\",\"drain\",\"config\",\"cost\",\"retry\",\"recover\",\"engine\",\"stream\",\"tenants\",\"platform\",\"chunks\"]\n\
              [zones]\nlis-a = \"lis\"\n\
              [listen]\nfront = \"{front}\"\nready = \"{ready}\"\ncontrol = \"{control}\"\n\
              [limits]\ncpuShare = 0.25\ncores = 1\nmemoryMb = 260\nmaxFds = 4200\nlinkMbps = 1000.0\ndiskMb = 0\n\
              [faultTolerance]\nmachines = 3\nzones = 1\nregions = 0\n\
-             [bounds]\nseedLagS = 3\naddrReuseS = 2\ncontactMs = 3000\nackTimeoutMs = 4000\ncatchUpS = 4\n\
-             drainMs = 2000\ngraceS = 8\nlossSlackMs = 200\nconfigApplyMs = 2000\nrollbackSlackMs = 250\n\
-             outerBoundMs = 5000\nrevokeStrict = false\nrevokeMs = 5000\nretryBudgetRatio = 0.2\n\
-             budgetWindowS = 10\nretryBudgetSlack = 100\nrecoveryS = 12\niterationMs = 120\nretryAfterS = 0\n\
-             version_ms = 8000\nversion_all_ms = 0\n\
+             {BOUNDS}\
              [platformConfig]\naddress = \"{store}\"\nform = \"read\"\nwrites_per_s = 400\n\
              reads_per_s = 2000\nhistoryS = 20\nvalue_bytes = 1048576\nttl_min_ms = 1000\n",
+            last = ports + 15,
             seeds = seeds.join(",")
         );
         let settings = folder.join(format!("{name}.toml"));
@@ -112,18 +120,7 @@
     }
 
     fn spawn(settings: &PathBuf, log: &PathBuf) -> Result<Child, String> {
-        let open = File::options().create(true).append(true).open(log);
-        let out = open.map_err(|error| error.to_string())?;
-        let errors = out.try_clone().map_err(|error| error.to_string())?;
-        // As in deploy/system.toml, from the project's root.
-        Command::new("target/release/pumicelatch-platform-entry")
-            .args(["--metrics-port", "9464"])
-            .env("PUMICELATCH_NODE_FILE", settings)
-            .stdin(Stdio::null())
-            .stdout(out)
-            .stderr(errors)
-            .spawn()
-            .map_err(|error| format!("cannot start the entry: {error}"))
+        spawn("target/release/pumicelatch-platform-entry", settings, log)
     }
 
     /// Starts the entry again after it was killed.
@@ -166,6 +163,81 @@
     }
 }
 
+/// Starts a program of the deploy file, as it stands there, from the project's root.
+fn spawn(program: &str, settings: &PathBuf, log: &PathBuf) -> Result<Child, String> {
+    let open = File::options().create(true).append(true).open(log);
+    let out = open.map_err(|error| error.to_string())?;
+    let errors = out.try_clone().map_err(|error| error.to_string())?;
+    Command::new(program)
+        .args(["--metrics-port", "9464"])
+        .env("PUMICELATCH_NODE_FILE", settings)
+        .stdin(Stdio::null())
+        .stdout(out)
+        .stderr(errors)
+        .spawn()
+        .map_err(|error| format!("cannot start {program}: {error}"))
+}
+
+/// The project's agent as a process, on the machine of a model replica.
+pub struct Agent {
+    pub child: Child,
+    pub settings: PathBuf,
+    pub log: PathBuf,
+}
+
+impl Drop for Agent {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+impl Agent {
+    /// Starts an agent at `ip`, beside the replica at `app`.
+    pub fn start(
+        name: &str,
+        app: SocketAddr,
+        ports: u16,
+        store: SocketAddr,
+        seeds: &[SocketAddr],
+        folder: &std::path::Path,
+    ) -> Result<Self, String> {
+        let ip = app.ip();
+        let seeds: Vec<String> = seeds.iter().map(|seed| format!("\"{seed}\"")).collect();
+        let text = format!(
+            "nodeName = \"{name}\"\nrole = \"agent\"\nmachineClass = \"side\"\nserves = [\"side\"]\n\
+             ip = \"{ip}\"\nzone = \"lis-a\"\nregion = \"lis\"\napp = \"{app}\"\n\
+             internalPorts = [{ports},{last}]\nseeds = [{seeds}]\nbootstrap = false\ncountsAsLoss = false\n\
+             discovery = \"platform\"\nheartbeatMs = 1200\n[zones]\nlis-a = \"lis\"\n\
+             [listen]\nready = \"{ip}:8002\"\n\
+             [limits]\ncpuShare = 0.3\ncores = 1\nmemoryMb = 128\nmaxFds = 2048\nlinkMbps = 7.3\ndiskMb = 0\n\
+             {BOUNDS}[platformConfig]\naddress = \"{store}\"\nform = \"read\"\nwrites_per_s = 400\n\
+             reads_per_s = 2000\nhistoryS = 20\nvalue_bytes = 1048576\nttl_min_ms = 1000\n",
+            last = ports + 15,
+            seeds = seeds.join(",")
+        );
+        let settings = folder.join(format!("{name}.toml"));
+        let log = folder.join(format!("{name}.log"));
+        std::fs::write(&settings, text).map_err(|error| error.to_string())?;
+        let child = spawn("target/release/pumicelatch-platform-agent", &settings, &log)?;
+        Ok(Self {
+            child,
+            settings,
+            log,
+        })
+    }
+
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    pub fn start_again(&mut self) -> Result<(), String> {
+        self.child = spawn("target/release/pumicelatch-platform-agent", &self.settings, &self.log)?;
+        Ok(())
+    }
+}
+
 /// A folder for the settings and logs of one run.
 pub fn temporary(case: &str) -> Result<PathBuf, String> {
     let path = std::env::temp_dir().join(format!("review-{case}-{}", std::process::id()));
--- a/review/stand/fleet.rs
+++ b/review/stand/fleet.rs
@@ -43,9 +43,21 @@
         let free = TcpListener::bind("127.0.0.1:0").map_err(|error| error.to_string())?;
         let address = free.local_addr().map_err(|error| error.to_string())?;
         drop(free);
+        let words = ["replica", &address.to_string(), id, kind, &unframed_every.to_string()];
+        Self::spawn(id, address, &words, record)
+    }
+
+    /// A model replica at `address`, on the machine of its agent.
+    pub fn engine(id: &str, address: SocketAddr, filled: bool, record: &Record) -> Result<Self, String> {
+        let what = if filled { "filled" } else { "empty" };
+        let words = ["engine", &address.to_string(), id, what];
+        Self::spawn(id, address, &words, record)
+    }
+
+    fn spawn(id: &str, address: SocketAddr, words: &[&str], record: &Record) -> Result<Self, String> {
         let own = std::env::current_exe().map_err(|error| error.to_string())?;
         let mut child = Command::new(own)
-            .args(["replica", &address.to_string(), id, kind, &unframed_every.to_string()])
+            .args(words)
             .stdin(Stdio::null())
             .stdout(Stdio::piped())
             .spawn()
--- a/review/stand/main.rs
+++ b/review/stand/main.rs
@@ -8,13 +8,16 @@
 mod case_drain;
 mod case_mixed;
 mod case_order;
+mod case_recover;
 mod client;
+mod engine;
 mod entry;
 mod fleet;
 mod http;
 mod record;
 mod replica;
 mod store;
+mod weights;
 
 fn main() {
     let args: Vec<String> = std::env::args().skip(1).collect();
@@ -24,8 +27,13 @@
             replica::run(&args[1..]);
             return;
         }
+        Some("engine") => {
+            engine::run(&args[1..]);
+            return;
+        }
         Some("mixed") => case_mixed::play(&folder),
         Some("order") => case_order::play(&folder),
+        Some("recover") => case_recover::play(&folder),
         Some("config") => case_config::play(&folder),
         Some("drain") => case_drain::play(&folder),
         _ => Err("stand CASE FOLDER, or stand replica ADDRESS ID SERVICE-OPTIONS".to_owned()),
