--- a/review/stand/case_recover.rs
+++ b/review/stand/case_recover.rs
@@ -23,7 +23,7 @@
 const RECOVERY_MS: f64 = 12_000.0;
 /// How long requests are sent and judged after that.
 const JUDGED: Duration = Duration::from_secs(18);
-const SERVICE: &str = "tutor-llm";
+pub const SERVICE: &str = "tutor-llm";
 
 /// A request: when it was sent, and whether it was served.
 type Sent = Arc<Mutex<Vec<(f64, bool)>>>;
@@ -64,7 +64,7 @@
     }
 }
 
-fn configuration(origin: SocketAddr) -> String {
+pub fn configuration(origin: SocketAddr) -> String {
     let route = fleet::route("mark", "streaming", SERVICE, 6_000, true);
     format!(
         "{{\"version\":7,\"routes\":[{route}],\"services\":[{{\"name\":\"{SERVICE}\",\"healthPath\":\"/health\",\
@@ -83,7 +83,7 @@
 }
 
 /// Writes a model replica's entry.
-fn list(store: &Store, id: &str, address: SocketAddr, loaded: u64) {
+pub fn list(store: &Store, id: &str, address: SocketAddr, loaded: u64) {
     let models = match loaded {
         0 => String::new(),
         version => format!("{{\"name\":\"{MODEL}\",\"version\":{version},\"adapters\":[]}}"),
@@ -225,7 +225,7 @@
 }
 
 /// The address of an agent's machine, from its settings.
-fn agents_ip(agent: &Agent) -> Result<std::net::Ipv4Addr, String> {
+pub fn agents_ip(agent: &Agent) -> Result<std::net::Ipv4Addr, String> {
     let text = std::fs::read_to_string(&agent.settings).map_err(|error| error.to_string())?;
     let line = text.lines().find_map(|line| line.strip_prefix("ip = \""));
     line.and_then(|line| line.trim_end_matches('"').parse().ok())
--- a/review/stand/engine.rs
+++ b/review/stand/engine.rs
@@ -7,7 +7,7 @@
 use std::net::{TcpListener, TcpStream};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use crate::http::{self, Request};
 use crate::weights::{self, MODEL};
@@ -20,6 +20,11 @@
 #[derive(Default)]
 struct State {
     staged: BTreeMap<usize, Vec<u8>>,
+    /// Pieces that turned bad where they lie, and when.
+    rotten: BTreeMap<usize, Instant>,
+    /// Whether a layer of what is loaded was taken from a piece that was spoilt for over 3 s, missing or of
+    /// another version.
+    spoilt: bool,
     /// The version that is loaded, 0 for none.
     loaded: u64,
     busy: bool,
@@ -95,16 +100,34 @@
         }
         if path.starts_with("/-/stage-put/") && own {
             let body = request.body.clone();
-            self.state.lock().unwrap().staged.insert(number, body);
+            let mut state = self.state.lock().unwrap();
+            state.staged.insert(number, body);
+            state.rotten.remove(&number);
+            drop(state);
             return http::respond(out, 200, &[], b"");
         }
         if path.starts_with("/-/stage-get/") {
             let piece = self.state.lock().unwrap().staged.get(&number).cloned();
+            tell(&format!("get {number} -"));
             return match piece {
                 Some(piece) => http::respond(out, 200, &[], &piece),
                 None => http::respond(out, 404, &[], b""),
             };
         }
+        if path == "/stand/rot" {
+            // Asked by the case: so many of the first pieces turn bad.
+            let count: usize = request.parameter("count").parse().unwrap_or(0);
+            let mut state = self.state.lock().unwrap();
+            for number in 0..count {
+                if let Some(piece) = state.staged.get_mut(&number) {
+                    piece[7] ^= 0xff;
+                    state.rotten.insert(number, Instant::now());
+                }
+            }
+            drop(state);
+            tell(&format!("rot {count} -"));
+            return http::respond(out, 200, &[], b"");
+        }
         if path == "/-/order" {
             return self.order(request, out);
         }
@@ -136,6 +159,21 @@
         } else {
             state.busy = true;
             state.orders += 1;
+            // What lies there is taken now.
+            let lately = Duration::from_secs(3);
+            let bad: Vec<String> = (0..weights::PIECES)
+                .filter(|number| {
+                    let whole = state.staged.get(number) == Some(&weights::piece(version, *number));
+                    let since = state.rotten.get(number).map(Instant::elapsed);
+                    !whole && since.is_none_or(|since| since > lately)
+                })
+                .map(|number| {
+                    let since = state.rotten.get(&number).map_or(0, |at| at.elapsed().as_millis());
+                    format!("{number}({since}ms)")
+                })
+                .collect();
+            state.spoilt = !bad.is_empty();
+            tell(&format!("take {version} bad:{}", bad.join("+")));
             let engine = self.clone();
             std::thread::spawn(move || {
                 std::thread::sleep(WARMUP);
@@ -161,7 +199,8 @@
             let headers = [("X-Pumicelatch-Attempt-Id", id), ("X-Pumicelatch-Not-Executed", "1")];
             return http::respond(out, 421, &headers, b"");
         }
-        tell(&format!("run {id} framed"));
+        let spoilt = self.state.lock().unwrap().spoilt;
+        tell(&format!("run {id} {}", if spoilt { "SPOILT" } else { "sound" }));
         self.running.fetch_add(1, Ordering::Relaxed);
         let written = self.events(request, out, id, loaded);
         self.running.fetch_sub(1, Ordering::Relaxed);
--- a/review/stand/main.rs
+++ b/review/stand/main.rs
@@ -9,6 +9,7 @@
 mod case_mixed;
 mod case_order;
 mod case_recover;
+mod case_whole;
 mod client;
 mod engine;
 mod entry;
@@ -33,6 +34,7 @@
         }
         Some("mixed") => case_mixed::play(&folder),
         Some("order") => case_order::play(&folder),
+        Some("whole") => case_whole::play(&folder),
         Some("recover") => case_recover::play(&folder),
         Some("config") => case_config::play(&folder),
         Some("drain") => case_drain::play(&folder),
--- a/review/stand/weights.rs
+++ b/review/stand/weights.rs
@@ -12,6 +12,8 @@
 pub const MODEL: &str = "daka510000";
 pub const PIECES: usize = 96;
 pub const PIECE_BYTES: usize = 24_576;
+/// Versions that the origin has.
+const VERSIONS: u64 = 2;
 /// The origin's link: 7.3 Mbit/s.
 const LINK_BYTES_PER_S: f64 = 7.3e6 / 8.0;
 
@@ -87,7 +89,7 @@
 /// The origin of weights.
 pub struct Origin {
     pub address: SocketAddr,
-    hashes: Vec<String>,
+    hashes: Vec<Vec<String>>,
     link: Mutex<()>,
     /// Manifests that are still to be spoilt.
     pub spoil: AtomicU64,
@@ -98,12 +100,14 @@
 }
 
 impl Origin {
-    /// An origin of version 1.
+    /// An origin.
     pub fn start(record: &Record) -> Result<Arc<Self>, String> {
         let listener = TcpListener::bind("127.0.0.1:0").map_err(|error| error.to_string())?;
         let origin = Arc::new(Self {
             address: listener.local_addr().map_err(|error| error.to_string())?,
-            hashes: (0..PIECES).map(|number| sha256(&piece(1, number))).collect(),
+            hashes: (1..=VERSIONS)
+                .map(|version| (0..PIECES).map(|number| sha256(&piece(version, number))).collect())
+                .collect(),
             link: Mutex::default(),
             spoil: AtomicU64::new(0),
             manifests: AtomicU64::new(0),
@@ -129,15 +133,15 @@
         let mut from = BufReader::new(stream);
         while let Ok(Some(request)) = http::read_request(&mut from) {
             let version: u64 = request.parameter("version").parse().unwrap_or(1);
-            let (status, body) = if version != 1 {
+            let (status, body) = if !(1..=VERSIONS).contains(&version) {
                 (404, Vec::new())
             } else if request.path == format!("/-/manifest/{MODEL}") {
-                (200, self.manifest().into_bytes())
+                (200, self.manifest(version).into_bytes())
             } else if request.path == format!("/-/piece/{MODEL}") {
                 let number: usize = request.parameter("hashCount").parse().unwrap_or(usize::MAX);
                 if number < PIECES {
                     self.pieces.fetch_add(1, Ordering::Relaxed);
-                    (200, piece(1, number))
+                    (200, piece(version, number))
                 } else {
                     (404, Vec::new())
                 }
@@ -157,9 +161,9 @@
         }
     }
 
-    fn manifest(&self) -> String {
+    fn manifest(&self, version: u64) -> String {
         self.manifests.fetch_add(1, Ordering::Relaxed);
-        let mut hashes = self.hashes.clone();
+        let mut hashes = self.hashes[version as usize - 1].clone();
         let take = |left: u64| left.checked_sub(1);
         let spoils = self.spoil.fetch_update(Ordering::Relaxed, Ordering::Relaxed, take);
         if let Ok(left) = spoils {
@@ -172,7 +176,7 @@
         }
         let hashes: Vec<String> = hashes.iter().map(|hash| format!("\"{hash}\"")).collect();
         format!(
-            "{{\"model\":\"{MODEL}\",\"version\":1,\"chunkBytes\":{PIECE_BYTES},\"layers\":16,\"chunkHashes\":[{}]}}",
+            "{{\"model\":\"{MODEL}\",\"version\":{version},\"chunkBytes\":{PIECE_BYTES},\"layers\":16,\"chunkHashes\":[{}]}}",
             hashes.join(",")
         )
     }
