--- a/review/stand/entry.rs
+++ b/review/stand/entry.rs
@@ -238,9 +238,28 @@
     }
 }
 
-/// A folder for the settings and logs of one run.
-pub fn temporary(case: &str) -> Result<PathBuf, String> {
+/// A folder for the settings and logs of one run. It is removed at the end, unless KEEP is in the
+/// environment.
+pub struct Folder(PathBuf);
+
+impl std::ops::Deref for Folder {
+    type Target = std::path::Path;
+
+    fn deref(&self) -> &std::path::Path {
+        &self.0
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        if std::env::var_os("KEEP").is_none() {
+            let _ = std::fs::remove_dir_all(&self.0);
+        }
+    }
+}
+
+pub fn temporary(case: &str) -> Result<Folder, String> {
     let path = std::env::temp_dir().join(format!("review-{case}-{}", std::process::id()));
     std::fs::create_dir_all(&path).map_err(|error| error.to_string())?;
-    Ok(path)
+    Ok(Folder(path))
 }
--- a/review/stand/main.rs
+++ b/review/stand/main.rs
@@ -1,11 +1,10 @@
 //! Stand-ins of the platform's store, of replicas and of clients, and the cases that use them.
 //!
-//! `stand replica ...` is a replica as a process of its own; `stand CASE FOLDER` plays a case, writes
+//! `stand replica ...` and `stand engine ...` are replicas as processes of their own; `stand CASE FOLDER`
+//! plays a case (mixed, order, whole, recover), writes
 //! `record.txt` into its folder and exits with 1 if the rule was broken, 0 if it held, 2 if the case
 //! could not run. With `TROUBLE=0` in the environment there is no disruption.
 
-mod case_config;
-mod case_drain;
 mod case_mixed;
 mod case_order;
 mod case_recover;
@@ -36,9 +35,7 @@
         Some("order") => case_order::play(&folder),
         Some("whole") => case_whole::play(&folder),
         Some("recover") => case_recover::play(&folder),
-        Some("config") => case_config::play(&folder),
-        Some("drain") => case_drain::play(&folder),
-        _ => Err("stand CASE FOLDER, or stand replica ADDRESS ID SERVICE-OPTIONS".to_owned()),
+        _ => Err("stand CASE FOLDER, or stand replica ...".to_owned()),
     };
     std::process::exit(match verdict {
         Ok(true) => 0,
