--- a/review/stand/main.rs
+++ b/review/stand/main.rs
@@ -7,6 +7,7 @@
 
 mod case_mixed;
 mod case_order;
+mod case_poison;
 mod case_recover;
 mod case_whole;
 mod client;
@@ -34,6 +35,7 @@
         Some("mixed") => case_mixed::play(&folder),
         Some("order") => case_order::play(&folder),
         Some("whole") => case_whole::play(&folder),
+        Some("poison") => case_poison::play(&folder),
         Some("recover") => case_recover::play(&folder),
         _ => Err("stand CASE FOLDER, or stand replica ...".to_owned()),
     };
--- a/review/stand/replica.rs
+++ b/review/stand/replica.rs
@@ -24,6 +24,9 @@
 pub const EVENTS: u64 = 40;
 const EVENT_PAUSE: Duration = Duration::from_millis(100);
 
+/// The parts of prompts that crash replicas which begin to write an answer on them begin so.
+pub const DEADLY: &str = "dead000";
+
 /// The whole body of the plain answer to the request `id`.
 pub fn body(id: &str) -> Vec<u8> {
     let pattern = format!("{id}:");
@@ -38,6 +41,8 @@
 struct Replica {
     id: String,
     stream: bool,
+    /// Whether requests with the part [`DEADLY`] crash it.
+    deadly: bool,
     unframed_every: u64,
     answers: AtomicU64,
 }
@@ -57,6 +62,7 @@
     let replica = Arc::new(Replica {
         id: id.clone(),
         stream: kind == "stream",
+        deadly: kind == "deadly",
         unframed_every: unframed_every.parse().unwrap_or(0),
         answers: AtomicU64::new(0),
     });
@@ -103,6 +109,9 @@
         let unframed = self.unframed_every > 0 && number % self.unframed_every == 0;
         let framing = if unframed { "unframed" } else { "framed" };
         tell(&format!("run {id} {framing}"));
+        if self.deadly {
+            return self.answer_or_crash(request, out, id);
+        }
         let mut head = format!(
             "HTTP/1.1 200 OK\r\nX-Pumicelatch-Attempt-Id: {id}\r\n\
              X-Pumicelatch-Replica-Seal: {}.{number:x}\r\n",
@@ -147,4 +156,32 @@
         }
         Ok(!unframed)
     }
+
+    /// Writes a short stream; crashes in the middle if the prompt has the deadly part.
+    fn answer_or_crash(&self, request: &Request, out: &mut TcpStream, id: &str) -> std::io::Result<bool> {
+        let prefix = request.header("x-pumicelatch-prompt-prefix");
+        let crashes = prefix.split(',').any(|part| part.starts_with(DEADLY));
+        let last: u64 = request.header("last-event-id").parse().unwrap_or(0);
+        let head = format!(
+            "HTTP/1.1 200 OK\r\nX-Pumicelatch-Attempt-Id: {id}\r\nX-Pumicelatch-Replica-Seal: {}\r\n\
+             Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
+            self.id
+        );
+        std::thread::sleep(Duration::from_millis(60));
+        out.write_all(head.as_bytes())?;
+        // 0.2 to 0.8 s, by the request's id.
+        let pause = 20 + id.bytes().map(u64::from).sum::<u64>() % 60;
+        for number in last + 1..=10 {
+            std::thread::sleep(Duration::from_millis(pause));
+            if crashes && number >= last + 3 {
+                tell(&format!("crash {id} -"));
+                std::process::exit(1);
+            }
+            let text = event(number);
+            let size = format!("{:x}\r\n", text.len());
+            out.write_all(&[size.as_bytes(), text.as_bytes(), b"\r\n"].concat())?;
+        }
+        out.write_all(b"0\r\n\r\n")?;
+        Ok(true)
+    }
 }
