Exchange: a response without a length is complete only if its sender runs after the end

Cause: the close of a connection was taken for the end of a response. The kernel closes the connections of a process that ends in just the same way. Plain responses were not checked at all. Streams and the agents' runs were, by a connection that had to be refused: a successor, a listener that is closed later or one that is busy accepts it, and a leaving replica was excused.

Ruled out: a connection or an answer that was lost on the way (a FIN came with all bytes of the replica; a reset was a failure before as well), and the entry's own handling of lengths (framed responses were never affected).

Change: it is decided in one place, where the body ends (exchange/liveness.rs). The body of such a response ends without an error only once its sender has answered a request that was sent after the close: on a connection that was opened before it, whatever the answer says, since that belongs to the same process; on a newer one, if the answer names the instance (id, and start time where it is known). The connection is opened while the body is still read, or taken from the idle ones, and returns to them. A refused connection or another instance means that the sender has ended; if nothing is known after 6 s, the response counts as broken as well. So plain, relayed, error and stream responses behave alike, directly and behind agents: a request that may be repeated goes to another replica, any other gets 502, and one whose response was being relayed has its connection aborted. Entries use a health check, agents the report on the state, which takes no slot.

A successor's stream without an event now counts as complete if its replica runs; it used to be taken for a crash.

--- a/src/config/routing.rs
+++ b/src/config/routing.rs
@@ -205,6 +205,11 @@
     CONNECTIONS_DEFAULT
 }
 
+/// Path of the health checks of a service that sets none: the usual one.
+pub fn health_path_default() -> Arc<str> {
+    "/health".into()
+}
+
 /// A service.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Service {
@@ -225,6 +230,9 @@
     /// Requests per second that one of its replicas can take while cold, or 0 for no limit.
     #[serde(default)]
     pub cold_per_s: f64,
+    /// Path at which its replicas answer health checks.
+    #[serde(default = "health_path_default")]
+    pub health_path: Arc<str>,
 }
 
 /// The settings of a customer that concern requests.
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -34,12 +34,14 @@
 
 pub mod alarm;
 pub mod answer;
+pub mod liveness;
 pub mod path;
 
 pub use alarm::Alarm;
 pub use answer::Response;
 
 use answer::Hop;
+use liveness::Probe;
 use path::Paths;
 
 /// Bytes of a request's body that are written at once.
@@ -109,13 +111,14 @@
 }
 
 /// What ends a response body that has neither a length nor chunked encoding.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone)]
 pub enum Unframed {
     /// Nothing: the end of the connection cannot be told from a failure, so the body never counts
     /// as complete.
     Broken,
-    /// The orderly close of the connection (FIN). A reset is a failure.
-    EndsWithConnection,
+    /// The orderly close of the connection (FIN), if this probe shows that the peer runs after it. A
+    /// reset is a failure.
+    Confirmed(Rc<dyn Probe>),
 }
 
 /// How the connection of an exchange was obtained.
@@ -180,7 +183,7 @@
 }
 
 /// Options of an exchange.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone)]
 pub struct Options {
     /// Whether an idle connection may be used.
     pub reuse: Reuse,
@@ -266,6 +269,7 @@
 type Connection = Framed<TcpStream, ClientCodec>;
 
 /// A connection taken for an exchange.
+#[derive(Debug)]
 struct Checkout {
     connection: Connection,
     opened: Time,
@@ -403,6 +407,11 @@
         options: Options,
         recorder: &Recorder,
     ) -> Result<Response, Error> {
+        let used = match options.reuse {
+            Reuse::Allowed => self.take_idle(peer, &options, recorder),
+            Reuse::Never => None,
+        };
+        let hedge_after = options.hedge_after;
         let sending = Rc::new(Sending {
             peer,
             head: Rc::new(head),
@@ -410,15 +419,11 @@
             options,
             alarm: recorder.alarm.clone(),
         });
-        let used = match options.reuse {
-            Reuse::Allowed => self.take_idle(peer, options, recorder),
-            Reuse::Never => None,
-        };
         let Some(used) = used else {
             let checkout = self.open(&sending, recorder).await?;
             return self.run(&sending, checkout).await;
         };
-        match options.hedge_after {
+        match hedge_after {
             None => self.run(&sending, used).await,
             Some(after) => self.run_hedged(sending, used, after, recorder).await,
         }
@@ -494,15 +499,14 @@
         let (head, sent) = ended?;
         guard.touch();
         let hop = Hop {
-            idle: self.idle.clone(),
+            client: self.clone(),
             peer: sending.peer,
             opened,
             // A peer that responds before it has read the request may take the rest for another
             // one. The next request on the connection would have the longer timeout.
             reusable: sent && !sending.is_long(),
-            unframed: sending.options.unframed,
+            options: sending.options.clone(),
             guard,
-            guarded: sending.options.guarded,
             alarm: sending.alarm.clone(),
         };
         Ok(Response::new(hop, head, connection))
@@ -512,7 +516,7 @@
     fn take_idle(
         &self,
         peer: SocketAddr,
-        options: Options,
+        options: &Options,
         recorder: &Recorder,
     ) -> Option<Checkout> {
         let now = self.paths.now();
@@ -539,12 +543,15 @@
     /// Opens a new connection.
     async fn open(&self, sending: &Sending, recorder: &Recorder) -> Result<Checkout, Error> {
         recorder.set(Acquisition::New);
-        let open = self.connect(sending.peer);
-        let open = timeout(sending.options.connect_timeout, open);
-        let stream = open
-            .await
-            .map_err(|_| not_sent("no connection in time"))?
-            .map_err(not_sent)?;
+        let open = self.open_within(sending.peer, sending.options.connect_timeout);
+        open.await.map_err(not_sent)
+    }
+
+    /// Opens a new connection to `peer` within the timeout `within`.
+    async fn open_within(&self, peer: SocketAddr, within: Duration) -> io::Result<Checkout> {
+        let open = timeout(within, self.connect(peer));
+        let late = |_| io::Error::new(io::ErrorKind::TimedOut, "no connection in time");
+        let stream = open.await.map_err(late)??;
         let _ = stream.set_nodelay(true);
         enable_loss_detection(&stream);
         let opened = self.paths.now();
--- a/src/exchange/answer.rs
+++ b/src/exchange/answer.rs
@@ -1,6 +1,6 @@
 //! The response of an exchange. Its body ends only at its declared length or its last chunk, or at
-//! the close of its connection where that is allowed; a reusable connection then returns to the
-//! pool.
+//! the close of its connection if its sender is known to run after that ([`super::liveness`]); a
+//! reusable connection then returns to the pool.
 
 use std::fmt;
 use std::future::Future;
@@ -15,12 +15,14 @@
 use actix_http::header::{CONTENT_LENGTH, HeaderMap, TRANSFER_ENCODING};
 use actix_http::{ResponseHead, StatusCode};
 use bytes::{Bytes, BytesMut};
+use futures_util::future::LocalBoxFuture;
 use futures_util::{Stream, StreamExt};
 use tokio::io::{AsyncRead, ReadBuf};
 use tokio::net::TcpStream;
 
+use super::liveness::Witness;
 use super::path::Guard;
-use super::{Alarm, Connection, Error, IdleConnection, Pool, Unframed, broken};
+use super::{Alarm, Client, Connection, Error, IdleConnection, Options, Unframed, broken};
 use crate::clock::Time;
 use crate::timeout::Progress;
 
@@ -39,6 +41,8 @@
     Codec(Framed<TcpStream, ClientPayloadCodec>),
     /// Bytes follow until the connection closes; the codec leaves reading those to its caller.
     UntilClose(TcpStream, BytesMut),
+    /// The connection was closed, and it is being checked whether the peer still runs.
+    Closed(LocalBoxFuture<'static, Result<(), Error>>),
     /// The whole body was read.
     Complete,
     /// The body was truncated.
@@ -53,21 +57,31 @@
     pub headers: HeaderMap,
     hop: Hop,
     body: BodyState,
-    until_close: bool,
+    /// Shows whether the peer still runs when the body ends with its connection.
+    witness: Option<Witness>,
 }
 
 /// The connection of a response, and whether it can be reused.
 pub(super) struct Hop {
-    pub idle: Pool,
+    pub client: Client,
     pub peer: SocketAddr,
     pub opened: Time,
     pub reusable: bool,
-    pub unframed: Unframed,
+    pub options: Options,
     pub guard: Guard,
-    pub guarded: bool,
     pub alarm: Option<Alarm>,
 }
 
+impl Hop {
+    fn witness(&self) -> Option<Witness> {
+        let Unframed::Confirmed(probe) = &self.options.unframed else {
+            return None;
+        };
+        let (client, options) = (self.client.clone(), self.options.clone());
+        Some(Witness::open(client, self.peer, options, probe.clone()))
+    }
+}
+
 impl fmt::Debug for Response {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(formatter, "Response({})", self.status)
@@ -78,19 +92,20 @@
     pub(super) fn new(hop: Hop, head: ResponseHead, connection: Connection) -> Self {
         let kind = connection.codec_ref().message_type();
         let unframed = matches!(kind, MessageType::None) && is_unframed(&head);
+        let witness = unframed.then(|| hop.witness()).flatten();
         let mut response = Self {
             status: head.status,
             headers: head.headers,
             hop,
             body: BodyState::Complete,
-            until_close: unframed || matches!(kind, MessageType::Stream),
+            witness,
         };
         match kind {
             MessageType::None if unframed => {
                 let parts = connection.into_parts();
-                response.body = match response.hop.unframed {
-                    Unframed::Broken => BodyState::Broken,
-                    Unframed::EndsWithConnection => BodyState::UntilClose(parts.io, parts.read_buf),
+                response.body = match response.witness {
+                    None => BodyState::Broken,
+                    Some(_) => BodyState::UntilClose(parts.io, parts.read_buf),
                 };
             }
             MessageType::None => response.release(connection),
@@ -131,7 +146,7 @@
         if !self.hop.reusable || !clean || !connection.codec_ref().keep_alive() {
             return;
         }
-        let mut idle = self.hop.idle.borrow_mut();
+        let mut idle = self.hop.client.idle.borrow_mut();
         let kept = idle.entry(self.hop.peer).or_default();
         if kept.len() < IDLE_PER_PEER_MAX {
             kept.push(IdleConnection {
@@ -152,23 +167,12 @@
         Some(Duration::from_secs(seconds).saturating_sub(IDLE_MARGIN))
     }
 
-    fn end_raw_read(&mut self, part: io::Result<Bytes>) -> Option<Result<Bytes, Error>> {
-        match part {
-            Ok(part) if part.is_empty() => {
-                self.body = BodyState::Complete;
-                None
-            }
-            Ok(part) => Some(Ok(part)),
-            Err(error) => {
-                self.body = BodyState::Broken;
-                Some(Err(broken(error)))
-            }
-        }
-    }
-
-    /// Whether only the end of the connection shows that the body is complete.
-    pub fn ends_with_connection(&self) -> bool {
-        self.until_close && self.hop.unframed == Unframed::EndsWithConnection
+    /// Begins to check whether the body is complete, because its connection was closed.
+    fn close(&mut self) {
+        self.body = match self.witness.take() {
+            Some(witness) => BodyState::Closed(Box::pin(witness.confirm())),
+            None => BodyState::Broken,
+        };
     }
 
     fn complete(&mut self) {
@@ -225,33 +229,44 @@
 
 impl Response {
     fn poll_part(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, Error>>> {
-        let payload = match &mut self.body {
-            BodyState::Complete => return Poll::Ready(None),
-            BodyState::Broken => return Poll::Ready(Some(Err(broken("the answer was cut off")))),
-            BodyState::UntilClose(stream, buffer) => {
-                let part = std::task::ready!(read_raw(stream, buffer, cx));
-                return Poll::Ready(self.end_raw_read(part));
-            }
-            BodyState::Codec(payload) => payload,
-        };
-        let item = std::task::ready!(Pin::new(payload).next_item(cx));
-        match item {
-            Some(Ok(Some(part))) => Poll::Ready(Some(Ok(part))),
-            Some(Ok(None)) if !self.until_close => {
-                self.complete();
-                Poll::Ready(None)
-            }
-            Some(Ok(None)) | None if self.ends_with_connection() => {
-                self.body = BodyState::Complete;
-                Poll::Ready(None)
-            }
-            Some(Err(error)) => {
-                self.body = BodyState::Broken;
-                Poll::Ready(Some(Err(broken(error))))
-            }
-            Some(Ok(None)) | None => {
-                self.body = BodyState::Broken;
-                Poll::Ready(Some(Err(broken("the answer was cut off"))))
+        loop {
+            let part = match &mut self.body {
+                BodyState::Complete => return Poll::Ready(None),
+                BodyState::Broken => {
+                    return Poll::Ready(Some(Err(broken("the answer was cut off"))));
+                }
+                BodyState::Closed(check) => {
+                    let checked = std::task::ready!(check.as_mut().poll(cx));
+                    self.body = match checked {
+                        Ok(()) => BodyState::Complete,
+                        Err(_) => BodyState::Broken,
+                    };
+                    return Poll::Ready(checked.err().map(Err));
+                }
+                BodyState::UntilClose(stream, buffer) => {
+                    let part = std::task::ready!(read_raw(stream, buffer, cx));
+                    part.map(|part| (!part.is_empty()).then_some(part))
+                        .map_err(broken)
+                }
+                BodyState::Codec(payload) => {
+                    match std::task::ready!(Pin::new(payload).next_item(cx)) {
+                        Some(Ok(Some(part))) => Ok(Some(part)),
+                        Some(Ok(None)) => {
+                            self.complete();
+                            return Poll::Ready(None);
+                        }
+                        None => Ok(None),
+                        Some(Err(error)) => Err(broken(error)),
+                    }
+                }
+            };
+            match part {
+                Ok(Some(part)) => return Poll::Ready(Some(Ok(part))),
+                Ok(None) => self.close(),
+                Err(error) => {
+                    self.body = BodyState::Broken;
+                    return Poll::Ready(Some(Err(error)));
+                }
             }
         }
     }
@@ -268,8 +283,9 @@
             }
             return part;
         }
-        if Pin::new(&mut self.hop.guard).poll(cx).is_ready() {
-            if self.hop.guarded {
+        let is_open = !matches!(self.body, BodyState::Closed(_));
+        if is_open && Pin::new(&mut self.hop.guard).poll(cx).is_ready() {
+            if self.hop.options.guarded {
                 self.body = BodyState::Broken;
                 return Poll::Ready(Some(Err(Error::Silent)));
             }
--- /dev/null
+++ b/src/exchange/liveness.rs
@@ -0,0 +1,312 @@
+//! Decides whether a response without a length is complete: only if the process that sent it is known
+//! to run after its connection was closed. A process that crashes or exits closes its connections as
+//! well, so the close alone shows nothing, and neither does a new connection, which a successor or the
+//! kernel may have accepted.
+//!
+//! A connection that was opened before the end and is answered after it shows that the same process
+//! still runs, whatever the answer says. On any other connection, the answer has to name the instance.
+
+use std::fmt;
+use std::future::pending;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix_rt::task::JoinHandle;
+use actix_rt::time::sleep;
+use futures_util::StreamExt;
+use futures_util::future::{Either, select};
+use futures_util::stream::FuturesUnordered;
+
+use super::{
+    Checkout, Client, Error, Options, Recorder, Request, Response, Sending, Unframed, broken,
+    still_open,
+};
+use crate::clock::Time;
+use crate::member::replica::Instance;
+
+/// Time without a result after which the peer is asked over another connection as well: the one in use
+/// may have gone silent. Doubles each time.
+const ASK_INTERVAL: Duration = Duration::from_millis(300);
+
+/// Pause after a connection that was closed or reset without an answer. Doubles each time.
+const RETRY_PAUSE: Duration = Duration::from_millis(20);
+
+/// Time after which the check is given up.
+const CHECK_TIMEOUT: Duration = Duration::from_secs(6);
+
+/// Largest body, in bytes, of an answer to a probe that is read.
+const BODY_MAX: usize = 64 << 10;
+
+/// The instance of the peer that an answer comes from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Identity {
+    /// The instance that sent the response.
+    Same,
+    /// One with its id. The answer does not tell whether the peer has started again under it.
+    SameId,
+    /// Another one.
+    Other,
+    /// The answer does not tell.
+    Unknown,
+}
+
+/// The connection of a probe.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Contact {
+    /// It was opened before the response ended.
+    Earlier,
+    /// It was opened after the end, since the response was too short for an earlier one.
+    First,
+    /// It was opened after the end, and the earlier one was lost.
+    Renewed,
+}
+
+/// How a probe ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Answer {
+    /// The peer answered.
+    Answered(Identity, Contact),
+    /// Nobody listens at the peer's address.
+    Refused,
+    /// The connection ended or could not be opened.
+    Lost,
+}
+
+/// Why a response that ended with its connection does not count as complete.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+pub enum Doubt {
+    /// Nobody listens at the peer's address any more.
+    #[error("its sender has exited")]
+    Exited,
+    /// Another instance answers at the peer's address.
+    #[error("another instance has taken its sender's place")]
+    Replaced,
+    /// The peer did not show in time whether it still runs.
+    #[error("it is not known whether its sender still runs")]
+    Unconfirmed,
+}
+
+/// What is known after a probe; `None` if nothing is.
+pub fn judge(answer: Answer) -> Option<Result<(), Doubt>> {
+    match answer {
+        Answer::Refused => Some(Err(Doubt::Exited)),
+        Answer::Lost => None,
+        Answer::Answered(Identity::Other, _) => Some(Err(Doubt::Replaced)),
+        Answer::Answered(Identity::Same, _) | Answer::Answered(_, Contact::Earlier) => Some(Ok(())),
+        // A restart takes longer than opening a connection. It may have taken place only if it has
+        // also ended an earlier connection.
+        Answer::Answered(Identity::SameId, Contact::First) => Some(Ok(())),
+        Answer::Answered(Identity::SameId, Contact::Renewed) => None,
+        Answer::Answered(Identity::Unknown, Contact::First | Contact::Renewed) => None,
+    }
+}
+
+/// Compares the instance that sent a response with the one that an answer names.
+pub fn identify(sender: &Instance, named: Option<&Instance>) -> Identity {
+    match named {
+        None => Identity::Unknown,
+        Some(named) if named.id != sender.id => Identity::Other,
+        // Where start times are not reported, each instance has an id of its own.
+        Some(named) if sender.born == 0 || named.born == sender.born => Identity::Same,
+        Some(named) if named.born == 0 => Identity::SameId,
+        Some(_) => Identity::Other,
+    }
+}
+
+/// The result of a check, for logs and metrics.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Report {
+    /// Whether the response is complete.
+    pub result: Result<(), Doubt>,
+    /// Number of probes that were sent, or for which no connection could be opened.
+    pub probes: u32,
+    /// Time since the response ended.
+    pub took: Duration,
+}
+
+impl fmt::Display for Report {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.result {
+            Ok(()) => formatter.write_str("its sender still runs"),
+            Err(doubt) => fmt::Display::fmt(&doubt, formatter),
+        }
+    }
+}
+
+/// A request by which a peer shows that it runs.
+pub trait Probe: fmt::Debug {
+    /// The request to send over `contact`. Answering it must have no effect at the peer.
+    fn request(&self, contact: Contact) -> Request;
+
+    /// The instance that sent `answer` with this `body`.
+    fn identify(&self, answer: &Response, body: &[u8]) -> Identity;
+
+    /// Records the result of a check.
+    fn record(&self, report: &Report);
+}
+
+/// A connection that is kept while a response without a length is read, to ask its sender at the end.
+#[derive(Debug)]
+pub(super) struct Witness {
+    client: Client,
+    peer: SocketAddr,
+    options: Options,
+    probe: Rc<dyn Probe>,
+    opening: JoinHandle<Option<Checkout>>,
+}
+
+impl Drop for Witness {
+    fn drop(&mut self) {
+        self.opening.abort();
+    }
+}
+
+impl Witness {
+    /// Takes an idle connection to `peer`, or begins to open one.
+    pub fn open(client: Client, peer: SocketAddr, options: Options, probe: Rc<dyn Probe>) -> Self {
+        let idle = client.take_idle(peer, &options, &Recorder::default());
+        let (opener, within) = (client.clone(), options.connect_timeout);
+        let opening = actix_rt::spawn(async move {
+            match idle {
+                Some(idle) => Some(idle),
+                None => opener.open_within(peer, within).await.ok(),
+            }
+        });
+        Self {
+            client,
+            peer,
+            options: Options {
+                unframed: Unframed::Broken,
+                guarded: true,
+                ..options
+            },
+            probe,
+            opening,
+        }
+    }
+
+    /// Checks, after the response has ended, whether its sender still runs.
+    pub async fn confirm(mut self) -> Result<(), Error> {
+        let ended_at = self.client.paths.now();
+        let (result, probes) = self.check(ended_at).await;
+        let report = Report {
+            result,
+            probes,
+            took: self.client.paths.now().since(ended_at),
+        };
+        self.probe.record(&report);
+        result.map_err(|doubt| {
+            broken(format_args!(
+                "the response ended with its connection, and {doubt}"
+            ))
+        })
+    }
+
+    /// The connection that was opened before the response ended, if it is still usable, and what a
+    /// new one would be.
+    async fn earlier_connection(&mut self, ended_at: Time) -> (Option<Checkout>, Contact) {
+        let opened = (&mut self.opening).await.ok().flatten();
+        let opened = opened.filter(|opened| opened.opened <= ended_at);
+        let later = if opened.is_some() {
+            Contact::Renewed
+        } else {
+            Contact::First
+        };
+        let opened = opened.filter(|opened| still_open(&opened.connection));
+        let earlier = opened.or_else(|| {
+            let idle = self
+                .client
+                .take_idle(self.peer, &self.options, &Recorder::default());
+            idle.filter(|idle| idle.opened <= ended_at)
+        });
+        (earlier, later)
+    }
+
+    /// Sends probes until one shows whether the peer runs. Also returns how many.
+    async fn check(&mut self, ended_at: Time) -> (Result<(), Doubt>, u32) {
+        let (earlier, later) = self.earlier_connection(ended_at).await;
+        let this = &*self;
+        let mut running = FuturesUnordered::new();
+        running.push(this.ask(earlier, later));
+        let mut probes = 1;
+        let mut doubt = None;
+        let (mut interval, mut pause) = (ASK_INTERVAL, Duration::ZERO);
+        loop {
+            let left = CHECK_TIMEOUT.saturating_sub(this.client.paths.now().since(ended_at));
+            if left.is_zero() {
+                return (Err(Doubt::Unconfirmed), probes);
+            }
+            let next = if running.is_empty() { pause } else { interval };
+            let answer = {
+                let answer = async {
+                    match running.next().await {
+                        Some(answer) => answer,
+                        None => pending().await,
+                    }
+                };
+                match select(Box::pin(answer), Box::pin(sleep(next.min(left)))).await {
+                    Either::Left((answer, _)) => Some(answer),
+                    Either::Right(_) => None,
+                }
+            };
+            match answer.map(judge) {
+                Some(Some(Ok(()))) => return (Ok(()), probes),
+                Some(Some(Err(found))) => doubt = Some(found),
+                Some(None) => {}
+                None => {
+                    if running.is_empty() {
+                        pause = (pause * 2).max(RETRY_PAUSE);
+                    } else {
+                        interval *= 2;
+                    }
+                    running.push(this.ask(None, later));
+                    probes += 1;
+                }
+            }
+            // A probe that is still awaited over an earlier connection may be answered by a process that
+            // has closed its listener.
+            if let Some(doubt) = doubt
+                && running.is_empty()
+            {
+                return (Err(doubt), probes);
+            }
+        }
+    }
+
+    /// Sends one probe over the `earlier` connection, or over a new one, which is `later`.
+    async fn ask(&self, earlier: Option<Checkout>, later: Contact) -> Answer {
+        let (connection, contact) = match earlier {
+            Some(earlier) => (Ok(earlier), Contact::Earlier),
+            None => {
+                let open = self
+                    .client
+                    .open_within(self.peer, self.options.connect_timeout);
+                (open.await, later)
+            }
+        };
+        let connection = match connection {
+            Ok(connection) => connection,
+            Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => {
+                return Answer::Refused;
+            }
+            Err(_) => return Answer::Lost,
+        };
+        let Ok(head) = self.probe.request(contact).head(self.peer) else {
+            return Answer::Lost;
+        };
+        let sending = Sending {
+            peer: self.peer,
+            head: Rc::new(head),
+            body: None,
+            options: self.options.clone(),
+            alarm: None,
+        };
+        let Ok(mut response) = self.client.run(&sending, connection).await else {
+            return Answer::Lost;
+        };
+        let body = response.read(BODY_MAX).await.unwrap_or_default();
+        Answer::Answered(self.probe.identify(&response, &body), contact)
+    }
+}
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -10,6 +10,7 @@
 //!   them, with what it reads ahead of the caller in `lead`; [`plain`] forwards plain responses.
 //! * [`place`] asks sidecars for a lease on a place in their replica's engine or queue.
 //! * `late` holds retries until there is capacity for them.
+//! * `probe` asks a replica that has closed a response without a length whether it still runs.
 //! * `poison` blocks requests whose earlier attempts coincided with crashes of replicas.
 //! * [`retry`] is a retry taken from a service's budget.
 //! * [`trace`] collects what is logged about a request, [`status`] holds the metrics.
@@ -78,6 +79,7 @@
 pub mod place;
 pub mod plain;
 mod poison;
+mod probe;
 mod quota;
 pub mod race;
 pub mod reader;
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -14,6 +14,7 @@
 use super::dialect::{Classification, Forward};
 use super::job::Job;
 use super::poison::Observation;
+use super::probe::Probe;
 use super::reader::{self, Handle, Reader};
 use super::retry::Retry;
 use super::trace;
@@ -313,13 +314,6 @@
         }
     }
 
-    /// Whether the replica has crashed, as far as connecting to it shows. A crash ends a response that
-    /// ends with its connection like a complete one.
-    pub async fn has_crashed(&self) -> bool {
-        let client = &self.gateway.client;
-        !self.is_leaving() && client.probe_refused(self.address, CONNECT_TIMEOUT).await
-    }
-
     /// Whether the replica is about to terminate as planned.
     fn is_leaving(&self) -> bool {
         let pool = self.gateway.pool.borrow();
@@ -389,12 +383,30 @@
         }
         let client = &self.gateway.client;
         let body = job.body.clone();
-        let options = options(job);
+        let options = self.options(job);
         let exchange =
             client.exchange_recorded(self.address, head, body, options, &self.connection);
         Ok(Reader::of_replica(exchange.await?))
     }
 
+    /// Options of an exchange with the replica itself.
+    fn options(&self, job: &Job) -> Options {
+        Options {
+            // If the replica closes a reused connection at this moment, it is unknown whether the
+            // request ran.
+            reuse: if job.route.repeatable() {
+                Reuse::Allowed
+            } else {
+                Reuse::Never
+            },
+            idle_max: IDLE_MAX,
+            connect_timeout: CONNECT_TIMEOUT,
+            unframed: Unframed::Confirmed(Rc::new(Probe::new(&self.gateway, job, &self.instance))),
+            guarded: false,
+            ..Options::default()
+        }
+    }
+
     /// Records that the sidecar did not send the request on, so that it goes to the replica
     /// directly.
     fn bypass_sidecar(&self, job: &Job, error: &reader::Error) {
@@ -578,23 +590,6 @@
     gateway.sidecar_of(key)
 }
 
-fn options(job: &Job) -> Options {
-    Options {
-        // If the replica closes a reused connection at this moment, it is unknown whether the
-        // request ran.
-        reuse: if job.route.repeatable() {
-            Reuse::Allowed
-        } else {
-            Reuse::Never
-        },
-        idle_max: IDLE_MAX,
-        connect_timeout: CONNECT_TIMEOUT,
-        unframed: Unframed::EndsWithConnection,
-        guarded: false,
-        ..Options::default()
-    }
-}
-
 /// An attempt that is to be sent. Dropping it while it runs closes the connection to the replica.
 pub struct Sending {
     /// The request.
--- a/src/gateway/dialect.rs
+++ b/src/gateway/dialect.rs
@@ -9,7 +9,9 @@
 use actix_http::{RequestHead, StatusCode};
 
 use super::reader::Reader;
+use crate::exchange::Request;
 use crate::http::Answer;
+use crate::member::replica::Instance;
 use crate::request::Outcome;
 use crate::route::notice::Notice;
 use crate::route::quota::Statement;
@@ -229,6 +231,12 @@
     /// Reads what a response's `headers` state about the quota of its replica.
     fn quota(&self, headers: &HeaderMap) -> Statement;
 
+    /// A health check of the replica with the id `replica`, at the path of its service's.
+    fn health_request(&self, replica: &str, path: &str) -> Request;
+
+    /// Reads from a health check's answer which instance sent it; `None` if it does not name one.
+    fn instance(&self, headers: &HeaderMap, body: &[u8]) -> Option<Instance>;
+
     /// Copies the headers of a replica's response that the caller may see.
     fn pass_headers(&self, from: &HeaderMap, into: &mut HeaderMap);
 
--- a/src/gateway/reader.rs
+++ b/src/gateway/reader.rs
@@ -137,17 +137,6 @@
     }
 }
 
-impl Reader {
-    /// Whether only the end of the replica's connection shows that the body is complete. A sidecar
-    /// looks after that itself.
-    pub fn ends_with_connection(&self) -> bool {
-        match &self.source {
-            Source::Replica(response) => response.ends_with_connection(),
-            Source::Sidecar(_) => false,
-        }
-    }
-}
-
 /// Identifies a run at a sidecar.
 #[derive(Clone)]
 pub struct Handle {
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -116,11 +116,6 @@
                 "the stream ended inside an event".to_owned(),
                 Signal::Broken,
             ),
-            // It may have ended because the replica crashed, and another one may still go on.
-            Some(None) if response.ends_with_connection() => (
-                "the stream ended without an event".to_owned(),
-                Signal::Broken,
-            ),
             // Nothing was missing but the end.
             Some(None) => break,
             Some(Some(Err(error))) => (error.to_string(), attempt::signal(&error)),
@@ -467,15 +462,15 @@
             race::either(search, silence),
         );
         match timeout::within(|| clock.now(), remaining, event).await {
-            Some(Event::Received(part)) => self.received(part).await,
+            Some(Event::Received(part)) => self.received(part),
             Some(Event::Other(step)) => step,
             None => Step::Expired,
         }
     }
 
     /// Handles what the current attempt has sent.
-    async fn received(&mut self, part: Option<Result<Bytes, exchange::Error>>) -> Step {
-        let Some(Current { attempt, response }) = &self.current else {
+    fn received(&mut self, part: Option<Result<Bytes, exchange::Error>>) -> Step {
+        let Some(Current { attempt, .. }) = &self.current else {
             return Step::Part;
         };
         match part {
@@ -494,10 +489,6 @@
             }
             Some(Err(error)) => Step::Broken(error.to_string(), attempt::signal(&error)),
             None if self.splitter.is_partial() => broken("the stream ended inside an event"),
-            // The stream may look complete although its replica crashed.
-            None if response.ends_with_connection() && attempt.has_crashed().await => {
-                broken("the stream ended with its replica")
-            }
             None => Step::End,
         }
     }
--- a/src/gateway/status.rs
+++ b/src/gateway/status.rs
@@ -24,6 +24,7 @@
     held: Gauge<u64>,
     urgencies: Counter<u64>,
     attempts: Counter<u64>,
+    closed_responses: Counter<u64>,
     limited_attempts: Counter<u64>,
     quotas: Gauge<u64>,
     grants: Counter<u64>,
@@ -71,6 +72,12 @@
                 .u64_counter("pumicelatch.gateway.attempts")
                 .with_description("Attempts at replicas by how they ended")
                 .build(),
+            closed_responses: meter
+                .u64_counter("pumicelatch.gateway.closed_responses")
+                .with_description(
+                    "Responses without a length that ended with their connection, by whether the replica still ran",
+                )
+                .build(),
             limited_attempts: meter
                 .u64_counter("pumicelatch.gateway.limited_attempts")
                 .with_description("Attempts at replicas that have stated a quota")
@@ -219,6 +226,12 @@
         self.grants.add(1, &[KeyValue::new("outcome", outcome)]);
     }
 
+    /// Counts a response without a length that ended with its connection.
+    pub fn count_closed_response(&self, outcome: &'static str) {
+        self.closed_responses
+            .add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
     /// Counts an attempt by how it ended.
     pub fn count_attempt(&self, ended: &'static str) {
         self.attempts.add(1, &[KeyValue::new("ended", ended)]);
--- a/src/knowledge.rs
+++ b/src/knowledge.rs
@@ -33,6 +33,7 @@
 use crate::config::catalog::{Catalog, Effect, Fact, Revisioned, Revisions};
 use crate::config::residency::Regions;
 use crate::config::revision;
+use crate::config::routing::health_path_default;
 use crate::exchange::{self, path::Paths};
 use crate::log::Repeats;
 use crate::member::peer::Peers;
@@ -524,12 +525,15 @@
         let Some(routing) = catalog.routing() else {
             return self.summary.borrow().clone();
         };
-        let services = routing.document.services.iter();
+        let mut services = routing.document.services.iter();
+        let service = services.find(|service| service.engine.is_some());
         Some(Summary {
             revision: catalog.revisions().routing,
             origin: routing.origin(),
             origin_mbps: routing.origin_mbps(),
-            engine: services.clone().find_map(|service| service.engine.clone()),
+            engine: service.and_then(|service| service.engine.clone()),
+            health_path: service
+                .map_or_else(health_path_default, |service| service.health_path.clone()),
         })
     }
 }
--- a/src/sidecar.rs
+++ b/src/sidecar.rs
@@ -49,6 +49,7 @@
 pub mod engine;
 mod executor;
 pub mod observe;
+mod probe;
 pub mod reconcile;
 mod room;
 pub mod rtt;
--- a/src/sidecar/engine.rs
+++ b/src/sidecar/engine.rs
@@ -8,7 +8,8 @@
 use bytes::Bytes;
 use futures_util::future::LocalBoxFuture;
 
-use crate::member::replica::{self, LoadedModel};
+use crate::exchange::Request;
+use crate::member::replica::{self, Instance, LoadedModel};
 use crate::route::notice::Notice;
 use crate::route::quota::Statement;
 
@@ -91,6 +92,18 @@
     /// Reads what an answer's `headers` state about the quota.
     fn quota(&self, headers: &HeaderMap) -> Statement;
 
+    /// The request for its state.
+    fn state_request(&self) -> Request;
+
+    /// A health check of the replica with the id `replica`, at the path of its service's.
+    fn health_request(&self, replica: &str, path: &str) -> Request;
+
+    /// Reads from a health check's answer which instance sent it; `None` if it does not name one.
+    fn instance(&self, headers: &HeaderMap, body: &[u8]) -> Option<Instance>;
+
+    /// Reads from an answer's `body` when the replica started, as [`State::born`].
+    fn born(&self, body: &[u8]) -> u64;
+
     /// Fetches its state.
     fn state(&self) -> LocalBoxFuture<'_, Result<State, Error>>;
 
--- a/src/sidecar/executor.rs
+++ b/src/sidecar/executor.rs
@@ -20,6 +20,7 @@
 use tokio::sync::watch;
 
 use super::Sidecar;
+use super::probe::Probe;
 use crate::clock::Time;
 use crate::exchange::{self, Options, Reuse, Unframed};
 use crate::gateway;
@@ -338,7 +339,7 @@
         reuse: Reuse::Allowed,
         idle_max: gateway::IDLE_MAX,
         connect_timeout: gateway::CONNECT_TIMEOUT,
-        unframed: Unframed::EndsWithConnection,
+        unframed: Unframed::Confirmed(Rc::new(Probe::new(&sidecar, key))),
         // A replica that is silent may only have paused, and there is no other one here.
         guarded: false,
         ..Options::default()
@@ -355,14 +356,7 @@
                 sidecar.record_quota(sidecar.engine.quota(&headers), sent_at);
             }
             run.set_head(Head::Answer(response.status, headers));
-            match buffer_body(&run, &mut response, &mut held).await {
-                Ok(()) if ended_by_crash(&sidecar, &response).await => {
-                    Err(exchange::Error::Broken {
-                        reason: "the response ended with its replica".to_owned(),
-                    })
-                }
-                ended => ended,
-            }
+            buffer_body(&run, &mut response, &mut held).await
         }
         Err(error) => {
             let disposition = match error {
@@ -385,18 +379,6 @@
     run.notify();
 }
 
-/// Whether a response that ends with its connection ended because the replica crashed.
-async fn ended_by_crash(sidecar: &Sidecar, response: &exchange::Response) -> bool {
-    if !response.ends_with_connection() || sidecar.suspension.get().leaving() {
-        return false;
-    }
-    let replica = sidecar.engine.address();
-    let client = &sidecar.client;
-    client
-        .probe_refused(replica, gateway::CONNECT_TIMEOUT)
-        .await
-}
-
 /// Appends the response body to the run's buffer as it arrives, and pauses while the buffer is full
 /// or memory is short.
 async fn buffer_body(
--- a/src/sidecar/reconcile.rs
+++ b/src/sidecar/reconcile.rs
@@ -15,6 +15,7 @@
 use crate::clock::Time;
 use crate::config::catalog::first_missing;
 use crate::config::routing::transfer_time;
+use crate::member::replica::Record;
 use crate::member::{Descriptor, Role};
 use crate::version::fallback;
 use crate::version::rollout::{self, Step};
@@ -204,14 +205,17 @@
         members
     }
 
+    /// The record of this machine's replica in the platform's list.
+    pub(super) fn replica_record(&self) -> Option<Record> {
+        let catalog = self.knowledge.catalog.borrow();
+        let mut records = catalog.replicas().values().map(|listed| &listed.record);
+        let own = records.find(|record| record.address == self.setting.replica);
+        own.cloned()
+    }
+
     /// Lists the sidecars of the own service's replicas, and the entries.
     fn list_members(&self) -> Vec<Descriptor> {
-        let service = {
-            let catalog = self.knowledge.catalog.borrow();
-            let mut records = catalog.replicas().values().map(|listed| &listed.record);
-            let own = records.find(|record| record.address == self.setting.replica);
-            own.map(|record| record.service.clone())
-        };
+        let service = self.replica_record().map(|record| record.service);
         let port = self.setting.identity.address.port();
         manager::members(&self.knowledge, service.as_deref(), port)
     }
--- a/src/wire/sync.rs
+++ b/src/wire/sync.rs
@@ -8,7 +8,7 @@
 
 use crate::config::catalog::{Changes, RevisionedRecord, Revisions};
 use crate::config::evacuation::Evacuation;
-use crate::config::routing::{Engine, transfer_time};
+use crate::config::routing::{Engine, health_path_default, transfer_time};
 use crate::member::peer::Advertisement;
 use crate::route::quota;
 use crate::route::replica::Load;
@@ -256,6 +256,9 @@
     /// Properties of the engine.
     #[serde(default)]
     pub engine: Option<Engine>,
+    /// Path at which engines answer health checks.
+    #[serde(default = "health_path_default")]
+    pub health_path: Arc<str>,
 }
 
 impl Summary {
--- /dev/null
+++ b/tests/liveness.rs
@@ -0,0 +1,61 @@
+//! Whether a response that ended with its connection is complete.
+
+use pumicelatch::exchange::liveness::{Answer, Contact, Doubt, Identity, identify, judge};
+use pumicelatch::member::replica::Instance;
+
+const CONTACTS: [Contact; 3] = [Contact::Earlier, Contact::First, Contact::Renewed];
+
+fn instance(id: &str, born: u64) -> Instance {
+    Instance {
+        id: id.into(),
+        born,
+    }
+}
+
+/// An answer over a new connection counted although a successor might have given it.
+#[test]
+fn answer_over_a_new_connection_has_to_name_the_sender() {
+    let judge = |identity, contact| judge(Answer::Answered(identity, contact));
+    for contact in CONTACTS {
+        assert_eq!(judge(Identity::Same, contact), Some(Ok(())));
+        assert_eq!(judge(Identity::Other, contact), Some(Err(Doubt::Replaced)));
+    }
+    assert_eq!(judge(Identity::Unknown, Contact::Earlier), Some(Ok(())));
+    assert_eq!(judge(Identity::Unknown, Contact::First), None);
+    assert_eq!(judge(Identity::Unknown, Contact::Renewed), None);
+    assert_eq!(judge(Identity::SameId, Contact::First), Some(Ok(())));
+    assert_eq!(judge(Identity::SameId, Contact::Renewed), None);
+}
+
+/// A connection that was reset counted as the end of its peer, or one that was refused as nothing.
+#[test]
+fn only_a_refused_connection_shows_that_the_sender_has_exited() {
+    assert_eq!(judge(Answer::Refused), Some(Err(Doubt::Exited)));
+    assert_eq!(judge(Answer::Lost), None);
+}
+
+/// A replica that had started again under its id was taken for the earlier one.
+#[test]
+fn instances_are_compared_by_id_and_start_time() {
+    let sender = instance("i-1", 7);
+    assert_eq!(identify(&sender, None), Identity::Unknown);
+    assert_eq!(identify(&sender, Some(&instance("i-1", 7))), Identity::Same);
+    assert_eq!(
+        identify(&sender, Some(&instance("i-1", 8))),
+        Identity::Other
+    );
+    assert_eq!(
+        identify(&sender, Some(&instance("i-1", 0))),
+        Identity::SameId
+    );
+    assert_eq!(
+        identify(&sender, Some(&instance("i-2", 7))),
+        Identity::Other
+    );
+    let unborn = instance("i-1", 0);
+    assert_eq!(identify(&unborn, Some(&instance("i-1", 0))), Identity::Same);
+    assert_eq!(
+        identify(&unborn, Some(&instance("i-2", 0))),
+        Identity::Other
+    );
+}
