Exchange: a response to HEAD has no body

Cause: a response to HEAD without a length was read like any other without one, up to the close of its connection, so a caller waited until the replica closed an idle connection, and the connection was never reused; between the system's processes the response counted as cut off.

Change: no body is read after HEAD, whatever the headers say.

Result: response_to_head_has_no_body failed before (Broken: the answer was cut off), and passes; the second request uses the same connection.

--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -505,6 +505,7 @@
             // A peer that responds before it has read the request may take the rest for another
             // one. The next request on the connection would have the longer timeout.
             reusable: sent && !sending.is_long(),
+            bodiless: sending.head.method == Method::HEAD,
             options: sending.options.clone(),
             guard,
             alarm: sending.alarm.clone(),
--- a/src/exchange/answer.rs
+++ b/src/exchange/answer.rs
@@ -67,6 +67,8 @@
     pub peer: SocketAddr,
     pub opened: Time,
     pub reusable: bool,
+    /// Whether the response has no body whatever its headers say.
+    pub bodiless: bool,
     pub options: Options,
     pub guard: Guard,
     pub alarm: Option<Alarm>,
@@ -91,7 +93,7 @@
 impl Response {
     pub(super) fn new(hop: Hop, head: ResponseHead, connection: Connection) -> Self {
         let kind = connection.codec_ref().message_type();
-        let unframed = matches!(kind, MessageType::None) && is_unframed(&head);
+        let unframed = matches!(kind, MessageType::None) && !hop.bodiless && is_unframed(&head);
         let witness = unframed.then(|| hop.witness()).flatten();
         let mut response = Self {
             status: head.status,
--- a/tests/liveness.rs
+++ b/tests/liveness.rs
@@ -1,7 +1,14 @@
-//! Whether a response that ended with its connection is complete.
+//! Where a response ends, and whether one that ended with its connection is complete.
 
+use std::time::Duration;
+
+use actix_http::Method;
+use actix_rt::time::timeout;
 use pumicelatch::exchange::liveness::{Answer, Contact, Doubt, Identity, identify, judge};
+use pumicelatch::exchange::{Client, Request};
 use pumicelatch::member::replica::Instance;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
 
 const CONTACTS: [Contact; 3] = [Contact::Earlier, Contact::First, Contact::Renewed];
 
@@ -59,3 +66,33 @@
         Identity::Other
     );
 }
+
+/// A response to HEAD without a length was read until its connection was closed.
+#[test]
+fn response_to_head_has_no_body() {
+    actix_rt::System::new().block_on(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let peer = listener.local_addr().unwrap();
+        actix_rt::spawn(async move {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            // The connection stays open, and is used for both requests.
+            while stream
+                .read(&mut [0; 1_024])
+                .await
+                .is_ok_and(|read| read > 0)
+            {
+                stream.write_all(b"HTTP/1.1 200 OK\r\n\r\n").await.unwrap();
+            }
+        });
+        let client = Client::default();
+        for _ in 0..2 {
+            let request = Request::new(Method::HEAD, "/");
+            let exchange = async {
+                let mut response = client.send(peer, &request).await.unwrap();
+                response.read(1_024).await.unwrap()
+            };
+            let body = timeout(Duration::from_secs(5), exchange).await;
+            assert_eq!(body.expect("the response has ended"), "");
+        }
+    });
+}
