Exchange: responses of HTTP/1.0 without a length end with their connection

What callers saw: a whole answer of HTTP/1.0 without a length never counted as complete (Cut for streams, 502 for plain responses), since the codec reads its body, and the client allowed the close as its end only where it reads the body itself.

Change: what has neither a length nor an encoding ends with its connection, whoever reads it, with the same check of its sender.

--- a/src/exchange/answer.rs
+++ b/src/exchange/answer.rs
@@ -93,7 +93,7 @@
 impl Response {
     pub(super) fn new(hop: Hop, head: ResponseHead, connection: Connection) -> Self {
         let kind = connection.codec_ref().message_type();
-        let unframed = matches!(kind, MessageType::None) && !hop.bodiless && is_unframed(&head);
+        let unframed = !hop.bodiless && is_unframed(&head);
         let witness = unframed.then(|| hop.witness()).flatten();
         let mut response = Self {
             status: head.status,
