Agent: staged chunks are read back shortly before the order that loads them

The order's log line now has the age of the oldest reading, which tells them apart.

Cause: chunks were read one after the other and the order was sent whatever time had passed since the first reading. It need not be a freeze: a replica that takes 200 ms to return a chunk, or an order that waits for its connection, does it as well.

Change: each reading has the time at which it was requested (version/readback.rs). Chunks are read back eight at a time, and again if their reading has become too old meanwhile; the order has a deadline, counted from the oldest reading, which the exchange checks in the step that writes the request (Options::send_before), by a clock that counts a suspension. An order that is too late was not sent, and is tried again with new readings, at once. A replica that was reset during the readings is not ordered.

With Sending::is_late always false, request_is_not_sent_after_its_deadline fails.

Open: a replica that returns chunks one at a time and needs over 20 ms for each of 96 is not ordered at all; the log says so.

--- a/src/clock.rs
+++ b/src/clock.rs
@@ -73,6 +73,26 @@
     pub fn now(&self) -> Time {
         Time::default() + START + since_boot().saturating_sub(self.origin)
     }
+
+    /// The deadline at `time` by this clock.
+    pub fn deadline(&self, time: Time) -> Deadline {
+        Deadline {
+            since_boot: self.origin + time.since(Time::default() + START),
+        }
+    }
+}
+
+/// A moment that means the same to all clocks of a machine.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Deadline {
+    since_boot: Duration,
+}
+
+impl Deadline {
+    /// Whether it has passed. The time during which the process or the machine was suspended counts.
+    pub fn has_passed(&self) -> bool {
+        since_boot() >= self.since_boot
+    }
 }
 
 /// Milliseconds since the Unix epoch, for log lines, the audit trail and incarnations.
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -29,7 +29,7 @@
 use tokio::net::{TcpSocket, TcpStream};
 use tokio::sync::watch;
 
-use crate::clock::Time;
+use crate::clock::{Deadline, Time};
 use crate::silence::{self, Status};
 
 pub mod alarm;
@@ -197,6 +197,9 @@
     /// Cleared for callers' requests: a connection that was found silent may still go on, so its
     /// response is awaited until another one is there.
     pub guarded: bool,
+    /// When the request may no longer be sent. The exchange then fails with [`Error::NotSent`], even if
+    /// the process was suspended after it had a connection.
+    pub send_before: Option<Deadline>,
     /// For a request that may be sent twice: how long a reused connection may leave it unanswered
     /// before it is repeated on a new one.
     pub hedge_after: Option<Duration>,
@@ -210,6 +213,7 @@
             connect_timeout: CONNECT_TIMEOUT,
             unframed: Unframed::Broken,
             guarded: true,
+            send_before: None,
             hedge_after: None,
         }
     }
@@ -329,6 +333,12 @@
         }
     }
 
+    /// Whether the request may no longer be sent.
+    fn is_late(&self) -> bool {
+        let deadline = self.options.send_before;
+        deadline.is_some_and(|deadline| deadline.has_passed())
+    }
+
     /// Whether the body may have to wait until the peer reads.
     fn is_long(&self) -> bool {
         let body = self.body.as_ref();
@@ -483,6 +493,9 @@
         if sending.is_long() {
             set_loss_timeout(connection.io_ref(), LONG_BODY_LOSS_TIMEOUT);
         }
+        if sending.is_late() {
+            return Err(not_sent("the deadline for sending it has passed"));
+        }
         sending.write(&mut connection)?;
         let mut guard = self.paths.guard(sending.peer, opened, last_received);
         let ended = {
--- a/src/sidecar/engine.rs
+++ b/src/sidecar/engine.rs
@@ -8,6 +8,7 @@
 use bytes::Bytes;
 use futures_util::future::LocalBoxFuture;
 
+use crate::clock::Deadline;
 use crate::exchange::Request;
 use crate::member::replica::{self, Instance, LoadedModel};
 use crate::route::notice::Notice;
@@ -55,6 +56,12 @@
 /// Error of a call to a replica.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 pub enum Error {
+    /// No byte of the call was sent.
+    #[error("not sent: {reason}")]
+    NotSent {
+        /// The reported error.
+        reason: String,
+    },
     /// The exchange failed.
     #[error("replica is unreachable: {reason}")]
     Unreachable {
@@ -122,10 +129,12 @@
         bytes: Bytes,
     ) -> LocalBoxFuture<'a, Result<(), Error>>;
 
-    /// Orders it to load the staged version once running requests have finished.
+    /// Orders it to load the staged version once running requests have finished. Fails with
+    /// [`Error::NotSent`] if the order can't be sent before `send_before`.
     fn load<'a>(
         &'a self,
         model: &'a str,
         version: u64,
+        send_before: Deadline,
     ) -> LocalBoxFuture<'a, Result<Outcome, Error>>;
 }
--- a/src/sidecar/reconcile.rs
+++ b/src/sidecar/reconcile.rs
@@ -6,9 +6,11 @@
 use std::time::Duration;
 
 use actix_rt::time::{sleep, timeout};
+use bytes::Bytes;
+use futures_util::{StreamExt, stream};
 
 use super::Sidecar;
-use super::engine::Outcome;
+use super::engine::{self, Outcome};
 use super::observe::MISSES_MAX;
 use crate::audit::Event;
 use crate::burst::manager::{self, Target};
@@ -18,6 +20,7 @@
 use crate::member::replica::Record;
 use crate::member::{Descriptor, Role};
 use crate::version::fallback;
+use crate::version::readback::{self, Readback};
 use crate::version::rollout::{self, Step};
 use crate::weight::Digest;
 
@@ -27,6 +30,12 @@
 /// Delay after which an order that had no effect is repeated.
 const ORDER_RETRY_DELAY: Duration = Duration::from_millis(1_500);
 
+/// Staged chunks that are read back at the same time.
+const READS_MAX: usize = 8;
+
+/// Rounds in which chunks are read back before an order is put off.
+const READ_ROUNDS_MAX: u32 = 4;
+
 /// Maximum number of chunks that are staged per reconciliation.
 const STAGE_BATCH: usize = 16;
 
@@ -319,28 +328,56 @@
         }
     }
 
-    /// Reads back all staged chunks, and stages those again that are missing or don't match. Returns
-    /// whether all chunks are staged correctly.
-    async fn verify_staged(&self, target: &Target, label: Digest) -> bool {
-        let chunks = self.host.store.borrow().progress(label).1 as u32;
-        for chunk in 0..chunks {
-            let staged = self.engine.staged(&target.model, chunk).await;
-            let expected = self.host.store.borrow().get(label, chunk);
-            let matches =
-                matches!((&staged, &expected), (Ok(Some(found)), Some(due)) if found == due);
-            if matches {
-                continue;
-            }
-            log::warn!(chunk, version = target.version; "staged chunk is missing or does not match; staging it again");
-            if !self.stage_chunk(target, label, chunk).await {
-                return false;
+    /// Reads `chunk` back, and stages it again if it is missing or does not match. Returns when the
+    /// reading that found it correct was requested.
+    async fn verify_chunk(&self, target: &Target, label: Digest, chunk: u32) -> Option<Time> {
+        let expected = self.host.store.borrow().get(label, chunk)?;
+        let is_correct = |staged: Result<Option<Bytes>, engine::Error>| {
+            staged.is_ok_and(|staged| staged.as_ref() == Some(&expected))
+        };
+        let requested_at = self.knowledge.now();
+        if is_correct(self.engine.staged(&target.model, chunk).await) {
+            return Some(requested_at);
+        }
+        log::warn!(chunk, version = target.version; "staged chunk is missing or does not match; staging it again");
+        if !self.stage_chunk(target, label, chunk).await {
+            return None;
+        }
+        let requested_at = self.knowledge.now();
+        is_correct(self.engine.staged(&target.model, chunk).await).then_some(requested_at)
+    }
+
+    /// Reads all staged chunks back, several at a time, and again those whose reading has become too
+    /// old meanwhile. Returns when the oldest reading was requested; `None` if a chunk can't be staged
+    /// correctly, or if reading takes too long.
+    async fn verify_staged(&self, target: &Target, label: Digest) -> Option<Time> {
+        let count = self.host.store.borrow().progress(label).1 as u32;
+        let mut readback = Readback::default();
+        for _ in 0..READ_ROUNDS_MAX {
+            let due = readback.due(count, self.knowledge.now());
+            if due.is_empty() {
+                return readback.oldest();
             }
-            let restaged = self.engine.staged(&target.model, chunk).await;
-            if !matches!((restaged, expected), (Ok(Some(found)), Some(due)) if found == due) {
-                return false;
+            let readings = due.into_iter().map(|chunk| async move {
+                let read_at = self.verify_chunk(target, label, chunk).await;
+                (chunk, read_at)
+            });
+            let mut readings = stream::iter(readings).buffer_unordered(READS_MAX);
+            while let Some((chunk, read_at)) = readings.next().await {
+                readback.record(chunk, read_at?);
             }
         }
-        chunks > 0
+        log::warn!(version = target.version; "staged chunks can't be read back fast enough");
+        None
+    }
+
+    /// Whether `label` is the version to load, and the chunks were staged at the replica's current
+    /// instance.
+    fn is_wanted(&self, label: Digest) -> bool {
+        let newest = self.target().map(|target| target.label());
+        let fallback = self.fallback.borrow().as_ref().map(Target::label);
+        let is_staged = self.staged.borrow().version == Some(label);
+        is_staged && newest.is_some() && (newest == Some(label) || fallback == Some(label))
     }
 
     /// Verifies the staged chunks and orders the replica to load them, if `target` is still wanted.
@@ -350,27 +387,39 @@
         if ordered_at.is_some_and(|ordered_at| now.since(ordered_at) < ORDER_RETRY_DELAY) {
             return;
         }
-        if !self.verify_staged(target, label).await {
-            return;
-        }
-        let Some(newest) = self.target() else {
+        let Some(read_at) = self.verify_staged(target, label).await else {
             return;
         };
-        let fallback = self.fallback.borrow().as_ref().map(Target::label);
-        if newest.label() != label && fallback != Some(label) {
+        if !self.is_wanted(label) {
             return;
         }
-        self.staged.borrow_mut().ordered_at = Some(self.knowledge.now());
-        match self.engine.load(&target.model, target.version).await {
+        let now = self.knowledge.now();
+        self.staged.borrow_mut().ordered_at = Some(now);
+        let send_before = self.knowledge.clock.deadline(read_at + readback::AGE_MAX);
+        let load = self.engine.load(&target.model, target.version, send_before);
+        match load.await {
             Ok(Outcome::Accepted | Outcome::AlreadyLoaded) => {
                 let version = label.short();
                 self.host.audit(Event::LoadOrdered { version });
-                log::info!(model=&*target.model, version=target.version; "switch ordered");
+                log::info!(
+                    model = &*target.model, version = target.version,
+                    oldest_reading_ms = now.since(read_at).as_millis() as u64;
+                    "switch ordered"
+                );
             }
             Ok(Outcome::Conflict) => {
                 log::warn!(version = target.version; "the replica cannot execute the order in its current state");
             }
-            Err(error) => log::warn!(version = target.version; "order failed: {error}"),
+            Err(error) => {
+                if matches!(error, engine::Error::NotSent { .. }) {
+                    self.staged.borrow_mut().ordered_at = ordered_at;
+                }
+                log::warn!(
+                    version = target.version,
+                    oldest_reading_ms = now.since(read_at).as_millis() as u64;
+                    "order failed: {error}"
+                );
+            }
         }
     }
 }
--- a/src/version.rs
+++ b/src/version.rs
@@ -4,6 +4,7 @@
 //! order under the current fence, and the engine itself reports the version as loaded.
 
 pub mod fallback;
+pub mod readback;
 pub mod rollout;
 
 use std::collections::BTreeMap;
--- a/tests/liveness.rs
+++ b/tests/exchange.rs
@@ -1,11 +1,15 @@
-//! Where a response ends, and whether one that ended with its connection is complete.
+//! Exchanges over HTTP: when a request is still sent, where a response ends, and whether one that ended with its connection is
+//! complete.
 
+use std::cell::Cell;
+use std::rc::Rc;
 use std::time::Duration;
 
 use actix_http::Method;
-use actix_rt::time::timeout;
+use actix_rt::time::{sleep, timeout};
+use pumicelatch::clock::{Clock, Time};
 use pumicelatch::exchange::liveness::{Answer, Contact, Doubt, Identity, identify, judge};
-use pumicelatch::exchange::{Client, Request};
+use pumicelatch::exchange::{Client, Error, Options, Request};
 use pumicelatch::member::replica::Instance;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
@@ -96,3 +100,45 @@
         }
     });
 }
+
+/// An order was sent although the process had been suspended for seconds since it was decided on.
+#[test]
+fn request_is_not_sent_after_its_deadline() {
+    actix_rt::System::new().block_on(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let peer = listener.local_addr().unwrap();
+        let received = Rc::new(Cell::new(0));
+        let count = received.clone();
+        actix_rt::spawn(async move {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            while let Ok(read) = stream.read(&mut [0; 1_024]).await
+                && read > 0
+            {
+                count.set(count.get() + read);
+            }
+        });
+        let clock = Clock::default();
+        let head = Request::new(Method::POST, "/").head(peer).unwrap();
+        let options = Options {
+            send_before: Some(clock.deadline(clock.now())),
+            ..Options::default()
+        };
+        let client = Client::default();
+        let exchange = client.exchange(peer, head, None, options);
+        let ended = timeout(Duration::from_secs(5), exchange).await.unwrap();
+        assert!(matches!(ended, Err(Error::NotSent { .. })), "{ended:?}");
+        sleep(Duration::from_millis(20)).await;
+        assert_eq!(received.get(), 0);
+    });
+}
+
+/// A deadline of one clock meant another moment to the process than the time that it was made of.
+#[test]
+fn deadline_passes_at_its_time() {
+    let clock = Clock::default();
+    let now = clock.now();
+    assert!(clock.deadline(now - Duration::from_millis(1)).has_passed());
+    assert!(clock.deadline(Time::default()).has_passed());
+    let later = clock.deadline(now + Duration::from_secs(60));
+    assert!(!later.has_passed());
+}
