Burst: a manifest that was spoilt in transit is corrected by another copy

Cause: on the platform a manifest is not identified by its digest, so nothing but its chunks can verify it. Every process kept the first one of the right shape, handed it on, and asked for no other although one chunk never matched, whoever sent it.

Change: a digest is doubted once two copies of its chunk did not match (burst/doubt.rs). The box then asks peers, and from the third round on the origin, for other copies of the manifest, ever less often, until one has another digest for the chunk, or the chunk matches after all. Only digests that no chunk has matched are replaced, and what the box serves to others is corrected with them. Where a manifest gives another size of chunks and nothing is held, it is replaced as a whole; a chunk that ends before its size counts as a mismatch for that. A copy for another version is still refused, and a digest that was spoilt matches nothing, so no chunk of another version gets in.

--- a/src/burst.rs
+++ b/src/burst.rs
@@ -3,7 +3,7 @@
 //!
 //! * [`host`] is the state that a process shares between its bursts.
 //! * [`follow`] exchanges announcements with peers.
-//! * [`fetch`] fetches the manifest and the chunks.
+//! * [`fetch`] fetches the manifest and the chunks; [`doubt`] finds out that a manifest was spoilt.
 //! * [`manager`] manages the bursts of the versions of a model.
 //! * [`serve`] handles the requests of peers, [`upload`] sends them chunks, a few at a time.
 
@@ -26,8 +26,9 @@
 use crate::spread::swarm::{Action, FetchKey, Outcome, PeerKey, Source, Swarm, Tally};
 use crate::spread::upload::{Queue, UploadKey};
 use crate::version::fallback::Availability;
-use crate::weight::{self, Digest};
+use crate::weight::{self, Digest, Manifest};
 
+pub mod doubt;
 pub mod fetch;
 pub mod follow;
 pub mod host;
@@ -35,6 +36,7 @@
 pub mod serve;
 pub mod upload;
 
+use doubt::Doubts;
 use host::{Host, Origin};
 
 /// Interval at which the plan runs if no event triggers it.
@@ -103,6 +105,9 @@
     members: RefCell<BTreeMap<Arc<str>, Descriptor>>,
     swarm: RefCell<Option<Swarm>>,
     received: RefCell<Vec<u32>>,
+    doubts: RefCell<Doubts>,
+    /// Whether another copy of the manifest is being looked for.
+    correcting: Cell<bool>,
     /// Incremented with each change that followers should learn.
     updates: watch::Sender<u64>,
     uploads: RefCell<Queue>,
@@ -144,6 +149,8 @@
             members: RefCell::default(),
             swarm: RefCell::default(),
             received: RefCell::default(),
+            doubts: RefCell::default(),
+            correcting: Cell::default(),
             updates: watch::Sender::new(0),
             uploads: RefCell::new(Queue::new(spread.upload_slots, spread.upload_queue_max)),
             waiters: RefCell::default(),
@@ -448,9 +455,34 @@
         if let Some(swarm) = self.swarm.borrow_mut().as_mut() {
             swarm.finish(key, chunk, outcome, now);
         }
-        if outcome == Outcome::Stored {
-            self.record_stored(host, chunk);
+        match outcome {
+            Outcome::Stored => {
+                self.doubts.borrow_mut().clear(chunk);
+                self.record_stored(host, chunk);
+            }
+            Outcome::Corrupt => {
+                let is_doubted = self.doubts.borrow_mut().record(chunk);
+                if is_doubted && !self.correcting.replace(true) {
+                    actix_rt::spawn(fetch::correct_manifest(host.clone(), Rc::downgrade(self)));
+                }
+            }
+            Outcome::Busy | Outcome::Failed => {}
+        }
+    }
+
+    /// Corrects the manifest by another copy of it. Returns whether no digest is doubted any more.
+    fn correct(&self, host: &Host, other: &Manifest) -> bool {
+        let mut doubts = self.doubts.borrow_mut();
+        let doubted = doubts.doubted();
+        let corrected = host
+            .store
+            .borrow_mut()
+            .correct(self.version, other, &doubted);
+        for chunk in corrected.unwrap_or_default() {
+            log::warn!(chunk, version:? = self.version; "the manifest was spoilt; another copy has another digest");
+            doubts.clear(chunk);
         }
+        doubts.doubted().is_empty()
     }
 
     /// Records a chunk that was verified and stored.
--- a/src/burst/fetch.rs
+++ b/src/burst/fetch.rs
@@ -40,6 +40,17 @@
 /// if there is one, since relays are the first to have the manifest.
 const ANY_PEER_INTERVAL: u32 = 4;
 
+/// Delay before another copy of a doubted manifest is asked for again, doubled up to
+/// [`CORRECTION_DELAY_MAX`].
+const CORRECTION_DELAY: Duration = Duration::from_millis(200);
+
+/// Maximum of this delay.
+const CORRECTION_DELAY_MAX: Duration = Duration::from_millis(1_600);
+
+/// Rounds after which a box that is not a sponsor also asks the origin for another copy: its peers may
+/// all have received the same one.
+const CORRECTION_ORIGIN_ROUNDS: u32 = 3;
+
 /// Maximum size of an encoded manifest.
 const MANIFEST_BYTES_MAX: usize = 8 << 20;
 
@@ -54,7 +65,7 @@
             return None;
         }
         let (version, origin) = (strong.version, strong.origin.clone());
-        let sources = strong.manifest_sources(host, round);
+        let sources = strong.manifest_sources(host, round, ORIGIN_FALLBACK_ROUNDS);
         drop(strong);
         for source in sources {
             let now = host.clock.now();
@@ -79,6 +90,37 @@
     }
 }
 
+/// Asks for other copies of the manifest until one corrects the digests that are doubted, or chunks
+/// match them after all.
+pub(super) async fn correct_manifest(host: Rc<Host>, burst: Weak<Burst>) {
+    let mut backoff = Backoff::new(CORRECTION_DELAY, CORRECTION_DELAY_MAX);
+    for round in 0.. {
+        let Some(strong) = burst.upgrade() else {
+            return;
+        };
+        if strong.suspended.get() || strong.doubts.borrow().doubted().is_empty() {
+            strong.correcting.set(false);
+            return;
+        }
+        let (version, origin) = (strong.version, strong.origin.clone());
+        let sources = strong.manifest_sources(&host, round, CORRECTION_ORIGIN_ROUNDS);
+        drop(strong);
+        for source in sources {
+            let Ok(manifest) = source.get(&host, &*origin).await else {
+                continue;
+            };
+            let Some(strong) = burst.upgrade() else {
+                return;
+            };
+            if origin.check(version, &manifest).is_ok() && strong.correct(&host, &manifest) {
+                break;
+            }
+        }
+        let jitter = rand::rng().random_range(0.7..1.3);
+        sleep(backoff.next_delay().mul_f64(jitter)).await;
+    }
+}
+
 /// Source of a manifest.
 enum ManifestSource {
     Origin(String),
@@ -113,13 +155,14 @@
 }
 
 impl Burst {
-    fn manifest_sources(&self, host: &Host, round: u32) -> Vec<ManifestSource> {
+    /// The sources to ask in this round. From the round `origin_rounds` on, each box asks the origin.
+    fn manifest_sources(&self, host: &Host, round: u32, origin_rounds: u32) -> Vec<ManifestSource> {
         let members = self.ring_members();
         let relays = self.relays();
         let fetchers = ring::origin_fetchers(&members, &relays);
         let sponsors = ring::sponsors(self.version, &fetchers, host.spread.sponsors);
         let mut sources = Vec::new();
-        let asks_origin = sponsors.contains(&host.name) || round >= ORIGIN_FALLBACK_ROUNDS;
+        let asks_origin = sponsors.contains(&host.name) || round >= origin_rounds;
         if asks_origin && !self.options.peers_only {
             let url = self.origin.manifest_url(self.version);
             sources.push(ManifestSource::Origin(url));
@@ -224,8 +267,9 @@
                 swarm.record_progress(self.key, host.clock.now());
             }
         }
+        // It was cut off, or the manifest gives a wrong size.
         if !partial.is_complete() {
-            return Outcome::Failed;
+            return Outcome::Corrupt;
         }
         let Ok(chunk) = partial.finish() else {
             log::warn!(source = self.url.as_str(); "chunk does not match its manifest");
--- a/src/weight.rs
+++ b/src/weight.rs
@@ -424,6 +424,42 @@
         Ok(())
     }
 
+    /// Replaces the digests of those of `chunks` that are not held by those in `other`, another copy of
+    /// the version's manifest. Returns the chunks whose digests or sizes have changed.
+    pub fn correct(
+        &mut self,
+        version: Digest,
+        other: &Manifest,
+        chunks: &[u32],
+    ) -> Result<Vec<u32>, Error> {
+        let entry = self
+            .versions
+            .get_mut(&version)
+            .ok_or(Error::Unknown { version })?;
+        if other.chunks.len() != entry.chunks.len() {
+            return Ok(Vec::new());
+        }
+        if other.chunk_bytes != entry.manifest.chunk_bytes {
+            // Chunks that match their digests show that the size is right.
+            if entry.held > 0 {
+                return Ok(Vec::new());
+            }
+            self.reserved = self.reserved + other.model_bytes - entry.manifest.model_bytes;
+            entry.manifest = other.clone();
+            return Ok(chunks.to_vec());
+        }
+        let mut changed = Vec::new();
+        for &chunk in chunks {
+            let index = chunk as usize;
+            let is_missing = entry.chunks.get(index).is_some_and(Option::is_none);
+            if is_missing && entry.manifest.chunks[index] != other.chunks[index] {
+                entry.manifest.chunks[index] = other.chunks[index];
+                changed.push(chunk);
+            }
+        }
+        Ok(changed)
+    }
+
     /// Starts to receive chunk `index`. Memory is allocated when the first bytes arrive.
     pub fn receive(&self, version: Digest, index: u32) -> Result<PartialChunk, Error> {
         let entry = self
