Exchange: no connection is taken for a response that is not read

A response without a length that is no answer to pass on (a refusal, another replica's) is dropped with its head. The connection for the check of its sender was taken from the idle ones before that, and closed. It is taken, or opened, by the task now, which has not run by then.

--- a/src/exchange/liveness.rs
+++ b/src/exchange/liveness.rs
@@ -164,14 +164,15 @@
 }
 
 impl Witness {
-    /// Takes an idle connection to `peer`, or begins to open one.
+    /// Begins to take an idle connection to `peer`, or to open one. Nothing is taken if the witness is
+    /// dropped at once, because the response is not read.
     pub fn open(client: Client, peer: SocketAddr, options: Options, probe: Rc<dyn Probe>) -> Self {
-        let idle = client.take_idle(peer, &options, &Recorder::default());
-        let (opener, within) = (client.clone(), options.connect_timeout);
+        let (opener, wanted) = (client.clone(), options.clone());
         let opening = actix_rt::spawn(async move {
+            let idle = opener.take_idle(peer, &wanted, &Recorder::default());
             match idle {
                 Some(idle) => Some(idle),
-                None => opener.open_within(peer, within).await.ok(),
+                None => opener.open_within(peer, wanted.connect_timeout).await.ok(),
             }
         });
         Self {
