Exchange: a connection may be younger than an end that is read later

After a suspension, or if the caller reads slowly, the end has come long before. A connection that a successor had accepted in the meantime then counted as evidence, whatever it answered; behind an agent, which asks for a report without an id, a truncated stream would have ended as complete.

Change: a connection is older if it was open when the request was sent, or if the response was found open, with all bytes read, after the connection was. In all other cases the answer has to name the instance; its id alone, where start times are known, counts only within 0.5 s after the request was sent.

Result: connection_that_may_be_younger_than_the_end_is_not_trusted fails if any connection that is open counts as older (Earlier instead of First), and passes; the other tests of responses without a length are unchanged and pass.

--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -496,6 +496,7 @@
         if sending.is_late() {
             return Err(not_sent("the deadline for sending it has passed"));
         }
+        let sent_at = self.paths.now();
         sending.write(&mut connection)?;
         let mut guard = self.paths.guard(sending.peer, opened, last_received);
         let ended = {
@@ -515,6 +516,7 @@
             client: self.clone(),
             peer: sending.peer,
             opened,
+            sent_at,
             // A peer that responds before it has read the request may take the rest for another
             // one. The next request on the connection would have the longer timeout.
             reusable: sent && !sending.is_long(),
--- a/src/exchange/answer.rs
+++ b/src/exchange/answer.rs
@@ -66,6 +66,8 @@
     pub client: Client,
     pub peer: SocketAddr,
     pub opened: Time,
+    /// When the request was sent.
+    pub sent_at: Time,
     pub reusable: bool,
     /// Whether the response has no body whatever its headers say.
     pub bodiless: bool,
@@ -80,7 +82,14 @@
             return None;
         };
         let (client, options) = (self.client.clone(), self.options.clone());
-        Some(Witness::open(client, self.peer, options, probe.clone()))
+        let probe = probe.clone();
+        Some(Witness::open(
+            client,
+            self.peer,
+            options,
+            probe,
+            self.sent_at,
+        ))
     }
 }
 
@@ -286,6 +295,9 @@
             return part;
         }
         let is_open = !matches!(self.body, BodyState::Closed(_));
+        if is_open && let Some(witness) = &mut self.witness {
+            witness.record_open();
+        }
         if is_open && Pin::new(&mut self.hop.guard).poll(cx).is_ready() {
             if self.hop.options.guarded {
                 self.body = BodyState::Broken;
--- a/src/exchange/liveness.rs
+++ b/src/exchange/liveness.rs
@@ -33,6 +33,9 @@
 /// Pause after a connection that was closed or reset without an answer. Doubles each time.
 const RETRY_PAUSE: Duration = Duration::from_millis(20);
 
+/// Time since a request was sent within which its replica can't have started again.
+const RESTART_MIN: Duration = Duration::from_millis(500);
+
 /// Time after which the check is given up.
 const CHECK_TIMEOUT: Duration = Duration::from_secs(6);
 
@@ -57,9 +60,9 @@
 pub enum Contact {
     /// It was opened before the response ended.
     Earlier,
-    /// It was opened after the end, since the response was too short for an earlier one.
+    /// It may have been opened after the end, since the response was too short for an earlier one.
     First,
-    /// It was opened after the end, and the earlier one was lost.
+    /// It may have been opened after the end, and the earlier one was lost or the response took long.
     Renewed,
 }
 
@@ -95,8 +98,7 @@
         Answer::Lost => None,
         Answer::Answered(Identity::Other, _) => Some(Err(Doubt::Replaced)),
         Answer::Answered(Identity::Same, _) | Answer::Answered(_, Contact::Earlier) => Some(Ok(())),
-        // A restart takes longer than opening a connection. It may have taken place only if it has
-        // also ended an earlier connection.
+        // A restart takes longer than such a response.
         Answer::Answered(Identity::SameId, Contact::First) => Some(Ok(())),
         Answer::Answered(Identity::SameId, Contact::Renewed) => None,
         Answer::Answered(Identity::Unknown, Contact::First | Contact::Renewed) => None,
@@ -154,7 +156,11 @@
     peer: SocketAddr,
     options: Options,
     probe: Rc<dyn Probe>,
+    /// When the request was sent.
+    sent_at: Time,
     opening: JoinHandle<Option<Checkout>>,
+    /// Whether the response was found open once the connection was.
+    overlapped: bool,
 }
 
 impl Drop for Witness {
@@ -166,7 +172,13 @@
 impl Witness {
     /// Begins to take an idle connection to `peer`, or to open one. Nothing is taken if the witness is
     /// dropped at once, because the response is not read.
-    pub fn open(client: Client, peer: SocketAddr, options: Options, probe: Rc<dyn Probe>) -> Self {
+    pub fn open(
+        client: Client,
+        peer: SocketAddr,
+        options: Options,
+        probe: Rc<dyn Probe>,
+        sent_at: Time,
+    ) -> Self {
         let (opener, wanted) = (client.clone(), options.clone());
         let opening = actix_rt::spawn(async move {
             let idle = opener.take_idle(peer, &wanted, &Recorder::default());
@@ -184,10 +196,17 @@
                 ..options
             },
             probe,
+            sent_at,
             opening,
+            overlapped: false,
         }
     }
 
+    /// Records that the response's connection is open: all bytes that came were read, and no close.
+    pub fn record_open(&mut self) {
+        self.overlapped |= self.opening.is_finished();
+    }
+
     /// Checks, after the response has ended, whether its sender still runs.
     pub async fn confirm(mut self) -> Result<(), Error> {
         let ended_at = self.client.paths.now();
@@ -205,32 +224,39 @@
         })
     }
 
-    /// The connection that was opened before the response ended, if it is still usable, and what a
-    /// new one would be.
-    async fn earlier_connection(&mut self, ended_at: Time) -> (Option<Checkout>, Contact) {
+    /// The connection for the first probe, if one is open, what it is, and what a new one would be.
+    ///
+    /// The end is read later than it came, at worst after a suspension. So a connection counts as
+    /// earlier only if it was open when the request was sent, or when the response still was.
+    async fn first_contact(&mut self) -> (Option<Checkout>, Contact, Contact) {
         let opened = (&mut self.opening).await.ok().flatten();
-        let opened = opened.filter(|opened| opened.opened <= ended_at);
-        let later = if opened.is_some() {
+        let is_old = |connection: &Checkout| connection.opened <= self.sent_at;
+        let is_earlier = self.overlapped || opened.as_ref().is_some_and(is_old);
+        let is_recent = self.client.paths.now().since(self.sent_at) <= RESTART_MIN;
+        let later = if opened.is_some() && is_earlier || !is_recent {
             Contact::Renewed
         } else {
             Contact::First
         };
         let opened = opened.filter(|opened| still_open(&opened.connection));
-        let earlier = opened.or_else(|| {
-            let idle = self
-                .client
-                .take_idle(self.peer, &self.options, &Recorder::default());
-            idle.filter(|idle| idle.opened <= ended_at)
-        });
-        (earlier, later)
+        if is_earlier && opened.is_some() {
+            return (opened, Contact::Earlier, later);
+        }
+        let idle = self
+            .client
+            .take_idle(self.peer, &self.options, &Recorder::default());
+        match idle.filter(is_old) {
+            Some(idle) => (Some(idle), Contact::Earlier, later),
+            None => (opened, later, later),
+        }
     }
 
     /// Sends probes until one shows whether the peer runs. Also returns how many.
     async fn check(&mut self, ended_at: Time) -> (Result<(), Doubt>, u32) {
-        let (earlier, later) = self.earlier_connection(ended_at).await;
+        let (connection, contact, later) = self.first_contact().await;
         let this = &*self;
         let mut running = FuturesUnordered::new();
-        running.push(this.ask(earlier, later));
+        running.push(this.ask(connection, contact));
         let mut probes = 1;
         let mut doubt = None;
         let (mut interval, mut pause) = (ASK_INTERVAL, Duration::ZERO);
@@ -276,16 +302,12 @@
         }
     }
 
-    /// Sends one probe over the `earlier` connection, or over a new one, which is `later`.
-    async fn ask(&self, earlier: Option<Checkout>, later: Contact) -> Answer {
-        let (connection, contact) = match earlier {
-            Some(earlier) => (Ok(earlier), Contact::Earlier),
-            None => {
-                let open = self
-                    .client
-                    .open_within(self.peer, self.options.connect_timeout);
-                (open.await, later)
-            }
+    /// Sends one probe over `connection`, or over a new one, which is what `contact` says.
+    async fn ask(&self, connection: Option<Checkout>, contact: Contact) -> Answer {
+        let within = self.options.connect_timeout;
+        let connection = match connection {
+            Some(connection) => Ok(connection),
+            None => self.client.open_within(self.peer, within).await,
         };
         let connection = match connection {
             Ok(connection) => connection,
--- a/tests/exchange.rs
+++ b/tests/exchange.rs
@@ -1,15 +1,17 @@
 //! Exchanges over HTTP: when a request is still sent, where a response ends, and whether one that ended with its connection is
 //! complete.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
 
 use actix_http::Method;
 use actix_rt::time::{sleep, timeout};
 use pumicelatch::clock::{Clock, Time};
-use pumicelatch::exchange::liveness::{Answer, Contact, Doubt, Identity, identify, judge};
-use pumicelatch::exchange::{Client, Error, Options, Request};
+use pumicelatch::exchange::liveness::{
+    Answer, Contact, Doubt, Identity, Probe, Report, identify, judge,
+};
+use pumicelatch::exchange::{Client, Error, Options, Request, Response, Unframed};
 use pumicelatch::member::replica::Instance;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
@@ -71,6 +73,77 @@
     );
 }
 
+/// Records over which connections it was sent.
+#[derive(Debug, Default)]
+struct Contacts(RefCell<Vec<Contact>>);
+
+impl Probe for Contacts {
+    fn request(&self, contact: Contact) -> Request {
+        self.0.borrow_mut().push(contact);
+        Request::new(Method::GET, "/")
+    }
+
+    fn identify(&self, _: &Response, _: &[u8]) -> Identity {
+        Identity::Same
+    }
+
+    fn record(&self, _: &Report) {}
+}
+
+/// The connection over which a peer is asked after a response that took `length`, which is read after `pause`.
+async fn contact(length: Duration, pause: Duration) -> Contact {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let peer = listener.local_addr().unwrap();
+    actix_rt::spawn(async move {
+        let mut first = Some(length);
+        loop {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            let length = first.take();
+            actix_rt::spawn(async move {
+                while stream
+                    .read(&mut [0; 1_024])
+                    .await
+                    .is_ok_and(|read| read > 0)
+                {
+                    let Some(length) = length else {
+                        let text = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+                        stream.write_all(text).await.unwrap();
+                        continue;
+                    };
+                    let text = b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nbody";
+                    stream.write_all(text).await.unwrap();
+                    sleep(length).await;
+                    return;
+                }
+            });
+        }
+    });
+    let probe = Rc::new(Contacts::default());
+    let options = Options {
+        unframed: Unframed::Confirmed(probe.clone()),
+        ..Options::default()
+    };
+    let head = Request::new(Method::GET, "/").head(peer).unwrap();
+    let client = Client::default();
+    let mut response = client.exchange(peer, head, None, options).await.unwrap();
+    sleep(pause).await;
+    assert_eq!(response.read(1_024).await.unwrap(), "body");
+    let contacts = probe.0.borrow();
+    assert_eq!(contacts.len(), 1);
+    contacts[0]
+}
+
+/// A connection that was opened after a response had ended counted as older than the end, which was read later.
+#[test]
+fn connection_that_may_be_younger_than_the_end_is_not_trusted() {
+    actix_rt::System::new().block_on(async {
+        let ms = Duration::from_millis;
+        assert_eq!(contact(ms(0), ms(100)).await, Contact::First);
+        assert_eq!(contact(ms(0), ms(700)).await, Contact::Renewed);
+        assert_eq!(contact(ms(100), ms(0)).await, Contact::Earlier);
+    });
+}
+
 /// A response to HEAD without a length was read until its connection was closed.
 #[test]
 fn response_to_head_has_no_body() {
