--- a/src/exchange/answer.rs
+++ b/src/exchange/answer.rs
@@ -59,6 +59,7 @@
     body: BodyState,
     /// Shows whether the peer still runs when the body ends with its connection.
     witness: Option<Witness>,
+    unframed: bool,
 }
 
 /// The connection of a response, and whether it can be reused.
@@ -110,6 +111,7 @@
             hop,
             body: BodyState::Complete,
             witness,
+            unframed,
         };
         match kind {
             MessageType::None if unframed => {
@@ -178,6 +180,11 @@
         Some(Duration::from_secs(seconds).saturating_sub(IDLE_MARGIN))
     }
 
+    /// Whether the body has neither a length nor chunks.
+    pub fn is_unframed(&self) -> bool {
+        self.unframed
+    }
+
     /// Begins to check whether the body is complete, because its connection was closed.
     fn close(&mut self) {
         self.body = match self.witness.take() {
--- a/src/gateway/reader.rs
+++ b/src/gateway/reader.rs
@@ -135,6 +135,14 @@
             Source::Sidecar(buffered) => buffered.next().await,
         }
     }
+
+    /// Whether the replica's body has neither a length nor chunks, as far as is known here.
+    pub fn is_unframed(&self) -> bool {
+        match &self.source {
+            Source::Replica(response) => response.is_unframed(),
+            Source::Sidecar(_) => false,
+        }
+    }
 }
 
 /// Identifies a run at a sidecar.
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -116,6 +116,11 @@
                 "the stream ended inside an event".to_owned(),
                 Signal::Broken,
             ),
+            // The replica may have cut it off, and another one may still go on.
+            Some(None) if response.is_unframed() => (
+                "the stream ended without an event".to_owned(),
+                Signal::Broken,
+            ),
             // Nothing was missing but the end.
             Some(None) => break,
             Some(Some(Err(error))) => (error.to_string(), attempt::signal(&error)),
