--- a/src/exchange/answer.rs
+++ b/src/exchange/answer.rs
@@ -303,7 +303,7 @@
         }
         let is_open = !matches!(self.body, BodyState::Closed(_));
         if is_open && let Some(witness) = &mut self.witness {
-            witness.record_open();
+            witness.record_open(cx);
         }
         if is_open && Pin::new(&mut self.hop.guard).poll(cx).is_ready() {
             if self.hop.options.guarded {
--- a/src/exchange/liveness.rs
+++ b/src/exchange/liveness.rs
@@ -10,7 +10,9 @@
 use std::future::pending;
 use std::io;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::rc::Rc;
+use std::task::{Context, Poll};
 use std::time::Duration;
 
 use actix_rt::task::JoinHandle;
@@ -159,6 +161,8 @@
     /// When the request was sent.
     sent_at: Time,
     opening: JoinHandle<Option<Checkout>>,
+    /// The connection, once it is open or could not be opened.
+    opened: Option<Option<Checkout>>,
     /// Whether the response was found open once the connection was.
     overlapped: bool,
 }
@@ -198,13 +202,20 @@
             probe,
             sent_at,
             opening,
+            opened: None,
             overlapped: false,
         }
     }
 
     /// Records that the response's connection is open: all bytes that came were read, and no close.
-    pub fn record_open(&mut self) {
-        self.overlapped |= self.opening.is_finished();
+    /// Wakes the reader of the response once this connection is open as well.
+    pub fn record_open(&mut self, cx: &mut Context<'_>) {
+        if self.opened.is_none()
+            && let Poll::Ready(opened) = Pin::new(&mut self.opening).poll(cx)
+        {
+            self.opened = Some(opened.ok().flatten());
+        }
+        self.overlapped |= self.opened.is_some();
     }
 
     /// Checks, after the response has ended, whether its sender still runs.
@@ -229,7 +240,10 @@
     /// The end is read later than it came, at worst after a suspension. So a connection counts as
     /// earlier only if it was open when the request was sent, or when the response still was.
     async fn first_contact(&mut self) -> (Option<Checkout>, Contact, Contact) {
-        let opened = (&mut self.opening).await.ok().flatten();
+        let opened = match self.opened.take() {
+            Some(opened) => opened,
+            None => (&mut self.opening).await.ok().flatten(),
+        };
         let is_old = |connection: &Checkout| connection.opened <= self.sent_at;
         let is_earlier = self.overlapped || opened.as_ref().is_some_and(is_old);
         let is_recent = self.client.paths.now().since(self.sent_at) <= RESTART_MIN;
