Http: requests of a connection are passed to the server one at a time

Callers saw: a process ended for lack of memory, and beside clients that were refused request after request others got nothing for seconds.

Cause: the HTTP server decodes all that it has read of a connection, 128 KiB at a time, into a queue. A request of 170 bytes takes about 7 KB decoded, one of 27 bytes as much, so a connection took 6 MB and more, before any budget saw a request; and it handled its queue without giving way. Responses without a body were encoded without a bound while their client didn't read.

Change: http/pipeline stands between the socket and the server at each listener of the system (callers, readiness, control, metrics, agents, and the product's own daemons). It passes on one head, found by its empty line, then the body: so many bytes, or, in chunks, what the handler waits for. Nothing more follows until the response is handed over and written. 4 KiB are read meanwhile to notice that the client has left; behind that, the socket's readiness tells.

Why it works: the server never has more than one request of a connection to decode, so what a connection holds no longer depends on what its client sends ahead.

--- a/src/http.rs
+++ b/src/http.rs
@@ -2,6 +2,7 @@
 //!
 //! * [`server`] accepts connections and serves them.
 //! * [`counted`] is a connection that holds a value until it is closed.
+//! * `pipeline` passes a connection's requests to the server one at a time.
 //! * [`observed`] wraps a response body to observe its completion.
 
 use std::future::Future;
@@ -24,6 +25,7 @@
 
 pub mod counted;
 pub mod observed;
+mod pipeline;
 pub mod server;
 
 pub use server::{Io, Server, Timing, Wrap, plain};
--- a/src/http/counted.rs
+++ b/src/http/counted.rs
@@ -7,6 +7,8 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
+use super::server::Io;
+
 /// A socket, and the value that is dropped with it.
 #[derive(Debug)]
 pub struct Counted<T> {
@@ -24,6 +26,12 @@
     }
 }
 
+impl<T: Unpin> Io for Counted<T> {
+    fn is_read_closed(&self) -> bool {
+        self.stream.is_read_closed()
+    }
+}
+
 impl<T: Unpin> AsyncRead for Counted<T> {
     fn poll_read(
         mut self: Pin<&mut Self>,
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -3,23 +3,24 @@
 //! A process keeps its state on one thread, without locks, so its connections are served on that
 //! thread too. With the worker threads of `actix-server`, every table would need a mutex.
 
-use std::cell::Cell;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use actix_http::body::{BoxBody, MessageBody};
 use actix_http::{HttpService, Request};
 use actix_service::{Service, ServiceFactory, fn_service};
+use futures_util::FutureExt;
 use futures_util::future::{Either, select};
-use tokio::io::{AsyncRead, AsyncWrite};
+use tokio::io::{AsyncRead, AsyncWrite, Interest};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
 use super::Answer;
-use super::observed::{Observed, Observer};
+use super::observed::Observed;
+use super::pipeline::{Activity, Connection};
 
 /// Timeout for a caller to send a request's head.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(5);
@@ -27,10 +28,6 @@
 /// How long an idle connection is kept open.
 const KEEP_ALIVE: Duration = Duration::from_secs(30);
 
-/// How long after its last response a connection still counts as busy, since the bytes may not have
-/// been sent yet.
-const FLUSH_GRACE: Duration = Duration::from_millis(100);
-
 /// How often a closing server checks whether a connection is idle. Also the delay before accepting
 /// again after an error.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
@@ -44,9 +41,20 @@
 const WRITE_BUFFER: usize = 64 * 1024;
 
 /// A server connection: a plain socket, or one wrapped by a test bench.
-pub trait Io: AsyncRead + AsyncWrite + Unpin {}
+pub trait Io: AsyncRead + AsyncWrite + Unpin {
+    /// Whether the peer is known to have closed its sending side, although bytes before that are
+    /// not read.
+    fn is_read_closed(&self) -> bool {
+        false
+    }
+}
 
-impl<T: AsyncRead + AsyncWrite + Unpin> Io for T {}
+impl Io for TcpStream {
+    fn is_read_closed(&self) -> bool {
+        let ready = self.ready(Interest::READABLE).now_or_never();
+        matches!(ready, Some(Ok(ready)) if ready.is_read_closed())
+    }
+}
 
 /// Wraps each accepted connection. Production serves plain sockets; a bench shapes their traffic.
 pub type Wrap = Rc<dyn Fn(TcpStream, SocketAddr) -> Box<dyn Io>>;
@@ -155,41 +163,6 @@
     }
 }
 
-/// The activity of a connection: requests whose responses are not written yet.
-#[derive(Debug, Default)]
-struct Activity {
-    pending: Cell<u32>,
-    answered: Cell<u64>,
-    last_answered_at: Cell<Option<Instant>>,
-}
-
-impl Activity {
-    fn is_idle(&self) -> bool {
-        let since = self.last_answered_at.get();
-        self.pending.get() == 0 && since.is_none_or(|since| since.elapsed() >= FLUSH_GRACE)
-    }
-}
-
-/// Counts a response as pending until it is written or dropped.
-struct PendingAnswer(Rc<Activity>);
-
-impl PendingAnswer {
-    fn begin(activity: &Rc<Activity>) -> Self {
-        activity.pending.set(activity.pending.get() + 1);
-        Self(activity.clone())
-    }
-}
-
-impl Observer for PendingAnswer {}
-
-impl Drop for PendingAnswer {
-    fn drop(&mut self) {
-        self.0.pending.set(self.0.pending.get() - 1);
-        self.0.answered.set(self.0.answered.get() + 1);
-        self.0.last_answered_at.set(Some(Instant::now()));
-    }
-}
-
 /// Waits until the server has reached `stage`; forever if it is dropped before.
 async fn wait_for_stage(closing: &mut watch::Receiver<Closing>, stage: Closing) {
     if closing.wait_for(|closing| *closing >= stage).await.is_err() {
@@ -202,11 +175,11 @@
 /// a response, or the server is closing and the connection is idle.
 async fn wait_until_closable(mut closing: watch::Receiver<Closing>, activity: Rc<Activity>) {
     wait_for_stage(&mut closing, Closing::Leaving).await;
-    let answered = activity.answered.get();
+    let answered = activity.answered();
     loop {
         // Bytes that arrive before the end of the sleep are read before this check.
         actix_rt::time::sleep(POLL_INTERVAL).await;
-        let due = *closing.borrow() >= Closing::Draining || activity.answered.get() > answered;
+        let due = *closing.borrow() >= Closing::Draining || activity.answered() > answered;
         if due && activity.is_idle() {
             return;
         }
@@ -274,8 +247,9 @@
 {
     move |activity| {
         Box::pin(async move {
+            let io = Connection::new(io, activity.clone(), timing.half_closed);
             let service = fn_service(move |request: Request| {
-                let pending = PendingAnswer::begin(&activity);
+                let (request, pending) = activity.begin(request);
                 // The future of a gateway's handler has 15 KiB, which connections at rest would
                 // take as well if it weren't boxed.
                 let answer = Box::pin(handler(request, peer));
@@ -286,7 +260,7 @@
                     Ok::<_, actix_http::Error>(answer)
                 }
             });
-            let factory = HttpService::<Box<dyn Io>, _, BoxBody>::build()
+            let factory = HttpService::<Connection, _, BoxBody>::build()
                 .client_request_timeout(timing.head)
                 .client_disconnect_timeout(LINGER)
                 .keep_alive(timing.idle)
--- a/src/standin/link.rs
+++ b/src/standin/link.rs
@@ -253,6 +253,12 @@
     }
 }
 
+impl Io for Shaped {
+    fn is_read_closed(&self) -> bool {
+        self.stream.is_read_closed()
+    }
+}
+
 impl AsyncWrite for Shaped {
     fn poll_write(
         mut self: Pin<&mut Self>,
