Http: the connections of a listener are bounded by the machine's descriptors

Callers saw: with thousands of silent connections a process used all its descriptors, those for replicas, the store and files included, and served nobody.

Cause: nothing read maxFds; every connection was accepted.

Change: limit/connection decides which connection goes for a new one: one that is late with its first request, then the one idle for longest, then the oldest without a request; one whose request is being handled never, and if all are busy the new one is closed unread. http/cap carries it out, with a log line at each doubling and metrics. There is no bound by address: behind the balancer the address need not be the client's.

Why it works: what outsiders open can't take the descriptors that serving needs, since each listener has its own bound.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -38,15 +38,16 @@
 use crate::config::residency::Regions;
 use crate::daemon;
 use crate::exchange::{self, path::Paths};
+use crate::http::cap::{self, Cap};
 use crate::http::counted::Counted;
 use crate::http::{self, ClientSetting, Server, Timing, Wrap};
 use crate::knowledge;
 use crate::knowledge::hub::Hub;
 use crate::knowledge::polls::Polls;
 use crate::knowledge::{Identity, Knowledge, gossip, store, traffic};
-use crate::limit::memory;
 use crate::limit::retry::{Rejection, Rejections};
 use crate::limit::size::{self, Sizes};
+use crate::limit::{connection, memory};
 use crate::member::Role;
 use crate::member::replica::Record;
 use crate::metric::{self, Metrics};
@@ -149,6 +150,8 @@
     pub memory_bytes: u64,
     /// Bytes that the process may hold for callers: bodies, and responses that are not written.
     pub held_bytes: u64,
+    /// Bounds of the listeners.
+    pub connections: connection::Plan,
     /// Seed of random choices.
     pub seed: u64,
     /// Which mechanisms are enabled, and their parameters.
@@ -328,7 +331,7 @@
             setting,
         });
         let targets = gateway.clone();
-        let tasks = vec![
+        let mut tasks = vec![
             actix_rt::spawn(store::follow(
                 knowledge.clone(),
                 source.clone(),
@@ -346,14 +349,24 @@
             actix_rt::spawn(bootstrap::run(gateway.clone())),
             actix_rt::spawn(reconnect_when_silent(host, all_silent)),
         ];
-        let front = gateway.serve_front(listeners.front);
+        let connections = gateway.setting.connections;
+        let [callers, ready, peers, scrapes] = [
+            Cap::new("callers", connections.callers),
+            Cap::new("ready", connections.checks),
+            Cap::new("peers", connections.peers),
+            Cap::new("metrics", connections.checks),
+        ];
+        let front = gateway.serve_front(listeners.front, &callers);
         let mut servers = vec![
-            gateway.serve(listeners.ready, control::ready),
-            gateway.serve(listeners.control, control::handle),
+            gateway.serve(listeners.ready, &ready, control::ready),
+            gateway.serve(listeners.control, &peers, control::handle),
         ];
         if let Some(listener) = listeners.metrics {
-            servers.push(gateway.serve(listener, control::metrics));
+            servers.push(gateway.serve(listener, &scrapes, control::metrics));
         }
+        let caps = vec![callers, ready, peers, scrapes];
+        let reporting = cap::report(gateway.metrics.meter(), caps);
+        tasks.push(actix_rt::spawn(reporting));
         Ok(Running {
             gateway,
             front,
@@ -362,29 +375,29 @@
         })
     }
 
-    fn serve_front(self: &Rc<Self>, listener: TcpListener) -> Server {
+    fn serve_front(self: &Rc<Self>, listener: TcpListener, cap: &Cap) -> Server {
         let gateway = self.clone();
         let timed = self.clone();
         let held = self.held.clone();
         let counted: Wrap =
             Rc::new(move |stream, _| Box::new(Counted::new(stream, held.connect())));
-        Server::with_timing(
+        Server::capped(
             listener,
+            cap,
             counted,
             move |request, _| handler::handle(gateway.clone(), request),
             move || timed.timing(),
         )
     }
 
-    fn serve<F, Fut>(self: &Rc<Self>, listener: TcpListener, answer: F) -> Server
+    fn serve<F, Fut>(self: &Rc<Self>, listener: TcpListener, cap: &Cap, answer: F) -> Server
     where
         F: Fn(Rc<Self>, actix_http::Request) -> Fut + Copy + 'static,
         Fut: Future<Output = http::Answer> + 'static,
     {
         let gateway = self.clone();
-        Server::start(listener, http::plain(), move |request, _| {
-            answer(gateway.clone(), request)
-        })
+        let handler = move |request, _| answer(gateway.clone(), request);
+        Server::capped(listener, cap, http::plain(), handler, Timing::default)
     }
 
     /// Timeouts for callers' connections, from the limits of the current configuration.
--- a/src/http.rs
+++ b/src/http.rs
@@ -3,6 +3,7 @@
 //! * [`server`] accepts connections and serves them.
 //! * [`counted`] is a connection that holds a value until it is closed.
 //! * `pipeline` passes a connection's requests to the server one at a time.
+//! * [`cap`] keeps the connections of a listener within their bounds.
 //! * [`observed`] wraps a response body to observe its completion.
 
 use std::future::Future;
@@ -23,6 +24,7 @@
 use crate::limit::memory::Reservation;
 use crate::timeout::{self, Progress};
 
+pub mod cap;
 pub mod counted;
 pub mod observed;
 mod pipeline;
--- a/src/http/pipeline.rs
+++ b/src/http/pipeline.rs
@@ -21,6 +21,7 @@
 use futures_util::Stream;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
+use super::cap::Seat;
 use super::observed::Observer;
 use super::server::Io;
 
@@ -51,8 +52,9 @@
 }
 
 /// The request of a connection that is being handled, as the connection and its handler see it.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct Activity {
+    seat: Seat,
     pending: Cell<u32>,
     answered: Cell<u64>,
     last_answered_at: Cell<Option<Instant>>,
@@ -62,6 +64,18 @@
 }
 
 impl Activity {
+    /// The activity of a connection that has a seat.
+    pub(super) fn new(seat: Seat) -> Self {
+        Self {
+            seat,
+            pending: Cell::new(0),
+            answered: Cell::new(0),
+            last_answered_at: Cell::new(None),
+            body: Cell::default(),
+            reader: RefCell::default(),
+        }
+    }
+
     /// Whether no request is being handled, and the last response is likely sent.
     pub(super) fn is_idle(&self) -> bool {
         let since = self.last_answered_at.get();
@@ -77,6 +91,7 @@
     /// on as it is read.
     pub(super) fn begin(self: &Rc<Self>, mut request: Request) -> (Request, Pending) {
         self.pending.set(self.pending.get() + 1);
+        self.seat.begin();
         let pending = Pending(self.clone());
         if matches!(request.payload(), Payload::None) {
             self.body.set(Body::Complete);
@@ -115,6 +130,9 @@
         activity.pending.set(activity.pending.get() - 1);
         activity.answered.set(activity.answered.get() + 1);
         activity.last_answered_at.set(Some(Instant::now()));
+        if activity.pending.get() == 0 {
+            activity.seat.end();
+        }
         activity.wake();
     }
 }
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -19,6 +19,7 @@
 use tokio::sync::watch;
 
 use super::Answer;
+use super::cap::Cap;
 use super::observed::Observed;
 use super::pipeline::{Activity, Connection};
 
@@ -122,6 +123,23 @@
 
     /// Serves `listener` with `handler`. `timing` is called for each new connection.
     pub fn with_timing<F, Fut, T>(listener: TcpListener, wrap: Wrap, handler: F, timing: T) -> Self
+    where
+        F: Fn(Request, SocketAddr) -> Fut + Clone + 'static,
+        Fut: Future<Output = Answer> + 'static,
+        T: Fn() -> Timing + 'static,
+    {
+        Self::capped(listener, &Cap::default(), wrap, handler, timing)
+    }
+
+    /// Serves `listener` with `handler`, within the bounds of `cap`. `timing` is called for each
+    /// new connection.
+    pub fn capped<F, Fut, T>(
+        listener: TcpListener,
+        cap: &Cap,
+        wrap: Wrap,
+        handler: F,
+        timing: T,
+    ) -> Self
     where
         F: Fn(Request, SocketAddr) -> Fut + Clone + 'static,
         Fut: Future<Output = Answer> + 'static,
@@ -129,7 +147,8 @@
     {
         let closing = watch::Sender::new(Closing::Open);
         let closed = closing.subscribe();
-        let accept = actix_rt::spawn(accept_loop(listener, wrap, handler, timing, closed));
+        let accepting = accept_loop(listener, cap.clone(), wrap, handler, timing, closed);
+        let accept = actix_rt::spawn(accepting);
         Self { accept, closing }
     }
 
@@ -188,6 +207,7 @@
 
 async fn accept_loop<F, Fut, T>(
     listener: TcpListener,
+    cap: Cap,
     wrap: Wrap,
     handler: F,
     timing: T,
@@ -199,14 +219,19 @@
 {
     let closed = closing.clone();
     let serve = |stream: TcpStream, peer| {
+        let Some(seat) = cap.admit() else {
+            return;
+        };
+        let key = seat.key();
         let _ = stream.set_nodelay(true);
         let connection = serve_connection(wrap(stream, peer), peer, handler.clone(), timing());
         let closed = closed.clone();
-        actix_rt::spawn(async move {
-            let activity = Rc::new(Activity::default());
+        let task = actix_rt::spawn(async move {
+            let activity = Rc::new(Activity::new(seat));
             let closed = wait_until_closable(closed, activity.clone());
             select(Box::pin(connection(activity)), Box::pin(closed)).await;
         });
+        cap.serve(key, task.abort_handle());
     };
     loop {
         let stopped = wait_for_stage(&mut closing, Closing::Refusing);
--- a/src/limit.rs
+++ b/src/limit.rs
@@ -2,6 +2,7 @@
 //! queueing.
 
 pub mod admission;
+pub mod connection;
 pub mod fair;
 pub mod late;
 pub mod memory;
--- a/src/sidecar.rs
+++ b/src/sidecar.rs
@@ -29,10 +29,11 @@
 use crate::exchange::{self, path::Paths};
 use crate::gateway::control::decode;
 use crate::grant;
+use crate::http::cap::{self, Cap};
 use crate::http::{self, Answer, ClientSetting, Server, Timing};
 use crate::knowledge::{Identity, Knowledge, traffic};
 use crate::lease::{self, Ledger};
-use crate::limit::memory;
+use crate::limit::{connection, memory};
 use crate::member::Descriptor;
 use crate::metric::{self, Metrics};
 use crate::policy::Policy;
@@ -86,6 +87,8 @@
     pub memory_bytes: u64,
     /// Maximum number of bytes to hold for entries: bodies of requests, and responses.
     pub held_bytes: u64,
+    /// Bounds of the listeners.
+    pub connections: connection::Plan,
     /// Bandwidth of the machine's link in megabits per second.
     pub link_mbps: f64,
     /// Seed of the random number generator.
@@ -324,7 +327,7 @@
             requests,
             setting,
         });
-        let tasks = vec![
+        let mut tasks = vec![
             actix_rt::spawn(observe::poll_replica(sidecar.clone())),
             actix_rt::spawn(observe::report(sidecar.clone())),
             actix_rt::spawn(share::report(sidecar.clone())),
@@ -336,7 +339,14 @@
                 dependencies.paths.all_silent(),
             )),
         ];
-        let (control, metrics) = sidecar.serve(listeners);
+        let connections = sidecar.setting.connections;
+        let caps = [
+            Cap::new("control", connections.callers),
+            Cap::new("metrics", connections.checks),
+        ];
+        let (control, metrics) = sidecar.serve(listeners, &caps);
+        let reporting = cap::report(sidecar.metrics.meter(), caps.into());
+        tasks.push(actix_rt::spawn(reporting));
         Ok(Running {
             sidecar,
             control,
@@ -345,7 +355,11 @@
         })
     }
 
-    fn serve(self: &Rc<Self>, listeners: Listeners) -> (Server, Option<Server>) {
+    fn serve(
+        self: &Rc<Self>,
+        listeners: Listeners,
+        [control, scrapes]: &[Cap; 2],
+    ) -> (Server, Option<Server>) {
         let sidecar = self.clone();
         let handler = move |request, _| handle(sidecar.clone(), request);
         // What isn't written of a run stays in its buffer, where it is counted.
@@ -353,13 +367,15 @@
             write_buffer: memory::WRITE_BUFFER,
             ..Timing::default()
         };
-        let control = Server::with_timing(listeners.control, http::plain(), handler, timing);
+        let wrap = http::plain();
+        let control = Server::capped(listeners.control, control, wrap, handler, timing);
         let metrics = listeners.metrics.map(|listener| {
             let sidecar = self.clone();
-            Server::start(listener, http::plain(), move |_, _| {
+            let handler = move |_, _| {
                 let answer = sidecar.metrics.answer();
                 async move { answer }
-            })
+            };
+            Server::capped(listener, scrapes, http::plain(), handler, Timing::default)
         });
         (control, metrics)
     }
