Http: what a listener's connections hold unread is bounded together

Callers saw: with 1,500 connections a process took 119 MB, and 175 to 198 MB had arrived for it that it didn't read; with bodies that never end 413 MB and 106 MB, on boxes of 112 MB.

Cause: each connection was bounded, their sum wasn't. The kernel keeps up to 64 KB and more a connection, which counts as memory of the box. A body whose request had been answered was still read into the server's buffer, up to 256 KB a connection.

Change: a connection counts what it has read ahead, the part of a head that isn't complete, and, once its client has sent ahead more than 4 KiB, what the kernel holds (a count by recv with MSG_TRUNC, nothing is copied). What follows an answered request without the end of its body is discarded as it comes, and counted. The server gets 16 KiB at a time. A body within the limits that is being taken doesn't count: its memory is reserved with its request, and the kernel's window is left as it is, for long links.

Why it works: the sum is known at each step and the largest share goes first, so that a client that sends ahead a little keeps its connection beside a crowd that sends much.

--- a/src/http/cap.rs
+++ b/src/http/cap.rs
@@ -24,17 +24,20 @@
     Replaced,
     /// There were too many, and all others were busy.
     Refused,
+    /// Too much had arrived that was not read, and it held most.
+    Input,
 }
 
 impl Reason {
     /// All of them.
-    pub const ALL: [Self; 2] = [Self::Replaced, Self::Refused];
+    pub const ALL: [Self; 3] = [Self::Replaced, Self::Refused, Self::Input];
 
     /// Its name in logs and metrics.
     pub fn name(self) -> &'static str {
         match self {
             Self::Replaced => "replaced",
             Self::Refused => "refused",
+            Self::Input => "input",
         }
     }
 }
@@ -81,6 +84,11 @@
         self.0.table.borrow().count()
     }
 
+    /// Bytes that have arrived and wait.
+    pub fn input(&self) -> u64 {
+        self.0.table.borrow().input()
+    }
+
     /// Number of connections closed or refused for `reason`.
     pub fn closed(&self, reason: Reason) -> u64 {
         self.0.closed[reason as usize].count.get()
@@ -124,7 +132,7 @@
         if let Some(count) = closed.repeats.count() {
             log::warn!(
                 listener = self.0.listener, reason = reason.name(), count,
-                open = self.open();
+                open = self.open(), input_bytes = self.input();
                 "connections closed for lack of room"
             );
         }
@@ -137,6 +145,11 @@
         .u64_gauge("pumicelatch.http.connections")
         .with_description("Open connections by listener")
         .build();
+    let input = meter
+        .u64_gauge("pumicelatch.http.input_bytes")
+        .with_unit("By")
+        .with_description("Bytes that have arrived ahead of their turn, by listener")
+        .build();
     let closed = meter
         .u64_counter("pumicelatch.http.closed_connections")
         .with_description("Connections closed or refused for lack of room, by listener and reason")
@@ -147,6 +160,7 @@
         for (cap, counted) in caps.iter().zip(&mut counted) {
             let listener = KeyValue::new("listener", cap.0.listener);
             open.record(cap.open() as u64, std::slice::from_ref(&listener));
+            input.record(cap.input(), std::slice::from_ref(&listener));
             for (reason, counted) in Reason::ALL.into_iter().zip(counted) {
                 let count = cap.closed(reason);
                 let labels = [listener.clone(), KeyValue::new("reason", reason.name())];
@@ -179,6 +193,14 @@
         let now = self.cap.0.clock.now();
         self.cap.0.table.borrow_mut().end(self.key, now);
     }
+
+    /// Records how many bytes have arrived and wait.
+    pub(super) fn set_input(&self, bytes: u64) {
+        let largest = self.cap.0.table.borrow_mut().set_input(self.key, bytes);
+        if let Some(largest) = largest {
+            self.cap.abort(largest, Reason::Input);
+        }
+    }
 }
 
 impl Drop for Seat {
--- a/src/http/counted.rs
+++ b/src/http/counted.rs
@@ -30,6 +30,10 @@
     fn is_read_closed(&self) -> bool {
         self.stream.is_read_closed()
     }
+
+    fn unread(&self) -> usize {
+        self.stream.unread()
+    }
 }
 
 impl<T: Unpin> AsyncRead for Counted<T> {
--- a/src/http/pipeline.rs
+++ b/src/http/pipeline.rs
@@ -28,6 +28,10 @@
 /// Bytes that are read of a connection beyond the request that is being handled.
 const AHEAD_MAX: usize = 4 << 10;
 
+/// Bytes that are passed on before the server is to process them. It keeps a buffer of as much as it
+/// has read at once.
+const QUANTUM: usize = 16 << 10;
+
 /// How often a connection whose client has sent ahead more than [`AHEAD_MAX`] is checked for its end.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -102,7 +106,7 @@
             self.body.set(Body::Bytes(length));
             return (request, pending);
         }
-        self.body.set(Body::Chunked { wanted: false });
+        self.body.set(Body::Chunked { wanted: true });
         let (request, payload) = request.replace_payload(Payload::<BoxedPayloadStream>::None);
         let body: BoxedPayloadStream = Box::pin(Chunks {
             payload,
@@ -199,8 +203,8 @@
     Bytes(u64),
     /// Nothing until the response is written, or its handler wants more of the body.
     Nothing,
-    /// Everything: the connection is being closed.
-    Rest,
+    /// Nothing any more: the connection is being closed, and what comes is discarded.
+    Discard,
 }
 
 /// A connection of which the server reads one request at a time.
@@ -216,6 +220,14 @@
     ended: bool,
     /// Whether the server is to decode what it has before it reads more.
     decode_due: bool,
+    /// Bytes passed on since the server last read all that there was.
+    passed: usize,
+    /// Bytes passed on of a head that is not complete.
+    undecoded: u64,
+    /// Bytes that the kernel holds, if they were counted.
+    unread: u64,
+    /// What the cap knows of all these.
+    input: u64,
     /// Whether the client does not take what is written.
     write_blocked: bool,
     shutting_down: bool,
@@ -232,6 +244,10 @@
             ahead: BytesMut::new(),
             ended: false,
             decode_due: false,
+            passed: 0,
+            undecoded: 0,
+            unread: 0,
+            input: 0,
             write_blocked: false,
             shutting_down: false,
             check: None,
@@ -239,11 +255,11 @@
     }
 
     fn next(&self) -> Next {
-        if self.shutting_down {
-            return Next::Rest;
-        }
         let is_free = self.activity.pending.get() == 0;
         match self.activity.body.get() {
+            _ if self.shutting_down => Next::Discard,
+            // The server closes the connection after a response before the end of the body.
+            Body::Bytes(1..) | Body::Chunked { .. } if is_free => Next::Discard,
             Body::Bytes(left @ 1..) => Next::Bytes(left),
             Body::Chunked { wanted: true } => Next::Part,
             _ if is_free && !self.write_blocked => Next::Part,
@@ -254,8 +270,7 @@
     /// Records that the first of `bytes` are passed on as `next` allows. Returns how many.
     fn pass(&mut self, next: Next, bytes: &[u8]) -> usize {
         match next {
-            Next::Rest => bytes.len(),
-            Next::Nothing => 0,
+            Next::Nothing | Next::Discard => 0,
             Next::Bytes(left) => {
                 let passed = left.min(bytes.len() as u64);
                 self.activity.body.set(Body::Bytes(left - passed));
@@ -267,7 +282,13 @@
                 }
                 let end = self.line.find_empty(bytes);
                 self.decode_due = end.is_some();
-                end.unwrap_or(bytes.len())
+                let passed = end.unwrap_or(bytes.len());
+                let is_head = self.activity.pending.get() == 0;
+                self.undecoded = match end {
+                    None if is_head => self.undecoded + passed as u64,
+                    _ => 0,
+                };
+                passed
             }
         }
     }
@@ -294,7 +315,7 @@
         let limit = match next {
             Next::Part => AHEAD_MAX,
             Next::Bytes(left) => usize::try_from(left).unwrap_or(usize::MAX),
-            Next::Nothing | Next::Rest => usize::MAX,
+            Next::Nothing | Next::Discard => 0,
         };
         let limit = limit.min(buffer.remaining());
         let mut part = ReadBuf::new(buffer.initialize_unfilled_to(limit));
@@ -307,6 +328,24 @@
         Poll::Ready(Ok(()))
     }
 
+    /// Reads to the end of the connection, and passes on nothing.
+    fn poll_discard(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.ahead = BytesMut::new();
+        let mut bytes = [0; QUANTUM];
+        let mut part = ReadBuf::new(&mut bytes);
+        if !self.ended {
+            let read = Pin::new(&mut self.io).poll_read(cx, &mut part);
+            self.unread = self.io.unread() as u64;
+            ready!(read)?;
+            self.ended = part.filled().is_empty();
+        }
+        if self.ended {
+            return Poll::Ready(Ok(()));
+        }
+        cx.waker().wake_by_ref();
+        Poll::Pending
+    }
+
     /// Waits for the end of the connection while nothing is passed on. Up to [`AHEAD_MAX`] bytes are
     /// read for that.
     fn poll_end(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -320,12 +359,16 @@
         if self.ended && (!self.half_closed || self.ahead.is_empty()) {
             return Poll::Ready(Ok(()));
         }
+        if self.check.is_none() {
+            self.unread = self.io.unread() as u64;
+        }
         loop {
             let check = self
                 .check
                 .get_or_insert_with(|| Box::pin(sleep(CHECK_INTERVAL)));
             ready!(check.as_mut().poll(cx));
             self.check = None;
+            self.unread = self.io.unread() as u64;
             if !self.half_closed && self.io.is_read_closed() {
                 self.ended = true;
                 return Poll::Ready(Ok(()));
@@ -334,6 +377,58 @@
     }
 }
 
+impl Connection {
+    fn poll_next(
+        &mut self,
+        cx: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        if self.decode_due {
+            // The server decodes once there is nothing more to read.
+            self.decode_due = false;
+            self.passed = 0;
+            let end = self.poll_end(cx);
+            if end.is_pending() && !self.ahead.is_empty() {
+                cx.waker().wake_by_ref();
+            }
+            return end;
+        }
+        if self.passed >= QUANTUM {
+            self.passed = 0;
+            cx.waker().wake_by_ref();
+            return Poll::Pending;
+        }
+        let before = buffer.filled().len();
+        let polled = match self.next() {
+            Next::Nothing => return self.poll_end(cx),
+            Next::Discard => return self.poll_discard(cx),
+            next if !self.ahead.is_empty() => {
+                self.pass_ahead(next, buffer);
+                Poll::Ready(Ok(()))
+            }
+            _ if self.ended => Poll::Ready(Ok(())),
+            next => self.poll_pass(cx, next, buffer),
+        };
+        match polled {
+            Poll::Ready(_) => self.passed += buffer.filled().len() - before,
+            Poll::Pending => {
+                self.passed = 0;
+                self.unread = 0;
+            }
+        }
+        polled
+    }
+
+    /// Tells the cap what has arrived and waits.
+    fn report_input(&mut self) {
+        let input = self.ahead.len() as u64 + self.undecoded + self.unread;
+        if input != self.input {
+            self.input = input;
+            self.activity.seat.set_input(input);
+        }
+    }
+}
+
 impl AsyncRead for Connection {
     fn poll_read(
         mut self: Pin<&mut Self>,
@@ -349,24 +444,9 @@
             *reader = Some(cx.waker().clone());
         }
         drop(reader);
-        if this.decode_due {
-            this.decode_due = false;
-            // The server decodes once there is nothing more to read.
-            let end = this.poll_end(cx);
-            if end.is_pending() && !this.ahead.is_empty() {
-                cx.waker().wake_by_ref();
-            }
-            return end;
-        }
-        match this.next() {
-            Next::Nothing => this.poll_end(cx),
-            next if !this.ahead.is_empty() => {
-                this.pass_ahead(next, buffer);
-                Poll::Ready(Ok(()))
-            }
-            _ if this.ended => Poll::Ready(Ok(())),
-            next => this.poll_pass(cx, next, buffer),
-        }
+        let polled = this.poll_next(cx, buffer);
+        this.report_input();
+        polled
     }
 }
 
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -3,8 +3,10 @@
 //! A process keeps its state on one thread, without locks, so its connections are served on that
 //! thread too. With the worker threads of `actix-server`, every table would need a mutex.
 
+use std::cell::RefCell;
 use std::future::Future;
 use std::net::SocketAddr;
+use std::os::fd::AsRawFd;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
@@ -14,6 +16,7 @@
 use actix_service::{Service, ServiceFactory, fn_service};
 use futures_util::FutureExt;
 use futures_util::future::{Either, select};
+use nix::sys::socket::{MsgFlags, recv};
 use tokio::io::{AsyncRead, AsyncWrite, Interest};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
@@ -38,6 +41,9 @@
 /// 0.3 s.
 const LINGER: Duration = Duration::from_secs(1);
 
+/// Up to how many unread bytes of a connection are counted.
+pub const UNREAD_MAX: usize = 512 << 10;
+
 /// Default of [`Timing::write_buffer`].
 const WRITE_BUFFER: usize = 64 * 1024;
 
@@ -48,9 +54,25 @@
     fn is_read_closed(&self) -> bool {
         false
     }
+
+    /// Bytes that have arrived and are not read, up to [`UNREAD_MAX`].
+    fn unread(&self) -> usize {
+        0
+    }
+}
+
+thread_local! {
+    /// Room for the bytes that a count of them would return.
+    static SCRATCH: RefCell<Vec<u8>> = RefCell::new(vec![0; UNREAD_MAX]);
 }
 
 impl Io for TcpStream {
+    fn unread(&self) -> usize {
+        // Nothing is copied: TCP only counts what it would cut off.
+        let flags = MsgFlags::MSG_PEEK | MsgFlags::MSG_TRUNC | MsgFlags::MSG_DONTWAIT;
+        SCRATCH.with_borrow_mut(|scratch| recv(self.as_raw_fd(), scratch, flags).unwrap_or(0))
+    }
+
     fn is_read_closed(&self) -> bool {
         let ready = self.ready(Interest::READABLE).now_or_never();
         matches!(ready, Some(Ok(ready)) if ready.is_read_closed())
--- a/src/limit/connection.rs
+++ b/src/limit/connection.rs
@@ -1,6 +1,8 @@
-//! Which connections are closed when a listener has too many.
+//! Which connections are closed when a listener has too many, or when they hold too much that is not
+//! read.
 //!
-//! The connection of a request that is being handled is never closed for another one's sake.
+//! The connection of a request that is being handled is never closed for a new one; what its client
+//! sends ahead of the response may cost it its connection.
 
 use std::time::Duration;
 
@@ -22,11 +24,17 @@
 pub struct Setting {
     /// Maximum number of open connections.
     pub connections: usize,
+    /// Maximum number of bytes that have arrived and are neither part of a request that is being
+    /// handled nor discarded.
+    pub input_bytes: u64,
 }
 
 impl Default for Setting {
     fn default() -> Self {
-        Self { connections: 4_096 }
+        Self {
+            connections: 4_096,
+            input_bytes: 8 << 20,
+        }
     }
 }
 
@@ -41,6 +49,8 @@
 pub struct Machine {
     /// Open descriptors.
     pub descriptors: usize,
+    /// Bytes of memory.
+    pub memory_bytes: u64,
 }
 
 /// The bounds of a process's listeners. What they leave is for connections to replicas, other
@@ -59,13 +69,14 @@
     /// The bounds on `machine`.
     pub fn on(machine: Machine) -> Self {
         let descriptors = machine.descriptors.saturating_sub(FILE_DESCRIPTORS);
-        let part = |divisor: usize| Setting {
-            connections: (descriptors / divisor).max(CONNECTIONS_MIN),
+        let part = |connections: usize, input: u64| Setting {
+            connections: (descriptors / connections).max(CONNECTIONS_MIN),
+            input_bytes: machine.memory_bytes / input,
         };
         Self {
-            callers: part(2),
-            peers: part(4),
-            checks: part(32),
+            callers: part(2, 16),
+            peers: part(4, 32),
+            checks: part(32, 64),
         }
     }
 }
@@ -85,6 +96,7 @@
 struct Row {
     phase: Phase,
     since: Time,
+    input: u64,
 }
 
 /// How a new connection is received.
@@ -108,6 +120,7 @@
 pub struct Table {
     setting: Setting,
     rows: SlotMap<Key, Row>,
+    input: u64,
 }
 
 impl Table {
@@ -124,6 +137,11 @@
         self.rows.len()
     }
 
+    /// Bytes that have arrived and wait.
+    pub fn input(&self) -> u64 {
+        self.input
+    }
+
     /// Receives a new connection.
     pub fn open(&mut self, now: Time) -> Verdict {
         let old = if self.rows.len() < self.setting.connections {
@@ -137,6 +155,7 @@
         let new = self.rows.insert(Row {
             phase: Phase::New,
             since: now,
+            input: 0,
         });
         old.map_or(Verdict::Accepted(new), |old| Verdict::Replaces { new, old })
     }
@@ -170,8 +189,24 @@
         }
     }
 
+    /// Records how many bytes of a connection wait. Returns the connection to close if they are too
+    /// many together: the one that holds most.
+    pub fn set_input(&mut self, key: Key, bytes: u64) -> Option<Key> {
+        let row = self.rows.get_mut(key)?;
+        self.input = self.input - row.input + bytes;
+        row.input = bytes;
+        if self.input <= self.setting.input_bytes {
+            return None;
+        }
+        let (largest, _) = self.rows.iter().max_by_key(|(_, row)| row.input)?;
+        self.close(largest);
+        Some(largest)
+    }
+
     /// Removes a connection.
     pub fn close(&mut self, key: Key) {
-        self.rows.remove(key);
+        if let Some(row) = self.rows.remove(key) {
+            self.input -= row.input;
+        }
     }
 }
--- a/src/standin/link.rs
+++ b/src/standin/link.rs
@@ -257,6 +257,10 @@
     fn is_read_closed(&self) -> bool {
         self.stream.is_read_closed()
     }
+
+    fn unread(&self) -> usize {
+        self.stream.unread()
+    }
 }
 
 impl AsyncWrite for Shaped {
