Gateway: log lines about ended requests are bounded

Callers saw: a few clients that are refused again and again had an entry write 192 MB of log in ten seconds.

Cause: each request has a line, and a refused one is cheap to send; 4.3 bytes were logged a byte received.

Change: at most 20 lines a second (200 at once) about requests that are at fault themselves (400, 401, 404, 408, 413, 431), and 1,000 (4,000 at once) about all others; a line each second says how many were left out, and the metrics count all of them as before.

Why it works: the volume depends on time, no longer on what callers send.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -193,6 +193,8 @@
     pub held: memory::Budget,
     /// The usual sizes of responses, by route.
     usual_sizes: RefCell<BTreeMap<Arc<str>, memory::Usual>>,
+    /// Bounds the log lines about requests.
+    lines: trace::Lines,
     /// Requests that wait for the first configuration.
     unconfigured: Cell<u32>,
     /// Late requests that wait for capacity.
@@ -314,6 +316,7 @@
             counts: RefCell::new(quota::Counts::new(setting.identity.address)),
             held: memory::Budget::new(setting.held_bytes),
             usual_sizes: RefCell::default(),
+            lines: trace::Lines::default(),
             unconfigured: Cell::new(0),
             pool_generation: Cell::new(0),
             budgets: RefCell::default(),
@@ -507,6 +510,7 @@
             self.observe_entries();
             if tick.is_multiple_of(TICKS_PER_LOG) {
                 self.log_in_flight();
+                self.lines.log_left_out();
                 self.probe_silent_entries();
             }
             let swept = self.knowledge.catalog.borrow_mut().remove_expired(now);
--- a/src/gateway/dialect.rs
+++ b/src/gateway/dialect.rs
@@ -132,6 +132,26 @@
 }
 
 impl Code {
+    /// Whether the request itself is at fault, so that its caller can send any number of the kind.
+    pub fn is_callers_fault(self) -> bool {
+        match self {
+            Self::Malformed
+            | Self::HeadTooLong
+            | Self::BodyTooLong
+            | Self::BodyTooSlow
+            | Self::NoRoute
+            | Self::NoAccess => true,
+            Self::NotReady
+            | Self::Stopping
+            | Self::Overload
+            | Self::NoReplica
+            | Self::LateNotRun
+            | Self::LateUnknown
+            | Self::Broken
+            | Self::Poison => false,
+        }
+    }
+
     /// The HTTP status.
     pub fn status(self) -> StatusCode {
         match self {
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -62,6 +62,7 @@
 pub(super) fn refuse(gateway: &Gateway, trace: &mut Trace, refusal: &Refusal) -> Answer {
     trace.set_outcome(refusal.code.name());
     trace.reason.clone_from(&refusal.detail);
+    trace.is_callers_fault = refusal.code.is_callers_fault();
     let id = (!trace.id.is_empty()).then_some(trace.id.as_str());
     let mut answer = gateway.dialect.refuse(refusal, id);
     if let Some(outcome) = refusal.code.outcome() {
--- a/src/gateway/trace.rs
+++ b/src/gateway/trace.rs
@@ -7,9 +7,50 @@
 use super::Gateway;
 use crate::clock::Time;
 use crate::limit::size;
+use crate::log::Allowance;
 use crate::request::poison::Subject;
 use crate::route::estimate::Demand;
 
+/// Log lines a second about requests that are at fault themselves.
+const FAULTY_LINES_PER_S: u32 = 20;
+
+/// Such lines that may come at once.
+const FAULTY_LINES_AT_ONCE: u32 = 200;
+
+/// Log lines a second about other requests.
+const LINES_PER_S: u32 = 1_000;
+
+/// Such lines that may come at once.
+const LINES_AT_ONCE: u32 = 4_000;
+
+/// Bounds the log lines about requests that have ended.
+#[derive(Debug)]
+pub(super) struct Lines {
+    /// About requests that are at fault themselves.
+    faulty: Allowance,
+    others: Allowance,
+}
+
+impl Default for Lines {
+    fn default() -> Self {
+        Self {
+            faulty: Allowance::new(FAULTY_LINES_PER_S, FAULTY_LINES_AT_ONCE),
+            others: Allowance::new(LINES_PER_S, LINES_AT_ONCE),
+        }
+    }
+}
+
+impl Lines {
+    /// Logs how many lines were left out since the last call.
+    pub(super) fn log_left_out(&self) {
+        let faulty = self.faulty.take_left_out();
+        let others = self.others.take_left_out();
+        if faulty + others > 0 {
+            log::warn!(faulty, others; "lines about ended requests left out");
+        }
+    }
+}
+
 /// What was expected of the replica when it was chosen.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Estimate {
@@ -79,6 +120,8 @@
     pub late: bool,
     /// How long it was held until there was capacity for it.
     pub held: Duration,
+    /// Whether it was refused for what its caller sent.
+    pub is_callers_fault: bool,
     /// Why the request ended that way.
     pub reason: String,
     /// When the head of the request arrived.
@@ -117,6 +160,7 @@
             returned: false,
             late: false,
             held: Duration::ZERO,
+            is_callers_fault: false,
             reason: String::new(),
             arrived,
             received_at: None,
@@ -179,6 +223,14 @@
         if let Some(urgency) = self.urgency {
             gateway.instruments.record_urgency(urgency, self.outcome);
         }
+        let lines = if self.is_callers_fault {
+            &gateway.lines.faulty
+        } else {
+            &gateway.lines.others
+        };
+        if !lines.take(now) {
+            return;
+        }
         let catalog = gateway.knowledge.catalog.borrow();
         let version = catalog
             .routing()
--- a/src/log.rs
+++ b/src/log.rs
@@ -11,7 +11,7 @@
 use log::kv;
 use serde::Serialize;
 
-use crate::clock;
+use crate::clock::{self, Time};
 
 /// Lines that may wait to be written.
 const WAITING_MAX: usize = 4_096;
@@ -57,6 +57,44 @@
     }
 }
 
+/// Bounds the lines of one kind, and counts those that are left out.
+#[derive(Debug)]
+pub struct Allowance {
+    per_second: f64,
+    burst: f64,
+    left: Cell<f64>,
+    since: Cell<Time>,
+    left_out: Cell<u64>,
+}
+
+impl Allowance {
+    /// Allows `per_second` lines a second, and `burst` at once.
+    pub fn new(per_second: u32, burst: u32) -> Self {
+        Self {
+            per_second: per_second.into(),
+            burst: burst.into(),
+            left: Cell::new(burst.into()),
+            since: Cell::default(),
+            left_out: Cell::new(0),
+        }
+    }
+
+    /// Whether a line may be written at `now`. If not, it is counted.
+    pub fn take(&self, now: Time) -> bool {
+        let refilled = now.since(self.since.replace(now)).as_secs_f64() * self.per_second;
+        let left = (self.left.get() + refilled).min(self.burst);
+        let allowed = left >= 1.0;
+        self.left.set(if allowed { left - 1.0 } else { left });
+        self.left_out.set(self.left_out.get() + u64::from(!allowed));
+        allowed
+    }
+
+    /// Number of lines that were left out since the last call.
+    pub fn take_left_out(&self) -> u64 {
+        self.left_out.take()
+    }
+}
+
 /// Hands lines to the thread that writes them.
 struct Queue(SyncSender<Vec<u8>>);
 
