Limit: the memory of a request's head is reserved by its fields

Callers saw: 1,500 requests within their limits, one a connection, took 143 MB of a box of 112 MB while their responses weren't read.

Cause: 16 KiB were reserved for a request besides its body and response, whatever its head. A decoded head takes 208 bytes a place of its table, which may be half empty, so one of 84 fields takes 27 KB; and it was there three times: as it had arrived, copied for the attempts, and as it was sent on.

Change: the head is moved, not copied. 32 KiB are reserved for the futures and two usual heads, and 1 KiB more for each field above 16. Requests of a usual head are taken up to 460 at a time on the smallest boxes while responses are unread.

Why it works: what doesn't fit is refused as not run before it is held.

--- a/src/gateway/intake.rs
+++ b/src/gateway/intake.rs
@@ -96,18 +96,18 @@
         .map_or(route_timeout, |deadline| deadline.min(route_timeout));
     let arrived = trace.arrived;
     let response = reserve_response(gateway, &route)?;
-    let mut body_held = reserve_body(gateway, &meta)?;
+    let mut body_held = reserve_body(gateway, &meta, request.head().headers.len())?;
     let now = || gateway.knowledge.now();
     let body = read_body(request, limits, timeout, &mut body_held, now).await?;
     let fingerprint = fingerprint(&meta, body.as_deref());
     let subjects = subjects(request.head(), &meta, customer.as_deref(), body.as_deref());
     trace.subjects = subjects.clone();
     let job = Job {
-        head: copy_head(request.head()),
+        accepts_chunks: request.head().version > Version::HTTP_10,
+        head: take_head(request),
         meta,
         body,
         body_held,
-        accepts_chunks: request.head().version > Version::HTTP_10,
         route,
         service,
         routing,
@@ -139,12 +139,14 @@
     gateway.held.reserve(sort, need).ok_or_else(out_of_memory)
 }
 
-/// Reserves memory for the request itself and for its body, as far as the length is known.
-fn reserve_body(gateway: &Gateway, meta: &Metadata) -> Result<Reservation, Refusal> {
-    let need = memory::REQUEST_BYTES + meta.body_length.unwrap_or_default();
+/// Reserves memory for the request itself, with a head of so many fields, and for its body, as far as
+/// the length is known.
+fn reserve_body(gateway: &Gateway, meta: &Metadata, fields: usize) -> Result<Reservation, Refusal> {
+    let request = memory::request_bytes(fields);
+    let need = request + meta.body_length.unwrap_or_default();
     let reserved = gateway.held.reserve(memory::Sort::Body, need);
     let mut reserved = reserved.ok_or_else(out_of_memory)?;
-    reserved.set(memory::REQUEST_BYTES);
+    reserved.set(request);
     Ok(reserved)
 }
 
@@ -208,12 +210,13 @@
     Refusal::new(Code::NoRoute, "no route takes this host and path")
 }
 
-fn copy_head(head: &RequestHead) -> RequestHead {
-    let mut copy = RequestHead::default();
-    copy.method = head.method.clone();
-    copy.uri = head.uri.clone();
-    copy.headers = head.headers.clone();
-    copy
+fn take_head(request: &mut Request) -> RequestHead {
+    let head = request.head_mut();
+    let mut taken = RequestHead::default();
+    taken.method = head.method.clone();
+    taken.uri = head.uri.clone();
+    taken.headers = std::mem::take(&mut head.headers);
+    taken
 }
 
 fn check_head(head: &RequestHead, meta: &Metadata, limits: Limits) -> Result<(), Refusal> {
--- a/src/limit/memory.rs
+++ b/src/limit/memory.rs
@@ -27,8 +27,20 @@
 pub const RESPONSE_MIN: u64 = READ_MAX;
 
 /// Bytes that a request in progress takes besides its body and response: the futures that serve it,
-/// of about 15 KiB, and its head.
-pub const REQUEST_BYTES: u64 = 16 << 10;
+/// of about 15 KiB, and two heads of up to [`USUAL_FIELDS`].
+const REQUEST_BYTES: u64 = 32 << 10;
+
+/// Fields of a head for which there is room in [`REQUEST_BYTES`].
+const USUAL_FIELDS: usize = 16;
+
+/// Bytes that each further field takes: a place in the tables of two heads, which may be half empty.
+const FIELD_BYTES: u64 = 1 << 10;
+
+/// Bytes that a request in progress with a head of so many `fields` takes besides its body and
+/// response.
+pub fn request_bytes(fields: usize) -> u64 {
+    REQUEST_BYTES + fields.saturating_sub(USUAL_FIELDS) as u64 * FIELD_BYTES
+}
 
 /// Bytes that an open connection takes: measured with 2,000 at rest.
 const CONNECTION_BYTES: u64 = 12 << 10;
