--- a/src/http/pipeline.rs
+++ b/src/http/pipeline.rs
@@ -419,6 +419,14 @@
         polled
     }
 
+    /// Records whether the client takes what is written. Once it does again, reading goes on.
+    fn record_write(&mut self, cx: &Context<'_>, is_blocked: bool) {
+        if self.write_blocked && !is_blocked {
+            cx.waker().wake_by_ref();
+        }
+        self.write_blocked = is_blocked;
+    }
+
     /// Tells the cap what has arrived and waits.
     fn report_input(&mut self) {
         let input = self.ahead.len() as u64 + self.undecoded + self.unread;
@@ -457,10 +465,7 @@
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
         let written = Pin::new(&mut self.io).poll_write(cx, bytes);
-        if self.write_blocked && written.is_ready() {
-            cx.waker().wake_by_ref();
-        }
-        self.write_blocked = written.is_pending();
+        self.record_write(cx, written.is_pending());
         written
     }
 
@@ -479,7 +484,7 @@
         slices: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         let written = Pin::new(&mut self.io).poll_write_vectored(cx, slices);
-        self.write_blocked = written.is_pending();
+        self.record_write(cx, written.is_pending());
         written
     }
 
