Http: a connection whose request's body was not read is closed with its response

Callers would have seen: a second request on a kept connection neither answered nor refused, after one in chunks whose handler answered without reading its body.

Cause: the server may have had the whole body and kept the connection, while its chunks counted as unread.

Change: a response before the end of its request's body says Connection: close, so that the server, the client and what discards the rest agree.

--- a/src/http/pipeline.rs
+++ b/src/http/pipeline.rs
@@ -86,6 +86,11 @@
         self.pending.get() == 0 && since.is_none_or(|since| since.elapsed() >= FLUSH_GRACE)
     }
 
+    /// Whether the body of the request that is being handled has been read to its end.
+    pub(super) fn has_whole_body(&self) -> bool {
+        matches!(self.body.get(), Body::Complete | Body::Bytes(0))
+    }
+
     /// Number of requests that were answered.
     pub(super) fn answered(&self) -> u64 {
         self.answered.get()
@@ -258,7 +263,7 @@
         let is_free = self.activity.pending.get() == 0;
         match self.activity.body.get() {
             _ if self.shutting_down => Next::Discard,
-            // The server closes the connection after a response before the end of the body.
+            // The connection is closed after a response before the end of the body.
             Body::Bytes(1..) | Body::Chunked { .. } if is_free => Next::Discard,
             Body::Bytes(left @ 1..) => Next::Bytes(left),
             Body::Chunked { wanted: true } => Next::Part,
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -12,7 +12,7 @@
 use std::time::Duration;
 
 use actix_http::body::{BoxBody, MessageBody};
-use actix_http::{HttpService, Request};
+use actix_http::{ConnectionType, HttpService, Request};
 use actix_service::{Service, ServiceFactory, fn_service};
 use futures_util::FutureExt;
 use futures_util::future::{Either, select};
@@ -300,10 +300,15 @@
                 // The future of a gateway's handler has 15 KiB, which connections at rest would
                 // take as well if it weren't boxed.
                 let answer = Box::pin(handler(request, peer));
+                let activity = activity.clone();
                 async move {
-                    let answer = answer
+                    let mut answer = answer
                         .await
                         .map_body(|_, body| Observed::new(body, pending).boxed());
+                    if !activity.has_whole_body() {
+                        let head = answer.head_mut();
+                        head.set_connection_type(ConnectionType::Close);
+                    }
                     Ok::<_, actix_http::Error>(answer)
                 }
             });
--- a/tests/pipeline.rs
+++ b/tests/pipeline.rs
@@ -178,3 +178,32 @@
         assert_eq!(read(&mut stream, 20).await, vec![request.body; 20]);
     });
 }
+
+/// Guards against a connection that stays open but is not read any more after a body that its handler did not want.
+#[test]
+fn a_connection_whose_body_was_not_read_is_closed_or_goes_on() {
+    actix_rt::System::new().block_on(async {
+        for framing in [Framing::Length, Framing::Chunks] {
+            let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+            let address = listener.local_addr().unwrap();
+            let _server = Server::start(listener, http::plain(), |_, _| async {
+                sleep(Duration::from_millis(50)).await;
+                http::body(StatusCode::OK, "text/plain", "ignored")
+            });
+            let mut stream = TcpStream::connect(address).await.unwrap();
+            let request = Request {
+                framing,
+                body: vec![b'x'; 100],
+            };
+            stream.write_all(&request.text()).await.unwrap();
+            assert_eq!(read(&mut stream, 1).await, [b"ignored"]);
+            let _ = stream.write_all(&request.text()).await;
+            let mut next = [0; 100];
+            let answered = timeout(PATIENCE / 3, stream.read(&mut next)).await;
+            assert!(
+                answered.is_ok(),
+                "{framing:?}: it is neither closed nor answered"
+            );
+        }
+    });
+}
