--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -44,9 +44,6 @@
 use liveness::Probe;
 use path::Paths;
 
-/// Receive buffer of a connection, in bytes. The kernel reserves twice as much.
-const RECEIVE_BUFFER: u32 = 32 << 10;
-
 /// Bytes of a request's body that are written at once.
 const BODY_PART_BYTES: usize = 64 << 10;
 
@@ -622,8 +619,6 @@
         if let Some(local) = self.local {
             socket.bind(SocketAddr::new(local, 0))?;
         }
-        // A response that its caller doesn't take stays with its sender, and not in this machine's memory.
-        let _ = socket.set_recv_buffer_size(RECEIVE_BUFFER);
         socket.connect(peer).await
     }
 }
