Exchange: receive buffers towards replicas are bounded together

Cause: the kernel lets the receive buffer of each connection grow (128 KB before anything is read, 0.5 to 2 MB after a fast transfer), and nothing bounds their sum. What a replica sends ahead of a caller that doesn't read stays there.

Change: limit/window. A connection's buffer begins with 32 KiB and is doubled when it was filled and read empty within 300 ms, so that a reader that is slower than its sender never gets more. What buffers have beyond 32 KiB comes from a pool of a sixteenth of the machine's memory. A connection with a larger buffer is closed instead of kept while the pool is short.

Why it works: a replica stops sending where its reader has stopped, and readers that take what comes get the window back in a few round trips.

--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -26,7 +26,7 @@
 use actix_rt::time::{sleep, timeout};
 use bytes::Bytes;
 use futures_util::future::{Either, select};
-use tokio::net::{TcpSocket, TcpStream};
+use tokio::net::TcpStream;
 use tokio::sync::watch;
 
 use crate::clock::{Deadline, Time};
@@ -36,6 +36,7 @@
 pub mod answer;
 pub mod liveness;
 pub mod path;
+mod socket;
 
 pub use alarm::Alarm;
 pub use answer::Response;
@@ -43,6 +44,7 @@
 use answer::Hop;
 use liveness::Probe;
 use path::Paths;
+use socket::Socket;
 
 /// Bytes of a request's body that are written at once.
 const BODY_PART_BYTES: usize = 64 << 10;
@@ -270,7 +272,7 @@
     }
 }
 
-type Connection = Framed<TcpStream, ClientCodec>;
+type Connection = Framed<Socket, ClientCodec>;
 
 /// A connection taken for an exchange.
 #[derive(Debug)]
@@ -491,7 +493,7 @@
             last_received,
         } = checkout;
         if sending.is_long() {
-            set_loss_timeout(connection.io_ref(), LONG_BODY_LOSS_TIMEOUT);
+            set_loss_timeout(connection.io_ref().stream(), LONG_BODY_LOSS_TIMEOUT);
         }
         if sending.is_late() {
             return Err(not_sent("the deadline for sending it has passed"));
@@ -565,14 +567,14 @@
 
     /// Opens a new connection to `peer` within the timeout `within`.
     async fn open_within(&self, peer: SocketAddr, within: Duration) -> io::Result<Checkout> {
-        let open = timeout(within, self.connect(peer));
+        let open = timeout(within, self.paths.connect(peer, self.local));
         let late = |_| io::Error::new(io::ErrorKind::TimedOut, "no connection in time");
-        let stream = open.await.map_err(late)??;
-        let _ = stream.set_nodelay(true);
-        enable_loss_detection(&stream);
+        let socket = open.await.map_err(late)??;
+        let _ = socket.stream().set_nodelay(true);
+        enable_loss_detection(socket.stream());
         let opened = self.paths.now();
         Ok(Checkout {
-            connection: Framed::new(stream, ClientCodec::default()),
+            connection: Framed::new(socket, ClientCodec::default()),
             opened,
             last_received: opened,
         })
@@ -581,7 +583,7 @@
     /// Opens a connection to `peer` and closes it. Returns whether its machine refuses it (nothing
     /// listens there) within the timeout `within`.
     pub async fn probe_refused(&self, peer: SocketAddr, within: Duration) -> bool {
-        let opened = timeout(within, self.connect(peer)).await;
+        let opened = timeout(within, self.paths.connect(peer, self.local)).await;
         matches!(opened, Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused)
     }
 
@@ -609,18 +611,6 @@
     fn pop_idle(&self, peer: SocketAddr) -> Option<IdleConnection> {
         self.idle.borrow_mut().get_mut(&peer)?.pop()
     }
-
-    async fn connect(&self, peer: SocketAddr) -> io::Result<TcpStream> {
-        let socket = if peer.is_ipv4() {
-            TcpSocket::new_v4()?
-        } else {
-            TcpSocket::new_v6()?
-        };
-        if let Some(local) = self.local {
-            socket.bind(SocketAddr::new(local, 0))?;
-        }
-        socket.connect(peer).await
-    }
 }
 
 /// Flushes the request and reads the head of the response, concurrently. Also returns whether the
@@ -673,7 +663,7 @@
 /// Whether an idle connection has neither been closed nor received unsolicited bytes.
 fn still_open(connection: &Connection) -> bool {
     let mut byte = [0];
-    match connection.io_ref().try_read(&mut byte) {
+    match connection.io_ref().stream().try_read(&mut byte) {
         Err(error) => error.kind() == io::ErrorKind::WouldBlock,
         Ok(_) => false,
     }
--- a/src/exchange/answer.rs
+++ b/src/exchange/answer.rs
@@ -18,10 +18,10 @@
 use futures_util::future::LocalBoxFuture;
 use futures_util::{Stream, StreamExt};
 use tokio::io::{AsyncRead, ReadBuf};
-use tokio::net::TcpStream;
 
 use super::liveness::Witness;
 use super::path::Guard;
+use super::socket::Socket;
 use super::{Alarm, Client, Connection, Error, IdleConnection, Options, Unframed, broken};
 use crate::clock::Time;
 use crate::timeout::Progress;
@@ -38,9 +38,9 @@
 /// The state of a response body.
 enum BodyState {
     /// The codec reads the rest from this connection.
-    Codec(Framed<TcpStream, ClientPayloadCodec>),
+    Codec(Framed<Socket, ClientPayloadCodec>),
     /// Bytes follow until the connection closes; the codec leaves reading those to its caller.
-    UntilClose(TcpStream, BytesMut),
+    UntilClose(Socket, BytesMut),
     /// The connection was closed, and it is being checked whether the peer still runs.
     Closed(LocalBoxFuture<'static, Result<(), Error>>),
     /// The whole body was read.
@@ -156,7 +156,8 @@
         // Bytes after the complete response belong to no request, so the connection cannot be
         // reused.
         let clean = connection.is_read_buf_empty();
-        if !self.hop.reusable || !clean || !connection.codec_ref().keep_alive() {
+        let usable = clean && connection.codec_ref().keep_alive();
+        if !self.hop.reusable || !usable || !connection.io_ref().may_rest() {
             return;
         }
         let mut idle = self.hop.client.idle.borrow_mut();
@@ -232,7 +233,7 @@
 
 /// The next bytes of a connection, empty at its orderly close.
 fn read_raw(
-    stream: &mut TcpStream,
+    stream: &mut Socket,
     buffer: &mut BytesMut,
     cx: &mut Context<'_>,
 ) -> Poll<io::Result<Bytes>> {
--- a/src/exchange/path.rs
+++ b/src/exchange/path.rs
@@ -4,7 +4,8 @@
 use std::collections::VecDeque;
 use std::fmt;
 use std::future::Future;
-use std::net::SocketAddr;
+use std::io;
+use std::net::{IpAddr, SocketAddr};
 use std::pin::Pin;
 use std::rc::{Rc, Weak};
 use std::task::{Context, Poll};
@@ -13,7 +14,9 @@
 use actix_rt::time::sleep;
 use tokio::sync::watch;
 
+use super::socket::Socket;
 use crate::clock::{Clock, Time};
+use crate::limit::window;
 use crate::silence::{Connection, Detector, Others, Scope, Status, Suspicion};
 
 /// How long after a silence began bytes may still arrive that were already in transit: a few
@@ -59,6 +62,7 @@
     suspected: watch::Sender<u64>,
     found: watch::Sender<u64>,
     all_found: watch::Sender<u64>,
+    windows: window::Pool,
 }
 
 impl Default for Paths {
@@ -72,11 +76,34 @@
             suspected: watch::Sender::new(0),
             found: watch::Sender::new(0),
             all_found: watch::Sender::new(0),
+            windows: window::Pool::default(),
         }
     }
 }
 
 impl Paths {
+    /// The state of connections whose receive buffers are taken from `windows`.
+    pub fn with_windows(windows: window::Pool) -> Self {
+        Self {
+            windows,
+            ..Self::default()
+        }
+    }
+
+    /// What the receive buffers of connections are taken from.
+    pub fn windows(&self) -> &window::Pool {
+        &self.windows
+    }
+
+    /// Opens a connection to `peer` from the address `local`.
+    pub(super) async fn connect(
+        &self,
+        peer: SocketAddr,
+        local: Option<IpAddr>,
+    ) -> io::Result<Socket> {
+        Socket::connect(peer, local, self.clock, &self.windows).await
+    }
+
     /// The current time.
     pub(super) fn now(&self) -> Time {
         self.clock.now()
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -304,6 +304,7 @@
         knowledge.regions.replace(setting.regions.clone());
         let host = Rc::new(relay_host(&setting, &knowledge, &metrics));
         let all_silent = paths.all_silent();
+        let windows = paths.windows().clone();
         let gateway = Rc::new(Self {
             bursts: Manager::new(host.clone(), origins, setting.first_start),
             client: exchange::Client::sharing(paths),
@@ -368,7 +369,7 @@
             servers.push(gateway.serve(listener, &scrapes, control::metrics));
         }
         let caps = vec![callers, ready, peers, scrapes];
-        let reporting = cap::report(gateway.metrics.meter(), caps);
+        let reporting = cap::report(gateway.metrics.meter(), caps, windows);
         tasks.push(actix_rt::spawn(reporting));
         Ok(Running {
             gateway,
--- a/src/http/cap.rs
+++ b/src/http/cap.rs
@@ -12,6 +12,7 @@
 
 use crate::clock::Clock;
 use crate::limit::connection::{Key, Setting, Table, Verdict};
+use crate::limit::window;
 use crate::log::Repeats;
 
 /// How often the metrics are updated.
@@ -139,8 +140,8 @@
     }
 }
 
-/// Updates the metrics of the listeners of a process.
-pub async fn report(meter: Meter, caps: Vec<Cap>) {
+/// Updates the metrics of the listeners of a process, and of the receive buffers towards replicas.
+pub async fn report(meter: Meter, caps: Vec<Cap>, windows: window::Pool) {
     let open = meter
         .u64_gauge("pumicelatch.http.connections")
         .with_description("Open connections by listener")
@@ -154,9 +155,15 @@
         .u64_counter("pumicelatch.http.closed_connections")
         .with_description("Connections closed or refused for lack of room, by listener and reason")
         .build();
+    let buffers = meter
+        .u64_gauge("pumicelatch.http.receive_buffer_bytes")
+        .with_unit("By")
+        .with_description("Receive buffers of connections to replicas beyond their minimum")
+        .build();
     let mut counted = vec![[0; Reason::ALL.len()]; caps.len()];
     loop {
         sleep(REPORT_INTERVAL).await;
+        buffers.record(windows.taken(), &[]);
         for (cap, counted) in caps.iter().zip(&mut counted) {
             let listener = KeyValue::new("listener", cap.0.listener);
             open.record(cap.open() as u64, std::slice::from_ref(&listener));
--- a/src/limit.rs
+++ b/src/limit.rs
@@ -9,6 +9,7 @@
 pub mod retry;
 pub mod room;
 pub mod size;
+pub mod window;
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
--- a/src/sidecar.rs
+++ b/src/sidecar.rs
@@ -345,7 +345,8 @@
             Cap::new("metrics", connections.checks),
         ];
         let (control, metrics) = sidecar.serve(listeners, &caps);
-        let reporting = cap::report(sidecar.metrics.meter(), caps.into());
+        let windows = dependencies.paths.windows().clone();
+        let reporting = cap::report(sidecar.metrics.meter(), caps.into(), windows);
         tasks.push(actix_rt::spawn(reporting));
         Ok(Running {
             sidecar,
