Daemons: connections to the product's own programs are bounded by their descriptors

Callers saw: with 600 silent connections, an entry or an agent that may open 400 descriptors had all 400 open for up to 5 s, so that none was left for engines, the service and files.

Cause: their listener had a fixed bound of 4,096 connections, and no option.

Why it works: one that is late with its first request is closed for a new one before descriptors run out.

--- a/src/agent/serve.rs
+++ b/src/agent/serve.rs
@@ -10,7 +10,7 @@
 
 use super::{Agent, proxy, status};
 use crate::burst::serve;
-use crate::http::{self, Answer, Server, Wrap};
+use crate::http::{self, Answer, Server, Timing, Wrap};
 use crate::stop::Kind;
 use crate::weight::Digest;
 use crate::wire::{self, Report, header};
@@ -21,9 +21,9 @@
 /// Starts the server.
 pub fn start(agent: &Rc<Agent>, listener: TcpListener, wrap: Wrap) -> Server {
     let agent = agent.clone();
-    Server::start(listener, wrap, move |request, peer| {
-        handle(agent.clone(), request, peer)
-    })
+    let cap = agent.node.cap.clone();
+    let handler = move |request, peer| handle(agent.clone(), request, peer);
+    Server::capped(listener, &cap, wrap, handler, Timing::default)
 }
 
 async fn handle(agent: Rc<Agent>, request: Request, peer: SocketAddr) -> Answer {
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -5,10 +5,12 @@
 use std::time::{Duration, SystemTime};
 
 use actix_rt::time::timeout;
+use nix::sys::resource::{Resource, getrlimit};
 use tokio::signal::unix::{SignalKind, signal};
 
 use crate::auth::Keyring;
 use crate::http;
+use crate::limit::connection;
 use crate::member::Role;
 use crate::metric;
 use crate::node;
@@ -45,7 +47,7 @@
 }
 
 /// Options that every daemon has.
-pub const SPECS: [Spec; 8] = [
+pub const SPECS: [Spec; 10] = [
     Spec::required(
         "name",
         "NAME",
@@ -77,6 +79,18 @@
         "600",
         "longest time that a planned stop waits for requests in progress",
     ),
+    Spec::with_default(
+        "connections",
+        "N",
+        "0",
+        "connections that may be open to it; 0 means half of the descriptors that it may open",
+    ),
+    Spec::with_default(
+        "input-bytes",
+        "N",
+        "8388608",
+        "bytes that these may hold unread",
+    ),
 ];
 
 /// Settings that every daemon has.
@@ -113,6 +127,7 @@
             listen,
             config_url: values.url("config-url")?,
             list_url: values.url("list-url")?,
+            connections: connections(values)?,
         },
         keyring: values.get("inner-keys", "name:hex, with 64 hexadecimal digits")?,
         log_level: values.get("log-level", "error, warn, info, debug or trace")?,
@@ -120,6 +135,31 @@
     })
 }
 
+/// Bounds of the daemon's listener: the settings, or else by the descriptors that it may open.
+fn connections(values: &Values) -> Result<connection::Setting, option::Error> {
+    let given = values.number("connections", 0..=1 << 20)?;
+    let input_bytes = values.number("input-bytes", 1..=1 << 40)?;
+    let connections = match given {
+        0 => connection::callers_of(descriptors()),
+        given => given,
+    };
+    Ok(connection::Setting {
+        connections,
+        input_bytes,
+    })
+}
+
+/// Number of descriptors that the process may open.
+fn descriptors() -> usize {
+    match getrlimit(Resource::RLIMIT_NOFILE) {
+        Ok((soft, _)) => usize::try_from(soft).unwrap_or(usize::MAX),
+        Err(error) => {
+            log::warn!("cannot read the limit of open descriptors: {error}");
+            connection::Setting::default().connections
+        }
+    }
+}
+
 /// Parses the command line of a daemon, or prints what it asks for and returns `None`.
 pub fn values(
     program: &str,
--- a/src/entry/serve.rs
+++ b/src/entry/serve.rs
@@ -8,15 +8,15 @@
 
 use super::caller::{Code, Failure};
 use super::{Entry, call, key, status};
-use crate::http::{self, Answer, Server, Wrap};
+use crate::http::{self, Answer, Server, Timing, Wrap};
 use crate::stop::Kind;
 
 /// Starts the server.
 pub fn start(entry: &Rc<Entry>, listener: TcpListener, wrap: Wrap) -> Server {
     let entry = entry.clone();
-    Server::start(listener, wrap, move |request, peer| {
-        route(entry.clone(), request, peer)
-    })
+    let cap = entry.node.cap.clone();
+    let handler = move |request, peer| route(entry.clone(), request, peer);
+    Server::capped(listener, &cap, wrap, handler, Timing::default)
 }
 
 async fn route(entry: Rc<Entry>, request: Request, _peer: SocketAddr) -> Answer {
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -30,6 +30,7 @@
 use tokio::sync::watch;
 
 use crate::clock::{Deadline, Time};
+use crate::limit::window;
 use crate::silence::{self, Status};
 
 pub mod alarm;
@@ -384,6 +385,11 @@
         }
     }
 
+    /// What the receive buffers of its connections are taken from.
+    pub fn windows(&self) -> window::Pool {
+        self.paths.windows().clone()
+    }
+
     /// Sends `request` to `peer` and returns once the head of the response is read.
     pub async fn send(&self, peer: SocketAddr, request: &Request) -> Result<Response, Error> {
         let options = Options {
--- a/src/limit/connection.rs
+++ b/src/limit/connection.rs
@@ -44,6 +44,19 @@
 /// Least number of connections of a listener.
 const CONNECTIONS_MIN: usize = 4;
 
+/// Divisor of the other descriptors that yields the connections of callers.
+const CALLERS_DIVISOR: usize = 2;
+
+/// Maximum number of callers' connections of a process that may open so many descriptors.
+pub fn callers_of(descriptors: usize) -> usize {
+    part_of(descriptors, CALLERS_DIVISOR)
+}
+
+fn part_of(descriptors: usize, divisor: usize) -> usize {
+    let free = descriptors.saturating_sub(FILE_DESCRIPTORS);
+    (free / divisor).max(CONNECTIONS_MIN)
+}
+
 /// What a machine lets a process use.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Machine {
@@ -68,13 +81,12 @@
 impl Plan {
     /// The bounds on `machine`.
     pub fn on(machine: Machine) -> Self {
-        let descriptors = machine.descriptors.saturating_sub(FILE_DESCRIPTORS);
         let part = |connections: usize, input: u64| Setting {
-            connections: (descriptors / connections).max(CONNECTIONS_MIN),
+            connections: part_of(machine.descriptors, connections),
             input_bytes: machine.memory_bytes / input,
         };
         Self {
-            callers: part(2, 16),
+            callers: part(CALLERS_DIVISOR, 16),
             peers: part(4, 32),
             checks: part(32, 64),
         }
--- a/src/node.rs
+++ b/src/node.rs
@@ -15,7 +15,9 @@
 use crate::clock::{self, Clock};
 use crate::config::{Change, Configuration, Delta, Effect, Revision};
 use crate::exchange;
+use crate::http::cap::{self, Cap};
 use crate::http::{self, ClientSetting, Error};
+use crate::limit::connection;
 use crate::member::{Listing, Role, View};
 use crate::metric::{self, Metrics};
 
@@ -40,6 +42,9 @@
 /// How often peers are compared with, beside the service: a stale service must not hold anyone back.
 const COMPARE_EVERY: Duration = Duration::from_secs(2);
 
+/// Name of a daemon's listener in metrics and logs.
+const LISTENER: &str = "all";
+
 /// Settings that all daemons share.
 #[derive(Debug, Clone)]
 pub struct Setting {
@@ -55,6 +60,8 @@
     pub config_url: String,
     /// The platform's list of boxes.
     pub list_url: String,
+    /// Bounds of the connections to it.
+    pub connections: connection::Setting,
 }
 
 impl Setting {
@@ -87,6 +94,8 @@
     pub client: ClientHandle,
     /// Exchanges on the hops that requests travel.
     pub exchange: exchange::Client,
+    /// The connections to it.
+    pub cap: Cap,
     /// Counts changes of configuration or boxes.
     pub changed: watch::Sender<u64>,
     /// Whether the service or a peer has answered with a configuration.
@@ -107,6 +116,7 @@
     /// A node without any knowledge yet.
     pub fn new(setting: Setting) -> Result<Rc<Self>, metric::Error> {
         let client_setting = setting.client();
+        let cap = Cap::new(LISTENER, setting.connections);
         Ok(Rc::new(Self {
             setting,
             clock: Clock::default(),
@@ -116,6 +126,7 @@
             metrics: Metrics::new()?,
             client: ClientHandle(http::client(client_setting)),
             exchange: exchange::Client::new(client_setting.local_address),
+            cap,
             changed: watch::Sender::new(0),
             ready: watch::Sender::new(false),
         }))
@@ -174,6 +185,11 @@
             actix_rt::spawn(self.clone().follow_config()),
             actix_rt::spawn(self.clone().follow_boxes()),
             actix_rt::spawn(self.clone().compare_with_peers()),
+            actix_rt::spawn(cap::report(
+                self.metrics.meter(),
+                vec![self.cap.clone()],
+                self.exchange.windows(),
+            )),
         ]
     }
 
--- a/src/standin/fleet.rs
+++ b/src/standin/fleet.rs
@@ -21,6 +21,7 @@
 use crate::auth::Keyring;
 use crate::entry::{self, Entry};
 use crate::http;
+use crate::limit::connection;
 use crate::member::{Descriptor, Role, State};
 use crate::node;
 use crate::route::Strategy;
@@ -422,6 +423,7 @@
             listen: listed.address,
             config_url: format!("http://{}", self.platform_address),
             list_url: format!("http://{}", self.platform_address),
+            connections: connection::Setting::default(),
         }
     }
 
--- a/tests/daemon.rs
+++ b/tests/daemon.rs
@@ -100,6 +100,76 @@
     }
 }
 
+/// Descriptors that a program may open, fewer than a crowd has connections.
+const DESCRIPTORS: usize = 400;
+
+/// Connections of a crowd.
+const CROWD: usize = 600;
+
+/// An entry and an agent that may open few descriptors, and reach no service.
+fn alone() -> [Process; 2] {
+    let programs = [
+        (env!("CARGO_BIN_EXE_pumicelatch-entry"), vec![]),
+        (
+            env!("CARGO_BIN_EXE_pumicelatch-agent"),
+            vec![
+                "--target-address",
+                "127.0.0.1:9",
+                "--origin-url",
+                "http://127.0.0.1:9",
+            ],
+        ),
+    ];
+    programs.map(|(path, own)| {
+        let limited = format!("ulimit -n {DESCRIPTORS}; exec \"$0\" \"$@\"");
+        let common = [
+            "--name",
+            "box",
+            "--hall",
+            "hall",
+            "--config-url",
+            "http://127.0.0.1:9",
+            "--list-url",
+            "http://127.0.0.1:9",
+            "--inner-keys",
+            KEYRING,
+        ];
+        let arguments = [&["-c", &limited, path][..], &common, &own].concat();
+        Process::start("sh", &arguments, true)
+    })
+}
+
+async fn until_live(address: SocketAddr) {
+    let client = http::client(ClientSetting::default());
+    let url = format!("http://{address}/health/live");
+    let deadline = Instant::now() + PATIENCE;
+    while let Err(error) = http::get(&client, &url, 1 << 20, Duration::from_secs(5)).await {
+        assert!(Instant::now() < deadline, "{error}");
+    }
+}
+
+/// Guards against idle connections that take the descriptors for engines and the service.
+#[test]
+fn silent_connections_leave_descriptors_of_the_programs() {
+    run(async {
+        for mut process in alone() {
+            let address = process.address();
+            let connect = |_| std::net::TcpStream::connect(address);
+            let crowd: Vec<_> = (0..CROWD).map(connect).collect();
+            let folder = format!("/proc/{}/fd", process.child.id());
+            let mut open = 0;
+            // All of the crowd are accepted meanwhile if there is room.
+            for _ in 0..50 {
+                open = open.max(std::fs::read_dir(&folder).unwrap().count());
+                actix_rt::time::sleep(Duration::from_millis(20)).await;
+            }
+            until_live(address).await;
+            println!("{open} descriptors beside {} connections", crowd.len());
+            assert!(open < DESCRIPTORS, "{open}");
+        }
+    });
+}
+
 #[test]
 fn the_programs_serve_a_request_end_to_end_and_stop_without_cutting_it_off() {
     run(async {
--- a/tests/stop_edge.rs
+++ b/tests/stop_edge.rs
@@ -7,6 +7,7 @@
 use actix_http::StatusCode;
 use pumicelatch::entry::{Entry, Setting};
 use pumicelatch::http::{self, Server};
+use pumicelatch::limit::connection;
 use pumicelatch::member::Role;
 use pumicelatch::node;
 use pumicelatch::route::Strategy;
@@ -78,6 +79,7 @@
                 listen: address,
                 config_url: unreachable.clone(),
                 list_url: unreachable,
+                connections: connection::Setting::default(),
             },
             keyring: KEYRING.parse().unwrap(),
             strategy: Strategy::Expected,
