Gateway: the parts of a prompt that a request names are bounded

Callers saw: with 1,500 requests within the limits, one a connection, whose heads of 16 KiB name 2,500 parts of a prompt each, an entry took 196 MB + 20 MB unread of 112 MB. Each such request was logged in three times its length. By reading: each also searched the table of cases, of up to 1,024, once for each part that it hadn't seen.

Cause: each part became a string, a subject of crashes, a case and a word in log lines, and only the number of a head's fields was bounded.

Change: of a prompt's parts, the first 128 are read; the header is passed on whole. A request isn't refused for more.

Why it works: what a name costs is paid for 128 of them at most.

--- a/src/gateway/dialect.rs
+++ b/src/gateway/dialect.rs
@@ -16,6 +16,10 @@
 use crate::route::notice::Notice;
 use crate::route::quota::Statement;
 
+/// Maximum number of parts of a prompt that crashes are counted under. What a caller names costs
+/// memory and time for each name.
+pub const SHARED_PARTS_MAX: usize = 128;
+
 /// The parameters of an inference request.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Inference {
@@ -29,7 +33,8 @@
     pub output_hint: Option<u32>,
     /// Identifies the prefixes that the prompt shares with others.
     pub prefix: Option<Arc<str>>,
-    /// The parts of the prompt that other requests may have as well: all but the last.
+    /// The parts of the prompt that other requests may have as well: all but the last, and at most
+    /// [`SHARED_PARTS_MAX`].
     pub shared_parts: Vec<String>,
 }
 
