Limit: the memory of a long head is reserved by its length

Callers saw: 1,500 requests with heads of 16 KiB, one a connection, took an entry to 103 MB + 14 MB unread of 112 MB.

Cause: a head was reserved by its number of fields, and one of few long fields counted like a short one.

Change: besides 32 KiB and 1 KiB a field above 16, four times what the head is longer than 4 KiB: as read, as written to the replica, and as decoded, in buffers that may be half empty.

Why it works: what doesn't fit is refused as not run before it takes its memory. A head up to 4 KiB reserves as before.

--- a/src/gateway/intake.rs
+++ b/src/gateway/intake.rs
@@ -61,7 +61,7 @@
     };
     let meta = meta.map_err(|error| Refusal::new(Code::Malformed, error.to_string()))?;
     let limits = routing.document.limits;
-    check_head(request.head(), &meta, limits)?;
+    let size = check_head(request.head(), &meta, limits)?;
     let route = routing
         .route(&meta.host, &meta.path)
         .cloned()
@@ -96,7 +96,7 @@
         .map_or(route_timeout, |deadline| deadline.min(route_timeout));
     let arrived = trace.arrived;
     let response = reserve_response(gateway, &route)?;
-    let mut body_held = reserve_body(gateway, &meta, request.head().headers.len())?;
+    let mut body_held = reserve_body(gateway, &meta, size)?;
     let now = || gateway.knowledge.now();
     let body = read_body(request, limits, timeout, &mut body_held, now).await?;
     let fingerprint = fingerprint(&meta, body.as_deref());
@@ -139,10 +139,14 @@
     gateway.held.reserve(sort, need).ok_or_else(out_of_memory)
 }
 
-/// Reserves memory for the request itself, with a head of so many fields, and for its body, as far as
-/// the length is known.
-fn reserve_body(gateway: &Gateway, meta: &Metadata, fields: usize) -> Result<Reservation, Refusal> {
-    let request = memory::request_bytes(fields);
+/// Reserves memory for the request itself, with such a head, and for its body, as far as the length is
+/// known.
+fn reserve_body(
+    gateway: &Gateway,
+    meta: &Metadata,
+    head: memory::Head,
+) -> Result<Reservation, Refusal> {
+    let request = memory::request_bytes(head);
     let need = request + meta.body_length.unwrap_or_default();
     let reserved = gateway.held.reserve(memory::Sort::Body, need);
     let mut reserved = reserved.ok_or_else(out_of_memory)?;
@@ -219,7 +223,12 @@
     taken
 }
 
-fn check_head(head: &RequestHead, meta: &Metadata, limits: Limits) -> Result<(), Refusal> {
+/// Refuses a request over the limits. Returns the size of its head.
+fn check_head(
+    head: &RequestHead,
+    meta: &Metadata,
+    limits: Limits,
+) -> Result<memory::Head, Refusal> {
     let line = head
         .uri
         .path_and_query()
@@ -228,7 +237,8 @@
     let length: usize = fields
         .map(|(name, value)| name.as_str().len() + value.len() + 4)
         .sum();
-    if line + length > limits.head_bytes {
+    let length = line + length;
+    if length > limits.head_bytes {
         let text = format!("the head is longer than {} bytes", limits.head_bytes);
         return Err(Refusal::new(Code::HeadTooLong, text));
     }
@@ -239,7 +249,10 @@
         let text = format!("the body is longer than {} bytes", limits.body_bytes);
         return Err(Refusal::new(Code::BodyTooLong, text));
     }
-    Ok(())
+    Ok(memory::Head {
+        fields: head.headers.len(),
+        length,
+    })
 }
 
 async fn read_body(
--- a/src/limit/memory.rs
+++ b/src/limit/memory.rs
@@ -36,10 +36,27 @@
 /// Bytes that each further field takes: a place in the tables of two heads, which may be half empty.
 const FIELD_BYTES: u64 = 1 << 10;
 
-/// Bytes that a request in progress with a head of so many `fields` takes besides its body and
-/// response.
-pub fn request_bytes(fields: usize) -> u64 {
-    REQUEST_BYTES + fields.saturating_sub(USUAL_FIELDS) as u64 * FIELD_BYTES
+/// Length of a head, in bytes, for which there is room in [`REQUEST_BYTES`].
+const USUAL_LENGTH: usize = 4 << 10;
+
+/// How often the rest of a longer head is held: as it was read, as it is written to a replica, and
+/// what is decoded of it, each in a buffer that may be half empty.
+const LENGTH_FACTOR: u64 = 4;
+
+/// Size of a request's head.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Head {
+    /// Number of fields.
+    pub fields: usize,
+    /// Length in bytes.
+    pub length: usize,
+}
+
+/// Bytes that a request in progress with such a `head` takes besides its body and response.
+pub fn request_bytes(head: Head) -> u64 {
+    let fields = head.fields.saturating_sub(USUAL_FIELDS) as u64;
+    let length = head.length.saturating_sub(USUAL_LENGTH) as u64;
+    REQUEST_BYTES + fields * FIELD_BYTES + length * LENGTH_FACTOR
 }
 
 /// Bytes that an open connection takes: measured with 2,000 at rest.
