--- a/tests/window.rs
+++ b/tests/window.rs
@@ -36,6 +36,27 @@
     assert_eq!(window.size(), SIZE_MIN);
 }
 
+/// Guards against a rate that is taken over the whole of a stream.
+#[test]
+fn a_stream_that_becomes_fast_gets_a_larger_buffer() {
+    let mut window = Pool::default().window();
+    let slow = Time::from_millis(1_000);
+    window.record_read(1 << 10, slow);
+    assert!(!window.record_empty(slow));
+    let fast = Time::from_millis(5_000);
+    window.record_read(SIZE_MIN / 2, fast);
+    assert!(window.record_empty(fast));
+}
+
+/// Guards against buffers that grow for a reader that takes long to read what is there.
+#[test]
+fn a_buffer_that_is_read_late_does_not_grow() {
+    let mut window = Pool::default().window();
+    window.record_read(SIZE_MIN / 2, Time::from_millis(1_000));
+    assert!(!window.record_empty(Time::from_millis(2_000)));
+    assert_eq!(window.size(), SIZE_MIN);
+}
+
 /// Guards against buffers that grow for readers that are slower than their senders.
 #[test]
 fn a_buffer_that_is_never_empty_does_not_grow() {
