--- a/review/stand-2/world.rs
+++ b/review/stand-2/world.rs
@@ -588,6 +588,11 @@
             .spawn()
             .unwrap_or_else(|error| unable(&format!("{}: {error}", self.program)));
         record.say(&format!("{} starts, process {}", self.name, child.id()));
+        // For the script, which ends them if it is interrupted.
+        if let Ok(path) = std::env::var("PIDS") {
+            let file = File::options().create(true).append(true).open(path);
+            let _ = file.and_then(|mut file| writeln!(file, "{}", child.id()));
+        }
         *self.child.lock().unwrap() = Some(child);
         self.up_since.store(record.ms(), Ordering::SeqCst);
     }
