Exchange: a reset that a failed write has reported is no end of a response

What callers saw: a replica that answered an upload at once, without a length, sent part of its body and reset the connection while the upload was still written. The part came as a complete answer, with a length of the entry's own or the last chunk of a stream.

Cause: `transfer` writes the request and reads the head of the response at the same time, and dropped the error of a write, since a peer may respond before it has read a request. The kernel reports the failure of a socket once. After the write has taken it, the read finds the bytes that had come and then an orderly end; the check that the replica still runs is then passed.

Change: `transfer` returns how far the request was sent. If writing it has failed, the end of the connection shows nothing, and a response without a length is not complete (`Doubt::SendFailed`, outcome `send_failed` in the log line and the metric, so that it is told apart from a crash). A broken pipe is reported only where the peer's orderly close came before its reset, so all of its bytes have arrived and the response stays complete. Lengths and chunks need no end of the connection: nothing changes for them.

The error kind is ConnectionReset (tests/exchange).

--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -357,6 +357,27 @@
     }
 }
 
+/// How far a request was sent when the head of its response was read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Sent {
+    Completely,
+    Partly,
+    /// Writing it failed.
+    Failed(io::ErrorKind),
+}
+
+impl Sent {
+    /// The failure that the end of the connection no longer shows. The kernel reports a failure once: a
+    /// connection that was reset reads as closed in order after a write has failed. A broken pipe is
+    /// reported only if the peer had closed it in order before.
+    fn hidden_failure(self) -> Option<io::ErrorKind> {
+        match self {
+            Self::Failed(io::ErrorKind::BrokenPipe) | Self::Completely | Self::Partly => None,
+            Self::Failed(kind) => Some(kind),
+        }
+    }
+}
+
 /// Makes exchanges and pools idle connections.
 #[derive(Clone, Default)]
 pub struct Client {
@@ -530,7 +551,8 @@
             sent_at,
             // A peer that responds before it has read the request may take the rest for another
             // one. The next request on the connection would have the longer timeout.
-            reusable: sent && !sending.is_long(),
+            reusable: sent == Sent::Completely && !sending.is_long(),
+            failure: sent.hidden_failure(),
             bodiless: sending.head.method == Method::HEAD,
             options: sending.options.clone(),
             guard,
@@ -622,27 +644,28 @@
     }
 }
 
-/// Flushes the request and reads the head of the response, concurrently. Also returns whether the
-/// request was completely sent by then.
+/// Flushes the request and reads the head of the response, concurrently. Also returns how far the
+/// request was sent by then.
 async fn transfer(
     connection: &mut Connection,
     sending: &Sending,
-) -> Result<(ResponseHead, bool), Error> {
+) -> Result<(ResponseHead, Sent), Error> {
     let mut written = BODY_PART_BYTES;
-    let mut sent = false;
-    let mut failed = false;
+    let mut sent = Sent::Partly;
     for _ in 0..=INTERIM_RESPONSES_MAX {
         let head = poll_fn(|cx| {
             connection.io_mut().begin_turn();
-            while !sent && !failed {
+            while sent == Sent::Partly {
                 match Pin::new(&mut *connection).flush(cx) {
                     Poll::Ready(Ok(())) if sending.part(written).is_some() => {
                         let part = sending.write_part(Pin::new(&mut *connection), written);
-                        failed = part.is_err();
+                        if let Err(error) = part {
+                            sent = Sent::Failed(error.kind());
+                        }
                         written += BODY_PART_BYTES;
                     }
-                    Poll::Ready(Ok(())) => sent = true,
-                    Poll::Ready(Err(_)) => failed = true,
+                    Poll::Ready(Ok(())) => sent = Sent::Completely,
+                    Poll::Ready(Err(error)) => sent = Sent::Failed(error.kind()),
                     Poll::Pending => break,
                 }
             }
@@ -656,12 +679,20 @@
             Some(Ok(head)) if head.status.is_informational() => {}
             Some(Ok(head)) => return Ok((head, sent)),
             Some(Err(error)) => return Err(broken(error)),
-            None => return Err(broken("the peer closed the connection")),
+            None => return Err(closed(sent)),
         }
     }
     Err(broken("too many interim responses"))
 }
 
+/// The error when the connection ended before a response.
+fn closed(sent: Sent) -> Error {
+    match sent {
+        Sent::Failed(kind) => broken(format_args!("sending the request failed: {kind}")),
+        Sent::Completely | Sent::Partly => broken("the peer closed the connection"),
+    }
+}
+
 /// Has the kernel detect a peer whose machine went silent, which sends neither FIN nor RST.
 fn enable_loss_detection(stream: &TcpStream) {
     let socket = socket2::SockRef::from(stream);
--- a/src/exchange/answer.rs
+++ b/src/exchange/answer.rs
@@ -1,6 +1,6 @@
 //! The response of an exchange. Its body ends only at its declared length or its last chunk, or at
-//! the close of its connection if its sender is known to run after that ([`super::liveness`]); a
-//! reusable connection then returns to the pool.
+//! the orderly close of its connection if its sender is known to run after that
+//! ([`super::liveness`]); a reusable connection then returns to the pool.
 
 use std::fmt;
 use std::future::Future;
@@ -70,6 +70,8 @@
     /// When the request was sent.
     pub sent_at: Time,
     pub reusable: bool,
+    /// A failure of the connection that was reported while the request was sent.
+    pub failure: Option<io::ErrorKind>,
     /// Whether the response has no body whatever its headers say.
     pub bodiless: bool,
     pub options: Options,
@@ -189,7 +191,7 @@
     /// Begins to check whether the body is complete, because its connection was closed.
     fn close(&mut self) {
         self.body = match self.witness.take() {
-            Some(witness) => BodyState::Closed(Box::pin(witness.confirm())),
+            Some(witness) => BodyState::Closed(Box::pin(witness.confirm(self.hop.failure))),
             None => BodyState::Broken,
         };
     }
--- a/src/exchange/liveness.rs
+++ b/src/exchange/liveness.rs
@@ -1,5 +1,5 @@
 //! Decides whether a response without a length is complete: only if the process that sent it is known
-//! to run after its connection was closed. A process that crashes or exits closes its connections as
+//! to run after its connection was closed in order. A process that crashes or exits closes its connections as
 //! well, so the close alone shows nothing, and neither does a new connection, which a successor or the
 //! kernel may have accepted.
 //!
@@ -82,6 +82,9 @@
 /// Why a response that ended with its connection does not count as complete.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
 pub enum Doubt {
+    /// The connection failed while the request was sent, so its close may be a reset.
+    #[error("sending the request had failed: {0}")]
+    SendFailed(io::ErrorKind),
     /// Nobody listens at the peer's address any more.
     #[error("its sender has exited")]
     Exited,
@@ -218,10 +221,14 @@
         self.overlapped |= self.opened.is_some();
     }
 
-    /// Checks, after the response has ended, whether its sender still runs.
-    pub async fn confirm(mut self) -> Result<(), Error> {
+    /// Checks, after the response has ended, whether its sender still runs, unless its connection is
+    /// known to have failed.
+    pub async fn confirm(mut self, failure: Option<io::ErrorKind>) -> Result<(), Error> {
         let ended_at = self.client.paths.now();
-        let (result, probes) = self.check(ended_at).await;
+        let (result, probes) = match failure {
+            Some(kind) => (Err(Doubt::SendFailed(kind)), 0),
+            None => self.check(ended_at).await,
+        };
         let report = Report {
             result,
             probes,
--- a/src/gateway/probe.rs
+++ b/src/gateway/probe.rs
@@ -63,6 +63,7 @@
     fn record(&self, report: &Report) {
         let outcome = match report.result {
             Ok(()) => "runs",
+            Err(Doubt::SendFailed(_)) => "send_failed",
             Err(Doubt::Exited) => "exited",
             Err(Doubt::Replaced) => "replaced",
             Err(Doubt::Unconfirmed) => "unconfirmed",
--- a/tests/exchange.rs
+++ b/tests/exchange.rs
@@ -2,13 +2,14 @@
 //! complete.
 
 use std::cell::{Cell, RefCell};
-use std::io::{Read, Write};
+use std::io::{self, Read, Write};
 use std::rc::Rc;
 use std::thread;
 use std::time::{Duration, Instant};
 
 use actix_http::Method;
 use actix_rt::time::{sleep, timeout};
+use bytes::Bytes;
 use futures_util::{FutureExt, StreamExt};
 use pumicelatch::clock::{Clock, Time};
 use pumicelatch::exchange::liveness::{
@@ -148,6 +149,54 @@
     });
 }
 
+/// Records the results of checks.
+#[derive(Debug, Default)]
+struct Results(RefCell<Vec<Result<(), Doubt>>>);
+
+impl Probe for Results {
+    fn request(&self, _: Contact) -> Request {
+        Request::new(Method::GET, "/")
+    }
+
+    fn identify(&self, _: &Response, _: &[u8]) -> Identity {
+        Identity::Same
+    }
+
+    fn record(&self, report: &Report) {
+        self.0.borrow_mut().push(report.result);
+    }
+}
+
+/// A reset that a failed write had reported was taken for the end of a whole response.
+#[test]
+fn reset_that_a_failed_write_reports_is_told_apart_from_a_crash() {
+    actix_rt::System::new().block_on(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let peer = listener.local_addr().unwrap();
+        actix_rt::spawn(async move {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            stream.read_exact(&mut [0; 10_000]).await.unwrap();
+            let text = b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\npart";
+            stream.write_all(text).await.unwrap();
+            let socket = socket2::SockRef::from(&stream);
+            socket.set_linger(Some(Duration::ZERO)).unwrap();
+        });
+        let probe = Rc::new(Results::default());
+        let options = Options {
+            unframed: Unframed::Confirmed(probe.clone()),
+            ..Options::default()
+        };
+        let head = Request::new(Method::POST, "/").head(peer).unwrap();
+        let upload = Bytes::from(vec![b'u'; 12 << 20]);
+        let client = Client::default();
+        let response = client.exchange(peer, head, Some(upload), options).await;
+        let read = response.unwrap().read(1_024).await;
+        assert!(read.is_err(), "{read:?}");
+        let reset = Doubt::SendFailed(io::ErrorKind::ConnectionReset);
+        assert_eq!(*probe.0.borrow(), [Err(reset)]);
+    });
+}
+
 /// A response to HEAD without a length was read until its connection was closed.
 #[test]
 fn response_to_head_has_no_body() {
@@ -280,7 +329,7 @@
 }
 
 /// What a client makes of these bytes, with the connection open.
-async fn exchange_of(bytes: String) -> Result<(u16, bytes::Bytes), Error> {
+async fn exchange_of(bytes: String) -> Result<(u16, Bytes), Error> {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let peer = listener.local_addr().unwrap();
     let _writer = actix_rt::spawn(async move {
