Exchange: heads of responses are checked before they are decoded

What callers saw: a response with a blank or a tab before the colon of a header came as complete, with the header repaired (`X-Field : a` became `x-field: a`), or framed by that header (`Content-Length : 5`, `Transfer-Encoding : chunked`).

Cause: the codec of actix-http has its parser accept blanks between a name and its colon in responses, and drops them.

Change: `exchange::head` checks each head with the strict defaults of httparse, before `exchange::codec` hands it to that codec. It is the one client for replicas, agents, peers, the store and the origin.

Held before and after: blanks and control bytes inside names, no name, no colon, bytes above ASCII in names, malformed status lines, malformed chunks. Passed on before and after: every character of a valid name, empty values, blanks around values, bytes above ASCII in values, sound framings. tests/head compares with the grammar's tokens: all single bytes, random names.

Kept as it was: blanks after the size of a chunk and the contents of trailers are dropped, the body is the replica's. awc still repairs; what it reads is verified by digest or decoder and never passed on.

--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -3,7 +3,7 @@
 //! What a caller may be told depends on two facts that a general client does not report: whether
 //! any byte of the request was sent, and whether the response was complete or truncated. `awc` ends
 //! a body without an error when the peer closes the connection in the middle of it. So this client
-//! uses the codec of `actix-http` directly: an error before the first byte is [`Error::NotSent`],
+//! uses the codec of `actix-http` directly, behind a check of each head ([`head`]): an error before the first byte is [`Error::NotSent`],
 //! any later one is [`Error::Broken`], and a body ends only at its declared length or its last
 //! chunk.
 
@@ -20,7 +20,7 @@
 
 use actix_codec::Framed;
 use actix_http::body::BodySize;
-use actix_http::h1::{ClientCodec, Message};
+use actix_http::h1::Message;
 use actix_http::header::{HOST, HeaderName, HeaderValue};
 use actix_http::{ConnectionType, Method, RequestHead, RequestHeadType, ResponseHead, StatusCode};
 use actix_rt::time::{sleep, timeout};
@@ -35,6 +35,8 @@
 
 pub mod alarm;
 pub mod answer;
+mod codec;
+pub mod head;
 pub mod liveness;
 pub mod path;
 mod socket;
@@ -43,6 +45,7 @@
 pub use answer::Response;
 
 use answer::Hop;
+use codec::Codec;
 use liveness::Probe;
 use path::Paths;
 use socket::Socket;
@@ -83,6 +86,12 @@
         /// What happened.
         reason: String,
     },
+    /// Bytes were sent, and what was received is not a response by the protocol.
+    #[error("malformed response: {reason}")]
+    Malformed {
+        /// What is wrong with it.
+        reason: String,
+    },
     /// The connection went silent, as shown by exchanges on other connections. Bytes were sent.
     #[error("the connection went silent with others")]
     Silent,
@@ -106,6 +115,17 @@
     }
 }
 
+impl From<codec::Error> for Error {
+    fn from(error: codec::Error) -> Self {
+        match error {
+            codec::Error::Io(error) => broken(error),
+            codec::Error::Head(_) | codec::Error::Parse(_) => Self::Malformed {
+                reason: error.to_string(),
+            },
+        }
+    }
+}
+
 /// Whether an exchange may use an idle connection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Reuse {
@@ -276,7 +296,7 @@
     }
 }
 
-type Connection = Framed<Socket, ClientCodec>;
+type Connection = Framed<Socket, Codec>;
 
 /// A connection taken for an exchange.
 #[derive(Debug)]
@@ -605,7 +625,7 @@
         enable_loss_detection(socket.stream());
         let opened = self.paths.now();
         Ok(Checkout {
-            connection: Framed::new(socket, ClientCodec::default()),
+            connection: Framed::new(socket, Codec::default()),
             opened,
             last_received: opened,
         })
@@ -678,7 +698,7 @@
             }
             Some(Ok(head)) if head.status.is_informational() => {}
             Some(Ok(head)) => return Ok((head, sent)),
-            Some(Err(error)) => return Err(broken(error)),
+            Some(Err(error)) => return Err(error.into()),
             None => return Err(closed(sent)),
         }
     }
--- a/src/exchange/answer.rs
+++ b/src/exchange/answer.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 
 use actix_codec::Framed;
-use actix_http::h1::{ClientCodec, ClientPayloadCodec, MessageType};
+use actix_http::h1::{ClientPayloadCodec, MessageType};
 use actix_http::header::{CONTENT_LENGTH, HeaderMap, TRANSFER_ENCODING};
 use actix_http::{ResponseHead, StatusCode};
 use bytes::{Bytes, BytesMut};
@@ -19,6 +19,7 @@
 use futures_util::{Stream, StreamExt};
 use tokio::io::{AsyncRead, ReadBuf};
 
+use super::codec::Codec;
 use super::liveness::Witness;
 use super::path::Guard;
 use super::socket::Socket;
@@ -125,7 +126,7 @@
             }
             MessageType::None => response.release(connection),
             MessageType::Payload | MessageType::Stream => {
-                let payload = connection.into_map_codec(ClientCodec::into_payload_codec);
+                let payload = connection.into_map_codec(Codec::into_payload_codec);
                 response.body = BodyState::Codec(payload);
             }
         }
@@ -199,7 +200,7 @@
     fn complete(&mut self) {
         let body = std::mem::replace(&mut self.body, BodyState::Complete);
         if let BodyState::Codec(payload) = body {
-            self.release(payload.into_map_codec(ClientPayloadCodec::into_message_codec));
+            self.release(payload.into_map_codec(Codec::after));
         }
     }
 }
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -330,6 +330,9 @@
 
     /// The failure of an exchange after bytes were sent.
     pub fn exchange_failed(&self, job: &Job, error: &exchange::Error) -> Failure {
+        if let exchange::Error::Malformed { .. } = error {
+            self.gateway.instruments.count_malformed_response();
+        }
         self.broken(job, error.to_string(), signal(error))
     }
 
--- a/src/gateway/status.rs
+++ b/src/gateway/status.rs
@@ -26,6 +26,7 @@
     urgencies: Counter<u64>,
     attempts: Counter<u64>,
     closed_responses: Counter<u64>,
+    malformed_responses: Counter<u64>,
     limited_attempts: Counter<u64>,
     quotas: Gauge<u64>,
     grants: Counter<u64>,
@@ -80,6 +81,10 @@
                     "Responses without a length that ended with their connection, by whether the replica still ran",
                 )
                 .build(),
+            malformed_responses: meter
+                .u64_counter("pumicelatch.gateway.malformed_responses")
+                .with_description("Responses of replicas that break the protocol")
+                .build(),
             limited_attempts: meter
                 .u64_counter("pumicelatch.gateway.limited_attempts")
                 .with_description("Attempts at replicas that have stated a quota")
@@ -249,6 +254,11 @@
             .add(1, &[KeyValue::new("outcome", outcome)]);
     }
 
+    /// Counts a response of a replica that breaks the protocol.
+    pub fn count_malformed_response(&self) {
+        self.malformed_responses.add(1, &[]);
+    }
+
     /// Counts an attempt by how it ended.
     pub fn count_attempt(&self, ended: &'static str) {
         self.attempts.add(1, &[KeyValue::new("ended", ended)]);
--- a/tests/exchange.rs
+++ b/tests/exchange.rs
@@ -348,6 +348,16 @@
     ended.expect("the exchange ends")
 }
 
+/// A malformed response was counted as the end of its connection.
+#[test]
+fn malformed_response_is_told_apart_from_a_crash() {
+    actix_rt::System::new().block_on(async {
+        let bytes = "HTTP/1.1 200 OK\r\nX-Field : a\r\nContent-Length: 2\r\n\r\n{}";
+        let ended = exchange_of(bytes.to_owned()).await;
+        assert!(matches!(ended, Err(Error::Malformed { .. })), "{ended:?}");
+    });
+}
+
 /// An interim response was taken for the response, and passed on to the caller in its place.
 #[test]
 fn interim_responses_precede_the_response() {
--- /dev/null
+++ b/tests/head.rs
@@ -0,0 +1,37 @@
+//! What counts as the head of a response.
+
+use pumicelatch::exchange::head::check;
+use quickcheck::quickcheck;
+
+/// Whether a byte may stand in the name of a header (a `tchar` of RFC 9110).
+fn is_token(byte: u8) -> bool {
+    byte.is_ascii_alphanumeric() || b"!#$%&'*+-.^_`|~".contains(&byte)
+}
+
+/// The name of a header was taken although it held a blank, a control byte or nothing.
+#[test]
+fn only_tokens_are_names() {
+    fn property(mut name: Vec<u8>, blanks: u8) -> bool {
+        name.retain(|byte| !b":\r\n".contains(byte));
+        let blank = if blanks.is_multiple_of(2) {
+            b' '
+        } else {
+            b'\t'
+        };
+        name.extend(vec![blank; usize::from(blanks / 2 % 3)]);
+        let head = [b"HTTP/1.1 200 OK\r\n", &*name, b": a\r\n\r\n"].concat();
+        let valid = !name.is_empty() && name.iter().copied().all(is_token);
+        check(&head).is_ok() == valid
+    }
+    quickcheck(property as fn(Vec<u8>, u8) -> bool);
+    assert!((0..=u8::MAX).all(|byte| b":\r\n".contains(&byte) || property(vec![byte], 0)));
+}
+
+/// A head was refused because only a part of it had arrived.
+#[test]
+fn every_part_of_a_valid_head_is_valid() {
+    let head = b"HTTP/1.1 200 OK\r\nX-Field: a b\r\nContent-Length: 5\r\n\r\n";
+    for length in 0..=head.len() {
+        assert_eq!(check(&head[..length]), Ok(()), "{length} bytes");
+    }
+}
