Exchange: a status outside 100 to 599 is no answer

What callers saw: a replica's status of 600, 700 or 999 was passed on, with its body, as the replica's own error.

Cause: `StatusCode` of the http crate takes every number of three digits from 100 on, and nothing else asked.

--- a/tests/head.rs
+++ b/tests/head.rs
@@ -27,6 +27,16 @@
     assert!((0..=u8::MAX).all(|byte| b":\r\n".contains(&byte) || property(vec![byte], 0)));
 }
 
+/// A status outside the range of the protocol was taken.
+#[test]
+fn status_codes_are_100_to_599() {
+    for code in 0..=999 {
+        let head = format!("HTTP/1.1 {code:03} X\r\n\r\n");
+        let valid = (100..=599).contains(&code);
+        assert_eq!(check(head.as_bytes()).is_ok(), valid, "{code:03}");
+    }
+}
+
 /// A head was refused because only a part of it had arrived.
 #[test]
 fn every_part_of_a_valid_head_is_valid() {
