Exchange: heads whose framing is ambiguous are refused

What callers saw: a 200 with `Transfer-Encoding: identity` and no length came as complete and empty, whatever its body was. With a length, or with a length beside chunks, the response came framed by one of the two headers.

Cause: the codec of actix-http takes `identity` for no coding and then finds no framing; since the header is there, the client does not take the response for one without a length either, so nothing of the body is read.

Change: `exchange::head` refuses a transfer coding that is not `chunked` alone, or in HTTP/1.0, a length beside a coding, and a coding or a length other than 0 after 1xx and 204: what RFC 9112, section 6, has a recipient treat as an error or forbids to send.

Sound framings, a 204 with a length of 0 and a 304 with a length (tests/head) are accepted.

--- a/tests/head.rs
+++ b/tests/head.rs
@@ -1,6 +1,6 @@
 //! What counts as the head of a response.
 
-use pumicelatch::exchange::head::check;
+use pumicelatch::exchange::head::{Fault, check};
 use quickcheck::quickcheck;
 
 /// Whether a byte may stand in the name of a header (a `tchar` of RFC 9110).
@@ -37,6 +37,50 @@
     }
 }
 
+/// A head whose body ends in two places, or in none that is known, was taken.
+#[test]
+fn framing_of_a_body_is_unambiguous() {
+    let heads = [
+        ("1.1 200", "Content-Length: 5", Ok(())),
+        ("1.1 200", "transfer-encoding: Chunked", Ok(())),
+        ("1.1 200", "X: 5", Ok(())),
+        ("1.0 200", "Content-Length: 5", Ok(())),
+        ("1.1 304", "Content-Length: 5", Ok(())),
+        ("1.1 204", "Content-Length: 0", Ok(())),
+        ("1.1 204", "X: 5", Ok(())),
+        ("1.1 103", "X: 5", Ok(())),
+        ("1.1 200", "Transfer-Encoding: identity", Err(Fault::Coding)),
+        (
+            "1.1 200",
+            "Transfer-Encoding: gzip, chunked",
+            Err(Fault::Coding),
+        ),
+        (
+            "1.1 200",
+            "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked",
+            Err(Fault::Coding),
+        ),
+        ("1.0 200", "Transfer-Encoding: chunked", Err(Fault::Coding)),
+        (
+            "1.1 200",
+            "Transfer-Encoding: chunked\r\nContent-Length: 5",
+            Err(Fault::Framing),
+        ),
+        (
+            "1.1 200",
+            "Content-Length: 5\r\nTransfer-Encoding: identity",
+            Err(Fault::Framing),
+        ),
+        ("1.1 204", "Content-Length: 5", Err(Fault::Framing)),
+        ("1.1 204", "Transfer-Encoding: chunked", Err(Fault::Framing)),
+        ("1.1 103", "Content-Length: 5", Err(Fault::Framing)),
+    ];
+    for (status, headers, expected) in heads {
+        let head = format!("HTTP/{status} X\r\n{headers}\r\n\r\n");
+        assert_eq!(check(head.as_bytes()), expected, "{head}");
+    }
+}
+
 /// A head was refused because only a part of it had arrived.
 #[test]
 fn every_part_of_a_valid_head_is_valid() {
