Exchange: a response that offers another protocol keeps its body

What callers saw: a sound 200 or 404 with `Upgrade: websocket` and a length came as complete and empty, with the replica's seal; in HTTP/1.0 it was lost.

Cause: the codec of actix-http takes each response with that header for the beginning of another protocol, whatever its status is, and ignores its length. HTTP lets any response offer a protocol (RFC 9110, section 7.8).

Change: `exchange::head` takes `upgrade` headers out of a valid head before the codec decodes it. They concern the connection alone; requests ask for no other protocol, and the header was never passed on. A 101 still breaks the exchange.

--- a/src/exchange/codec.rs
+++ b/src/exchange/codec.rs
@@ -60,7 +60,10 @@
     type Error = Error;
 
     fn decode(&mut self, bytes: &mut BytesMut) -> Result<Option<ResponseHead>, Error> {
-        head::check(bytes)?;
+        // The codec reads no body where a response offers to switch to another protocol.
+        if head::check(bytes)?.offers_upgrade {
+            head::remove_upgrade(bytes);
+        }
         Ok(self.inner.decode(bytes)?)
     }
 }
--- a/src/exchange/head.rs
+++ b/src/exchange/head.rs
@@ -4,7 +4,8 @@
 use std::ops::RangeInclusive;
 
 use actix_http::StatusCode;
-use actix_http::header::{CONTENT_LENGTH, HeaderName, TRANSFER_ENCODING};
+use actix_http::header::{CONTENT_LENGTH, HeaderName, TRANSFER_ENCODING, UPGRADE};
+use bytes::BytesMut;
 use httparse::Header;
 
 /// Maximum number of headers, as many as the codec takes.
@@ -30,21 +31,50 @@
     Framing,
 }
 
+/// A valid head, as far as it has arrived.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Head {
+    /// Whether it offers to switch to another protocol.
+    pub offers_upgrade: bool,
+}
+
 /// Checks the head that `bytes` begin with, as far as it has arrived.
-pub fn check(bytes: &[u8]) -> Result<(), Fault> {
+pub fn check(bytes: &[u8]) -> Result<Head, Fault> {
     let mut headers = [httparse::EMPTY_HEADER; HEADERS_MAX];
     let mut response = httparse::Response::new(&mut headers);
     let is_complete = response.parse(bytes)?.is_complete();
     let (Some(version), Some(code)) = (response.version, response.code) else {
-        return Ok(());
+        return Ok(Head::default());
     };
     if !STATUSES.contains(&code) {
         return Err(Fault::Status(code));
     }
-    if is_complete {
-        check_framing(version, code, response.headers)?;
+    if !is_complete {
+        return Ok(Head::default());
     }
-    Ok(())
+    check_framing(version, code, response.headers)?;
+    let mut offers = values(response.headers, &UPGRADE);
+    Ok(Head {
+        offers_upgrade: offers.next().is_some(),
+    })
+}
+
+/// Removes the `upgrade` headers from the complete head that `bytes` begin with. They concern the
+/// connection alone.
+pub fn remove_upgrade(bytes: &mut BytesMut) {
+    let mut kept = BytesMut::with_capacity(bytes.len());
+    while let Some(end) = bytes.iter().position(|byte| *byte == b'\n') {
+        let line = bytes.split_to(end + 1).freeze();
+        let name = line.split(|byte| *byte == b':').next();
+        if name.is_none_or(|name| !name.eq_ignore_ascii_case(UPGRADE.as_str().as_bytes())) {
+            kept.extend_from_slice(&line);
+        }
+        if line.trim_ascii().is_empty() {
+            break;
+        }
+    }
+    kept.unsplit(std::mem::take(bytes));
+    *bytes = kept;
 }
 
 /// Checks that the headers tell in one way only where the body ends (RFC 9112, section 6).
--- a/tests/head.rs
+++ b/tests/head.rs
@@ -1,6 +1,7 @@
 //! What counts as the head of a response.
 
-use pumicelatch::exchange::head::{Fault, check};
+use bytes::BytesMut;
+use pumicelatch::exchange::head::{Fault, Head, check, remove_upgrade};
 use quickcheck::quickcheck;
 
 /// Whether a byte may stand in the name of a header (a `tchar` of RFC 9110).
@@ -77,7 +78,8 @@
     ];
     for (status, headers, expected) in heads {
         let head = format!("HTTP/{status} X\r\n{headers}\r\n\r\n");
-        assert_eq!(check(head.as_bytes()), expected, "{head}");
+        let checked = check(head.as_bytes()).map(|_| ());
+        assert_eq!(checked, expected, "{head}");
     }
 }
 
@@ -86,6 +88,33 @@
 fn every_part_of_a_valid_head_is_valid() {
     let head = b"HTTP/1.1 200 OK\r\nX-Field: a b\r\nContent-Length: 5\r\n\r\n";
     for length in 0..=head.len() {
-        assert_eq!(check(&head[..length]), Ok(()), "{length} bytes");
+        assert_eq!(
+            check(&head[..length]),
+            Ok(Head::default()),
+            "{length} bytes"
+        );
+    }
+}
+
+/// Bytes besides the offer were lost with it, or one of several offers was left.
+#[test]
+fn only_offers_of_an_upgrade_are_removed() {
+    const OFFERS: [&str; 3] = ["Upgrade: websocket\r\n", "upgrade:a\n", "UPGRADE: \r\n"];
+    for status in ["HTTP/1.1 200 OK\r\n", "HTTP/1.1 103\n"] {
+        let offers = OFFERS.concat();
+        let fields = "X-Upgrade: a\r\nX: Upgrade: b\r\n";
+        let rest = "\r\nUpgrade: in the body\r\n\r\nUpgrade: b";
+        let head = format!("{status}{offers}{fields}{offers}{rest}");
+        assert_eq!(
+            check(head.as_bytes()),
+            Ok(Head {
+                offers_upgrade: true
+            })
+        );
+        let mut bytes = BytesMut::from(head.as_bytes());
+        remove_upgrade(&mut bytes);
+        let expected = format!("{status}{fields}{rest}");
+        assert_eq!(bytes, expected);
+        assert_eq!(check(&bytes), Ok(Head::default()));
     }
 }
