--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -3,9 +3,9 @@
 //! What a caller may be told depends on two facts that a general client does not report: whether
 //! any byte of the request was sent, and whether the response was complete or truncated. `awc` ends
 //! a body without an error when the peer closes the connection in the middle of it. So this client
-//! uses the codec of `actix-http` directly, behind a check of each head ([`head`]): an error before the first byte is [`Error::NotSent`],
-//! any later one is [`Error::Broken`], and a body ends only at its declared length or its last
-//! chunk.
+//! uses the codec of `actix-http` directly, behind a check of each head ([`head`]): an error before
+//! the first byte is [`Error::NotSent`], any later one is [`Error::Broken`] or
+//! [`Error::Malformed`], and a body ends only at its declared length or its last chunk.
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -86,7 +86,7 @@
         /// What happened.
         reason: String,
     },
-    /// Bytes were sent, and what was received is not a response by the protocol.
+    /// Bytes were sent, and what was received breaks the protocol.
     #[error("malformed response: {reason}")]
     Malformed {
         /// What is wrong with it.
--- a/src/exchange/liveness.rs
+++ b/src/exchange/liveness.rs
@@ -1,7 +1,7 @@
-//! Decides whether a response without a length is complete: only if the process that sent it is known
-//! to run after its connection was closed in order. A process that crashes or exits closes its connections as
-//! well, so the close alone shows nothing, and neither does a new connection, which a successor or the
-//! kernel may have accepted.
+//! Decides whether a response without a length is complete: only if its connection was closed in order
+//! and the process that sent it is known to run after that. A process that crashes or exits closes its
+//! connections as well, so the close alone shows nothing, and neither does a new connection, which a
+//! successor or the kernel may have accepted.
 //!
 //! A connection that was opened before the end and is answered after it shows that the same process
 //! still runs, whatever the answer says. On any other connection, the answer has to name the instance.
